--- /dev/null
+++ b/programs/dotterelfieldd.cpp
@@ -0,0 +1,108 @@
+#include "core/structured_log.h"
+#include "entry_host/entry_host.h"
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <popt.h>
+#include <random>
+#include <sstream>
+
+namespace {
+
+constexpr int ExitOk = 0;
+constexpr int ExitBadUsage = 2;
+constexpr int ExitBadSettings = 3;
+constexpr int ExitCannotRun = 4;
+
+struct Options
+{
+    std::string settingsPath;
+    bool checkOnly = false;
+};
+
+/// Reads the command line; returns an exit code if the process should end.
+std::optional<int> parseOptions(int argc, const char **argv, Options &options)
+{
+    char *settingsPath = nullptr;
+    int checkOnly = 0;
+    const poptOption table[] = {
+            {"settings", 's', POPT_ARG_STRING, &settingsPath, 0, "YAML settings of this host",
+             "FILE"},
+            {"check", 'c', POPT_ARG_NONE, &checkOnly, 0, "check the settings and exit", nullptr},
+            POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context = poptGetContext("dotterelfieldd", argc, argv, table, 0);
+    const int result = poptGetNextOpt(context);
+    const char *surplus = poptGetArg(context);
+    if (result < -1 || surplus != nullptr || settingsPath == nullptr) {
+        const char *what = result < -1          ? poptStrerror(result)
+                           : surplus != nullptr ? "takes no arguments"
+                                                : "--settings FILE is required";
+        std::cerr << "dotterelfieldd: " << what << "; see --help\n";
+        poptFreeContext(context);
+        return ExitBadUsage;
+    }
+    options.settingsPath = settingsPath;
+    options.checkOnly = checkOnly != 0;
+    std::free(settingsPath);
+    poptFreeContext(context);
+    return std::nullopt;
+}
+
+tl::expected<dotterel::Settings, std::vector<dotterel::YamlFault>>
+loadSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return tl::unexpected(std::vector<dotterel::YamlFault>{{path, 0, "", "cannot be opened"}});
+    std::ostringstream text;
+    text << file.rdbuf();
+    return dotterel::settingsFromYaml(text.str(), path);
+}
+
+/// A later start of the same host draws a higher number; the low bits part two starts at once.
+dotterel::Incarnation drawIncarnation(const dotterel::Clock &clock)
+{
+    std::random_device device;
+    constexpr unsigned RandomBits = 12;
+    return (static_cast<dotterel::Incarnation>(clock.wallTime()) << RandomBits)
+           | (device() & ((1U << RandomBits) - 1));
+}
+
+int runHost(const dotterel::Settings &settings)
+{
+    dotterel::EventLoop loop;
+    dotterel::StructuredLog log(settings.host, settings.logThreshold);
+    dotterel::EntryHost host(loop, settings, drawIncarnation(loop), log);
+    const auto shutDown = [&host, &loop] { host.beginShutdown([&loop] { loop.stop(); }); };
+    const dotterel::EventLoop::TimerHandle onTerminate = loop.onSignal(SIGTERM, shutDown);
+    const dotterel::EventLoop::TimerHandle onInterrupt = loop.onSignal(SIGINT, shutDown);
+    loop.run();
+    return ExitOk;
+}
+
+} // namespace
+
+int main(int argc, const char **argv)
+{
+    Options options;
+    const std::optional<int> early = parseOptions(argc, argv, options);
+    if (early)
+        return *early;
+    const auto settings = loadSettings(options.settingsPath);
+    if (!settings) {
+        for (const dotterel::YamlFault &fault : settings.error())
+            std::cerr << fault.text() << '\n';
+        return ExitBadSettings;
+    }
+    if (options.checkOnly) {
+        std::cout << options.settingsPath << ": ok\n";
+        return ExitOk;
+    }
+    try {
+        return runHost(*settings);
+    } catch (const std::exception &error) {
+        std::cerr << "dotterelfieldd: " << error.what() << '\n';
+        return ExitCannotRun;
+    }
+}
--- /dev/null
+++ b/src/coordination/two_choices_placement.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "coordination/backend_directory.h"
+#include "coordination/placement.h"
+#include "core/random_source.h"
+
+#include <map>
+
+namespace dotterel {
+
+/// Takes the less loaded of two random servers and gives shorter prompts a higher priority.
+/// Load is what the server last reported plus what this host has sent to it.
+class TwoChoicesPlacement : public Placement
+{
+public:
+    TwoChoicesPlacement(const BackendDirectory &directory, RandomSource &random);
+
+    tl::expected<PlacementChoice, Failure> choose(const PlacementQuery &query,
+                                                  TimePoint now) override;
+    void onDispatched(const AttemptId &attempt, const PlacementQuery &query,
+                      const PlacementChoice &choice, TimePoint now) override;
+    void onFirstToken(const AttemptId &attempt, TimePoint now) override;
+    void onEnded(const AttemptId &attempt, TimePoint now) override;
+    void onLoadReport(const ServerId &server, const LoadReport &report, TimePoint now) override;
+
+private:
+    struct Running
+    {
+        ServerId server;
+        std::uint64_t tokens = 0;
+    };
+
+    std::uint64_t load(const ServerId &server) const;
+    void forget(const AttemptId &attempt);
+
+    const BackendDirectory &directory;
+    RandomSource &random;
+    std::map<AttemptId, Running> running;
+    std::map<ServerId, std::uint64_t> sentTokens;
+    std::map<ServerId, LoadReport> reports;
+};
+
+} // namespace dotterel
--- /dev/null
+++ b/src/core/event_log.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace dotterel {
+
+/// How serious a logged event is.
+enum class Severity {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/// Numbered log events. A number is never given to another event; docs/EVENTS.md is the catalogue.
+enum class Event : std::uint16_t {
+    HostStarted = 100,
+    HostReady = 101,
+    ShutdownBegan = 102,
+    ShutdownDone = 103,
+    SettingsRejected = 104,
+    RequestRefused = 200,
+    RequestFinished = 201,
+    AttemptFailed = 202,
+    AttemptStarted = 203,
+    ForeignBytesDropped = 204,
+    CallerLeft = 205,
+    OrderClaimed = 300,
+    OrderClaimFailed = 301,
+    OrderOutcomeRecorded = 302,
+    ConfigurationApplied = 400,
+    ConfigurationRejected = 401,
+    PlatformUnavailable = 402,
+    PlatformReachable = 403,
+    PeerLinked = 500,
+    PeerLinkClosed = 501,
+    PeerFrameRejected = 502,
+    MemberSuspected = 503,
+    MemberJoined = 504,
+    ServerDraining = 600,
+    ServerDown = 601,
+    ServerUp = 602,
+    AllocationReleased = 700,
+    AllocationReserveFailed = 701,
+    CrashSuspect = 800,
+    CrashRefused = 801,
+};
+
+/// Static properties of an Event.
+struct EventInfo
+{
+    Event event;
+    std::string_view name;
+    Severity severity;
+    std::string_view meaning;
+};
+
+/// Returns all rows of the table of events, in the order of their numbers.
+const std::vector<EventInfo> &eventTable();
+
+/// Returns the external name of \a severity.
+std::string_view severityName(Severity severity);
+
+/// A named value that belongs to a logged event.
+struct LogField
+{
+    std::string_view name;
+    std::variant<std::string, std::int64_t, double> value;
+};
+
+/// Takes numbered events. Implementations write them out or collect them for a test.
+class EventLog
+{
+public:
+    virtual ~EventLog() = default;
+
+    /// Records \a event with \a fields.
+    virtual void write(Event event, const std::vector<LogField> &fields) = 0;
+};
+
+/// Drops every event.
+class NullEventLog : public EventLog
+{
+public:
+    void write(Event event, const std::vector<LogField> &fields) override;
+};
+
+} // namespace dotterel
--- /dev/null
+++ b/src/core/metrics.cpp
@@ -0,0 +1,90 @@
+#include "core/metrics.h"
+
+#include "core/enum_names.h"
+
+#include <array>
+
+namespace dotterel {
+
+namespace {
+
+constexpr std::array<EnumName<RetryReason>, 6> RetryReasonNames = {{
+        {RetryReason::ConnectFailed, "connect_failed"},
+        {RetryReason::Refused, "refused"},
+        {RetryReason::ServerFailed, "server_failed"},
+        {RetryReason::AnswerCut, "answer_cut"},
+        {RetryReason::FirstTokenTimeout, "first_token_timeout"},
+        {RetryReason::MemoryUnavailable, "memory_unavailable"},
+}};
+
+constexpr std::array<EnumName<LengthBand>, 6> LengthBandNames = {{
+        {LengthBand::UpTo4k, "1k-4k"},
+        {LengthBand::UpTo16k, "4k-16k"},
+        {LengthBand::UpTo64k, "16k-64k"},
+        {LengthBand::UpTo100k, "64k-100k"},
+        {LengthBand::UpTo256k, "100k-256k"},
+        {LengthBand::UpTo1M, "256k-1M"},
+}};
+
+constexpr std::array<EnumName<Counter>, 13> CounterNames = {{
+        {Counter::RequestsAdmitted, "requests_admitted"},
+        {Counter::RequestsFinished, "requests_finished"},
+        {Counter::ForeignBytesDropped, "foreign_bytes_dropped"},
+        {Counter::PeerFramesRejected, "peer_frames_rejected"},
+        {Counter::PeerBytesSent, "peer_bytes_sent"},
+        {Counter::PeerMessagesSent, "peer_messages_sent"},
+        {Counter::PlatformReads, "platform_reads"},
+        {Counter::PlatformWrites, "platform_writes"},
+        {Counter::PlatformErrors, "platform_errors"},
+        {Counter::AllocationsSwept, "allocations_swept"},
+        {Counter::OrdersClaimed, "orders_claimed"},
+        {Counter::OrderClaimBatches, "order_claim_batches"},
+        {Counter::CrashSuspects, "crash_suspects"},
+}};
+
+constexpr std::array<EnumName<Gauge>, 5> GaugeNames = {{
+        {Gauge::ConfigurationVersion, "configuration_version"},
+        {Gauge::RequestsInFlight, "requests_in_flight"},
+        {Gauge::LiveMembers, "live_members"},
+        {Gauge::BackendServersUsable, "backend_servers_usable"},
+        {Gauge::QueuedBytes, "queued_bytes"},
+}};
+
+} // namespace
+
+std::string_view retryReasonName(RetryReason reason)
+{
+    return enumName(RetryReasonNames, reason);
+}
+
+LengthBand lengthBand(std::uint64_t tokens)
+{
+    if (tokens <= 4'000)
+        return LengthBand::UpTo4k;
+    if (tokens <= 16'000)
+        return LengthBand::UpTo16k;
+    if (tokens <= 64'000)
+        return LengthBand::UpTo64k;
+    if (tokens <= 100'000)
+        return LengthBand::UpTo100k;
+    if (tokens <= 256'000)
+        return LengthBand::UpTo256k;
+    return LengthBand::UpTo1M;
+}
+
+std::string_view lengthBandName(LengthBand band)
+{
+    return enumName(LengthBandNames, band);
+}
+
+std::string_view counterName(Counter counter)
+{
+    return enumName(CounterNames, counter);
+}
+
+std::string_view gaugeName(Gauge gauge)
+{
+    return enumName(GaugeNames, gauge);
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/core/prometheus_metrics.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/metrics.h"
+
+#include <memory>
+#include <string>
+
+namespace dotterel {
+
+/// Keeps metrics in a prometheus-cpp registry.
+class PrometheusMetrics : public Metrics
+{
+public:
+    PrometheusMetrics();
+    ~PrometheusMetrics() override;
+
+    void countRefusal(Reason reason) override;
+    void countRetry(RetryReason reason) override;
+    void count(Counter counter, std::uint64_t amount) override;
+    void set(Gauge gauge, double value) override;
+    void observeFirstToken(LengthBand band, Duration time) override;
+
+    /// Returns every value in the Prometheus text format.
+    std::string text() const;
+
+private:
+    struct Families;
+    std::unique_ptr<Families> families;
+};
+
+} // namespace dotterel
--- /dev/null
+++ b/src/core/structured_log.cpp
@@ -0,0 +1,83 @@
+#include "core/structured_log.h"
+
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
+#include <chrono>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace dotterel {
+
+namespace {
+
+using Backend = boost::log::sinks::text_ostream_backend;
+using Frontend = boost::log::sinks::synchronous_sink<Backend>;
+
+const EventInfo &infoOf(Event event)
+{
+    for (const EventInfo &info : eventTable()) {
+        if (info.event == event)
+            return info;
+    }
+    return eventTable().front();
+}
+
+std::int64_t wallMilliseconds()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+}
+
+} // namespace
+
+struct StructuredLog::Sink
+{
+    boost::shared_ptr<Frontend> frontend;
+    boost::log::sources::logger logger;
+};
+
+StructuredLog::StructuredLog(HostId host, Severity threshold)
+    : host(std::move(host))
+    , threshold(threshold)
+    , sink(std::make_unique<Sink>())
+{
+    const boost::shared_ptr<Backend> backend = boost::make_shared<Backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+    backend->auto_flush(true);
+    this->sink->frontend = boost::make_shared<Frontend>(backend);
+    this->sink->frontend->set_formatter(boost::log::expressions::stream
+                                        << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(this->sink->frontend);
+}
+
+StructuredLog::~StructuredLog()
+{
+    boost::log::core::get()->remove_sink(this->sink->frontend);
+}
+
+void StructuredLog::write(Event event, const std::vector<LogField> &fields)
+{
+    const EventInfo &info = infoOf(event);
+    if (info.severity < this->threshold)
+        return;
+    nlohmann::ordered_json line;
+    line["time_ms"] = wallMilliseconds();
+    line["host"] = this->host;
+    line["event"] = static_cast<int>(event);
+    line["name"] = info.name;
+    line["severity"] = severityName(info.severity);
+    for (const LogField &field : fields) {
+        std::visit([&line, &field](const auto &value) { line[std::string(field.name)] = value; },
+                   field.value);
+    }
+    BOOST_LOG(this->sink->logger) << line.dump(-1, ' ', false,
+                                               nlohmann::ordered_json::error_handler_t::replace);
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/entry_host/entry_host.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "coordination/backend_directory.h"
+#include "coordination/configuration_follower.h"
+#include "coordination/membership.h"
+#include "coordination/order_ledger.h"
+#include "coordination/request_controller.h"
+#include "coordination/two_choices_placement.h"
+#include "core/prometheus_metrics.h"
+#include "core/random_source.h"
+#include "entry_host/caller_api.h"
+#include "entry_host/http_backend_client.h"
+#include "entry_host/peer_mesh.h"
+#include "state/http_object_store.h"
+#include "state/settings.h"
+#include "transport/http_client.h"
+
+#include <functional>
+#include <list>
+#include <memory>
+
+namespace dotterel {
+
+/// One entry host: joins the decision classes to the loop, the network and the platform.
+class EntryHost
+    : private RequestEffects
+    , private AttemptListener
+    , private CallerListener
+    , private PeerListener
+{
+public:
+    /// Binds the host's three addresses. Throws std::runtime_error if one cannot be bound.
+    EntryHost(EventLoop &loop, const Settings &settings, Incarnation incarnation, EventLog &log);
+    ~EntryHost() override;
+
+    /// Begins a graceful shutdown; \a finished is called when every request has ended.
+    void beginShutdown(std::function<void()> finished);
+
+    /// Addresses in use.
+    Endpoint callers() const { return this->callerApi.endpoint(); }
+    Endpoint operators() const { return this->operatorServer.endpoint(); }
+    Endpoint peers() const { return this->mesh.endpoint(); }
+
+private:
+    // RequestEffects
+    void sendAttempt(const AttemptOrder &order) override;
+    void cancelAttempt(const AttemptId &attempt) override;
+    void claimOrder(const OrderClaim &claim) override;
+    void recordOrderAnswer(const OrderClaim &claim, const ServiceAnswer &answer) override;
+    void releaseOrder(const OrderClaim &claim) override;
+    void deliverText(const RequestId &request, const std::string &text) override;
+    void finishAnswer(const RequestId &request, std::uint64_t tokens) override;
+    void deliverServiceAnswer(const RequestId &request, const ServiceAnswer &answer) override;
+    void refuse(const RequestId &request, const Failure &failure) override;
+
+    // AttemptListener
+    void onToken(const AttemptId &attempt, const AnswerToken &token) override;
+    void onAnswerEnd(const AttemptId &attempt, const AnswerEnd &end) override;
+    void onServiceAnswer(const AttemptId &attempt, const ServiceAnswer &answer) override;
+    void onAttemptFailed(const AttemptId &attempt, const AttemptFailure &failure) override;
+
+    // CallerListener
+    void onRequest(const Request &request) override;
+    void onMalformedRequest(const Failure &failure) override;
+    void onCallerGone(const RequestId &request) override;
+
+    // PeerListener
+    void onPeerMessage(std::uint64_t link, const PeerMessage &message) override;
+
+    void applyConfiguration(const Configuration &configuration);
+    void watchConfiguration();
+    void readHosts();
+    void heartbeat();
+    void armTimer();
+    void finishShutdownIfIdle();
+    void handleOperator(const HttpExchangePointer &exchange);
+    std::string statusDocument() const;
+
+    EventLoop &loop;
+    Settings settings;
+    HostIdentity identity;
+    EventLog &log;
+    PrometheusMetrics metrics;
+    SeededRandom random;
+    HttpClient httpClient;
+    HttpObjectStore platform;
+    BackendDirectory directory;
+    TwoChoicesPlacement placement;
+    RequestController controller;
+    OrderLedger ledger;
+    ConfigurationFollower follower;
+    Membership membership;
+    HttpBackendClient backend;
+    CallerApi callerApi;
+    PeerMesh mesh;
+    HttpServer operatorServer;
+    bool shuttingDown = false;
+    bool platformReachable = true;
+    std::uint64_t watchedVersion = 0; ///< Of the object that holds the configuration.
+    std::function<void()> shutdownFinished;
+    EventLoop::TimerHandle deadlineTimer;
+    EventLoop::TimerHandle heartbeatTimer;
+    EventLoop::TimerHandle hostsTimer;
+    EventLoop::TimerHandle watchTimer;
+    EventLoop::TimerHandle graceTimer;
+    EventLoop::TimerHandle drainTimer;
+};
+
+} // namespace dotterel
--- /dev/null
+++ b/src/entry_host/http_backend_client.cpp
@@ -0,0 +1,228 @@
+#include "entry_host/http_backend_client.h"
+
+#include <optional>
+
+namespace dotterel {
+
+namespace {
+
+constexpr int FirstErrorStatus = 400;
+constexpr Duration CancelTimeout = std::chrono::seconds(5);
+constexpr Duration RetryAfterRefusal = std::chrono::seconds(1);
+constexpr Duration RetryAfterBreak = std::chrono::seconds(2);
+
+std::string headerOf(const HttpHeaders &headers, std::string_view name)
+{
+    HttpResponse response;
+    response.headers = headers;
+    return response.header(name);
+}
+
+AttemptFailure connectionFailure(const HttpFailure &failure)
+{
+    if (failure.kind == HttpFailureKind::ConnectFailed)
+        return {{Verdict::NotRun, Reason::BackendConnectFailed,
+                 "the backend server could not be connected", RetryAfterBreak},
+                ServerFault::Unreachable};
+    return {{failure.verdict, Reason::BackendFailed, "the connection to the backend server broke",
+             RetryAfterBreak},
+            ServerFault::Unreachable};
+}
+
+} // namespace
+
+/// One attempt and its connection.
+class HttpBackendClient::Attempt : public HttpListener
+{
+public:
+    Attempt(HttpBackendClient &owner, const AttemptOrder &order)
+        : owner(owner)
+        , id(order.attempt)
+        , kind(order.kind)
+        , endpoint(order.server.endpoint)
+    {}
+
+    void start(const HttpRequest &request) { this->call = this->owner.client.send(request, *this); }
+
+    const Endpoint &server() const { return this->endpoint; }
+
+    void onHead(int newStatus, const HttpHeaders &newHeaders) override
+    {
+        this->status = newStatus;
+        this->headers = newHeaders;
+    }
+
+    void onData(std::string_view bytes) override
+    {
+        if (this->kind == PoolKind::Service || this->status >= FirstErrorStatus) {
+            this->body.append(bytes);
+            return;
+        }
+        const tl::expected<std::vector<EngineEvent>, std::string> events =
+                this->decoder.feed(bytes);
+        if (!events) {
+            this->fail({{Verdict::MayHaveRun, Reason::BackendFailed,
+                         "the backend server sent a malformed event", RetryAfterBreak},
+                        ServerFault::None});
+            return;
+        }
+        this->deliver(*events);
+    }
+
+    void onComplete() override
+    {
+        if (this->status >= FirstErrorStatus && this->refusedWithoutRunning())
+            this->fail(this->refusal());
+        else if (this->kind == PoolKind::Service)
+            this->deliverServiceAnswer();
+        else if (this->status >= FirstErrorStatus)
+            this->fail({{Verdict::MayHaveRun, Reason::BackendFailed,
+                         "the backend server answered " + std::to_string(this->status),
+                         RetryAfterBreak},
+                        ServerFault::None});
+        else
+            this->fail({{Verdict::MayHaveRun, Reason::AnswerCut,
+                         "the answer stopped before its end mark", RetryAfterBreak},
+                        ServerFault::None});
+    }
+
+    void onFailed(const HttpFailure &failure) override { this->fail(connectionFailure(failure)); }
+
+private:
+    bool refusedWithoutRunning() const { return headerOf(this->headers, "X-Not-Run") == "true"; }
+
+    AttemptFailure refusal() const
+    {
+        const bool draining = headerOf(this->headers, "X-Draining") == "true";
+        return {{Verdict::NotRun, Reason::BackendRefused,
+                 "the backend server refused the request without running it", RetryAfterRefusal},
+                draining ? ServerFault::Draining : ServerFault::None};
+    }
+
+    void deliver(const std::vector<EngineEvent> &events)
+    {
+        // Each call may cancel this attempt, which the owner then no longer knows.
+        HttpBackendClient &client = this->owner;
+        const AttemptId attempt = this->id;
+        for (const EngineEvent &event : events) {
+            if (client.attempts.count(attempt) == 0)
+                return;
+            if (const AnswerToken *token = std::get_if<AnswerToken>(&event)) {
+                client.listener.onToken(attempt, *token);
+                continue;
+            }
+            const AnswerEnd &end = std::get<AnswerEnd>(event);
+            if (end.attempt != attempt) {
+                client.listener.onAnswerEnd(attempt, end);
+                continue;
+            }
+            const std::unique_ptr<Attempt> self = client.release(attempt);
+            client.listener.onAnswerEnd(attempt, end);
+            return;
+        }
+    }
+
+    void deliverServiceAnswer()
+    {
+        ServiceAnswer answer{this->status, headerOf(this->headers, "Content-Type"),
+                             std::move(this->body)};
+        const std::unique_ptr<Attempt> self = this->owner.release(this->id);
+        self->owner.listener.onServiceAnswer(self->id, answer);
+    }
+
+    void fail(const AttemptFailure &failure)
+    {
+        const std::unique_ptr<Attempt> self = this->owner.release(this->id);
+        self->owner.listener.onAttemptFailed(self->id, failure);
+    }
+
+    HttpBackendClient &owner;
+    AttemptId id;
+    PoolKind kind;
+    Endpoint endpoint;
+    int status = 0;
+    HttpHeaders headers;
+    std::string body;
+    EngineStreamDecoder decoder;
+    std::unique_ptr<HttpCall> call;
+};
+
+HttpBackendClient::HttpBackendClient(EventLoop &loop, HttpClient &client, HostIdentity identity,
+                                     AttemptListener &listener)
+    : loop(loop)
+    , client(client)
+    , identity(std::move(identity))
+    , listener(listener)
+{}
+
+HttpBackendClient::~HttpBackendClient() = default;
+
+void HttpBackendClient::send(const AttemptOrder &order)
+{
+    const TimePoint now = this->loop.now();
+    const Duration remaining = std::max<Duration>(order.deadline - now, Duration(1));
+    const std::int64_t remainingMilliseconds =
+            std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
+    HttpRequest request;
+    request.endpoint = order.server.endpoint;
+    request.body = order.request->body;
+    request.timeout = remaining;
+    if (order.kind == PoolKind::Model) {
+        request.method = "POST";
+        request.target = "/v1/completions";
+        request.headers.emplace_back("Accept", "text/event-stream");
+        request.headers.emplace_back("X-Priority", std::to_string(order.priority));
+        request.headers.emplace_back("X-Resume-At", std::to_string(order.resumeAt));
+        request.headers.emplace_back("X-Host", this->identity.host);
+        request.headers.emplace_back("X-Incarnation", std::to_string(this->identity.incarnation));
+    } else {
+        request.method = order.request->method;
+        request.target = order.request->target;
+    }
+    if (!order.request->contentType.empty())
+        request.headers.emplace_back("Content-Type", order.request->contentType);
+    request.headers.emplace_back("X-Attempt-Id", order.attempt);
+    request.headers.emplace_back("X-Time-To-Live-Ms", std::to_string(remainingMilliseconds));
+    if (!order.request->idempotencyKey.empty())
+        request.headers.emplace_back("Idempotency-Key", order.request->idempotencyKey);
+
+    std::unique_ptr<Attempt> &attempt = this->attempts[order.attempt];
+    attempt = std::make_unique<Attempt>(*this, order);
+    attempt->start(request);
+}
+
+void HttpBackendClient::cancel(const AttemptId &attempt)
+{
+    const std::unique_ptr<Attempt> cancelled = this->release(attempt);
+    if (cancelled != nullptr)
+        this->tellServerToDrop(cancelled->server(), attempt);
+}
+
+std::unique_ptr<HttpBackendClient::Attempt> HttpBackendClient::release(const AttemptId &attempt)
+{
+    const auto found = this->attempts.find(attempt);
+    if (found == this->attempts.end())
+        return nullptr;
+    std::unique_ptr<Attempt> released = std::move(found->second);
+    this->attempts.erase(found);
+    return released;
+}
+
+void HttpBackendClient::tellServerToDrop(const Endpoint &server, const AttemptId &attempt)
+{
+    HttpRequest request;
+    request.endpoint = server;
+    request.method = "POST";
+    request.target = "/v1/attempts/" + attempt + "/cancel";
+    request.body = std::make_shared<const std::string>();
+    request.timeout = CancelTimeout;
+    const auto place = this->cancellations.emplace(this->cancellations.end());
+    *place = std::make_unique<HttpFetch>(
+            this->client, request,
+            [this, place](const std::optional<HttpResponse> &, const HttpFailure &) {
+                this->loop.disposeLater(std::shared_ptr<HttpFetch>(std::move(*place)));
+                this->cancellations.erase(place);
+            });
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/protocol/engine_stream.cpp
@@ -0,0 +1,67 @@
+#include "protocol/engine_stream.h"
+
+#include <nlohmann/json.hpp>
+
+namespace dotterel {
+
+namespace {
+
+constexpr std::string_view DataPrefix = "data: ";
+constexpr std::size_t LongestLineBytes = 64UL * 1024;
+
+tl::expected<EngineEvent, std::string> parseEvent(std::string_view text)
+{
+    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object())
+        return tl::unexpected(std::string("an event is not a JSON object"));
+    try {
+        const AttemptId attempt = json.at("attempt").get<std::string>();
+        if (json.value("end", false))
+            return AnswerEnd{attempt, json.at("count").get<std::uint64_t>()};
+        return AnswerToken{attempt, json.at("index").get<std::uint64_t>(),
+                           json.at("text").get<std::string>()};
+    } catch (const nlohmann::json::exception &error) {
+        return tl::unexpected(std::string(error.what()));
+    }
+}
+
+} // namespace
+
+tl::expected<std::vector<EngineEvent>, std::string>
+EngineStreamDecoder::feed(std::string_view bytes)
+{
+    this->pending.append(bytes);
+    std::vector<EngineEvent> events;
+    std::size_t start = 0;
+    for (std::size_t end = this->pending.find('\n'); end != std::string::npos;
+         end = this->pending.find('\n', start)) {
+        const std::string_view line(this->pending.data() + start, end - start);
+        start = end + 1;
+        if (line.substr(0, DataPrefix.size()) != DataPrefix)
+            continue;
+        const tl::expected<EngineEvent, std::string> event =
+                parseEvent(line.substr(DataPrefix.size()));
+        if (!event)
+            return tl::unexpected(event.error());
+        events.push_back(*event);
+    }
+    this->pending.erase(0, start);
+    if (this->pending.size() > LongestLineBytes)
+        return tl::unexpected(std::string("a line is too long"));
+    return events;
+}
+
+std::string encodeEngineEvent(const EngineEvent &event)
+{
+    nlohmann::json json;
+    if (const AnswerToken *token = std::get_if<AnswerToken>(&event)) {
+        json = {{"attempt", token->attempt}, {"index", token->index}, {"text", token->text}};
+    } else {
+        const AnswerEnd &end = std::get<AnswerEnd>(event);
+        json = {{"attempt", end.attempt}, {"end", true}, {"count", end.count}};
+    }
+    return std::string(DataPrefix)
+           + json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n\n";
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/state/configuration_codec.cpp
@@ -0,0 +1,207 @@
+#include "state/configuration_codec.h"
+
+#include <nlohmann/json.hpp>
+#include <yaml-cpp/yaml.h>
+
+namespace dotterel {
+
+namespace {
+
+constexpr double LongestDeadlineSeconds = 86'400;
+constexpr double LargestShare = 1e6;
+constexpr std::uint64_t LargestMemoryTokens = 1'000'000'000;
+constexpr std::uint64_t LargestPort = 65'535;
+
+class ConfigurationReader
+{
+public:
+    explicit ConfigurationReader(std::string file)
+        : file(std::move(file))
+    {}
+
+    tl::expected<Configuration, std::vector<YamlFault>> read(const std::string &text)
+    {
+        try {
+            const YAML::Node root = YAML::Load(text);
+            this->readRoot(root);
+        } catch (const YAML::Exception &error) {
+            this->faults.push_back({this->file, error.mark.line + 1, "", error.msg});
+        }
+        if (!this->faults.empty())
+            return tl::unexpected(this->faults);
+        return this->configuration;
+    }
+
+private:
+    void readRoot(const YAML::Node &root)
+    {
+        YamlMapReader reader(root, this->file, "", this->faults);
+        for (const YAML::Node &node : reader.readMaps("workspaces"))
+            this->readWorkspace(node);
+        for (const YAML::Node &node : reader.readMaps("request-classes"))
+            this->readRequestClass(node);
+        for (const YAML::Node &node : reader.readMaps("pools"))
+            this->readPool(node);
+        for (const YAML::Node &node : reader.readMaps("backend-servers"))
+            this->readServer(node);
+        this->readPolicy(reader.readMap("policy"));
+        reader.rejectUnknownKeys();
+    }
+
+    template <typename Value>
+    void insert(YamlMapReader &reader, std::map<std::string, Value> &values, const std::string &key,
+                const std::string &name, const Value &value)
+    {
+        if (!name.empty() && !values.emplace(name, value).second)
+            reader.fault(key, "\"" + name + "\" is given twice");
+    }
+
+    void readWorkspace(const YAML::Node &node)
+    {
+        YamlMapReader reader(node, this->file, "workspaces", this->faults);
+        Workspace workspace;
+        reader.readString("name", workspace.name, true);
+        reader.readNumber("share", workspace.share, 0, LargestShare);
+        reader.rejectUnknownKeys();
+        this->insert(reader, this->configuration.workspaces, "name", workspace.name, workspace);
+    }
+
+    void readRequestClass(const YAML::Node &node)
+    {
+        YamlMapReader reader(node, this->file, "request-classes", this->faults);
+        RequestClass requestClass;
+        double deadlineSeconds = toSeconds(requestClass.deadline);
+        reader.readString("name", requestClass.name, true);
+        reader.readNumber("deadline-s", deadlineSeconds, 0.1, LongestDeadlineSeconds, true);
+        reader.readBoolean("idempotent", requestClass.idempotent);
+        reader.rejectUnknownKeys();
+        requestClass.deadline = fromSeconds(deadlineSeconds);
+        this->insert(reader, this->configuration.requestClasses, "name", requestClass.name,
+                     requestClass);
+    }
+
+    void readPool(const YAML::Node &node)
+    {
+        YamlMapReader reader(node, this->file, "pools", this->faults);
+        Pool pool;
+        std::string kind = "model";
+        reader.readString("name", pool.name, true);
+        reader.readChoice("kind", kind, {"model", "service"}, true);
+        reader.rejectUnknownKeys();
+        pool.kind = kind == "model" ? PoolKind::Model : PoolKind::Service;
+        this->insert(reader, this->configuration.pools, "name", pool.name, pool);
+    }
+
+    void readServer(const YAML::Node &node)
+    {
+        YamlMapReader reader(node, this->file, "backend-servers", this->faults);
+        BackendServer server;
+        std::uint64_t port = 0;
+        reader.readString("id", server.id, true);
+        reader.readString("pool", server.pool, true);
+        reader.readString("address", server.endpoint.address, true);
+        reader.readInteger("port", port, 1, LargestPort, true);
+        reader.readString("failure-domain", server.failureDomain, true);
+        reader.readInteger("memory-tokens", server.memoryTokens, 1, LargestMemoryTokens);
+        reader.readBoolean("honours-fencing", server.honoursFencing);
+        reader.rejectUnknownKeys();
+        server.endpoint.port = static_cast<std::uint16_t>(port);
+        if (!server.pool.empty() && this->configuration.pools.count(server.pool) == 0)
+            reader.fault("pool", "there is no pool \"" + server.pool + "\"");
+        this->insert(reader, this->configuration.servers, "id", server.id, server);
+    }
+
+    void readPolicy(const YAML::Node &node)
+    {
+        YamlMapReader reader(node, this->file, "policy", this->faults);
+        reader.readNumber("short-slowdown", this->configuration.policy.shortSlowdown, 0, 1);
+        reader.readNumber("first-token", this->configuration.policy.firstToken, 0, 1);
+        reader.rejectUnknownKeys();
+    }
+
+    std::string file;
+    std::vector<YamlFault> faults;
+    Configuration configuration;
+};
+
+} // namespace
+
+tl::expected<Configuration, std::vector<YamlFault>> configurationFromYaml(const std::string &text,
+                                                                          const std::string &file)
+{
+    return ConfigurationReader(file).read(text);
+}
+
+nlohmann::json configurationToJson(const Configuration &configuration)
+{
+    nlohmann::json json;
+    json["version"] = configuration.version;
+    json["workspaces"] = nlohmann::json::array();
+    for (const auto &[name, workspace] : configuration.workspaces)
+        json["workspaces"].push_back({{"name", name}, {"share", workspace.share}});
+    json["requestClasses"] = nlohmann::json::array();
+    for (const auto &[name, requestClass] : configuration.requestClasses) {
+        json["requestClasses"].push_back({{"name", name},
+                                          {"deadlineUs", requestClass.deadline.count()},
+                                          {"idempotent", requestClass.idempotent}});
+    }
+    json["pools"] = nlohmann::json::array();
+    for (const auto &[name, pool] : configuration.pools)
+        json["pools"].push_back({{"name", name}, {"kind", poolKindName(pool.kind)}});
+    json["servers"] = nlohmann::json::array();
+    for (const auto &[id, server] : configuration.servers) {
+        json["servers"].push_back({{"id", id},
+                                   {"pool", server.pool},
+                                   {"address", server.endpoint.address},
+                                   {"port", server.endpoint.port},
+                                   {"failureDomain", server.failureDomain},
+                                   {"memoryTokens", server.memoryTokens},
+                                   {"honoursFencing", server.honoursFencing}});
+    }
+    json["policy"] = {{"shortSlowdown", configuration.policy.shortSlowdown},
+                      {"firstToken", configuration.policy.firstToken}};
+    return json;
+}
+
+tl::expected<Configuration, std::string> configurationFromJson(std::string_view text)
+{
+    Configuration configuration;
+    try {
+        const nlohmann::json json = nlohmann::json::parse(text);
+        configuration.version = json.at("version").get<std::uint64_t>();
+        for (const nlohmann::json &item : json.at("workspaces")) {
+            const std::string name = item.at("name").get<std::string>();
+            configuration.workspaces[name] = {name, item.at("share").get<double>()};
+        }
+        for (const nlohmann::json &item : json.at("requestClasses")) {
+            const std::string name = item.at("name").get<std::string>();
+            configuration.requestClasses[name] = {
+                    name, Duration(item.at("deadlineUs").get<std::int64_t>()),
+                    item.at("idempotent").get<bool>()};
+        }
+        for (const nlohmann::json &item : json.at("pools")) {
+            const std::string name = item.at("name").get<std::string>();
+            const bool isModel = item.at("kind").get<std::string>() == "model";
+            configuration.pools[name] = {name, isModel ? PoolKind::Model : PoolKind::Service};
+        }
+        for (const nlohmann::json &item : json.at("servers")) {
+            BackendServer server;
+            server.id = item.at("id").get<std::string>();
+            server.pool = item.at("pool").get<std::string>();
+            server.endpoint.address = item.at("address").get<std::string>();
+            server.endpoint.port = item.at("port").get<std::uint16_t>();
+            server.failureDomain = item.at("failureDomain").get<std::string>();
+            server.memoryTokens = item.at("memoryTokens").get<std::uint64_t>();
+            server.honoursFencing = item.at("honoursFencing").get<bool>();
+            configuration.servers[server.id] = server;
+        }
+        const nlohmann::json &policy = json.at("policy");
+        configuration.policy.shortSlowdown = policy.at("shortSlowdown").get<double>();
+        configuration.policy.firstToken = policy.at("firstToken").get<double>();
+    } catch (const nlohmann::json::exception &error) {
+        return tl::unexpected(std::string(error.what()));
+    }
+    return configuration;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/transport/endpoint.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace dotterel {
+
+/// An IP address and a TCP port.
+struct Endpoint
+{
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0;
+
+    bool operator==(const Endpoint &other) const
+    {
+        return this->address == other.address && this->port == other.port;
+    }
+    bool operator<(const Endpoint &other) const
+    {
+        return this->address != other.address ? this->address < other.address
+                                              : this->port < other.port;
+    }
+
+    /// Returns "address:port".
+    std::string text() const { return this->address + ":" + std::to_string(this->port); }
+};
+
+} // namespace dotterel
--- /dev/null
+++ b/src/transport/event_loop.cpp
@@ -0,0 +1,134 @@
+#include "transport/event_loop.h"
+
+#include <csignal>
+#include <ctime>
+#include <event2/event.h>
+#include <stdexcept>
+
+namespace dotterel {
+
+namespace {
+
+constexpr std::int64_t MicrosecondsPerSecond = 1'000'000;
+
+timeval toTimeval(Duration duration)
+{
+    const std::int64_t microseconds = std::max<std::int64_t>(duration.count(), 0);
+    timeval value{};
+    value.tv_sec = microseconds / MicrosecondsPerSecond;
+    value.tv_usec = microseconds % MicrosecondsPerSecond;
+    return value;
+}
+
+class LibeventTimer : public EventLoop::Timer
+{
+public:
+    LibeventTimer(event_base *base, int descriptor, short flags, EventLoop::Callback callback)
+        : callback(std::move(callback))
+        , handle(event_new(base, descriptor, flags, &LibeventTimer::fire, this))
+    {}
+    ~LibeventTimer() override { event_free(this->handle); }
+    LibeventTimer(const LibeventTimer &) = delete;
+    LibeventTimer &operator=(const LibeventTimer &) = delete;
+
+    void add(const timeval *timeout) { event_add(this->handle, timeout); }
+
+private:
+    static void fire(evutil_socket_t /*descriptor*/, short /*what*/, void *self)
+    {
+        // The callback may destroy this timer, so it runs from a copy.
+        const EventLoop::Callback callback = static_cast<LibeventTimer *>(self)->callback;
+        callback();
+    }
+
+    EventLoop::Callback callback;
+    event *handle;
+};
+
+} // namespace
+
+EventLoop::EventLoop()
+    : eventBase(event_base_new())
+{
+    if (this->eventBase == nullptr)
+        throw std::runtime_error("libevent could not create an event base");
+    // A write to a closed socket must end in an error code, not in a signal.
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+EventLoop::~EventLoop()
+{
+    // Destroying an object may dispose of others.
+    while (!this->disposed.empty()) {
+        const std::vector<std::shared_ptr<void>> doomed = std::move(this->disposed);
+        this->disposed.clear();
+    }
+    this->disposeTimer.reset();
+    event_base_free(this->eventBase);
+}
+
+TimePoint EventLoop::now() const
+{
+    timespec value{};
+    clock_gettime(CLOCK_MONOTONIC, &value);
+    return TimePoint(Duration(value.tv_sec * MicrosecondsPerSecond + value.tv_nsec / 1'000));
+}
+
+WallMilliseconds EventLoop::wallTime() const
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+}
+
+EventLoop::TimerHandle EventLoop::after(Duration delay, Callback callback)
+{
+    auto timer = std::make_unique<LibeventTimer>(this->eventBase, -1, 0, std::move(callback));
+    const timeval timeout = toTimeval(delay);
+    timer->add(&timeout);
+    return timer;
+}
+
+EventLoop::TimerHandle EventLoop::every(Duration period, Callback callback)
+{
+    auto timer =
+            std::make_unique<LibeventTimer>(this->eventBase, -1, EV_PERSIST, std::move(callback));
+    const timeval timeout = toTimeval(period);
+    timer->add(&timeout);
+    return timer;
+}
+
+EventLoop::TimerHandle EventLoop::onSignal(int signalNumber, Callback callback)
+{
+    auto timer = std::make_unique<LibeventTimer>(this->eventBase, signalNumber,
+                                                 EV_SIGNAL | EV_PERSIST, std::move(callback));
+    timer->add(nullptr);
+    return timer;
+}
+
+void EventLoop::run()
+{
+    event_base_loop(this->eventBase, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void EventLoop::runOnce(bool wait)
+{
+    event_base_loop(this->eventBase, wait ? EVLOOP_ONCE : EVLOOP_NONBLOCK);
+}
+
+void EventLoop::stop()
+{
+    event_base_loopbreak(this->eventBase);
+}
+
+void EventLoop::disposeLater(std::shared_ptr<void> object)
+{
+    this->disposed.push_back(std::move(object));
+    if (this->disposed.size() > 1)
+        return;
+    this->disposeTimer = this->after(Duration::zero(), [this] {
+        const std::vector<std::shared_ptr<void>> doomed = std::move(this->disposed);
+        this->disposed.clear();
+    });
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/transport/http_client.cpp
@@ -0,0 +1,235 @@
+#include "transport/http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <strings.h>
+
+namespace dotterel {
+
+namespace {
+
+evhttp_cmd_type commandType(const std::string &method)
+{
+    if (method == "POST")
+        return EVHTTP_REQ_POST;
+    if (method == "PUT")
+        return EVHTTP_REQ_PUT;
+    if (method == "DELETE")
+        return EVHTTP_REQ_DELETE;
+    if (method == "HEAD")
+        return EVHTTP_REQ_HEAD;
+    if (method == "PATCH")
+        return EVHTTP_REQ_PATCH;
+    return EVHTTP_REQ_GET;
+}
+
+HttpHeaders headersOf(evhttp_request *request)
+{
+    HttpHeaders headers;
+    const evkeyvalq *list = evhttp_request_get_input_headers(request);
+    for (const evkeyval *entry = list->tqh_first; entry != nullptr; entry = entry->next.tqe_next)
+        headers.emplace_back(entry->key, entry->value);
+    return headers;
+}
+
+/// One call over a connection of its own.
+class EvhttpCall
+{
+public:
+    EvhttpCall(EventLoop &loop, const HttpRequest &request, HttpListener &listener)
+        : listener(&listener)
+        , body(request.body)
+    {
+        bufferevent *stream = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+        this->connection = evhttp_connection_base_bufferevent_new(loop.base(), nullptr, stream,
+                                                                  request.endpoint.address.c_str(),
+                                                                  request.endpoint.port);
+        evbuffer_add_cb(bufferevent_get_output(stream), &EvhttpCall::outputChanged, this);
+        const timeval timeout{static_cast<time_t>(request.timeout.count() / 1'000'000),
+                              static_cast<suseconds_t>(request.timeout.count() % 1'000'000)};
+        evhttp_connection_set_timeout_tv(this->connection, &timeout);
+        evhttp_connection_set_retries(this->connection, 0);
+
+        evhttp_request *outgoing = evhttp_request_new(&EvhttpCall::finished, this);
+        evhttp_request_set_header_cb(outgoing, &EvhttpCall::headArrived);
+        evhttp_request_set_chunked_cb(outgoing, &EvhttpCall::dataArrived);
+        evhttp_request_set_error_cb(outgoing, &EvhttpCall::errorArrived);
+        evkeyvalq *headers = evhttp_request_get_output_headers(outgoing);
+        for (const auto &[name, value] : request.headers)
+            evhttp_add_header(headers, name.c_str(), value.c_str());
+        evhttp_add_header(headers, "Host", request.endpoint.text().c_str());
+        evhttp_add_header(headers, "Connection", "close");
+        if (this->body != nullptr)
+            this->addBody(evhttp_request_get_output_buffer(outgoing));
+        evhttp_make_request(this->connection, outgoing, commandType(request.method),
+                            request.target.c_str());
+    }
+    ~EvhttpCall()
+    {
+        this->listener = nullptr;
+        if (this->connection != nullptr)
+            evhttp_connection_free(this->connection);
+    }
+    EvhttpCall(const EvhttpCall &) = delete;
+    EvhttpCall &operator=(const EvhttpCall &) = delete;
+
+    /// Makes no further call to the listener.
+    void silence() { this->listener = nullptr; }
+
+private:
+    static EvhttpCall *self(void *argument) { return static_cast<EvhttpCall *>(argument); }
+
+    /// Releases the reference to a body that an evbuffer held.
+    static void releaseBody(const void * /*data*/, std::size_t /*length*/, void *reference)
+    {
+        delete static_cast<std::shared_ptr<const std::string> *>(reference);
+    }
+
+    void addBody(evbuffer *output)
+    {
+        auto *reference = new std::shared_ptr<const std::string>(this->body);
+        evbuffer_add_reference(output, this->body->data(), this->body->size(),
+                               &EvhttpCall::releaseBody, reference);
+    }
+
+    static void outputChanged(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *argument)
+    {
+        // evhttp fills the output only once it is connected. From then on bytes may have left.
+        if (info->n_added > 0)
+            self(argument)->wroteBytes = true;
+    }
+
+    static int headArrived(evhttp_request *request, void *argument)
+    {
+        EvhttpCall *call = self(argument);
+        if (call->listener != nullptr && !call->headSeen) {
+            call->headSeen = true;
+            call->listener->onHead(evhttp_request_get_response_code(request), headersOf(request));
+        }
+        return 0;
+    }
+
+    static void dataArrived(evhttp_request *request, void *argument)
+    {
+        EvhttpCall *call = self(argument);
+        evbuffer *input = evhttp_request_get_input_buffer(request);
+        const std::size_t length = evbuffer_get_length(input);
+        if (call->listener == nullptr || length == 0)
+            return;
+        const char *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, -1));
+        call->listener->onData(std::string_view(bytes, length));
+    }
+
+    static void errorArrived(evhttp_request_error error, void *argument)
+    {
+        EvhttpCall *call = self(argument);
+        if (error == EVREQ_HTTP_TIMEOUT)
+            call->kind = HttpFailureKind::Timeout;
+        else if (error == EVREQ_HTTP_INVALID_HEADER || error == EVREQ_HTTP_DATA_TOO_LONG)
+            call->kind = HttpFailureKind::Malformed;
+        else
+            call->kind = HttpFailureKind::ConnectionLost;
+    }
+
+    static void finished(evhttp_request *request, void *argument)
+    {
+        EvhttpCall *call = self(argument);
+        HttpListener *listener = call->listener;
+        call->listener = nullptr;
+        if (listener == nullptr)
+            return;
+        if (request != nullptr && evhttp_request_get_response_code(request) != 0) {
+            listener->onComplete();
+            return;
+        }
+        HttpFailure failure;
+        failure.verdict = call->wroteBytes ? Verdict::MayHaveRun : Verdict::NotRun;
+        failure.kind = call->wroteBytes ? call->kind : HttpFailureKind::ConnectFailed;
+        listener->onFailed(failure);
+    }
+
+    HttpListener *listener;
+    std::shared_ptr<const std::string> body;
+    evhttp_connection *connection = nullptr;
+    bool wroteBytes = false;
+    bool headSeen = false;
+    HttpFailureKind kind = HttpFailureKind::ConnectionLost;
+};
+
+/// Handle of an EvhttpCall. A call may be dropped from inside its own callback, where evhttp
+/// does not allow the connection to be freed.
+class EvhttpCallHandle : public HttpCall
+{
+public:
+    EvhttpCallHandle(EventLoop &loop, std::shared_ptr<EvhttpCall> call)
+        : loop(loop)
+        , call(std::move(call))
+    {}
+    ~EvhttpCallHandle() override
+    {
+        this->call->silence();
+        this->loop.disposeLater(std::move(this->call));
+    }
+    EvhttpCallHandle(const EvhttpCallHandle &) = delete;
+    EvhttpCallHandle &operator=(const EvhttpCallHandle &) = delete;
+
+private:
+    EventLoop &loop;
+    std::shared_ptr<EvhttpCall> call;
+};
+
+} // namespace
+
+HttpClient::HttpClient(EventLoop &loop)
+    : loop(loop)
+{}
+
+std::unique_ptr<HttpCall> HttpClient::send(const HttpRequest &request, HttpListener &listener)
+{
+    return std::make_unique<EvhttpCallHandle>(
+            this->loop, std::make_shared<EvhttpCall>(this->loop, request, listener));
+}
+
+std::string HttpResponse::header(std::string_view name) const
+{
+    for (const auto &[key, value] : this->headers) {
+        if (key.size() == name.size() && strncasecmp(key.data(), name.data(), name.size()) == 0)
+            return value;
+    }
+    return "";
+}
+
+HttpFetch::HttpFetch(HttpClient &client, const HttpRequest &request, Callback callback)
+    : callback(std::move(callback))
+{
+    this->call = client.send(request, *this);
+}
+
+void HttpFetch::onHead(int status, const HttpHeaders &headers)
+{
+    this->response.status = status;
+    this->response.headers = headers;
+}
+
+void HttpFetch::onData(std::string_view bytes)
+{
+    this->response.body.append(bytes);
+}
+
+void HttpFetch::onComplete()
+{
+    const Callback finished = std::move(this->callback);
+    const HttpResponse answer = std::move(this->response);
+    finished(answer, HttpFailure{});
+}
+
+void HttpFetch::onFailed(const HttpFailure &failure)
+{
+    const Callback finished = std::move(this->callback);
+    finished(std::nullopt, failure);
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/transport/websocket_link.cpp
@@ -0,0 +1,294 @@
+#include "transport/websocket_link.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/tcp.h>
+#include <stdexcept>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/core.hpp>
+#include <websocketpp/config/core_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace dotterel {
+
+namespace {
+
+using Server = websocketpp::server<websocketpp::config::core>;
+using Client = websocketpp::client<websocketpp::config::core_client>;
+
+constexpr std::array<EnumName<LinkEnd>, 7> LinkEndNames = {{
+        {LinkEnd::ConnectFailed, "connect_failed"},
+        {LinkEnd::HandshakeFailed, "handshake_failed"},
+        {LinkEnd::PeerClosed, "peer_closed"},
+        {LinkEnd::LocalClosed, "local_closed"},
+        {LinkEnd::FrameTooLarge, "frame_too_large"},
+        {LinkEnd::ProtocolError, "protocol_error"},
+        {LinkEnd::PeerTooSlow, "peer_too_slow"},
+}};
+
+sockaddr_in socketAddress(const Endpoint &endpoint)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    if (inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr) != 1)
+        throw std::runtime_error("not an IPv4 address: " + endpoint.address);
+    return address;
+}
+
+void setNoDelay(evutil_socket_t descriptor)
+{
+    const int enabled = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+}
+
+/// What the two roles of websocketpp share: one connection object over one bufferevent.
+/// `EndpointType` is Server or Client.
+template <typename EndpointType>
+class LinkState : public std::enable_shared_from_this<LinkState<EndpointType>>
+{
+public:
+    LinkState(EventLoop &loop, const LinkLimits &limits, bufferevent *stream)
+        : limits(limits)
+        , stream(stream)
+    {
+        this->endpoint.clear_access_channels(websocketpp::log::alevel::all);
+        this->endpoint.clear_error_channels(websocketpp::log::elevel::all);
+        this->endpoint.set_max_message_size(limits.maxFrameBytes);
+        this->handshakeTimer = loop.after(limits.handshakeTimeout, [this] {
+            if (!this->opened)
+                this->finish(LinkEnd::HandshakeFailed);
+        });
+    }
+    ~LinkState() { this->closeStream(); }
+    LinkState(const LinkState &) = delete;
+    LinkState &operator=(const LinkState &) = delete;
+
+    void attach(typename EndpointType::connection_ptr newConnection)
+    {
+        this->connection = std::move(newConnection);
+        this->connection->set_write_handler(
+                [this](const websocketpp::connection_hdl &, const char *bytes, std::size_t length) {
+                    return this->write(bytes, length);
+                });
+        this->connection->set_open_handler([this](const websocketpp::connection_hdl &) {
+            this->opened = true;
+            if (this->observer != nullptr)
+                this->observer->onLinkOpened();
+        });
+        this->connection->set_message_handler(
+                [this](const websocketpp::connection_hdl &,
+                       const typename EndpointType::message_ptr &message) {
+                    if (this->observer != nullptr)
+                        this->observer->onFrame(message->get_payload());
+                });
+        this->connection->set_close_handler([this](const websocketpp::connection_hdl &) {
+            this->finish(this->endOfConnection(LinkEnd::PeerClosed));
+        });
+        this->connection->set_fail_handler([this](const websocketpp::connection_hdl &) {
+            this->finish(this->endOfConnection(LinkEnd::HandshakeFailed));
+        });
+    }
+
+    void enableStream()
+    {
+        bufferevent_setcb(this->stream, &LinkState::readable, nullptr, &LinkState::eventArrived,
+                          this);
+        bufferevent_enable(this->stream, EV_READ | EV_WRITE);
+    }
+
+    void sendFrame(std::string_view bytes)
+    {
+        if (this->finished || !this->opened)
+            return;
+        const websocketpp::lib::error_code error = this->connection->send(
+                bytes.data(), bytes.size(), websocketpp::frame::opcode::binary);
+        if (error)
+            this->finish(LinkEnd::ProtocolError);
+        else if (evbuffer_get_length(bufferevent_get_output(this->stream))
+                 > this->limits.maxUnsentBytes)
+            this->finish(LinkEnd::PeerTooSlow);
+    }
+
+    void finish(LinkEnd end)
+    {
+        if (this->finished)
+            return;
+        const std::shared_ptr<LinkState> keepAlive = this->weak_from_this().lock();
+        this->finished = true;
+        this->handshakeTimer.reset();
+        this->closeStream();
+        LinkObserver *const told = this->observer;
+        this->observer = nullptr;
+        if (told != nullptr)
+            told->onLinkClosed(end);
+    }
+
+    /// Starts the client side once TCP is connected.
+    std::function<void()> onConnected;
+    EndpointType endpoint;
+    LinkObserver *observer = nullptr;
+
+private:
+    websocketpp::lib::error_code write(const char *bytes, std::size_t length)
+    {
+        if (this->stream == nullptr)
+            return websocketpp::transport::error::make_error_code(
+                    websocketpp::transport::error::pass_through);
+        bufferevent_write(this->stream, bytes, length);
+        return {};
+    }
+
+    LinkEnd endOfConnection(LinkEnd otherwise) const
+    {
+        const websocketpp::lib::error_code error = this->connection->get_ec();
+        if (error == websocketpp::processor::error::message_too_big)
+            return LinkEnd::FrameTooLarge;
+        if (this->opened && error
+            && error.category() == websocketpp::processor::error::get_processor_category())
+            return LinkEnd::ProtocolError;
+        return otherwise;
+    }
+
+    void closeStream()
+    {
+        if (this->stream == nullptr)
+            return;
+        bufferevent_free(this->stream);
+        this->stream = nullptr;
+    }
+
+    static void readable(bufferevent *source, void *argument)
+    {
+        LinkState *self = static_cast<LinkState *>(argument);
+        const std::shared_ptr<LinkState> keepAlive = self->weak_from_this().lock();
+        evbuffer *input = bufferevent_get_input(source);
+        std::string bytes(evbuffer_get_length(input), '\0');
+        evbuffer_remove(input, bytes.data(), bytes.size());
+        self->connection->read_all(bytes.data(), bytes.size());
+    }
+
+    static void eventArrived(bufferevent * /*source*/, short what, void *argument)
+    {
+        LinkState *self = static_cast<LinkState *>(argument);
+        const std::shared_ptr<LinkState> keepAlive = self->weak_from_this().lock();
+        if ((what & BEV_EVENT_CONNECTED) != 0) {
+            setNoDelay(bufferevent_getfd(self->stream));
+            self->onConnected();
+            return;
+        }
+        const bool connecting = self->onConnected != nullptr && !self->opened;
+        self->finish(connecting ? LinkEnd::ConnectFailed : LinkEnd::PeerClosed);
+    }
+
+    LinkLimits limits;
+    bufferevent *stream;
+    typename EndpointType::connection_ptr connection;
+    EventLoop::TimerHandle handshakeTimer;
+    bool opened = false;
+    bool finished = false;
+};
+
+/// Handle of a LinkState, which may be dropped from inside the state's own calls.
+template <typename EndpointType>
+class LinkHandle : public WebsocketLink
+{
+public:
+    LinkHandle(EventLoop &loop, std::shared_ptr<LinkState<EndpointType>> state)
+        : loop(loop)
+        , state(std::move(state))
+    {}
+    ~LinkHandle() override
+    {
+        this->state->observer = nullptr;
+        this->state->finish(LinkEnd::LocalClosed);
+        this->loop.disposeLater(std::move(this->state));
+    }
+    LinkHandle(const LinkHandle &) = delete;
+    LinkHandle &operator=(const LinkHandle &) = delete;
+
+    void sendFrame(std::string_view bytes) override { this->state->sendFrame(bytes); }
+    void close() override { this->state->finish(LinkEnd::LocalClosed); }
+    void setObserver(LinkObserver *observer) override { this->state->observer = observer; }
+
+private:
+    EventLoop &loop;
+    std::shared_ptr<LinkState<EndpointType>> state;
+};
+
+} // namespace
+
+std::string_view linkEndName(LinkEnd end)
+{
+    return enumName(LinkEndNames, end);
+}
+
+std::unique_ptr<WebsocketLink> connectWebsocket(EventLoop &loop, const Endpoint &endpoint,
+                                                const LinkLimits &limits, LinkObserver &observer)
+{
+    const sockaddr_in address = socketAddress(endpoint);
+    bufferevent *stream = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    auto state = std::make_shared<LinkState<Client>>(loop, limits, stream);
+    state->observer = &observer;
+    LinkState<Client> *const raw = state.get();
+    const std::string uri = "ws://" + endpoint.text() + "/peer";
+    state->onConnected = [raw, uri] {
+        websocketpp::lib::error_code error;
+        const Client::connection_ptr connection = raw->endpoint.get_connection(uri, error);
+        if (error) {
+            raw->finish(LinkEnd::HandshakeFailed);
+            return;
+        }
+        raw->attach(connection);
+        raw->endpoint.connect(connection);
+    };
+    state->enableStream();
+    bufferevent_socket_connect(stream, reinterpret_cast<const sockaddr *>(&address),
+                               sizeof(address));
+    return std::make_unique<LinkHandle<Client>>(loop, std::move(state));
+}
+
+WebsocketListener::WebsocketListener(EventLoop &loop, const Endpoint &endpoint,
+                                     const LinkLimits &limits, Handler handler)
+    : loop(loop)
+    , limits(limits)
+    , handler(std::move(handler))
+    , listener(nullptr)
+    , boundEndpoint(endpoint)
+{
+    sockaddr_in address = socketAddress(endpoint);
+    this->listener =
+            evconnlistener_new_bind(loop.base(), &WebsocketListener::accepted, this,
+                                    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+                                    reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    if (this->listener == nullptr)
+        throw std::runtime_error("cannot listen on " + endpoint.text());
+    socklen_t length = sizeof(address);
+    getsockname(evconnlistener_get_fd(this->listener), reinterpret_cast<sockaddr *>(&address),
+                &length);
+    this->boundEndpoint.port = ntohs(address.sin_port);
+}
+
+WebsocketListener::~WebsocketListener()
+{
+    evconnlistener_free(this->listener);
+}
+
+void WebsocketListener::accepted(evconnlistener * /*listener*/, int descriptor,
+                                 sockaddr * /*address*/, int /*length*/, void *self)
+{
+    WebsocketListener *owner = static_cast<WebsocketListener *>(self);
+    setNoDelay(descriptor);
+    bufferevent *stream =
+            bufferevent_socket_new(owner->loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE);
+    auto state = std::make_shared<LinkState<Server>>(owner->loop, owner->limits, stream);
+    const Server::connection_ptr connection = state->endpoint.get_connection();
+    state->attach(connection);
+    state->enableStream();
+    connection->start();
+    owner->handler(std::make_unique<LinkHandle<Server>>(owner->loop, std::move(state)));
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/tests/fakes/fake_engine.cpp
@@ -0,0 +1,139 @@
+#include "fakes/fake_engine.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace dotterel::fakes {
+
+namespace {
+
+constexpr std::size_t MostBodyBytes = 256UL * 1024 * 1024;
+constexpr std::uint64_t BytesPerToken = 4;
+const std::string CancelPrefix = "/v1/attempts/";
+
+} // namespace
+
+FakeEngine::FakeEngine(EventLoop &loop, const Endpoint &endpoint, const EngineBehaviour &behaviour)
+    : loop(loop)
+    , behaviour(behaviour)
+    , server(loop, endpoint, MostBodyBytes,
+             [this](const HttpExchangePointer &exchange) { this->handle(exchange); })
+{}
+
+void FakeEngine::handle(const HttpExchangePointer &exchange)
+{
+    const std::string path = exchange->path();
+    if (this->crashed) {
+        exchange->abort();
+    } else if (path == "/v1/completions") {
+        this->complete(exchange);
+    } else if (path.compare(0, CancelPrefix.size(), CancelPrefix) == 0) {
+        const std::string rest = path.substr(CancelPrefix.size());
+        this->cancel(rest.substr(0, rest.find('/')));
+        exchange->reply(200, {}, "");
+    } else if (path == "/v1/load") {
+        const nlohmann::json load = {{"queued_prompt_tokens", this->queuedTokens()},
+                                     {"running_streams", this->attempts.size()},
+                                     {"draining", this->behaviour.draining}};
+        exchange->reply(200, {{"Content-Type", "application/json"}}, load.dump());
+    } else {
+        exchange->reply(404, {}, "");
+    }
+}
+
+void FakeEngine::complete(const HttpExchangePointer &exchange)
+{
+    if (this->behaviour.draining) {
+        exchange->reply(503, {{"X-Not-Run", "true"}, {"X-Draining", "true"}}, "");
+        return;
+    }
+    const std::string body = exchange->takeBody();
+    const std::string &marker = this->behaviour.crashMarker;
+    if (!marker.empty() && body.find(marker) != std::string::npos) {
+        this->crashed = true;
+        for (const auto &[id, attempt] : this->attempts)
+            attempt.exchange->abort();
+        exchange->abort();
+        return;
+    }
+    const std::string id = exchange->header("X-Attempt-Id");
+    Attempt attempt;
+    attempt.exchange = exchange;
+    attempt.priority = std::atoi(exchange->header("X-Priority").c_str());
+    attempt.promptTokens = std::max<std::uint64_t>(1, body.size() / BytesPerToken);
+    attempt.nextIndex = std::strtoull(exchange->header("X-Resume-At").c_str(), nullptr, 10);
+    exchange->onClosed([this, id] { this->cancel(id); });
+    this->attempts[id] = std::move(attempt);
+    this->queue.push_back(id);
+    ++this->startedCount;
+    this->startNextPrefill();
+}
+
+void FakeEngine::cancel(const std::string &attempt)
+{
+    this->queue.remove(attempt);
+    this->attempts.erase(attempt);
+    if (this->prefilling == attempt) {
+        this->prefill.reset();
+        this->prefilling.clear();
+        this->startNextPrefill();
+    }
+}
+
+void FakeEngine::startNextPrefill()
+{
+    if (!this->prefilling.empty() || this->queue.empty())
+        return;
+    const auto next = std::min_element(this->queue.begin(), this->queue.end(),
+                                       [this](const std::string &left, const std::string &right) {
+                                           return this->attempts.at(left).priority
+                                                  < this->attempts.at(right).priority;
+                                       });
+    const std::string id = *next;
+    this->queue.erase(next);
+    this->prefilling = id;
+    const double seconds = static_cast<double>(this->attempts.at(id).promptTokens)
+                           / this->behaviour.prefillTokensPerSecond;
+    this->prefill = this->loop.after(fromSeconds(seconds), [this, id] {
+        this->prefilling.clear();
+        this->attempts.at(id).exchange->startReply(200, {{"Content-Type", "text/event-stream"}});
+        this->sendToken(id);
+        this->startNextPrefill();
+    });
+}
+
+void FakeEngine::sendToken(const std::string &id)
+{
+    const auto found = this->attempts.find(id);
+    if (found == this->attempts.end())
+        return;
+    Attempt &attempt = found->second;
+    if (this->behaviour.cutAfterTokens > 0 && attempt.nextIndex >= this->behaviour.cutAfterTokens) {
+        const HttpExchangePointer exchange = attempt.exchange;
+        this->attempts.erase(found);
+        exchange->endReply();
+        return;
+    }
+    if (attempt.nextIndex >= this->behaviour.answerTokens) {
+        const HttpExchangePointer exchange = attempt.exchange;
+        exchange->sendChunk(encodeEngineEvent(AnswerEnd{id, this->behaviour.answerTokens}));
+        this->attempts.erase(found);
+        exchange->endReply();
+        return;
+    }
+    const std::uint64_t index = attempt.nextIndex++;
+    attempt.exchange->sendChunk(
+            encodeEngineEvent(AnswerToken{id, index, "t" + std::to_string(index) + " "}));
+    attempt.timer =
+            this->loop.after(this->behaviour.tokenInterval, [this, id] { this->sendToken(id); });
+}
+
+std::uint64_t FakeEngine::queuedTokens() const
+{
+    std::uint64_t tokens = 0;
+    for (const std::string &id : this->queue)
+        tokens += this->attempts.at(id).promptTokens;
+    return tokens;
+}
+
+} // namespace dotterel::fakes
--- /dev/null
+++ b/tests/fakes/fake_engine.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "protocol/engine_stream.h"
+#include "transport/http_server.h"
+
+#include <list>
+#include <map>
+#include <string>
+
+namespace dotterel::fakes {
+
+/// How fast a FakeEngine works and what goes wrong.
+struct EngineBehaviour
+{
+    double prefillTokensPerSecond = 400'000;
+    Duration tokenInterval = std::chrono::milliseconds(2);
+    std::uint64_t answerTokens = 8;
+    std::uint64_t cutAfterTokens = 0; ///< Breaks each stream there; 0 never does.
+    bool draining = false;            ///< Refuses new work, promising that it did not run.
+    std::string crashMarker;          ///< A body that contains it stops the engine.
+};
+
+/// Stand-in for a model engine: prefill in order of priority, then one token an interval.
+class FakeEngine
+{
+public:
+    FakeEngine(EventLoop &loop, const Endpoint &endpoint, const EngineBehaviour &behaviour);
+
+    void setBehaviour(const EngineBehaviour &newBehaviour) { this->behaviour = newBehaviour; }
+
+    /// Returns how many attempts began to run.
+    std::uint64_t started() const { return this->startedCount; }
+
+    /// Returns how many attempts are queued or running.
+    std::size_t running() const { return this->attempts.size(); }
+
+    Endpoint endpoint() const { return this->server.endpoint(); }
+
+private:
+    struct Attempt
+    {
+        HttpExchangePointer exchange;
+        int priority = 0;
+        std::uint64_t promptTokens = 0;
+        std::uint64_t nextIndex = 0;
+        EventLoop::TimerHandle timer;
+    };
+
+    void handle(const HttpExchangePointer &exchange);
+    void complete(const HttpExchangePointer &exchange);
+    void cancel(const std::string &attempt);
+    void startNextPrefill();
+    void sendToken(const std::string &attempt);
+    std::uint64_t queuedTokens() const;
+
+    EventLoop &loop;
+    EngineBehaviour behaviour;
+    std::map<std::string, Attempt> attempts;
+    std::list<std::string> queue; ///< Attempts that wait for prefill.
+    EventLoop::TimerHandle prefill;
+    std::string prefilling;
+    std::uint64_t startedCount = 0;
+    bool crashed = false;
+    HttpServer server;
+};
+
+} // namespace dotterel::fakes
