Hold the object store's adapters to one contract

Cause: the ledger and the configuration rest on what a failed call means, and no test held the HTTP adapter to it.

Before: "a broken connection leaves the outcome of a write open, not that of a read" failed on HttpHarness: a read whose connection broke said UnknownOutcome, as a write does. FakePlatform's stale answer now also covers absence (a key written once reads as 404), which it never did.

Ruled out: a separate error for reads. Nothing would treat it unlike Unavailable.

--- a/src/state/http_object_store.cpp
+++ b/src/state/http_object_store.cpp
@@ -195,10 +195,11 @@
 
 void HttpObjectStore::call(const HttpRequest &request, AnswerCallback callback)
 {
+    const bool isWrite = request.method != "GET";
     const auto place = this->fetches.emplace(this->fetches.end());
     *place = std::make_unique<HttpFetch>(
             this->client, request,
-            [this, place, callback = std::move(callback)](
+            [this, place, isWrite, callback = std::move(callback)](
                     const std::optional<HttpResponse> &response, const HttpFailure &failure) {
                 // The fetch is running this callback and is freed after it.
                 this->loop.disposeLater(std::shared_ptr<HttpFetch>(std::move(*place)));
@@ -208,9 +209,10 @@
                     return;
                 }
                 this->metrics.count(Counter::PlatformErrors, 1);
-                callback(tl::unexpected(failure.verdict == Verdict::NotRun
-                                                ? StoreError::Unavailable
-                                                : StoreError::UnknownOutcome));
+                // A read changes nothing, so only the outcome of a write can be in doubt.
+                const bool inDoubt = isWrite && failure.verdict != Verdict::NotRun;
+                callback(tl::unexpected(inDoubt ? StoreError::UnknownOutcome
+                                                : StoreError::Unavailable));
             });
 }
 
--- a/src/state/object_store.h
+++ b/src/state/object_store.h
@@ -24,8 +24,8 @@
 enum class StoreError {
     NotFound,
     Conflict,       ///< The condition did not hold; nothing was written.
-    Unavailable,    ///< The call did not reach the store; nothing was written.
-    UnknownOutcome, ///< The answer was lost; a write may have taken effect.
+    Unavailable,    ///< A read failed, or a write did not reach the store; nothing was written.
+    UnknownOutcome, ///< The answer to a write was lost; it may take effect, even later.
     TooLarge,       ///< The value is over one megabyte.
 };
 
@@ -46,7 +46,7 @@
 
     virtual ~ObjectStore() = default;
 
-    /// Reads \a key.
+    /// Reads \a key. The answer may be stale: an earlier version, or absence.
     virtual void read(const std::string &key, ReadCallback callback) = 0;
 
     /// Writes \a key if its version is \a expectedVersion; 0 means that it must not exist.
--- a/tests/fakes/fake_platform.cpp
+++ b/tests/fakes/fake_platform.cpp
@@ -91,7 +91,11 @@
         exchange->reply(404, {}, "");
         return;
     }
-    const bool stale = this->faults.stale && object->second.previousVersion > 0;
+    const bool stale = this->faults.stale;
+    if (stale && object->second.previousVersion == 0) {
+        exchange->reply(404, {}, "");
+        return;
+    }
     const std::uint64_t version = stale ? object->second.previousVersion : object->second.version;
     exchange->reply(200, {{"X-Version", std::to_string(version)}},
                     stale ? object->second.previousValue : object->second.value);
@@ -139,7 +143,7 @@
                          {"value", object->second.value},
                          {"version", object->second.version}});
     }
-    exchange->reply(200, {}, items.dump());
+    exchange->reply(200, {}, items.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 void FakePlatform::watch(const HttpExchangePointer &exchange)
