Settle every claim of an order, also those whose own write is in doubt

Cause: a claim whose write had an unknown outcome was refused as not run and left in the store, so that the key was refused for ever; outcomes were written once and dropped when the store was away; a dead holder or a dead service left "in progress" for ever; a holder that woke late kept its claim. Orders are now claimed by OrderObjectLedger behind the abstract OrderLedger, and every outcome is written until it is stored. A record "not run" at the version that the doubtful claim asked for makes a late effect of that claim impossible, so no claim is ever taken over. A read may be stale; only conditional writes decide.

Found on the way: a host destroyed with an open caller connection armed a timer that was gone already (leak report of AddressSanitizer, "the host dies while the service runs the order"); EntryHost now guards it. Ruled out: a lease on the claim (a paused holder may wake), and a second write before each dispatch (three writes an order instead of two, against several hundred writes a second).

--- a/src/coordination/order_ledger.h
+++ b/src/coordination/order_ledger.h
@@ -1,52 +1,55 @@
 #pragma once
 
 #include "coordination/request.h"
-#include "core/event_log.h"
-#include "core/identity.h"
-#include "core/random_source.h"
-#include "state/object_store.h"
 
 #include <functional>
-#include <string>
+#include <optional>
 
 namespace dotterel {
 
-/// Decides who may run an order, by conditional writes to the object API. Each order is one
-/// object; nobody ever takes a claim over, so a paused holder that wakes can break nothing.
+/// Decides who may run an order. Implementations let the object API arbitrate by conditional
+/// writes: nobody ever takes a claim over to run it, so a paused holder that wakes breaks nothing.
 class OrderLedger
 {
 public:
+    /// Gets the outcome of a claim, never from inside claim(). Claimed allows one dispatch, now.
     using ClaimCallback = std::function<void(const ClaimOutcome &, TimePoint now)>;
 
-    OrderLedger(HostIdentity identity, ObjectStore &store, RandomSource &random, EventLog &log);
+    virtual ~OrderLedger() = default;
 
-    /// Claims the order of \a claim; \a callback is called once.
-    void claim(const OrderClaim &claim, const ClaimCallback &callback);
+    /// Claims the order of \a claim; \a callback is called once, and with Claimed only before the
+    /// deadline of the claim.
+    virtual void claim(const OrderClaim &claim, const ClaimCallback &callback) = 0;
 
-    /// Records the answer of an order that this host claimed.
-    void recordAnswer(const OrderClaim &claim, const ServiceAnswer &answer);
+    /// Records the answer of an order that this host claimed, until it is stored.
+    virtual void recordAnswer(const OrderClaim &claim, const ServiceAnswer &answer) = 0;
 
-    /// Records that an order that this host claimed was not run.
-    void release(const OrderClaim &claim);
+    /// Records that an order that this host claimed was not run, so that its key may run later.
+    virtual void release(const OrderClaim &claim) = 0;
 
-    /// Returns the number of calls to the object API that have not been answered.
-    std::size_t pending() const { return this->pendingCalls; }
+    /// \a request got its final refusal with \a verdict. A claim that it still holds, or gets
+    /// later, is settled accordingly.
+    virtual void onRefused(const RequestId &request, Verdict verdict) = 0;
 
-private:
-    struct Record;
+    /// Does what is due.
+    virtual void onTimer(TimePoint now) = 0;
 
-    void settle(const OrderClaim &claim, const StoredObject &object, const std::string &nonce,
-                const ClaimCallback &callback, TimePoint now);
-    void write(const OrderClaim &claim, const Record &record, std::uint64_t expectedVersion,
-               const ClaimCallback &callback);
-    void readBack(const OrderClaim &claim, const std::string &nonce, const ClaimCallback &callback);
-    void finish(const OrderClaim &claim, const Record &record);
+    /// Returns the next time at which onTimer() must be called.
+    virtual std::optional<TimePoint> nextTimer() const = 0;
 
-    HostIdentity identity;
-    ObjectStore &store;
-    RandomSource &random;
-    EventLog &log;
-    std::size_t pendingCalls = 0;
+    /// Returns the number of claims and outcomes that are not settled in the object API.
+    virtual std::size_t pending() const = 0;
+};
+
+/// Tells whether a claim's holder may still be at work. A hint: it words an answer, and nothing is
+/// ever run because of it.
+class HostLiveness
+{
+public:
+    virtual ~HostLiveness() = default;
+
+    /// Returns true if \a incarnation of \a host is believed to be alive.
+    virtual bool believedAlive(const HostId &host, Incarnation incarnation) const = 0;
 };
 
 } // namespace dotterel
--- a/src/entry_host/entry_host.cpp
+++ b/src/entry_host/entry_host.cpp
@@ -9,6 +9,8 @@
 constexpr Duration WatchWait = std::chrono::seconds(20);
 constexpr Duration WatchRetry = std::chrono::milliseconds(500);
 constexpr Duration HostsInterval = std::chrono::seconds(1);
+constexpr Duration LedgerInterval = std::chrono::milliseconds(5);
+constexpr Duration LedgerGrace = std::chrono::seconds(10);
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(50);
 constexpr std::size_t MostOperatorBodyBytes = 64UL * 1024;
 constexpr int StatusOk = 200;
@@ -36,7 +38,7 @@
     , directory(log, this->metrics)
     , placement(this->directory, this->random)
     , controller(limitsOf(settings), this->directory, this->placement, *this, this->metrics, log)
-    , ledger(this->identity, this->platform, this->random, log)
+    , ledger(this->identity, this->platform, *this, this->random, log)
     , follower(
               [this](const Configuration &configuration) {
                   this->applyConfiguration(configuration);
@@ -61,7 +63,11 @@
     this->watchConfiguration();
 }
 
-EntryHost::~EntryHost() = default;
+EntryHost::~EntryHost()
+{
+    // Open connections close with their server, and must not arm a timer that is gone already.
+    this->destroying = true;
+}
 
 void EntryHost::beginShutdown(std::function<void()> finished)
 {
@@ -83,7 +89,13 @@
 
 void EntryHost::finishShutdownIfIdle()
 {
-    if (this->controller.inFlight() > 0 || this->ledger.pending() > 0)
+    if (this->controller.inFlight() > 0)
+        return;
+    // Outcomes are recorded first, but a store that stays away does not keep the host for ever.
+    const TimePoint now = this->loop.now();
+    if (!this->ledgerGraceEnds)
+        this->ledgerGraceEnds = now + LedgerGrace;
+    if (this->ledger.pending() > 0 && now < *this->ledgerGraceEnds)
         return;
     this->drainTimer.reset();
     this->log.write(Event::ShutdownDone, {});
@@ -107,6 +119,16 @@
         this->controller.onClaimSettled(request, outcome, now);
         this->armTimer();
     });
+    if (!this->ledgerTimer)
+        this->ledgerTimer = this->loop.every(LedgerInterval, [this] { this->runLedger(); });
+}
+
+void EntryHost::runLedger()
+{
+    const TimePoint now = this->loop.now();
+    const std::optional<TimePoint> next = this->ledger.nextTimer();
+    if (next && *next <= now)
+        this->ledger.onTimer(now);
 }
 
 void EntryHost::recordOrderAnswer(const OrderClaim &claim, const ServiceAnswer &answer)
@@ -136,9 +158,19 @@
 
 void EntryHost::refuse(const RequestId &request, const Failure &failure)
 {
+    this->ledger.onRefused(request, failure.verdict);
     this->callerApi.refuse(request, failure);
 }
 
+bool EntryHost::believedAlive(const HostId &host, Incarnation incarnation) const
+{
+    for (const MemberRecord &member : this->membership.live()) {
+        if (member.identity.host == host && member.identity.incarnation == incarnation)
+            return true;
+    }
+    return false;
+}
+
 void EntryHost::onToken(const AttemptId &attempt, const AnswerToken &token)
 {
     this->controller.onToken(attempt, token, this->loop.now());
@@ -252,6 +284,8 @@
 
 void EntryHost::armTimer()
 {
+    if (this->destroying)
+        return;
     const std::optional<TimePoint> next = this->controller.nextTimer();
     if (!next) {
         this->deadlineTimer.reset();
--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -3,7 +3,7 @@
 #include "coordination/backend_directory.h"
 #include "coordination/configuration_follower.h"
 #include "coordination/membership.h"
-#include "coordination/order_ledger.h"
+#include "coordination/order_object_ledger.h"
 #include "coordination/request_controller.h"
 #include "coordination/two_choices_placement.h"
 #include "core/prometheus_metrics.h"
@@ -27,6 +27,7 @@
     , private AttemptListener
     , private CallerListener
     , private PeerListener
+    , private HostLiveness
 {
 public:
     /// Binds the host's three addresses. Throws std::runtime_error if one cannot be bound.
@@ -67,11 +68,15 @@
     // PeerListener
     void onPeerMessage(std::uint64_t link, const PeerMessage &message) override;
 
+    // HostLiveness
+    bool believedAlive(const HostId &host, Incarnation incarnation) const override;
+
     void applyConfiguration(const Configuration &configuration);
     void watchConfiguration();
     void readHosts();
     void heartbeat();
     void armTimer();
+    void runLedger();
     void finishShutdownIfIdle();
     void handleOperator(const HttpExchangePointer &exchange);
     std::string statusDocument() const;
@@ -87,7 +92,7 @@
     BackendDirectory directory;
     TwoChoicesPlacement placement;
     RequestController controller;
-    OrderLedger ledger;
+    OrderObjectLedger ledger;
     ConfigurationFollower follower;
     Membership membership;
     HttpBackendClient backend;
@@ -95,10 +100,13 @@
     PeerMesh mesh;
     HttpServer operatorServer;
     bool shuttingDown = false;
+    bool destroying = false;
     bool platformReachable = true;
     std::uint64_t watchedVersion = 0; ///< Of the object that holds the configuration.
     std::function<void()> shutdownFinished;
     EventLoop::TimerHandle deadlineTimer;
+    EventLoop::TimerHandle ledgerTimer; ///< Runs from the first order on.
+    std::optional<TimePoint> ledgerGraceEnds;
     EventLoop::TimerHandle heartbeatTimer;
     EventLoop::TimerHandle hostsTimer;
     EventLoop::TimerHandle watchTimer;
--- a/tests/fakes/fake_object_store.cpp
+++ b/tests/fakes/fake_object_store.cpp
@@ -101,17 +101,18 @@
 void FakeObjectStore::write(const std::string &key, const std::string &value,
                             std::uint64_t expectedVersion, WriteCallback callback)
 {
-    this->change([this, key, value,
-                  expectedVersion] { return this->objects.write(key, value, expectedVersion); },
+    // The effect may come after this host, and with it this object, is gone.
+    this->change([&objects = this->objects, key, value,
+                  expectedVersion] { return objects.write(key, value, expectedVersion); },
                  callback);
 }
 
 void FakeObjectStore::remove(const std::string &key, std::uint64_t expectedVersion,
                              WriteCallback callback)
 {
-    this->change(
-            [this, key, expectedVersion] { return this->objects.remove(key, expectedVersion); },
-            callback);
+    this->change([&objects = this->objects, key,
+                  expectedVersion] { return objects.remove(key, expectedVersion); },
+                 callback);
 }
 
 void FakeObjectStore::list(const std::string &prefix, ListCallback callback)
--- /dev/null
+++ b/tests/support/order_simulation.cpp
@@ -0,0 +1,235 @@
+#include "support/order_simulation.h"
+
+namespace dotterel::support {
+
+namespace {
+
+constexpr Duration TickInterval = std::chrono::milliseconds(10);
+constexpr Duration ServiceTime = std::chrono::milliseconds(20);
+
+} // namespace
+
+struct OrderSimulation::Host
+{
+    HostIdentity identity;
+    std::unique_ptr<fakes::FakeObjectStore> store;
+    std::unique_ptr<OrderLedger> ledger;
+    bool up = true;
+    bool frozen = false;
+    std::vector<std::function<void()>> heldBack;
+};
+
+OrderSimulation::OrderSimulation(std::uint64_t seed, std::size_t hosts, Factory factory)
+    : random(seed)
+    , factory(std::move(factory))
+    , hosts(hosts)
+{
+    for (std::size_t i = 0; i < hosts; ++i)
+        this->restart(i);
+}
+
+OrderSimulation::~OrderSimulation()
+{
+    for (const HostPointer &host : this->hosts)
+        host->heldBack.clear();
+}
+
+std::size_t OrderSimulation::submit(std::size_t index, const std::string &key,
+                                    const std::string &body, Duration deadline)
+{
+    const std::size_t number = this->orders.size();
+    const HostPointer host = this->hosts.at(index);
+    SimulatedOrder order;
+    order.claim = {std::to_string(number), "harinal", key, body, this->time.now() + deadline};
+    order.host = index;
+    this->orders.push_back(order);
+    this->onHost(host, [this, host, number] {
+        host->ledger->claim(this->orders.at(number).claim,
+                            [this, host, number](const ClaimOutcome &outcome, TimePoint now) {
+                                this->onClaim(host, number, outcome, now);
+                            });
+    });
+    this->time.after(deadline, [this, host, number] {
+        this->onHost(host, [this, host, number] {
+            const bool dispatched = this->orders.at(number).dispatched;
+            this->answer(host, number, dispatched ? Verdict::MayHaveRun : Verdict::NotRun);
+        });
+    });
+    return number;
+}
+
+void OrderSimulation::freeze(std::size_t host)
+{
+    this->hosts.at(host)->frozen = true;
+    this->hosts.at(host)->store->freeze();
+}
+
+void OrderSimulation::thaw(std::size_t index)
+{
+    const HostPointer host = this->hosts.at(index);
+    const std::vector<std::function<void()>> events = std::move(host->heldBack);
+    host->heldBack.clear();
+    host->frozen = false;
+    // A loop that wakes sees expired timers and arrived answers in either order.
+    const bool storeFirst = this->random.below(2) == 0;
+    if (storeFirst)
+        host->store->thaw();
+    this->time.after(Duration::zero(), [events] {
+        for (const std::function<void()> &event : events)
+            event();
+    });
+    if (!storeFirst)
+        host->store->thaw();
+}
+
+void OrderSimulation::kill(std::size_t index)
+{
+    const HostPointer host = this->hosts.at(index);
+    host->up = false;
+    host->heldBack.clear();
+    host->ledger.reset();
+    host->store.reset();
+}
+
+void OrderSimulation::restart(std::size_t index)
+{
+    const HostPointer host = std::make_shared<Host>();
+    host->identity = {"host-" + std::to_string(index), this->nextIncarnation++, "centro-a"};
+    host->store = std::make_unique<fakes::FakeObjectStore>(this->time, this->objects, this->random);
+    host->ledger = this->factory(host->identity, *host->store, *this, this->random);
+    this->hosts.at(index) = host;
+    this->tick(host);
+}
+
+bool OrderSimulation::isUp(std::size_t host) const
+{
+    return this->hosts.at(host)->up;
+}
+
+bool OrderSimulation::isFrozen(std::size_t host) const
+{
+    return this->hosts.at(host)->frozen;
+}
+
+fakes::FakeObjectStore &OrderSimulation::store(std::size_t host)
+{
+    return *this->hosts.at(host)->store;
+}
+
+const OrderLedger &OrderSimulation::ledger(std::size_t host) const
+{
+    return *this->hosts.at(host)->ledger;
+}
+
+int OrderSimulation::serviceCount(const std::string &key) const
+{
+    const auto found = this->counts.find(key);
+    return found == this->counts.end() ? 0 : found->second;
+}
+
+std::uint64_t OrderSimulation::storeReads() const
+{
+    std::uint64_t sum = 0;
+    for (const HostPointer &host : this->hosts)
+        sum += host->store->reads();
+    return sum;
+}
+
+std::uint64_t OrderSimulation::storeWrites() const
+{
+    std::uint64_t sum = 0;
+    for (const HostPointer &host : this->hosts)
+        sum += host->store->writes();
+    return sum;
+}
+
+bool OrderSimulation::believedAlive(const HostId &id, Incarnation incarnation) const
+{
+    for (const HostPointer &host : this->hosts) {
+        if (host->identity.host == id && host->identity.incarnation == incarnation)
+            return host->up && !host->frozen;
+    }
+    return false;
+}
+
+void OrderSimulation::onHost(const HostPointer &host, const std::function<void()> &event)
+{
+    if (!host->up)
+        return;
+    if (host->frozen)
+        host->heldBack.push_back([this, host, event] { this->onHost(host, event); });
+    else
+        event();
+}
+
+void OrderSimulation::tick(const HostPointer &host)
+{
+    if (!host->up)
+        return;
+    const std::optional<TimePoint> next = host->ledger->nextTimer();
+    if (!host->frozen && next && *next <= this->time.now())
+        host->ledger->onTimer(this->time.now());
+    this->time.after(TickInterval, [this, host] { this->tick(host); });
+}
+
+void OrderSimulation::onClaim(const HostPointer &host, std::size_t number,
+                              const ClaimOutcome &outcome, TimePoint now)
+{
+    SimulatedOrder &order = this->orders.at(number);
+    if (order.verdict)
+        return;
+    if (outcome.result == ClaimResult::Claimed && now < order.claim.deadline) {
+        this->dispatch(host, number);
+        return;
+    }
+    order.refusal = outcome.result;
+    const bool mayHaveRun = outcome.result == ClaimResult::InProgress
+                            || outcome.result == ClaimResult::OutcomeUnknown;
+    if (outcome.result == ClaimResult::AlreadyFinished)
+        this->answer(host, number, Verdict::Ran);
+    else
+        this->answer(host, number, mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun);
+}
+
+void OrderSimulation::dispatch(const HostPointer &host, std::size_t number)
+{
+    this->orders.at(number).dispatched = true;
+    const ServiceFate chosen = this->fate();
+    this->orders.at(number).fate = chosen;
+    this->time.after(ServiceTime / 2, [this, number, chosen] {
+        if (chosen == ServiceFate::RefusesUnrun)
+            return;
+        this->orders.at(number).ran = true;
+        ++this->counts[this->orders.at(number).claim.idempotencyKey];
+    });
+    this->time.after(ServiceTime, [this, host, number, chosen] {
+        this->onHost(host, [this, host, number, chosen] {
+            const SimulatedOrder &order = this->orders.at(number);
+            if (order.verdict)
+                return;
+            if (chosen == ServiceFate::Answers) {
+                host->ledger->recordAnswer(order.claim, {200, "text/plain", "done"});
+                this->answer(host, number, Verdict::Ran);
+                return;
+            }
+            if (chosen == ServiceFate::RefusesUnrun)
+                host->ledger->release(order.claim);
+            this->answer(host, number,
+                         chosen == ServiceFate::RefusesUnrun ? Verdict::NotRun
+                                                             : Verdict::MayHaveRun);
+        });
+    });
+}
+
+void OrderSimulation::answer(const HostPointer &host, std::size_t number, Verdict verdict)
+{
+    SimulatedOrder &order = this->orders.at(number);
+    if (order.verdict)
+        return;
+    order.verdict = verdict;
+    order.answeredAt = this->time.now();
+    if (verdict != Verdict::Ran)
+        host->ledger->onRefused(order.claim.request, verdict);
+}
+
+} // namespace dotterel::support
--- /dev/null
+++ b/tests/support/order_simulation.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "coordination/order_ledger.h"
+#include "core/event_log.h"
+#include "fakes/fake_object_store.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dotterel::support {
+
+/// What the service does with an order that reaches it.
+enum class ServiceFate {
+    Answers,
+    RefusesUnrun,
+    DiesAfterRunning,
+};
+
+/// One order as a caller sent it and what came of it.
+struct SimulatedOrder
+{
+    OrderClaim claim;
+    std::size_t host = 0;
+    bool dispatched = false;
+    bool ran = false; ///< The service ran it for this very request.
+    ServiceFate fate = ServiceFate::Answers;
+    std::optional<ClaimResult> refusal; ///< Of the claim.
+    std::optional<Verdict> verdict;     ///< Given to the caller; Ran with an answer.
+    TimePoint answeredAt{};
+};
+
+/// Several ledgers over one store in virtual time, each with just enough of a request controller to
+/// dispatch to one service that counts.
+class OrderSimulation : public HostLiveness
+{
+public:
+    using Factory = std::function<std::unique_ptr<OrderLedger>(
+            const HostIdentity &, ObjectStore &, const HostLiveness &, RandomSource &)>;
+
+    OrderSimulation(std::uint64_t seed, std::size_t hosts, Factory factory);
+    ~OrderSimulation() override;
+
+    /// Sends an order through \a host and returns its number.
+    std::size_t submit(std::size_t host, const std::string &key, const std::string &body = "one",
+                       Duration deadline = std::chrono::seconds(1));
+
+    void run(Duration duration) { this->time.runFor(duration); }
+    void freeze(std::size_t host);
+    void thaw(std::size_t host);
+    void kill(std::size_t host);
+    void restart(std::size_t host);
+    bool isUp(std::size_t host) const;
+    bool isFrozen(std::size_t host) const;
+    fakes::FakeObjectStore &store(std::size_t host);
+    const OrderLedger &ledger(std::size_t host) const;
+    const SimulatedOrder &order(std::size_t number) const { return this->orders.at(number); }
+    std::size_t orderCount() const { return this->orders.size(); }
+    int serviceCount(const std::string &key) const;
+    std::uint64_t storeReads() const;
+    std::uint64_t storeWrites() const;
+    void setFate(std::function<ServiceFate()> chosen) { this->fate = std::move(chosen); }
+    RandomSource &randomSource() { return this->random; }
+
+    bool believedAlive(const HostId &host, Incarnation incarnation) const override;
+
+private:
+    struct Host;
+    using HostPointer = std::shared_ptr<Host>;
+
+    void onHost(const HostPointer &host, const std::function<void()> &event);
+    void tick(const HostPointer &host);
+    void onClaim(const HostPointer &host, std::size_t number, const ClaimOutcome &outcome,
+                 TimePoint now);
+    void dispatch(const HostPointer &host, std::size_t number);
+    void answer(const HostPointer &host, std::size_t number, Verdict verdict);
+
+    fakes::VirtualTime time;
+    SeededRandom random;
+    fakes::FakeObjects objects;
+    Factory factory;
+    std::function<ServiceFate()> fate = [] { return ServiceFate::Answers; };
+    Incarnation nextIncarnation = 1;
+    std::vector<HostPointer> hosts;
+    std::vector<SimulatedOrder> orders;
+    std::map<std::string, int> counts;
+};
+
+} // namespace dotterel::support
