--- a/tests/fakes/dotterelfake.cpp
+++ b/tests/fakes/dotterelfake.cpp
@@ -17,7 +17,17 @@
 int main(int argc, const char **argv)
 {
     int port = 0;
+    dotterel::fakes::EngineBehaviour behaviour;
+    int answerTokens = static_cast<int>(behaviour.answerTokens);
+    int tokenMicroseconds = static_cast<int>(behaviour.tokenInterval.count());
     const poptOption table[] = {{"port", 'p', POPT_ARG_INT, &port, 0, "port to listen on", "PORT"},
+                                {"answer-tokens", 'n', POPT_ARG_INT, &answerTokens, 0,
+                                 "engine: tokens of an answer", "N"},
+                                {"token-us", 't', POPT_ARG_INT, &tokenMicroseconds, 0,
+                                 "engine: microseconds between tokens", "N"},
+                                {"prefill-rate", 'r', POPT_ARG_DOUBLE,
+                                 &behaviour.prefillTokensPerSecond, 0,
+                                 "engine: prompt tokens a second", "N"},
                                 POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext("dotterelfake", argc, argv, table, 0);
     poptSetOtherOptionHelp(context, "platform|engine|service");
@@ -30,6 +40,8 @@
         return ExitBadUsage;
     }
 
+    behaviour.answerTokens = static_cast<std::uint64_t>(answerTokens);
+    behaviour.tokenInterval = dotterel::Duration(tokenMicroseconds);
     dotterel::EventLoop loop;
     const dotterel::Endpoint endpoint{"127.0.0.1", static_cast<std::uint16_t>(port)};
     std::unique_ptr<dotterel::fakes::FakePlatform> platform;
@@ -40,8 +52,7 @@
         platform = std::make_unique<dotterel::fakes::FakePlatform>(loop, endpoint);
         bound = platform->endpoint();
     } else if (kind == "engine") {
-        engine = std::make_unique<dotterel::fakes::FakeEngine>(loop, endpoint,
-                                                               dotterel::fakes::EngineBehaviour{});
+        engine = std::make_unique<dotterel::fakes::FakeEngine>(loop, endpoint, behaviour);
         bound = engine->endpoint();
     } else {
         service = std::make_unique<dotterel::fakes::FakeService>(
