Round quantile places with lround

Cause: clang-tidy's bugprone-incorrect-roundings; adding 0.5 before a cast rounds wrongly for some values. Ruled out: disabling the check.

--- a/src/bench/stream_load.cpp
+++ b/src/bench/stream_load.cpp
@@ -1,6 +1,7 @@
 #include "bench/stream_load.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace dotterel {
@@ -37,7 +38,7 @@
     if (sorted.empty())
         return 0;
     const double place = quantile * static_cast<double>(sorted.size() - 1);
-    return sorted[static_cast<std::size_t>(place + 0.5)];
+    return sorted[static_cast<std::size_t>(std::lround(place))];
 }
 
 /// One stream and the times of its tokens.
