Serve operators from a class of their own, with a route to drain a host

Cause: the operator routes stood in EntryHost and their status was JSON without a type, so that no client could share it. Change: OperatorApi serves the routes for an OperatorTarget; HostStatus is typed and has one codec; POST /drain begins a graceful shutdown; a wrong method gets 405. Ruled out: a drain of an entry host as configuration; hosts are replaced under new names, and the wish must reach one process also while the platform is down.

--- a/programs/dotterelfieldd.cpp
+++ b/programs/dotterelfieldd.cpp
@@ -73,7 +73,7 @@
 {
     dotterel::EventLoop loop;
     dotterel::StructuredLog log(settings.host, settings.logThreshold);
-    dotterel::EntryHost host(loop, settings, drawIncarnation(loop), log);
+    dotterel::EntryHost host(loop, settings, drawIncarnation(loop), log, [&loop] { loop.stop(); });
     const auto shutDown = [&host, &loop] { host.beginShutdown([&loop] { loop.stop(); }); };
     const dotterel::EventLoop::TimerHandle onTerminate = loop.onSignal(SIGTERM, shutDown);
     const dotterel::EventLoop::TimerHandle onInterrupt = loop.onSignal(SIGINT, shutDown);
--- a/src/entry_host/entry_host.cpp
+++ b/src/entry_host/entry_host.cpp
@@ -1,7 +1,5 @@
 #include "entry_host/entry_host.h"
 
-#include <nlohmann/json.hpp>
-
 namespace dotterel {
 
 namespace {
@@ -10,10 +8,6 @@
 constexpr Duration WatchRetry = std::chrono::milliseconds(500);
 constexpr Duration HostsInterval = std::chrono::seconds(1);
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(50);
-constexpr std::size_t MostOperatorBodyBytes = 64UL * 1024;
-constexpr int StatusOk = 200;
-constexpr int StatusNotFound = 404;
-constexpr int StatusUnavailable = 503;
 
 RequestLimits limitsOf(const Settings &settings)
 {
@@ -25,7 +19,7 @@
 } // namespace
 
 EntryHost::EntryHost(EventLoop &loop, const Settings &settings, Incarnation incarnation,
-                     EventLog &log)
+                     EventLog &log, std::function<void()> drained)
     : loop(loop)
     , settings(settings)
     , identity{settings.host, incarnation, settings.failureDomain}
@@ -46,9 +40,8 @@
     , backend(loop, this->httpClient, this->identity, *this)
     , callerApi(loop, settings, this->identity, *this)
     , mesh(loop, settings.peers, settings.host, *this, this->metrics, log)
-    , operatorServer(
-              loop, settings.operators, MostOperatorBodyBytes,
-              [this](const HttpExchangePointer &exchange) { this->handleOperator(exchange); })
+    , operatorApi(loop, settings.operators, *this, this->metrics)
+    , drained(std::move(drained))
 {
     this->log.write(Event::HostStarted, {{"failure_domain", settings.failureDomain},
                                          {"incarnation", std::to_string(incarnation)},
@@ -87,7 +80,8 @@
         return;
     this->drainTimer.reset();
     this->log.write(Event::ShutdownDone, {});
-    this->shutdownFinished();
+    if (this->shutdownFinished)
+        this->shutdownFinished();
 }
 
 void EntryHost::sendAttempt(const AttemptOrder &order)
@@ -263,51 +257,32 @@
     });
 }
 
-void EntryHost::handleOperator(const HttpExchangePointer &exchange)
+bool EntryHost::isReady() const
 {
-    const std::string path = exchange->path();
-    if (path == "/healthz") {
-        exchange->reply(StatusOk, {}, "ok\n");
-    } else if (path == "/readyz") {
-        const bool ready = !this->shuttingDown && this->follower.current().version > 0;
-        exchange->reply(ready ? StatusOk : StatusUnavailable, {},
-                        ready ? "ready\n" : "not ready\n");
-    } else if (path == "/metrics") {
-        exchange->reply(StatusOk, {{"Content-Type", "text/plain; version=0.0.4"}},
-                        this->metrics.text());
-    } else if (path == "/status") {
-        exchange->reply(StatusOk, {{"Content-Type", "application/json"}}, this->statusDocument());
-    } else {
-        exchange->reply(StatusNotFound, {}, "routes are /healthz, /readyz, /metrics and /status\n");
-    }
+    return !this->shuttingDown && this->follower.current().version > 0;
 }
 
-std::string EntryHost::statusDocument() const
+HostStatus EntryHost::status() const
 {
-    nlohmann::ordered_json json;
-    json["host"] = this->identity.host;
-    json["incarnation"] = this->identity.incarnation;
-    json["failure_domain"] = this->identity.failureDomain;
-    json["configuration_version"] = this->follower.current().version;
-    json["shutting_down"] = this->shuttingDown;
-    json["platform_reachable"] = this->platformReachable;
-    json["requests_in_flight"] = this->controller.inFlight();
-    json["peer_links"] = this->mesh.openLinks();
-    json["members"] = nlohmann::ordered_json::array();
-    for (const MemberRecord &member : this->membership.live()) {
-        json["members"].push_back({{"host", member.identity.host},
-                                   {"incarnation", member.identity.incarnation},
-                                   {"failure_domain", member.identity.failureDomain},
-                                   {"configuration_version", member.configurationVersion},
-                                   {"leaving", member.leaving}});
-    }
-    json["backend_servers"] = nlohmann::ordered_json::array();
+    HostStatus status;
+    status.identity = this->identity;
+    status.configurationVersion = this->follower.current().version;
+    status.shuttingDown = this->shuttingDown;
+    status.platformReachable = this->platformReachable;
+    status.requestsInFlight = this->controller.inFlight();
+    status.peerLinks = this->mesh.openLinks();
+    for (const MemberRecord &member : this->membership.live())
+        status.members.push_back({member.identity, member.configurationVersion, member.leaving});
     for (const auto &[id, server] : this->follower.current().servers) {
         const ServerState state = this->directory.state(id, this->loop.now());
-        json["backend_servers"].push_back(
-                {{"id", id}, {"pool", server.pool}, {"state", serverStateName(state)}});
+        status.servers.push_back({id, server.pool, std::string(serverStateName(state))});
     }
-    return json.dump();
+    return status;
+}
+
+void EntryHost::drain()
+{
+    this->beginShutdown(this->drained);
 }
 
 } // namespace dotterel
--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -10,6 +10,7 @@
 #include "core/random_source.h"
 #include "entry_host/caller_api.h"
 #include "entry_host/http_backend_client.h"
+#include "entry_host/operator_api.h"
 #include "entry_host/peer_mesh.h"
 #include "state/http_object_store.h"
 #include "state/settings.h"
@@ -27,10 +28,13 @@
     , private AttemptListener
     , private CallerListener
     , private PeerListener
+    , private OperatorTarget
 {
 public:
     /// Binds the host's three addresses. Throws std::runtime_error if one cannot be bound.
-    EntryHost(EventLoop &loop, const Settings &settings, Incarnation incarnation, EventLog &log);
+    /// \a drained is called at the end of a graceful shutdown that an operator asked for.
+    EntryHost(EventLoop &loop, const Settings &settings, Incarnation incarnation, EventLog &log,
+              std::function<void()> drained = {});
     ~EntryHost() override;
 
     /// Begins a graceful shutdown; \a finished is called when every request has ended.
@@ -38,7 +42,7 @@
 
     /// Addresses in use.
     Endpoint callers() const { return this->callerApi.endpoint(); }
-    Endpoint operators() const { return this->operatorServer.endpoint(); }
+    Endpoint operators() const { return this->operatorApi.endpoint(); }
     Endpoint peers() const { return this->mesh.endpoint(); }
 
 private:
@@ -67,14 +71,17 @@
     // PeerListener
     void onPeerMessage(std::uint64_t link, const PeerMessage &message) override;
 
+    // OperatorTarget
+    bool isReady() const override;
+    HostStatus status() const override;
+    void drain() override;
+
     void applyConfiguration(const Configuration &configuration);
     void watchConfiguration();
     void readHosts();
     void heartbeat();
     void armTimer();
     void finishShutdownIfIdle();
-    void handleOperator(const HttpExchangePointer &exchange);
-    std::string statusDocument() const;
 
     EventLoop &loop;
     Settings settings;
@@ -93,7 +100,8 @@
     HttpBackendClient backend;
     CallerApi callerApi;
     PeerMesh mesh;
-    HttpServer operatorServer;
+    OperatorApi operatorApi;
+    std::function<void()> drained;
     bool shuttingDown = false;
     bool platformReachable = true;
     std::uint64_t watchedVersion = 0; ///< Of the object that holds the configuration.
--- /dev/null
+++ b/tests/entry_host/test_operator_api.cpp
@@ -0,0 +1,91 @@
+#include "entry_host/operator_api.h"
+
+#include "transport/http_client.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dotterel;
+
+namespace {
+
+class FakeTarget : public OperatorTarget
+{
+public:
+    bool isReady() const override { return !this->draining; }
+    HostStatus status() const override
+    {
+        HostStatus status;
+        status.identity = {"centro-a-1", 7, "centro-a"};
+        status.configurationVersion = 3;
+        status.members.push_back({{"centro-b-1", 8, "centro-b"}, 2, true});
+        status.servers.push_back({"engine-1", "cake-model", "draining"});
+        return status;
+    }
+    void drain() override { this->draining = true; }
+
+private:
+    bool draining = false;
+};
+
+} // namespace
+
+TEST_CASE("Operators read and drain a host", "[EntryHost][OperatorApi]")
+{
+    EventLoop loop;
+    HttpClient client(loop);
+    PrometheusMetrics metrics;
+    FakeTarget target;
+    const OperatorApi api(loop, Endpoint{}, target, metrics);
+    const auto call = [&](const std::string &method, const std::string &path) {
+        HttpRequest request;
+        request.endpoint = api.endpoint();
+        request.method = method;
+        request.target = path;
+        std::optional<HttpResponse> answer;
+        bool done = false;
+        const HttpFetch fetch(
+                client, request,
+                [&](const std::optional<HttpResponse> &response, const HttpFailure &) {
+                    answer = response;
+                    done = true;
+                });
+        while (!done)
+            loop.runOnce(true);
+        return answer.value_or(HttpResponse{});
+    };
+
+    SECTION("each route answers its own method only")
+    {
+        struct Row
+        {
+            const char *method;
+            const char *path;
+            int status;
+        };
+        const std::vector<Row> rows = {{"GET", "/healthz", 200},  {"GET", "/readyz", 200},
+                                       {"GET", "/metrics", 200},  {"GET", "/status", 200},
+                                       {"GET", "/drain", 405},    {"POST", "/status", 405},
+                                       {"GET", "/elsewhere", 404}};
+        for (const Row &row : rows) {
+            INFO(row.method << " " << row.path);
+            CHECK(call(row.method, row.path).status == row.status);
+        }
+    }
+    SECTION("the status is read back whole")
+    {
+        const auto status = hostStatusFromJson(call("GET", "/status").body);
+        REQUIRE(status);
+        CHECK(hostStatusToJson(*status) == hostStatusToJson(target.status()));
+    }
+    SECTION("a status that is not one is an error and not a crash")
+    {
+        for (const char *text : {"", "[]", "{}", R"({"host":1})", "{\"host\":\"a\""})
+            CHECK_FALSE(hostStatusFromJson(text));
+    }
+    SECTION("a drain makes the host not ready")
+    {
+        CHECK(call("POST", "/drain").status == 202);
+        CHECK(call("GET", "/readyz").status == 503);
+        CHECK(call("POST", "/drain").status == 202);
+    }
+}
