Keep operators' drains and the time of each decision in the configuration

Cause: a drain of a backend server must outlive every host, since hosts keep nothing; a sheet must not undo a later change. Change: a backend server has a wanted state 'draining'; workspaces and request classes keep when they were decided; the configuration keeps the export time of the last sheet; a file may name pools that are already stored. Ruled out: an operator route for servers, which a replaced host would forget. Conclusion: the sheet and the command line can be built on it.

--- a/src/coordination/backend_directory.cpp
+++ b/src/coordination/backend_directory.cpp
@@ -66,7 +66,7 @@
     const auto entry = this->entries.find(id);
     if (entry == this->entries.end())
         return ServerState::Down;
-    if (entry->second.leaving)
+    if (entry->second.leaving || entry->second.server.draining)
         return ServerState::Draining;
     if (entry->second.down && now < entry->second.retryAt)
         return ServerState::Down;
--- a/src/state/configuration.h
+++ b/src/state/configuration.h
@@ -16,7 +16,8 @@
 struct Workspace
 {
     std::string name;
-    double share = 1.0; ///< Weight in the division of capacity under overload.
+    double share = 1.0;             ///< Weight in the division of capacity under overload.
+    WallMilliseconds changedAt = 0; ///< When this was decided; a sheet exported before loses.
 };
 
 /// What callers may ask for and what they are promised.
@@ -25,6 +26,7 @@
     std::string name;
     Duration deadline = std::chrono::seconds(60); ///< From the arrival to the end of the answer.
     bool idempotent = true;                       ///< False marks orders, which run at most once.
+    WallMilliseconds changedAt = 0; ///< When this was decided; a sheet exported before loses.
 };
 
 /// What the servers of a pool are.
@@ -52,6 +54,7 @@
     std::string failureDomain;
     std::uint64_t memoryTokens = 400'000; ///< KV cache of the engine.
     bool honoursFencing = false; ///< Whether it refuses an order with an old fencing number.
+    bool draining = false;       ///< Operators want it to get no new work.
 };
 
 /// How much each measure counts in a deployment; the two weights need not add up to one.
@@ -70,6 +73,7 @@
     std::map<std::string, Pool> pools;
     std::map<ServerId, BackendServer> servers;
     PolicyWeights policy;
+    WallMilliseconds sheetExportedAt = 0; ///< Of the sheet applied last; 0 if there was none.
 };
 
 } // namespace dotterel
--- a/src/state/configuration_codec.cpp
+++ b/src/state/configuration_codec.cpp
@@ -15,9 +15,12 @@
 class ConfigurationReader
 {
 public:
-    explicit ConfigurationReader(std::string file)
+    ConfigurationReader(std::string file, const Configuration &base)
         : file(std::move(file))
-    {}
+        , base(base)
+    {
+        this->configuration.policy = base.policy;
+    }
 
     tl::expected<Configuration, std::vector<YamlFault>> read(const std::string &text)
     {
@@ -104,9 +107,12 @@
         reader.readString("failure-domain", server.failureDomain, true);
         reader.readInteger("memory-tokens", server.memoryTokens, 1, LargestMemoryTokens);
         reader.readBoolean("honours-fencing", server.honoursFencing);
+        reader.readBoolean("draining", server.draining);
         reader.rejectUnknownKeys();
         server.endpoint.port = static_cast<std::uint16_t>(port);
-        if (!server.pool.empty() && this->configuration.pools.count(server.pool) == 0)
+        const bool poolExists = this->configuration.pools.count(server.pool) > 0
+                                || this->base.pools.count(server.pool) > 0;
+        if (!server.pool.empty() && !poolExists)
             reader.fault("pool", "there is no pool \"" + server.pool + "\"");
         this->insert(reader, this->configuration.servers, "id", server.id, server);
     }
@@ -120,16 +126,17 @@
     }
 
     std::string file;
+    const Configuration &base;
     std::vector<YamlFault> faults;
     Configuration configuration;
 };
 
 } // namespace
 
-tl::expected<Configuration, std::vector<YamlFault>> configurationFromYaml(const std::string &text,
-                                                                          const std::string &file)
+tl::expected<Configuration, std::vector<YamlFault>>
+configurationFromYaml(const std::string &text, const std::string &file, const Configuration &base)
 {
-    return ConfigurationReader(file).read(text);
+    return ConfigurationReader(file, base).read(text);
 }
 
 nlohmann::json configurationToJson(const Configuration &configuration)
@@ -138,12 +145,14 @@
     json["version"] = configuration.version;
     json["workspaces"] = nlohmann::json::array();
     for (const auto &[name, workspace] : configuration.workspaces)
-        json["workspaces"].push_back({{"name", name}, {"share", workspace.share}});
+        json["workspaces"].push_back(
+                {{"name", name}, {"share", workspace.share}, {"changedAt", workspace.changedAt}});
     json["requestClasses"] = nlohmann::json::array();
     for (const auto &[name, requestClass] : configuration.requestClasses) {
         json["requestClasses"].push_back({{"name", name},
                                           {"deadlineUs", requestClass.deadline.count()},
-                                          {"idempotent", requestClass.idempotent}});
+                                          {"idempotent", requestClass.idempotent},
+                                          {"changedAt", requestClass.changedAt}});
     }
     json["pools"] = nlohmann::json::array();
     for (const auto &[name, pool] : configuration.pools)
@@ -156,10 +165,12 @@
                                    {"port", server.endpoint.port},
                                    {"failureDomain", server.failureDomain},
                                    {"memoryTokens", server.memoryTokens},
-                                   {"honoursFencing", server.honoursFencing}});
+                                   {"honoursFencing", server.honoursFencing},
+                                   {"draining", server.draining}});
     }
     json["policy"] = {{"shortSlowdown", configuration.policy.shortSlowdown},
                       {"firstToken", configuration.policy.firstToken}};
+    json["sheetExportedAt"] = configuration.sheetExportedAt;
     return json;
 }
 
@@ -171,13 +182,15 @@
         configuration.version = json.at("version").get<std::uint64_t>();
         for (const nlohmann::json &item : json.at("workspaces")) {
             const std::string name = item.at("name").get<std::string>();
-            configuration.workspaces[name] = {name, item.at("share").get<double>()};
+            configuration.workspaces[name] = {name, item.at("share").get<double>(),
+                                              item.value("changedAt", WallMilliseconds{0})};
         }
         for (const nlohmann::json &item : json.at("requestClasses")) {
             const std::string name = item.at("name").get<std::string>();
             configuration.requestClasses[name] = {
                     name, Duration(item.at("deadlineUs").get<std::int64_t>()),
-                    item.at("idempotent").get<bool>()};
+                    item.at("idempotent").get<bool>(),
+                    item.value("changedAt", WallMilliseconds{0})};
         }
         for (const nlohmann::json &item : json.at("pools")) {
             const std::string name = item.at("name").get<std::string>();
@@ -193,11 +206,13 @@
             server.failureDomain = item.at("failureDomain").get<std::string>();
             server.memoryTokens = item.at("memoryTokens").get<std::uint64_t>();
             server.honoursFencing = item.at("honoursFencing").get<bool>();
+            server.draining = item.value("draining", false);
             configuration.servers[server.id] = server;
         }
         const nlohmann::json &policy = json.at("policy");
         configuration.policy.shortSlowdown = policy.at("shortSlowdown").get<double>();
         configuration.policy.firstToken = policy.at("firstToken").get<double>();
+        configuration.sheetExportedAt = json.value("sheetExportedAt", WallMilliseconds{0});
     } catch (const nlohmann::json::exception &error) {
         return tl::unexpected(std::string(error.what()));
     }
--- a/src/state/configuration_codec.h
+++ b/src/state/configuration_codec.h
@@ -12,9 +12,11 @@
 namespace dotterel {
 
 /// Reads the YAML that operators apply. Returns every fault at once; \a file names the source in
-/// them. The version of the result is 0.
-tl::expected<Configuration, std::vector<YamlFault>> configurationFromYaml(const std::string &text,
-                                                                          const std::string &file);
+/// them. The version of the result is 0. What the text may leave out comes from \a base: a server's
+/// pool may be one of its pools, and policy weights that are not given are its weights.
+tl::expected<Configuration, std::vector<YamlFault>>
+configurationFromYaml(const std::string &text, const std::string &file,
+                      const Configuration &base = {});
 
 /// Returns \a configuration as the JSON that is stored and sent between hosts.
 nlohmann::json configurationToJson(const Configuration &configuration);
