Drop a link that breaks the protocol, and let go of its memory

Cause: a contract test of WebsocketLink with nine kinds of bad frames over raw TCP failed for all nine (eight ended with another reason than their own, text was passed on as a message), and the sanitizer reported 57,646 bytes in 49 allocations left behind. websocketpp answers a protocol error with a closing handshake, which a bad peer need not finish and which the iostream transport cannot time out. A read that waits keeps a reference to its own connection. Ruled out: a timer of our own after the close frame; it keeps a bad peer for longer and needs more state. Change: drop_on_protocol_error in both configurations, text frames are a protocol error, the end of the stream is signalled before the connection is released.

--- a/src/transport/websocket_link.cpp
+++ b/src/transport/websocket_link.cpp
@@ -15,8 +15,19 @@
 
 namespace {
 
-using Server = websocketpp::server<websocketpp::config::core>;
-using Client = websocketpp::client<websocketpp::config::core_client>;
+/// A peer that breaks the protocol may never answer a closing handshake, and the iostream transport
+/// has no timers to give it up, so its connection is dropped at once.
+struct ServerConfig : websocketpp::config::core
+{
+    static const bool drop_on_protocol_error = true;
+};
+struct ClientConfig : websocketpp::config::core_client
+{
+    static const bool drop_on_protocol_error = true;
+};
+
+using Server = websocketpp::server<ServerConfig>;
+using Client = websocketpp::client<ClientConfig>;
 
 constexpr std::array<EnumName<LinkEnd>, 7> LinkEndNames = {{
         {LinkEnd::ConnectFailed, "connect_failed"},
@@ -62,7 +73,19 @@
                 this->finish(LinkEnd::HandshakeFailed);
         });
     }
-    ~LinkState() { this->closeStream(); }
+    ~LinkState()
+    {
+        this->closeStream();
+        if (this->connection == nullptr)
+            return;
+        // A read that waits holds the connection; only the end of its stream lets go of it.
+        this->connection->set_write_handler(nullptr);
+        this->connection->set_open_handler(nullptr);
+        this->connection->set_message_handler(nullptr);
+        this->connection->set_close_handler(nullptr);
+        this->connection->set_fail_handler(nullptr);
+        this->connection->eof();
+    }
     LinkState(const LinkState &) = delete;
     LinkState &operator=(const LinkState &) = delete;
 
@@ -81,7 +104,9 @@
         this->connection->set_message_handler(
                 [this](const websocketpp::connection_hdl &,
                        const typename EndpointType::message_ptr &message) {
-                    if (this->observer != nullptr)
+                    if (message->get_opcode() != websocketpp::frame::opcode::binary)
+                        this->finish(LinkEnd::ProtocolError);
+                    else if (this->observer != nullptr)
                         this->observer->onFrame(message->get_payload());
                 });
         this->connection->set_close_handler([this](const websocketpp::connection_hdl &) {
