Give every failure place of an HTTP call a truthful verdict

Cause: evhttp takes an answer without a length or chunks as whole wherever the connection ends, so a cut answer of a plain service was passed on as whole; a caller that closed before its answer began was not noticed; a request that evhttp gave up was not freed; after the last chunk a read timeout could cut an answer that a slow caller was still reading; a refusal sent while a long body was being written was lost. Ruled out: evhttp's read-on-write-error flag for every call. With it evhttp waits for ever on a cut head, so it is set only for bodies over 16 KiB and a timer ends each call. Conclusion: a body that only the end of the connection delimits is AnswerCut and MayHaveRun; an exchange lives until evhttp has sent its last byte, which a shutdown can wait for.

--- a/src/entry_host/http_backend_client.cpp
+++ b/src/entry_host/http_backend_client.cpp
@@ -20,6 +20,10 @@
 
 AttemptFailure connectionFailure(const HttpFailure &failure)
 {
+    if (failure.kind == HttpFailureKind::AnswerCut)
+        return {{Verdict::MayHaveRun, Reason::AnswerCut, "the answer of the backend server was cut",
+                 RetryAfterBreak},
+                ServerFault::Unreachable};
     if (failure.kind == HttpFailureKind::ConnectFailed)
         return {{Verdict::NotRun, Reason::BackendConnectFailed,
                  "the backend server could not be connected", RetryAfterBreak},
@@ -86,7 +90,12 @@
                         ServerFault::None});
     }
 
-    void onFailed(const HttpFailure &failure) override { this->fail(connectionFailure(failure)); }
+    void onFailed(const HttpFailure &failure) override
+    {
+        // The promise stands in the head, so it holds even if the rest of the answer was cut.
+        const bool refused = this->status >= FirstErrorStatus && this->refusedWithoutRunning();
+        this->fail(refused ? this->refusal() : connectionFailure(failure));
+    }
 
 private:
     bool refusedWithoutRunning() const { return headerOf(this->headers, "X-Not-Run") == "true"; }
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -11,6 +11,15 @@
 
 namespace {
 
+/// A body up to this size fits into the socket's buffer and never meets an early close.
+constexpr std::size_t LargestUnreadBody = 16UL * 1024;
+
+/// Returns \a duration in seconds, rounded up and one more.
+std::int64_t toWholeSeconds(Duration duration)
+{
+    return std::chrono::ceil<std::chrono::seconds>(duration).count() + 1;
+}
+
 evhttp_cmd_type commandType(const std::string &method)
 {
     if (method == "POST")
@@ -35,6 +44,20 @@
     return headers;
 }
 
+/// Returns whether the end of the body can be told from a broken connection. evhttp takes a body
+/// without a length or chunks as whole wherever the connection ends.
+bool bodyIsDelimited(evhttp_request *request)
+{
+    const int status = evhttp_request_get_response_code(request);
+    if (status == HTTP_NOCONTENT || status == HTTP_NOTMODIFIED)
+        return true;
+    if (evhttp_request_get_command(request) == EVHTTP_REQ_HEAD)
+        return true;
+    const evkeyvalq *headers = evhttp_request_get_input_headers(request);
+    return evhttp_find_header(headers, "Content-Length") != nullptr
+           || evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
+}
+
 /// One call over a connection of its own.
 class EvhttpCall
 {
@@ -48,10 +71,15 @@
                                                                   request.endpoint.address.c_str(),
                                                                   request.endpoint.port);
         evbuffer_add_cb(bufferevent_get_output(stream), &EvhttpCall::outputChanged, this);
-        const timeval timeout{static_cast<time_t>(request.timeout.count() / 1'000'000),
-                              static_cast<suseconds_t>(request.timeout.count() % 1'000'000)};
-        evhttp_connection_set_timeout_tv(this->connection, &timeout);
+        // evhttp's own timeouts are shorter than a long prefill, so they are put off.
+        const std::int64_t wholeSeconds = toWholeSeconds(request.timeout);
+        evhttp_connection_set_timeout(this->connection, static_cast<int>(wholeSeconds));
         evhttp_connection_set_retries(this->connection, 0);
+        // A server may refuse a long body before it has read it. evhttp then waits for ever on a
+        // cut head, so the timer ends the call.
+        if (this->body != nullptr && this->body->size() > LargestUnreadBody)
+            evhttp_connection_set_flags(this->connection, EVHTTP_CON_READ_ON_WRITE_ERROR);
+        this->timer = loop.after(request.timeout, [this] { this->expire(); });
 
         evhttp_request *outgoing = evhttp_request_new(&EvhttpCall::finished, this);
         evhttp_request_set_header_cb(outgoing, &EvhttpCall::headArrived);
@@ -126,7 +154,9 @@
     static void errorArrived(evhttp_request_error error, void *argument)
     {
         EvhttpCall *call = self(argument);
-        if (error == EVREQ_HTTP_TIMEOUT)
+        if (call->headSeen)
+            call->kind = HttpFailureKind::AnswerCut;
+        else if (error == EVREQ_HTTP_TIMEOUT)
             call->kind = HttpFailureKind::Timeout;
         else if (error == EVREQ_HTTP_INVALID_HEADER || error == EVREQ_HTTP_DATA_TOO_LONG)
             call->kind = HttpFailureKind::Malformed;
@@ -142,18 +172,37 @@
         if (listener == nullptr)
             return;
         if (request != nullptr && evhttp_request_get_response_code(request) != 0) {
-            listener->onComplete();
-            return;
+            if (bodyIsDelimited(request)) {
+                listener->onComplete();
+                return;
+            }
+            call->kind = HttpFailureKind::AnswerCut;
         }
+        call->report(*listener);
+    }
+
+    void expire()
+    {
+        HttpListener *expired = this->listener;
+        this->listener = nullptr;
+        if (expired == nullptr)
+            return;
+        this->kind = this->headSeen ? HttpFailureKind::AnswerCut : HttpFailureKind::Timeout;
+        this->report(*expired);
+    }
+
+    void report(HttpListener &informed) const
+    {
         HttpFailure failure;
-        failure.verdict = call->wroteBytes ? Verdict::MayHaveRun : Verdict::NotRun;
-        failure.kind = call->wroteBytes ? call->kind : HttpFailureKind::ConnectFailed;
-        listener->onFailed(failure);
+        failure.verdict = this->wroteBytes ? Verdict::MayHaveRun : Verdict::NotRun;
+        failure.kind = this->wroteBytes ? this->kind : HttpFailureKind::ConnectFailed;
+        informed.onFailed(failure);
     }
 
     HttpListener *listener;
     std::shared_ptr<const std::string> body;
     evhttp_connection *connection = nullptr;
+    EventLoop::TimerHandle timer;
     bool wroteBytes = false;
     bool headSeen = false;
     HttpFailureKind kind = HttpFailureKind::ConnectionLost;
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -19,8 +19,8 @@
     std::string method = "GET";
     std::string target = "/"; ///< Path and query.
     HttpHeaders headers;
-    std::shared_ptr<const std::string> body; ///< Shared, never copied; may be null.
-    Duration timeout = std::chrono::seconds(30);
+    std::shared_ptr<const std::string> body;     ///< Shared, never copied; may be null.
+    Duration timeout = std::chrono::seconds(30); ///< From the connect to the end of the answer.
 };
 
 /// Where an HTTP call failed.
@@ -29,6 +29,7 @@
     Timeout,
     ConnectionLost,
     Malformed,
+    AnswerCut, ///< The head arrived, but the body did not arrive whole.
 };
 
 /// A call that ended without a whole answer.
@@ -50,7 +51,8 @@
     /// Part of the body arrived.
     virtual void onData(std::string_view bytes) = 0;
 
-    /// The body ended. A body without a length or chunks may have been cut all the same.
+    /// The body arrived whole. A body that only the end of the connection delimits cannot be told
+    /// from a cut one and ends in onFailed().
     virtual void onComplete() = 0;
 
     /// The call failed.
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <netinet/tcp.h>
@@ -15,8 +16,10 @@
 
 constexpr int AllMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE
                            | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH;
-constexpr int ConnectionIdleTimeoutSeconds = 600;
+constexpr int StatusServerError = 500;
 constexpr std::size_t MaxHeaderBytes = 64UL * 1024;
+/// Bytes of a next request that are read before the present one is answered.
+constexpr std::size_t MostBytesAhead = 64UL * 1024;
 
 std::string methodName(evhttp_cmd_type type)
 {
@@ -38,34 +41,66 @@
     }
 }
 
-/// Exchange over one evhttp_request. evhttp frees the request when the answer has been sent or
-/// the connection is lost; `request` is null from then on.
-class EvhttpExchange
-    : public HttpExchange
-    , public std::enable_shared_from_this<EvhttpExchange>
+/// evhttp stops reading until the answer begins, so it would not see that the peer closes. Reading
+/// goes on here without a callback, because evhttp ends the process over bytes that come meanwhile.
+void watchForClose(bufferevent *stream)
+{
+    bufferevent_data_cb onRead = nullptr;
+    bufferevent_data_cb onWrite = nullptr;
+    bufferevent_event_cb onEvent = nullptr;
+    void *argument = nullptr;
+    bufferevent_getcb(stream, &onRead, &onWrite, &onEvent, &argument);
+    bufferevent_setcb(stream, nullptr, onWrite, onEvent, argument);
+    bufferevent_setwatermark(stream, EV_READ, 0, MostBytesAhead);
+    bufferevent_enable(stream, EV_READ);
+}
+
+} // namespace
+
+/// What a server shares with its exchanges, which may outlive it.
+struct HttpServer::State
+{
+    timeval idleTimeout{};
+    std::size_t openExchanges = 0;
+    std::uint64_t receivedBytes = 0;
+    bool closeAfterReplies = false;
+    bool destroyed = false;
+};
+
+/// Exchange over one evhttp_request. It lives until both its handler has dropped it and evhttp is
+/// done with the request; `request` is null after the latter.
+class HttpServer::Exchange : public HttpExchange
 {
 public:
-    explicit EvhttpExchange(evhttp_request *request)
+    Exchange(evhttp_request *request, std::shared_ptr<State> state)
         : request(request)
-    {}
-    EvhttpExchange(const EvhttpExchange &) = delete;
-    EvhttpExchange &operator=(const EvhttpExchange &) = delete;
-    ~EvhttpExchange() override
+        , state(std::move(state))
     {
-        // An exchange dropped without an answer must not leave the caller waiting.
-        if (this->request != nullptr && !this->started)
-            EvhttpExchange::reply(500, {}, "");
-        else
-            EvhttpExchange::abort();
+        ++this->state->openExchanges;
+        evhttp_connection *connection = evhttp_request_get_connection(request);
+        evhttp_connection_set_closecb(connection, &Exchange::connectionClosed, this);
+        evhttp_request_set_on_complete_cb(request, &Exchange::completed, this);
+        bufferevent *stream = evhttp_connection_get_bufferevent(connection);
+        // An answer may take longer than a connection may be idle.
+        bufferevent_set_timeouts(stream, nullptr, nullptr);
+        watchForClose(stream);
+        const int noDelay = 1;
+        setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof(noDelay));
     }
+    ~Exchange() override = default;
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
 
-    void attach()
+    /// The handler has dropped the exchange; a peer that has no answer yet must not go on waiting.
+    void drop()
     {
-        evhttp_connection *connection = evhttp_request_get_connection(this->request);
-        evhttp_connection_set_closecb(connection, &EvhttpExchange::connectionClosed, this);
-        const int noDelay = 1;
-        setsockopt(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), IPPROTO_TCP,
-                   TCP_NODELAY, &noDelay, sizeof(noDelay));
+        this->dropped = true;
+        if (this->open() && !this->started)
+            this->reply(StatusServerError, {}, "");
+        else
+            this->abort();
+        if (this->request == nullptr)
+            delete this;
     }
 
     std::string method() const override
@@ -120,19 +155,19 @@
 
     void reply(int status, const HttpHeaders &headers, const std::string &body) override
     {
-        if (this->request == nullptr)
+        if (!this->open())
             return;
         this->addHeaders(headers);
         evbuffer *buffer = evbuffer_new();
         evbuffer_add(buffer, body.data(), body.size());
-        evhttp_request *finished = this->detach();
-        evhttp_send_reply(finished, status, nullptr, buffer);
+        this->detach();
+        evhttp_send_reply(this->request, status, nullptr, buffer);
         evbuffer_free(buffer);
     }
 
     void startReply(int status, const HttpHeaders &headers) override
     {
-        if (this->request == nullptr)
+        if (!this->open())
             return;
         this->started = true;
         this->addHeaders(headers);
@@ -141,64 +176,101 @@
 
     void sendChunk(const std::string &bytes) override
     {
-        if (this->request == nullptr || bytes.empty())
+        if (!this->open() || bytes.empty())
             return;
         evbuffer *buffer = evbuffer_new();
         evbuffer_add(buffer, bytes.data(), bytes.size());
-        evhttp_send_reply_chunk(this->request, buffer);
+        evhttp_send_reply_chunk_with_cb(this->request, buffer, &Exchange::outputDrained, this);
         evbuffer_free(buffer);
     }
 
     void endReply() override
     {
-        if (this->request == nullptr)
+        if (!this->open())
             return;
-        evhttp_send_reply_end(this->detach());
+        this->detach();
+        evhttp_send_reply_end(this->request);
     }
 
     void abort() override
     {
-        if (this->request == nullptr)
+        if (!this->open())
             return;
-        evhttp_connection *connection = evhttp_request_get_connection(this->request);
         this->detach();
         // evhttp sees the end of the stream and frees the connection itself.
-        if (connection != nullptr)
-            shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), SHUT_RDWR);
+        shutdown(bufferevent_getfd(this->stream()), SHUT_RDWR);
     }
 
     void onClosed(std::function<void()> callback) override { this->closed = std::move(callback); }
 
+    void onDrained(std::function<void()> callback) override { this->drained = std::move(callback); }
+
     std::size_t unsentBytes() const override
     {
-        if (this->request == nullptr)
-            return 0;
-        evhttp_connection *connection = evhttp_request_get_connection(this->request);
-        bufferevent *stream = evhttp_connection_get_bufferevent(connection);
-        return evbuffer_get_length(bufferevent_get_output(stream));
+        return this->open() ? evbuffer_get_length(bufferevent_get_output(this->stream())) : 0;
     }
 
 private:
-    static void connectionClosed(evhttp_connection * /*connection*/, void *self)
+    static Exchange *self(void *argument) { return static_cast<Exchange *>(argument); }
+
+    static void connectionClosed(evhttp_connection * /*connection*/, void *argument)
+    {
+        Exchange *exchange = self(argument);
+        // evhttp leaves a request that it had not finished to its user.
+        if (evhttp_request_get_connection(exchange->request) == nullptr)
+            evhttp_request_free(exchange->request);
+        exchange->release();
+    }
+
+    static void completed(evhttp_request * /*request*/, void *argument)
+    {
+        Exchange *exchange = self(argument);
+        evhttp_connection *connection = evhttp_request_get_connection(exchange->request);
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        const timeval *timeout = &exchange->state->idleTimeout;
+        bufferevent_set_timeouts(exchange->stream(), timeout, timeout);
+        exchange->release();
+    }
+
+    static void outputDrained(evhttp_connection * /*connection*/, void *argument)
     {
-        EvhttpExchange *exchange = static_cast<EvhttpExchange *>(self);
-        const std::shared_ptr<EvhttpExchange> keepAlive = exchange->weak_from_this().lock();
-        exchange->request = nullptr;
-        const std::function<void()> callback = std::move(exchange->closed);
-        exchange->closed = nullptr;
+        // The callback may drop the exchange.
+        const std::function<void()> callback = self(argument)->drained;
         if (callback)
             callback();
     }
 
-    evhttp_request *detach()
+    /// Ends the use of the request. The callback, or this call, may delete the exchange.
+    void release()
     {
-        evhttp_request *finished = this->request;
-        evhttp_connection *connection = evhttp_request_get_connection(finished);
-        if (connection != nullptr)
-            evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        const std::function<void()> callback = std::move(this->closed);
+        const bool silent = this->detached || this->state->destroyed;
         this->request = nullptr;
+        --this->state->openExchanges;
+        if (this->dropped) {
+            delete this;
+            return;
+        }
+        if (callback && !silent)
+            callback();
+    }
+
+    bool open() const { return this->request != nullptr && !this->detached; }
+
+    bufferevent *stream() const
+    {
+        return evhttp_connection_get_bufferevent(evhttp_request_get_connection(this->request));
+    }
+
+    /// The answer is complete; evhttp still has to send it.
+    void detach()
+    {
+        this->detached = true;
         this->closed = nullptr;
-        return finished;
+        this->drained = nullptr;
+        // While the rest is sent nothing is read, which must not end the connection.
+        bufferevent_set_timeouts(this->stream(), nullptr, &this->state->idleTimeout);
+        bufferevent_setwatermark(this->stream(), EV_READ, 0, 0);
     }
 
     void addHeaders(const HttpHeaders &headers)
@@ -206,13 +278,30 @@
         evkeyvalq *output = evhttp_request_get_output_headers(this->request);
         for (const auto &[name, value] : headers)
             evhttp_add_header(output, name.c_str(), value.c_str());
+        if (this->state->closeAfterReplies)
+            evhttp_add_header(output, "Connection", "close");
     }
 
     evhttp_request *request;
+    std::shared_ptr<State> state;
     bool started = false;
+    bool detached = false;
+    bool dropped = false;
     std::function<void()> closed;
+    std::function<void()> drained;
 };
 
+namespace {
+
+timeval toTimeval(Duration duration)
+{
+    constexpr std::int64_t MicrosecondsPerSecond = 1'000'000;
+    timeval value{};
+    value.tv_sec = duration.count() / MicrosecondsPerSecond;
+    value.tv_usec = duration.count() % MicrosecondsPerSecond;
+    return value;
+}
+
 std::uint16_t boundPort(evutil_socket_t descriptor)
 {
     sockaddr_in address{};
@@ -225,8 +314,10 @@
 } // namespace
 
 HttpServer::HttpServer(EventLoop &loop, const Endpoint &endpoint, std::size_t maxBodyBytes,
-                       Handler handler)
-    : server(evhttp_new(loop.base()))
+                       Handler handler, Duration idleTimeout)
+    : eventBase(loop.base())
+    , state(std::make_shared<State>())
+    , server(evhttp_new(loop.base()))
     , socket(nullptr)
     , boundEndpoint(endpoint)
     , handler(std::move(handler))
@@ -236,7 +327,11 @@
     evhttp_set_allowed_methods(this->server, AllMethods);
     evhttp_set_max_body_size(this->server, static_cast<ev_ssize_t>(maxBodyBytes));
     evhttp_set_max_headers_size(this->server, static_cast<ev_ssize_t>(MaxHeaderBytes));
-    evhttp_set_timeout(this->server, ConnectionIdleTimeoutSeconds);
+    this->state->idleTimeout = toTimeval(idleTimeout);
+    evhttp_set_timeout_tv(this->server, &this->state->idleTimeout);
+    // A peer that is refused in the middle of a long body must still be able to read the answer.
+    evhttp_set_flags(this->server, EVHTTP_SERVER_LINGERING_CLOSE);
+    evhttp_set_bevcb(this->server, &HttpServer::makeStream, this);
     evhttp_set_gencb(this->server, &HttpServer::handle, this);
     this->socket =
             evhttp_bind_socket_with_handle(this->server, endpoint.address.c_str(), endpoint.port);
@@ -249,6 +344,7 @@
 
 HttpServer::~HttpServer()
 {
+    this->state->destroyed = true;
     evhttp_free(this->server);
 }
 
@@ -260,11 +356,41 @@
     this->socket = nullptr;
 }
 
+void HttpServer::closeAfterReplies()
+{
+    this->state->closeAfterReplies = true;
+}
+
+bool HttpServer::idle() const
+{
+    return this->state->openExchanges == 0;
+}
+
+std::uint64_t HttpServer::receivedBytes() const
+{
+    return this->state->receivedBytes;
+}
+
+bufferevent *HttpServer::makeStream(event_base * /*base*/, void *self)
+{
+    HttpServer *server = static_cast<HttpServer *>(self);
+    bufferevent *stream = bufferevent_socket_new(server->eventBase, -1, BEV_OPT_CLOSE_ON_FREE);
+    evbuffer_add_cb(bufferevent_get_input(stream), &HttpServer::inputChanged, server->state.get());
+    return stream;
+}
+
+void HttpServer::inputChanged(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *state)
+{
+    static_cast<State *>(state)->receivedBytes += info->n_added;
+}
+
 void HttpServer::handle(evhttp_request *request, void *self)
 {
-    const std::shared_ptr<EvhttpExchange> exchange = std::make_shared<EvhttpExchange>(request);
-    exchange->attach();
-    static_cast<HttpServer *>(self)->handler(exchange);
+    HttpServer *server = static_cast<HttpServer *>(self);
+    const HttpExchangePointer exchange(
+            new Exchange(request, server->state),
+            [](HttpExchange *dropped) { static_cast<Exchange *>(dropped)->drop(); });
+    server->handler(exchange);
 }
 
 } // namespace dotterel
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -9,6 +9,10 @@
 #include <utility>
 #include <vector>
 
+struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
+struct event_base;
 struct evhttp;
 struct evhttp_request;
 struct evhttp_bound_socket;
@@ -58,6 +62,9 @@
     /// Calls \a callback once if the peer closes its connection before the answer has ended.
     virtual void onClosed(std::function<void()> callback) = 0;
 
+    /// Calls \a callback each time the peer has taken every chunk that was sent.
+    virtual void onDrained(std::function<void()> callback) = 0;
+
     /// Bytes of the answer that the peer has not taken yet.
     virtual std::size_t unsentBytes() const = 0;
 };
@@ -71,9 +78,10 @@
     using Handler = std::function<void(const HttpExchangePointer &)>;
 
     /// Listens on \a endpoint; port 0 takes a free port. Bodies over \a maxBodyBytes get 413 from
-    /// evhttp. Throws std::runtime_error if the address cannot be bound.
-    HttpServer(EventLoop &loop, const Endpoint &endpoint, std::size_t maxBodyBytes,
-               Handler handler);
+    /// evhttp. A connection without an open exchange is closed after \a idleTimeout. Throws
+    /// std::runtime_error if the address cannot be bound.
+    HttpServer(EventLoop &loop, const Endpoint &endpoint, std::size_t maxBodyBytes, Handler handler,
+               Duration idleTimeout = std::chrono::seconds(60));
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
@@ -84,9 +92,25 @@
     /// Stops listening; open connections go on.
     void stopListening();
 
+    /// Closes each connection after its next answer from now on.
+    void closeAfterReplies();
+
+    /// Returns true if every request that was read whole has been answered to its last byte.
+    bool idle() const;
+
+    /// Returns how many bytes came in; it grows while a request is still being read.
+    std::uint64_t receivedBytes() const;
+
 private:
+    struct State;
+    class Exchange;
+
+    static bufferevent *makeStream(event_base *base, void *self);
+    static void inputChanged(evbuffer *buffer, const evbuffer_cb_info *info, void *state);
     static void handle(evhttp_request *request, void *self);
 
+    event_base *eventBase;
+    std::shared_ptr<State> state;
     evhttp *server;
     evhttp_bound_socket *socket;
     Endpoint boundEndpoint;
--- /dev/null
+++ b/tests/entry_host/test_http_backend_client.cpp
@@ -0,0 +1,290 @@
+#include "entry_host/http_backend_client.h"
+
+#include "support/scripted_server.h"
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+
+using namespace dotterel;
+using namespace dotterel::support;
+
+namespace {
+
+/// Keeps what becomes of one attempt.
+struct Outcome : AttemptListener
+{
+    void onToken(const AttemptId &, const AnswerToken &token) override { this->text += token.text; }
+    void onAnswerEnd(const AttemptId &attempt, const AnswerEnd &end) override
+    {
+        this->ended = this->ended || end.attempt == attempt;
+    }
+    void onServiceAnswer(const AttemptId &, const ServiceAnswer &whole) override
+    {
+        this->answer = whole;
+    }
+    void onAttemptFailed(const AttemptId &, const AttemptFailure &problem) override
+    {
+        this->failure = problem;
+    }
+    bool done() const { return this->ended || this->answer || this->failure; }
+
+    std::string text;
+    bool ended = false;
+    std::optional<ServiceAnswer> answer;
+    std::optional<AttemptFailure> failure;
+};
+
+struct Bench
+{
+    Outcome run(PoolKind kind, const Endpoint &endpoint, std::size_t bodyBytes = 100)
+    {
+        Outcome outcome;
+        HttpBackendClient backend(this->loop, this->client, {"host", 1, "centro-a"}, outcome);
+        Request request;
+        request.method = "POST";
+        request.target = "/v1/orders";
+        request.body = std::make_shared<const std::string>(bodyBytes, 'b');
+        AttemptOrder order;
+        order.attempt = "h.1.1.1";
+        order.kind = kind;
+        order.server.endpoint = endpoint;
+        order.deadline = this->loop.now() + std::chrono::milliseconds(300);
+        order.request = &request;
+        backend.send(order);
+        const TimePoint limit = this->loop.now() + std::chrono::seconds(5);
+        while (!outcome.done() && this->loop.now() < limit) {
+            const EventLoop::TimerHandle wake =
+                    this->loop.after(std::chrono::milliseconds(50), [] {});
+            this->loop.runOnce(true);
+        }
+        return outcome;
+    }
+
+    EventLoop loop;
+    HttpClient client{this->loop};
+};
+
+struct FaultRow
+{
+    const char *place;
+    PoolKind kind;
+    Script script;
+    Verdict verdict;
+    Reason reason;
+    ServerFault fault;
+    std::size_t bodyBytes = 100;
+};
+
+constexpr std::size_t Megabytes5 = 5'000'000;
+const std::string Chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string chunk(const std::string &bytes)
+{
+    char size[20];
+    std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+}
+
+std::string tokenChunk(const AttemptId &attempt, std::uint64_t index)
+{
+    return chunk(encodeEngineEvent(AnswerToken{attempt, index, "t"}));
+}
+
+std::vector<FaultRow> faultRows()
+{
+    const std::string own = "h.1.1.1";
+    const std::string refusal = "HTTP/1.1 503 No\r\nX-Not-Run: true\r\n";
+    const PoolKind model = PoolKind::Model;
+    const PoolKind service = PoolKind::Service;
+    const Verdict unknown = Verdict::MayHaveRun;
+    const ServerFault gone = ServerFault::Unreachable;
+    const ServerFault none = ServerFault::None;
+    return {
+            {"reset when accepted",
+             service,
+             {0, "", ScriptEnd::Reset},
+             unknown,
+             Reason::BackendFailed,
+             gone},
+            {"part written",
+             service,
+             {1'000, "", ScriptEnd::Reset},
+             unknown,
+             Reason::BackendFailed,
+             gone,
+             Megabytes5},
+            {"written, closed with no answer",
+             service,
+             {150, "", ScriptEnd::Close},
+             unknown,
+             Reason::BackendFailed,
+             gone},
+            {"written, reset with no answer",
+             model,
+             {150, "", ScriptEnd::Reset},
+             unknown,
+             Reason::BackendFailed,
+             gone},
+            {"written, never answered",
+             service,
+             {1, "", ScriptEnd::Hold},
+             unknown,
+             Reason::BackendFailed,
+             gone},
+            {"head cut",
+             service,
+             {1, "HTTP/1.1 200 OK\r\nContent-Le", ScriptEnd::Close},
+             unknown,
+             Reason::BackendFailed,
+             gone},
+            {"head that is no HTTP",
+             service,
+             {1, "nonsense\r\n\r\n", ScriptEnd::Close},
+             unknown,
+             Reason::BackendFailed,
+             gone},
+            {"head only",
+             service,
+             {1, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"},
+             unknown,
+             Reason::AnswerCut,
+             gone},
+            {"answer cut inside its length",
+             service,
+             {1, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"},
+             unknown,
+             Reason::AnswerCut,
+             gone},
+            {"answer cut between chunks",
+             service,
+             {1, Chunked + chunk("abc")},
+             unknown,
+             Reason::AnswerCut,
+             gone},
+            {"answer without length or chunks",
+             service,
+             {1, "HTTP/1.1 200 OK\r\n\r\nabc"},
+             unknown,
+             Reason::AnswerCut,
+             gone},
+            {"answer stalls in its body",
+             service,
+             {1, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", ScriptEnd::Hold},
+             unknown,
+             Reason::AnswerCut,
+             gone},
+            {"refusal that promises it did not run",
+             service,
+             {1, refusal + "Content-Length: 0\r\n\r\n"},
+             Verdict::NotRun,
+             Reason::BackendRefused,
+             none},
+            {"refusal by a leaving server",
+             model,
+             {1, refusal + "X-Draining: true\r\nContent-Length: 0\r\n\r\n"},
+             Verdict::NotRun,
+             Reason::BackendRefused,
+             ServerFault::Draining},
+            {"refusal while a long body is being written",
+             model,
+             {1'000, refusal + "Content-Length: 0\r\n\r\n"},
+             Verdict::NotRun,
+             Reason::BackendRefused,
+             none,
+             Megabytes5},
+            {"promise with a success status",
+             service,
+             {1, "HTTP/1.1 200 OK\r\nX-Not-Run: true\r\n\r\n"},
+             unknown,
+             Reason::AnswerCut,
+             gone},
+            {"engine error without the promise",
+             model,
+             {1, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"},
+             unknown,
+             Reason::BackendFailed,
+             none},
+            {"stream stops before its end mark",
+             model,
+             {1, Chunked + tokenChunk(own, 0) + "0\r\n\r\n"},
+             unknown,
+             Reason::AnswerCut,
+             none},
+            {"stream is cut",
+             model,
+             {1, Chunked + tokenChunk(own, 0)},
+             unknown,
+             Reason::AnswerCut,
+             gone},
+            {"malformed event",
+             model,
+             {1, Chunked + chunk("data: {oops\n\n")},
+             unknown,
+             Reason::BackendFailed,
+             none},
+            {"event with a wrong type",
+             model,
+             {1, Chunked + chunk("data: {\"attempt\":7,\"index\":0,\"text\":\"t\"}\n\n")},
+             unknown,
+             Reason::BackendFailed,
+             none},
+            {"end mark of another attempt",
+             model,
+             {1, Chunked + chunk(encodeEngineEvent(AnswerEnd{"h.1.2.1", 0})) + "0\r\n\r\n"},
+             unknown,
+             Reason::AnswerCut,
+             none},
+    };
+}
+
+} // namespace
+
+TEST_CASE("Every failure place has a truthful verdict", "[EntryHost][HttpBackendClient]")
+{
+    Bench bench;
+
+    SECTION("when the connection is refused nothing ran")
+    {
+        const Outcome outcome = bench.run(PoolKind::Service, closedEndpoint());
+        REQUIRE(outcome.failure);
+        CHECK(outcome.failure->failure.verdict == Verdict::NotRun);
+        CHECK(outcome.failure->failure.reason == Reason::BackendConnectFailed);
+    }
+    SECTION("when no connection is made before the deadline nothing ran")
+    {
+        const FullBacklog full;
+        const Outcome outcome = bench.run(PoolKind::Service, full.endpoint());
+        REQUIRE(outcome.failure);
+        CHECK(outcome.failure->failure.verdict == Verdict::NotRun);
+        CHECK(outcome.failure->failure.reason == Reason::BackendConnectFailed);
+    }
+    for (const FaultRow &row : faultRows()) {
+        DYNAMIC_SECTION("place: " << row.place)
+        {
+            ScriptedServer server(bench.loop, row.script);
+            const Outcome outcome = bench.run(row.kind, server.endpoint(), row.bodyBytes);
+            REQUIRE(outcome.failure);
+            CHECK(verdictName(outcome.failure->failure.verdict) == verdictName(row.verdict));
+            CHECK(reasonInfo(outcome.failure->failure.reason).name == reasonInfo(row.reason).name);
+            CHECK(outcome.failure->fault == row.fault);
+            CHECK_FALSE(outcome.ended);
+            // A request that was read whole by a server that gave no promise may have run.
+            const bool promised = row.reason == Reason::BackendRefused;
+            if (outcome.failure->failure.verdict == Verdict::NotRun)
+                CHECK((promised || server.wholeRequests() == 0));
+        }
+    }
+    SECTION("an answer with a length, with chunks or without a body by its status is whole")
+    {
+        for (const char *answer : {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+                                   "HTTP/1.1 409 No\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                   "3\r\nabc\r\n0\r\n\r\n",
+                                   "HTTP/1.1 204 OK\r\n\r\n"}) {
+            ScriptedServer server(bench.loop, {1, answer});
+            const Outcome outcome = bench.run(PoolKind::Service, server.endpoint());
+            INFO(answer);
+            REQUIRE(outcome.answer);
+            CHECK((outcome.answer->status == 204 || outcome.answer->body == "abc"));
+        }
+    }
+}
