--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -10,6 +10,7 @@
 #include "core/random_source.h"
 #include "entry_host/caller_api.h"
 #include "entry_host/http_backend_client.h"
+#include "entry_host/operator_api.h"
 #include "entry_host/peer_mesh.h"
 #include "state/http_object_store.h"
 #include "state/settings.h"
@@ -28,10 +29,13 @@
     , private CallerListener
     , private PeerListener
     , private HostLiveness
+    , private OperatorTarget
 {
 public:
     /// Binds the host's three addresses. Throws std::runtime_error if one cannot be bound.
-    EntryHost(EventLoop &loop, const Settings &settings, Incarnation incarnation, EventLog &log);
+    /// \a drained is called at the end of a graceful shutdown that an operator asked for.
+    EntryHost(EventLoop &loop, const Settings &settings, Incarnation incarnation, EventLog &log,
+              std::function<void()> drained = {});
     ~EntryHost() override;
 
     /// Begins a graceful shutdown; \a finished is called when every request has ended.
@@ -39,7 +43,7 @@
 
     /// Addresses in use.
     Endpoint callers() const { return this->callerApi.endpoint(); }
-    Endpoint operators() const { return this->operatorServer.endpoint(); }
+    Endpoint operators() const { return this->operatorApi.endpoint(); }
     Endpoint peers() const { return this->mesh.endpoint(); }
 
 private:
@@ -70,6 +74,10 @@
 
     // HostLiveness
     bool believedAlive(const HostId &host, Incarnation incarnation) const override;
+    // OperatorTarget
+    bool isReady() const override;
+    HostStatus status() const override;
+    void drain() override;
 
     void applyConfiguration(const Configuration &configuration);
     void watchConfiguration();
@@ -78,8 +86,6 @@
     void armTimer();
     void runLedger();
     void finishShutdownIfIdle();
-    void handleOperator(const HttpExchangePointer &exchange);
-    std::string statusDocument() const;
 
     EventLoop &loop;
     Settings settings;
@@ -98,7 +104,8 @@
     HttpBackendClient backend;
     CallerApi callerApi;
     PeerMesh mesh;
-    HttpServer operatorServer;
+    OperatorApi operatorApi;
+    std::function<void()> drained;
     bool shuttingDown = false;
     bool destroying = false;
     bool platformReachable = true;
