Tell peers of an order's outcome that cannot be stored at once

Cause: a claim in doubt that its holder refused as not run stayed in the store for ever if the holder died before it could settle it: the key was refused for ever. An outcome whose first write fails now also goes to the linked peers, which write it after 3 s unless it is there, and which let a later ask of the key replace the void claim at once. A record names one claim by its nonce and its holder has promised its outcome, so any host may write it.

Ruled out: a second conditional write before each dispatch, which would let any host void a claim: three writes an order instead of two.

--- a/src/coordination/order_ledger.h
+++ b/src/coordination/order_ledger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/order_record.h"
 #include "coordination/request.h"
 
 #include <functional>
@@ -31,6 +32,9 @@
     /// later, is settled accordingly.
     virtual void onRefused(const RequestId &request, Verdict verdict) = 0;
 
+    /// Takes over an outcome that a peer could not store at once, so that it outlives the peer.
+    virtual void adopt(const OrderOutcome &outcome, TimePoint now) = 0;
+
     /// Does what is due.
     virtual void onTimer(TimePoint now) = 0;
 
@@ -41,6 +45,16 @@
     virtual std::size_t pending() const = 0;
 };
 
+/// Carries outcomes that cannot be stored at once to other entry hosts.
+class OrderOutcomePeers
+{
+public:
+    virtual ~OrderOutcomePeers() = default;
+
+    /// Tells peers of \a outcome; they may lose it.
+    virtual void offerOutcome(const OrderOutcome &outcome) = 0;
+};
+
 /// Tells whether a claim's holder may still be at work. A hint: it words an answer, and nothing is
 /// ever run because of it.
 class HostLiveness
--- a/src/coordination/order_object_ledger.cpp
+++ b/src/coordination/order_object_ledger.cpp
@@ -33,13 +33,13 @@
 };
 
 OrderObjectLedger::OrderObjectLedger(HostIdentity identity, ObjectStore &store,
-                                     const HostLiveness &liveness, RandomSource &random,
-                                     EventLog &log)
+                                     const HostLiveness &liveness, OrderOutcomePeers &peers,
+                                     RandomSource &random, EventLog &log)
     : identity(std::move(identity))
     , store(store)
     , liveness(liveness)
     , random(random)
-    , outcomes(store, log)
+    , outcomes(store, peers, log)
 {}
 
 OrderObjectLedger::~OrderObjectLedger() = default;
@@ -87,6 +87,11 @@
         attempt->refused = attempt->refused || attempt->claim.request == request;
 }
 
+void OrderObjectLedger::adopt(const OrderOutcome &outcome, TimePoint now)
+{
+    this->outcomes.adopt(outcome, now);
+}
+
 void OrderObjectLedger::onTimer(TimePoint now)
 {
     std::deque<Ready> answers;
@@ -127,7 +132,7 @@
     if (holding != this->held.end())
         return this->outcomeOf(holding->second.record, claim);
     const OrderRecord *outcome = this->outcomes.find(name);
-    if (outcome != nullptr)
+    if (outcome != nullptr && outcome->state != OrderState::NotRun)
         return this->outcomeOf(*outcome, claim);
     if (this->outcomes.size() >= MostUnsettled)
         return ClaimOutcome{ClaimResult::Unavailable, {}};
@@ -187,8 +192,11 @@
     }
     // The version that the claim asked for has passed, so no earlier write of it can take effect.
     attempt->inDoubt = false;
-    const bool mayClaim =
-            found->state == OrderState::NotRun && found->bodyHash == attempt->claim.bodyHash;
+    // Nobody dispatches a claim that its holder gave up, so it is replaced like a released one.
+    const bool notRun = found->state == OrderState::NotRun
+                        || (found->state == OrderState::Claimed
+                            && this->outcomes.knowsNotRun(attempt->name, found->nonce));
+    const bool mayClaim = notRun && found->bodyHash == attempt->claim.bodyHash;
     if (!mayClaim) {
         this->giveUp(attempt, this->outcomeOf(*found, attempt->claim), now);
         return;
@@ -250,7 +258,7 @@
     if (attempt->inDoubt) {
         // This nonce is never dispatched, and the record says so as soon as it can be written.
         attempt->record.state = OrderState::NotRun;
-        this->outcomes.add(attempt->name, attempt->record, attempt->expectedVersion);
+        this->outcomes.add({attempt->name, attempt->expectedVersion, attempt->record});
     }
     attempt->callback(outcome, now);
 }
@@ -266,7 +274,7 @@
     this->heldNames.erase(holding.request);
     holding.record.state = state;
     holding.record.answer = answer;
-    this->outcomes.add(name, holding.record, holding.version);
+    this->outcomes.add({name, holding.version, holding.record});
 }
 
 } // namespace dotterel
--- a/src/coordination/order_object_ledger.h
+++ b/src/coordination/order_object_ledger.h
@@ -21,13 +21,14 @@
 {
 public:
     OrderObjectLedger(HostIdentity identity, ObjectStore &store, const HostLiveness &liveness,
-                      RandomSource &random, EventLog &log);
+                      OrderOutcomePeers &peers, RandomSource &random, EventLog &log);
     ~OrderObjectLedger() override;
 
     void claim(const OrderClaim &claim, const ClaimCallback &callback) override;
     void recordAnswer(const OrderClaim &claim, const ServiceAnswer &answer) override;
     void release(const OrderClaim &claim) override;
     void onRefused(const RequestId &request, Verdict verdict) override;
+    void adopt(const OrderOutcome &outcome, TimePoint now) override;
     void onTimer(TimePoint now) override;
     std::optional<TimePoint> nextTimer() const override;
     std::size_t pending() const override { return this->attempts.size() + this->outcomes.size(); }
--- a/src/coordination/order_outcome_writer.cpp
+++ b/src/coordination/order_outcome_writer.cpp
@@ -9,6 +9,17 @@
 constexpr Duration ShortestPause = std::chrono::milliseconds(20);
 constexpr Duration LongestPause = std::chrono::seconds(2);
 
+/// A peer's outcome waits this long, so that as a rule its own host has stored it.
+constexpr Duration AdoptionDelay = std::chrono::seconds(3);
+
+/// Bound on the outcomes of peers; beyond it further ones are left to their own hosts.
+constexpr std::size_t MostAdopted = 8'192;
+
+std::string idOf(const OrderOutcome &outcome)
+{
+    return outcome.name + '/' + outcome.record.nonce;
+}
+
 } // namespace
 
 std::string orderObjectKey(const std::string &name)
@@ -16,28 +27,40 @@
     return "orders/" + name;
 }
 
-OrderOutcomeWriter::OrderOutcomeWriter(ObjectStore &store, EventLog &log)
+OrderOutcomeWriter::OrderOutcomeWriter(ObjectStore &store, OrderOutcomePeers &peers, EventLog &log)
     : store(store)
+    , peers(peers)
     , log(log)
 {}
 
-void OrderOutcomeWriter::add(const std::string &name, const OrderRecord &record,
-                             std::uint64_t version)
+void OrderOutcomeWriter::add(const OrderOutcome &outcome)
 {
-    const std::string id = name + '/' + record.nonce;
+    const std::string id = idOf(outcome);
     const bool added =
-            this->entries.emplace(id, Entry{name, record, version, std::nullopt, ShortestPause})
-                    .second;
+            this->entries.emplace(id, Entry{outcome, std::nullopt, ShortestPause, false}).second;
     if (added)
         this->write(id);
 }
 
+void OrderOutcomeWriter::adopt(const OrderOutcome &outcome, TimePoint now)
+{
+    if (this->entries.size() < MostAdopted)
+        this->entries.emplace(idOf(outcome),
+                              Entry{outcome, now + AdoptionDelay, ShortestPause, true});
+}
+
 const OrderRecord *OrderOutcomeWriter::find(const std::string &name) const
 {
     const auto row = this->entries.lower_bound(name + '/');
-    if (row == this->entries.end() || row->second.name != name)
+    if (row == this->entries.end() || row->second.outcome.name != name)
         return nullptr;
-    return &row->second.record;
+    return &row->second.outcome.record;
+}
+
+bool OrderOutcomeWriter::knowsNotRun(const std::string &name, const std::string &nonce) const
+{
+    const auto row = this->entries.find(name + '/' + nonce);
+    return row != this->entries.end() && row->second.outcome.record.state == OrderState::NotRun;
 }
 
 void OrderOutcomeWriter::onTimer(TimePoint now)
@@ -65,8 +88,9 @@
 
 void OrderOutcomeWriter::write(const std::string &id)
 {
-    const Entry &entry = this->entries.at(id);
-    this->store.write(orderObjectKey(entry.name), encodeOrderRecord(entry.record), entry.version,
+    const OrderOutcome &outcome = this->entries.at(id).outcome;
+    this->store.write(orderObjectKey(outcome.name), encodeOrderRecord(outcome.record),
+                      outcome.version,
                       [this, id](const ObjectStore::WriteResult &result, TimePoint now) {
                           if (result)
                               this->finish(id);
@@ -79,7 +103,7 @@
 
 void OrderOutcomeWriter::readBack(const std::string &id)
 {
-    this->store.read(orderObjectKey(this->entries.at(id).name),
+    this->store.read(orderObjectKey(this->entries.at(id).outcome.name),
                      [this, id](const ObjectStore::ReadResult &result, TimePoint now) {
                          if (result)
                              this->compare(id, *result, now);
@@ -90,15 +114,15 @@
 
 void OrderOutcomeWriter::compare(const std::string &id, const StoredObject &object, TimePoint now)
 {
-    Entry &entry = this->entries.at(id);
+    OrderOutcome &outcome = this->entries.at(id).outcome;
     const std::optional<OrderRecord> found = decodeOrderRecord(object.value);
-    const bool own = found && found->nonce == entry.record.nonce;
+    const bool own = found && found->nonce == outcome.record.nonce;
     if (own && found->state == OrderState::Claimed) {
         // The claim's own write had taken effect after all. The read may be stale, and then the
         // next write conflicts again.
-        entry.version = object.version;
+        outcome.version = object.version;
         this->repeatLater(id, now);
-    } else if (own || object.version > entry.version) {
+    } else if (own || object.version > outcome.version) {
         // The outcome is stored, or the version that the claim asked for has passed without it.
         this->finish(id);
     } else {
@@ -111,14 +135,18 @@
     Entry &entry = this->entries.at(id);
     entry.due = now + entry.pause;
     entry.pause = std::min(entry.pause * 2, LongestPause);
+    if (entry.offered)
+        return;
+    entry.offered = true;
+    this->peers.offerOutcome(entry.outcome);
 }
 
 void OrderOutcomeWriter::finish(const std::string &id)
 {
     const auto row = this->entries.find(id);
     this->log.write(Event::OrderOutcomeRecorded,
-                    {{"order", row->second.name},
-                     {"state", std::string(orderStateName(row->second.record.state))}});
+                    {{"order", row->second.outcome.name},
+                     {"state", std::string(orderStateName(row->second.outcome.record.state))}});
     this->entries.erase(row);
 }
 
--- a/src/coordination/order_outcome_writer.h
+++ b/src/coordination/order_outcome_writer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/order_record.h"
+#include "coordination/order_ledger.h"
 #include "core/event_log.h"
 #include "state/object_store.h"
 
@@ -19,15 +19,22 @@
 class OrderOutcomeWriter
 {
 public:
-    OrderOutcomeWriter(ObjectStore &store, EventLog &log);
+    OrderOutcomeWriter(ObjectStore &store, OrderOutcomePeers &peers, EventLog &log);
 
-    /// Writes \a record, which is not Claimed, over the claim of the same nonce. \a version is that
-    /// of the claim, or the one that the write of the claim asked for.
-    void add(const std::string &name, const OrderRecord &record, std::uint64_t version);
+    /// Writes \a outcome, and tells the peers of it if the first try fails.
+    void add(const OrderOutcome &outcome);
+
+    /// Writes \a outcome of a peer, some time after the peer should have done so. It is no danger
+    /// that both write: the record names one claim, and its outcome is never another.
+    void adopt(const OrderOutcome &outcome, TimePoint now);
 
     /// Returns an outcome of the order called \a name that is not stored yet, if there is one.
     const OrderRecord *find(const std::string &name) const;
 
+    /// Returns true if it is known that the claim \a nonce of the order called \a name was not run
+    /// and never will be.
+    bool knowsNotRun(const std::string &name, const std::string &nonce) const;
+
     /// Repeats the writes that are due.
     void onTimer(TimePoint now);
 
@@ -40,11 +47,10 @@
 private:
     struct Entry
     {
-        std::string name;
-        OrderRecord record;
-        std::uint64_t version = 0;
+        OrderOutcome outcome;
         std::optional<TimePoint> due; ///< Empty while a call is under way.
         Duration pause{};
+        bool offered = false; ///< Peers know of it.
     };
 
     void write(const std::string &id);
@@ -54,6 +60,7 @@
     void finish(const std::string &id);
 
     ObjectStore &store;
+    OrderOutcomePeers &peers;
     EventLog &log;
     std::map<std::string, Entry> entries; ///< By name and nonce.
 };
--- a/src/coordination/order_record.h
+++ b/src/coordination/order_record.h
@@ -33,6 +33,15 @@
     ServiceAnswer answer; ///< Of a finished order.
 };
 
+/// The outcome of one claim, and the version of the object that it is written over: that of the
+/// claim, or the one that the write of the claim asked for.
+struct OrderOutcome
+{
+    std::string name; ///< Of the order.
+    std::uint64_t version = 0;
+    OrderRecord record; ///< Not Claimed.
+};
+
 /// Returns the name under which the order of \a claim is kept: a hash of workspace and key.
 std::string orderName(const OrderClaim &claim);
 
--- a/src/entry_host/entry_host.cpp
+++ b/src/entry_host/entry_host.cpp
@@ -32,7 +32,7 @@
     , directory(log, this->metrics)
     , placement(this->directory, this->random)
     , controller(limitsOf(settings), this->directory, this->placement, *this, this->metrics, log)
-    , ledger(this->identity, this->platform, *this, this->random, log)
+    , ledger(this->identity, this->platform, *this, *this, this->random, log)
     , follower(
               [this](const Configuration &configuration) {
                   this->applyConfiguration(configuration);
@@ -113,10 +113,21 @@
         this->controller.onClaimSettled(request, outcome, now);
         this->armTimer();
     });
+    this->startLedgerTimer();
+}
+
+void EntryHost::startLedgerTimer()
+{
     if (!this->ledgerTimer)
         this->ledgerTimer = this->loop.every(LedgerInterval, [this] { this->runLedger(); });
 }
 
+void EntryHost::offerOutcome(const OrderOutcome &outcome)
+{
+    this->mesh.broadcast(
+            OrderOutcomeOffer{outcome.name, outcome.version, encodeOrderRecord(outcome.record)});
+}
+
 void EntryHost::runLedger()
 {
     const TimePoint now = this->loop.now();
@@ -226,6 +237,12 @@
                                                      this->follower.currentText()});
     } else if (const ConfigurationOffer *offer = std::get_if<ConfigurationOffer>(&message)) {
         this->follower.offer(offer->text);
+    } else if (const OrderOutcomeOffer *outcome = std::get_if<OrderOutcomeOffer>(&message)) {
+        const std::optional<OrderRecord> record = decodeOrderRecord(outcome->record);
+        if (!record || record->state == OrderState::Claimed)
+            return;
+        this->ledger.adopt({outcome->name, outcome->version, *record}, this->loop.now());
+        this->startLedgerTimer();
     }
 }
 
--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -29,6 +29,7 @@
     , private CallerListener
     , private PeerListener
     , private HostLiveness
+    , private OrderOutcomePeers
     , private OperatorTarget
 {
 public:
@@ -72,6 +73,9 @@
     // PeerListener
     void onPeerMessage(std::uint64_t link, const PeerMessage &message) override;
 
+    // OrderOutcomePeers
+    void offerOutcome(const OrderOutcome &outcome) override;
+
     // HostLiveness
     bool believedAlive(const HostId &host, Incarnation incarnation) const override;
     // OperatorTarget
@@ -85,6 +89,7 @@
     void heartbeat();
     void armTimer();
     void runLedger();
+    void startLedgerTimer();
     void finishShutdownIfIdle();
 
     EventLoop &loop;
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -11,6 +11,7 @@
 constexpr const char *HeartbeatType = "h";
 constexpr const char *RequestType = "r";
 constexpr const char *OfferType = "o";
+constexpr const char *OutcomeType = "u";
 
 nlohmann::json encodeIdentity(const HostIdentity &identity)
 {
@@ -46,6 +47,22 @@
     return {{TypeKey, OfferType}, {"v", offer.version}, {"c", offer.text}};
 }
 
+nlohmann::json encode(const OrderOutcomeOffer &offer)
+{
+    const std::vector<std::uint8_t> record(offer.record.begin(), offer.record.end());
+    return {{TypeKey, OutcomeType},
+            {"n", offer.name},
+            {"v", offer.version},
+            {"r", nlohmann::json::binary(record)}};
+}
+
+OrderOutcomeOffer decodeOutcome(const nlohmann::json &json)
+{
+    const nlohmann::json::binary_t &record = json.at("r").get_binary();
+    return {json.at("n").get<std::string>(), json.at("v").get<std::uint64_t>(),
+            std::string(record.begin(), record.end())};
+}
+
 Heartbeat decodeHeartbeat(const nlohmann::json &json)
 {
     Heartbeat heartbeat;
@@ -83,6 +100,8 @@
         if (type == OfferType)
             return ConfigurationOffer{json.at("v").get<std::uint64_t>(),
                                       json.at("c").get<std::string>()};
+        if (type == OutcomeType)
+            return decodeOutcome(json);
         return tl::unexpected("unknown message type \"" + type + "\"");
     } catch (const nlohmann::json::exception &error) {
         return tl::unexpected(std::string(error.what()));
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -41,7 +41,16 @@
     std::string text;
 };
 
-using PeerMessage = std::variant<Heartbeat, ConfigurationRequest, ConfigurationOffer>;
+/// Carries the outcome of an order that its host could not store at once.
+struct OrderOutcomeOffer
+{
+    std::string name;          ///< Of the order.
+    std::uint64_t version = 0; ///< Of the object that the record is to replace.
+    std::string record;        ///< As encodeOrderRecord() writes it.
+};
+
+using PeerMessage =
+        std::variant<Heartbeat, ConfigurationRequest, ConfigurationOffer, OrderOutcomeOffer>;
 
 /// Returns \a message as CBOR.
 std::string encodePeerMessage(const PeerMessage &message);
