--- a/tests/coordination/test_order_object_ledger.cpp
+++ b/tests/coordination/test_order_object_ledger.cpp
@@ -434,3 +434,18 @@
     CHECK(large.body.size() < 300);
     CHECK(large.body.find("\"bytes\":100000") != std::string::npos);
 }
+
+TEST_CASE("An order costs two writes and no read", "[Coordination][OrderObjectLedger]")
+{
+    const int inFlight = GENERATE(1, 1'000);
+    OrderSimulation simulation(3, Hosts, makeLedger);
+    for (int i = 0; i < inFlight; ++i)
+        simulation.submit(static_cast<std::size_t>(i) % Hosts,
+                          keyName(static_cast<std::size_t>(i)));
+    simulation.run(Seconds(1));
+    if (std::getenv("DOTTEREL_SHOW_FIGURES") != nullptr)
+        WARN(inFlight << " in flight: writes " << simulation.storeWrites() << ", reads "
+                      << simulation.storeReads());
+    CHECK(simulation.storeWrites() == 2 * static_cast<std::uint64_t>(inFlight));
+    CHECK(simulation.storeReads() == 0);
+}
