Hold back the engine of a slow caller and resume where a stream broke

Cause: what a caller did not read piled up in its host without a bound; with one usable server a cut stream was refused although that server still answered; bytes of an ended attempt were dropped without being counted; a claim that settled after its order was given up kept the key taken.

--- a/src/coordination/request.h
+++ b/src/coordination/request.h
@@ -78,9 +78,10 @@
 
 /// What a failed attempt says of the backend server.
 enum class ServerFault {
-    None,       ///< The server answered and goes on.
-    Draining,   ///< The server refused because it is leaving.
-    Unreachable ///< The connection failed or broke.
+    None,        ///< The server answered and goes on.
+    Draining,    ///< The server refused because it is leaving.
+    Unreachable, ///< It could not be connected or did not answer in time.
+    Died         ///< The connection broke while the request was running.
 };
 
 /// How an attempt failed.
--- a/src/coordination/request_controller.cpp
+++ b/src/coordination/request_controller.cpp
@@ -1,5 +1,6 @@
 #include "coordination/request_controller.h"
 
+#include "coordination/request_failures.h"
 #include "core/hashing.h"
 
 #include <algorithm>
@@ -8,109 +9,91 @@
 
 namespace {
 
-constexpr Duration RetryAfterOverload = std::chrono::seconds(1);
-constexpr Duration RetryAfterShutdown = std::chrono::seconds(1);
-constexpr Duration RetryAfterFailure = std::chrono::seconds(2);
-
 OrderClaim claimOf(const Request &request, TimePoint deadline)
 {
     return {request.id, request.workspace, request.idempotencyKey,
             hash128Hex(request.method + '\n' + request.target + '\n' + *request.body), deadline};
 }
 
-RetryReason retryReasonOf(const AttemptFailure &failure)
-{
-    switch (failure.failure.reason) {
-    case Reason::BackendConnectFailed:
-        return RetryReason::ConnectFailed;
-    case Reason::BackendRefused:
-        return RetryReason::Refused;
-    case Reason::AnswerCut:
-        return RetryReason::AnswerCut;
-    default:
-        return RetryReason::ServerFailed;
-    }
-}
-
-Failure claimFailure(ClaimResult result)
-{
-    switch (result) {
-    case ClaimResult::InProgress:
-        return {Verdict::MayHaveRun, Reason::OrderInProgress, "the order is being run",
-                RetryAfterFailure};
-    case ClaimResult::OutcomeUnknown:
-        return {Verdict::MayHaveRun, Reason::OrderOutcomeUnknown,
-                "the order was started and its outcome is not known", std::nullopt};
-    case ClaimResult::BodyMismatch:
-        return {Verdict::NotRun, Reason::KeyReusedWithOtherBody,
-                "the Idempotency-Key was used for another order", std::nullopt};
-    default:
-        return {Verdict::NotRun, Reason::PlatformUnavailable,
-                "the order could not be claimed and was not sent", RetryAfterFailure};
-    }
-}
-
 } // namespace
 
 RequestController::RequestController(const RequestLimits &limits, BackendDirectory &directory,
-                                     Placement &placement, RequestEffects &effects,
-                                     Metrics &metrics, EventLog &log)
+                                     Placement &placement, CrashGuard &crashGuard,
+                                     RequestEffects &effects, Metrics &metrics, EventLog &log)
     : limits(limits)
     , directory(directory)
     , placement(placement)
+    , crashGuard(crashGuard)
     , effects(effects)
     , metrics(metrics)
     , log(log)
+    , admission(limits)
+    , retryBudget(limits.retryRatio, limits.retryReserve)
 {}
 
-void RequestController::applyConfiguration(const Configuration &newConfiguration)
+void RequestController::applyConfiguration(const Configuration &configuration)
 {
-    this->configuration = newConfiguration;
+    this->admission.applyConfiguration(configuration);
 }
 
 void RequestController::beginShutdown()
 {
-    this->shuttingDown = true;
+    this->admission.beginShutdown();
 }
 
 void RequestController::submit(const Request &request, TimePoint now)
 {
-    const std::optional<Failure> failure = this->check(request);
-    Entry entry;
+    RequestEntry entry;
     entry.request = request;
     entry.arrival = now;
+    const std::optional<Failure> failure =
+            this->admission.check(request, this->requests.size(), this->queuedBytes);
     if (failure) {
         this->refuse(entry, *failure, now);
         return;
     }
-    const RequestClass &requestClass = this->configuration.requestClasses.at(request.requestClass);
-    entry.kind = this->configuration.pools.at(request.pool).kind;
+    const RequestClass &requestClass = this->admission.requestClass(request);
+    entry.kind = this->admission.poolKind(request);
     entry.idempotent = requestClass.idempotent;
     entry.deadline = now + requestClass.deadline;
+    this->crashesOf(entry, now);
+    if (!entry.fingerprint.empty() && this->crashGuard.refuses(entry.fingerprint, now)) {
+        this->refuse(entry, crashFailure(), now);
+        return;
+    }
     this->metrics.count(Counter::RequestsAdmitted, 1);
-    this->deadlines.emplace(entry.deadline, request.id);
-    Entry &stored = this->requests.emplace(request.id, std::move(entry)).first->second;
+    this->queuedBytes += request.body->size();
+    RequestEntry &stored = this->requests.emplace(request.id, std::move(entry)).first->second;
+    this->arm(stored, stored.deadline);
     this->metrics.set(Gauge::RequestsInFlight, static_cast<double>(this->requests.size()));
+    this->metrics.set(Gauge::QueuedBytes, static_cast<double>(this->queuedBytes));
     if (stored.idempotent) {
         this->dispatch(stored, now);
         return;
     }
-    stored.phase = Phase::Claiming;
+    stored.phase = RequestPhase::Claiming;
     this->effects.claimOrder(claimOf(stored.request, stored.deadline));
 }
 
 void RequestController::onClaimSettled(const RequestId &request, const ClaimOutcome &outcome,
                                        TimePoint now)
 {
-    const auto found = this->requests.find(request);
-    if (found == this->requests.end())
+    const auto abandoned = this->abandonedClaims.find(request);
+    if (abandoned != this->abandonedClaims.end()) {
+        // The caller was told that the order was not run, so its key must be free again.
+        if (outcome.result == ClaimResult::Claimed)
+            this->effects.releaseOrder(abandoned->second);
+        this->abandonedClaims.erase(abandoned);
         return;
-    Entry &entry = found->second;
-    if (entry.phase != Phase::Claiming)
+    }
+    const auto found = this->requests.find(request);
+    if (found == this->requests.end() || found->second.phase != RequestPhase::Claiming)
         return;
+    RequestEntry &entry = found->second;
     switch (outcome.result) {
     case ClaimResult::Claimed:
-        entry.phase = Phase::Running;
+        entry.phase = RequestPhase::Running;
+        entry.claimed = true;
         this->metrics.count(Counter::OrdersClaimed, 1);
         this->log.write(Event::OrderClaimed, {{"request", request}});
         this->dispatch(entry, now);
@@ -120,6 +103,7 @@
         this->erase(entry);
         return;
     default:
+        entry.phase = RequestPhase::Running;
         this->log.write(Event::OrderClaimFailed, {{"request", request}});
         this->refuse(entry, claimFailure(outcome.result), now);
         return;
@@ -128,55 +112,51 @@
 
 void RequestController::onToken(const AttemptId &attempt, const AnswerToken &token, TimePoint now)
 {
-    Entry *entry = this->entryOf(attempt);
-    if (entry == nullptr)
-        return;
-    if (token.attempt != attempt || token.index < entry->nextIndex) {
-        this->metrics.count(Counter::ForeignBytesDropped, token.text.size());
-        this->log.write(Event::ForeignBytesDropped, {{"attempt", attempt}});
+    RequestEntry *entry = this->entryOf(attempt);
+    if (entry == nullptr || token.attempt != attempt || token.index < entry->nextIndex) {
+        this->dropForeign(attempt, token.text.size());
         return;
     }
     if (token.index > entry->nextIndex) {
         // A token is missing, so the rest of this stream cannot be used.
         this->effects.cancelAttempt(attempt);
-        this->onAttemptFailed(attempt,
-                              {{Verdict::MayHaveRun, Reason::AnswerCut,
-                                "a token of the answer is missing", RetryAfterFailure},
-                               ServerFault::None},
-                              now);
+        this->onAttemptFailed(attempt, cutAnswer("a token of the answer is missing"), now);
         return;
     }
-    if (entry->nextIndex == 0) {
-        this->placement.onFirstToken(attempt, now);
-        this->metrics.observeFirstToken(lengthBand(entry->request.promptTokens),
-                                        now - entry->arrival);
-        this->directory.markUp(entry->server);
-    }
+    entry->lastToken = now;
+    this->lastHeard[entry->server] = now;
+    if (!entry->heard)
+        this->onFirstToken(*entry, now);
     ++entry->nextIndex;
     this->effects.deliverText(entry->request.id, token.text);
 }
 
-void RequestController::onAnswerEnd(const AttemptId &attempt, const AnswerEnd &end, TimePoint now)
+void RequestController::onFirstToken(RequestEntry &entry, TimePoint now)
 {
-    Entry *entry = this->entryOf(attempt);
-    if (entry == nullptr)
+    entry.heard = true;
+    this->placement.onFirstToken(entry.attempt, now);
+    this->directory.markUp(entry.server);
+    if (entry.nextIndex == 0)
+        this->metrics.observeFirstToken(lengthBand(entry.request.promptTokens),
+                                        now - entry.arrival);
+    if (!entry.patience)
         return;
-    if (end.attempt != attempt) {
-        this->metrics.count(Counter::ForeignBytesDropped, 1);
-        this->log.write(Event::ForeignBytesDropped, {{"attempt", attempt}});
+    entry.patience = this->limits.tokenGap;
+    this->arm(entry, this->nextLook(entry, now));
+}
+
+void RequestController::onAnswerEnd(const AttemptId &attempt, const AnswerEnd &end, TimePoint now)
+{
+    RequestEntry *entry = this->entryOf(attempt);
+    if (entry == nullptr || end.attempt != attempt) {
+        this->dropForeign(attempt, 1);
         return;
     }
     if (end.count != entry->nextIndex) {
-        this->onAttemptFailed(attempt,
-                              {{Verdict::MayHaveRun, Reason::AnswerCut,
-                                "the answer ended before its last token", RetryAfterFailure},
-                               ServerFault::None},
-                              now);
+        this->onAttemptFailed(attempt, cutAnswer("the answer ended before its last token"), now);
         return;
     }
-    this->endAttempt(*entry, now);
-    this->metrics.count(Counter::RequestsFinished, 1);
-    this->log.write(Event::RequestFinished, {{"request", entry->request.id}});
+    this->finish(*entry, now);
     this->effects.finishAnswer(entry->request.id, end.count);
     this->erase(*entry);
 }
@@ -184,15 +164,13 @@
 void RequestController::onServiceAnswer(const AttemptId &attempt, const ServiceAnswer &answer,
                                         TimePoint now)
 {
-    Entry *entry = this->entryOf(attempt);
+    RequestEntry *entry = this->entryOf(attempt);
     if (entry == nullptr)
         return;
     this->directory.markUp(entry->server);
-    this->endAttempt(*entry, now);
+    this->finish(*entry, now);
     if (!entry->idempotent)
         this->effects.recordOrderAnswer(claimOf(entry->request, entry->deadline), answer);
-    this->metrics.count(Counter::RequestsFinished, 1);
-    this->log.write(Event::RequestFinished, {{"request", entry->request.id}});
     this->effects.deliverServiceAnswer(entry->request.id, answer);
     this->erase(*entry);
 }
@@ -200,7 +178,7 @@
 void RequestController::onAttemptFailed(const AttemptId &attempt, const AttemptFailure &failure,
                                         TimePoint now)
 {
-    Entry *entry = this->entryOf(attempt);
+    RequestEntry *entry = this->entryOf(attempt);
     if (entry == nullptr)
         return;
     this->log.write(Event::AttemptFailed,
@@ -208,10 +186,7 @@
                      {"server", entry->server},
                      {"reason", std::string(reasonInfo(failure.failure.reason).name)},
                      {"verdict", std::string(verdictName(failure.failure.verdict))}});
-    if (failure.fault == ServerFault::Draining)
-        this->directory.markDraining(entry->server);
-    else if (failure.fault == ServerFault::Unreachable)
-        this->directory.markDown(entry->server, now);
+    this->noteFault(*entry, failure, now);
     entry->excluded.push_back(entry->server);
     entry->verdict = std::max(entry->verdict, failure.failure.verdict);
     this->endAttempt(*entry, now);
@@ -223,7 +198,7 @@
     const auto found = this->requests.find(request);
     if (found == this->requests.end())
         return;
-    Entry &entry = found->second;
+    RequestEntry &entry = found->second;
     this->log.write(Event::CallerLeft, {{"request", request}});
     // An order goes on, so that its answer is recorded for when the caller asks again.
     if (!entry.idempotent)
@@ -234,106 +209,78 @@
             now);
 }
 
-void RequestController::onTimer(TimePoint now)
+void RequestController::onCallerBlocked(const RequestId &request, bool blocked, TimePoint now)
 {
-    while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
-        const RequestId request = this->deadlines.begin()->second;
-        Entry &entry = this->requests.at(request);
-        const bool running = !entry.attempt.empty();
-        const Verdict verdict = running ? Verdict::MayHaveRun : entry.verdict;
-        this->refuse(entry,
-                     {verdict, Reason::DeadlineExceeded, "the deadline of the request class passed",
-                      RetryAfterFailure},
-                     now);
+    const auto found = this->requests.find(request);
+    if (found == this->requests.end())
+        return;
+    RequestEntry &entry = found->second;
+    entry.blockedSince.reset();
+    entry.lastToken = now;
+    if (blocked) {
+        entry.blockedSince = now;
+        this->arm(entry, this->nextLook(entry, now));
     }
+    if (!entry.attempt.empty())
+        this->effects.pauseAttempt(entry.attempt, blocked);
 }
 
-std::optional<TimePoint> RequestController::nextTimer() const
-{
-    if (this->deadlines.empty())
-        return std::nullopt;
-    return this->deadlines.begin()->first;
-}
-
-std::optional<Failure> RequestController::check(const Request &request) const
+bool RequestController::onCrashNotice(const CrashNotice &notice, TimePoint now)
 {
-    const auto notRun = [](Reason reason, std::string detail,
-                           std::optional<Duration> retryAfter = std::nullopt) {
-        return Failure{Verdict::NotRun, reason, std::move(detail), retryAfter};
-    };
-    if (this->shuttingDown)
-        return notRun(Reason::ShuttingDown, "the entry host is shutting down", RetryAfterShutdown);
-    if (this->configuration.version == 0)
-        return notRun(Reason::NoConfiguration, "no configuration is in force yet",
-                      RetryAfterFailure);
-    if (this->configuration.workspaces.count(request.workspace) == 0)
-        return notRun(Reason::UnknownWorkspace,
-                      "there is no workspace \"" + request.workspace + "\"");
-    const auto requestClass = this->configuration.requestClasses.find(request.requestClass);
-    if (requestClass == this->configuration.requestClasses.end())
-        return notRun(Reason::UnknownRequestClass,
-                      "there is no request class \"" + request.requestClass + "\"");
-    if (this->configuration.pools.count(request.pool) == 0)
-        return notRun(Reason::UnknownPool, "there is no pool \"" + request.pool + "\"");
-    if (!requestClass->second.idempotent && request.idempotencyKey.empty())
-        return notRun(Reason::MissingIdempotencyKey,
-                      "class \"" + request.requestClass
-                              + "\" is not idempotent: send an Idempotency-Key header with a value "
-                                "of your own that names the order");
-    if (this->requests.size() >= this->limits.maxInFlight)
-        return notRun(Reason::TooManyRequests, "too many requests are in flight on this host",
-                      RetryAfterOverload);
-    return std::nullopt;
+    return this->crashGuard.onNotice(notice, now);
 }
 
-void RequestController::dispatch(Entry &entry, TimePoint now)
+void RequestController::retryOrRefuse(RequestEntry &entry, const AttemptFailure &failure,
+                                      TimePoint now)
 {
-    if (now >= entry.deadline) {
-        this->refuse(entry,
-                     {entry.verdict, Reason::DeadlineExceeded,
-                      "the deadline of the request class passed", RetryAfterFailure},
-                     now);
+    Failure final = failure.failure;
+    final.verdict = entry.verdict;
+    if (!entry.fingerprint.empty() && this->crashGuard.refuses(entry.fingerprint, now)) {
+        this->refuse(entry, crashFailure(), now);
+        return;
+    }
+    const bool mayRunAgain = failure.failure.mayRunAgain(entry.idempotent);
+    if (!mayRunAgain || !this->mayTryAgain(entry, now)) {
+        this->refuse(entry, final, now);
         return;
     }
-    const PlacementQuery query = this->queryOf(entry);
-    const tl::expected<PlacementChoice, Failure> choice = this->placement.choose(query, now);
-    if (!choice) {
-        Failure failure = choice.error();
-        failure.verdict = std::max(failure.verdict, entry.verdict);
-        this->refuse(entry, failure, now);
+    // An attempt that did not run has cost no work, so only others are paid for.
+    const bool costsWork = failure.failure.verdict != Verdict::NotRun;
+    if (costsWork && !this->retryBudget.withdraw(entry.work())) {
+        this->refuse(entry, budgetFailure(entry.verdict), now);
         return;
     }
-    ++entry.attempts;
-    entry.attempt = entry.request.id + "." + std::to_string(entry.attempts);
-    entry.server = choice->server;
-    this->attempts[entry.attempt] = entry.request.id;
-    this->placement.onDispatched(entry.attempt, query, *choice, now);
-    this->log.write(Event::AttemptStarted, {{"attempt", entry.attempt}, {"server", entry.server}});
-    AttemptOrder order;
-    order.attempt = entry.attempt;
-    order.kind = entry.kind;
-    order.server = *this->directory.find(choice->server);
-    order.priority = choice->priority;
-    order.resumeAt = entry.nextIndex;
-    order.deadline = entry.deadline;
-    order.request = &entry.request;
-    this->effects.sendAttempt(order);
+    this->metrics.countRetry(retryReasonOf(failure));
+    this->dispatch(entry, now);
 }
 
-void RequestController::retryOrRefuse(Entry &entry, const AttemptFailure &failure, TimePoint now)
+void RequestController::noteFault(RequestEntry &entry, const AttemptFailure &failure, TimePoint now)
 {
-    const bool mayRunAgain = failure.failure.mayRunAgain(entry.idempotent);
-    if (mayRunAgain && entry.attempts < this->limits.maxAttempts && now < entry.deadline) {
-        this->metrics.countRetry(retryReasonOf(failure));
-        this->dispatch(entry, now);
+    switch (failure.fault) {
+    case ServerFault::None:
         return;
+    case ServerFault::Draining:
+        this->directory.markDraining(entry.server);
+        return;
+    case ServerFault::Unreachable:
+        this->directory.markDown(entry.server, now);
+        return;
+    case ServerFault::Died:
+        this->directory.markDown(entry.server, now);
+        if (entry.fingerprint.empty())
+            entry.fingerprint =
+                    CrashGuard::fingerprint(entry.request.workspace, *entry.request.body);
+        this->effects.announceCrash(
+                this->crashGuard.onServerDied(entry.fingerprint, entry.server, now));
     }
-    Failure final = failure.failure;
-    final.verdict = entry.verdict;
-    this->refuse(entry, final, now);
 }
 
-void RequestController::refuse(Entry &entry, Failure failure, TimePoint now)
+bool RequestController::mayTryAgain(const RequestEntry &entry, TimePoint now) const
+{
+    return entry.attempts < this->limits.maxAttempts && now < entry.deadline;
+}
+
+void RequestController::refuse(RequestEntry &entry, Failure failure, TimePoint now)
 {
     this->metrics.countRefusal(failure.reason);
     this->log.write(Event::RequestRefused,
@@ -346,52 +293,64 @@
         this->endAttempt(entry, now);
         this->effects.cancelAttempt(attempt);
     }
-    const bool claimed = !entry.idempotent && entry.phase == Phase::Running;
-    if (claimed && failure.verdict == Verdict::NotRun)
-        this->effects.releaseOrder(claimOf(entry.request, entry.deadline));
+    this->settleClaim(entry, failure.verdict);
     this->effects.refuse(entry.request.id, failure);
     this->erase(entry);
 }
 
-void RequestController::endAttempt(Entry &entry, TimePoint now)
+void RequestController::settleClaim(const RequestEntry &entry, Verdict verdict)
+{
+    if (entry.idempotent || this->requests.count(entry.request.id) == 0)
+        return;
+    const OrderClaim claim = claimOf(entry.request, entry.deadline);
+    if (entry.phase == RequestPhase::Claiming)
+        this->abandonedClaims.emplace(entry.request.id, claim);
+    else if (entry.claimed && verdict == Verdict::NotRun)
+        this->effects.releaseOrder(claim);
+}
+
+void RequestController::finish(RequestEntry &entry, TimePoint now)
 {
-    this->placement.onEnded(entry.attempt, now);
-    this->attempts.erase(entry.attempt);
-    entry.attempt.clear();
+    if (this->crashesOf(entry, now) > 0)
+        this->effects.announceCrash(this->crashGuard.onFinished(entry.fingerprint, now));
+    this->endAttempt(entry, now);
+    this->metrics.count(Counter::RequestsFinished, 1);
+    this->log.write(Event::RequestFinished, {{"request", entry.request.id}});
 }
 
-void RequestController::erase(const Entry &entry)
+void RequestController::erase(const RequestEntry &entry)
 {
     const RequestId request = entry.request.id;
-    const auto range = this->deadlines.equal_range(entry.deadline);
-    for (auto row = range.first; row != range.second; ++row) {
-        if (row->second == request) {
-            this->deadlines.erase(row);
-            break;
-        }
-    }
-    this->requests.erase(request);
+    const auto found = this->requests.find(request);
+    // A request that was refused at once was never stored.
+    if (found == this->requests.end())
+        return;
+    this->timers.erase({entry.timer, request});
+    this->queuedBytes -= entry.request.body->size();
+    this->requests.erase(found);
     this->metrics.set(Gauge::RequestsInFlight, static_cast<double>(this->requests.size()));
+    this->metrics.set(Gauge::QueuedBytes, static_cast<double>(this->queuedBytes));
+}
+
+std::size_t RequestController::crashesOf(RequestEntry &entry, TimePoint now)
+{
+    if (this->crashGuard.empty())
+        return 0;
+    if (entry.fingerprint.empty())
+        entry.fingerprint = CrashGuard::fingerprint(entry.request.workspace, *entry.request.body);
+    return this->crashGuard.crashes(entry.fingerprint, now);
 }
 
-RequestController::Entry *RequestController::entryOf(const AttemptId &attempt)
+RequestEntry *RequestController::entryOf(const AttemptId &attempt)
 {
     const auto request = this->attempts.find(attempt);
     return request == this->attempts.end() ? nullptr : &this->requests.at(request->second);
 }
 
-PlacementQuery RequestController::queryOf(const Entry &entry) const
+void RequestController::dropForeign(const AttemptId &attempt, std::size_t bytes)
 {
-    PlacementQuery query;
-    query.request = entry.request.id;
-    query.workspace = entry.request.workspace;
-    query.pool = entry.request.pool;
-    query.promptTokens = entry.request.promptTokens;
-    query.maxTokens = entry.request.maxTokens;
-    query.prefixHashes = entry.request.prefixHashes;
-    query.deadline = entry.deadline;
-    query.excluded = entry.excluded;
-    return query;
+    this->metrics.count(Counter::ForeignBytesDropped, bytes);
+    this->log.write(Event::ForeignBytesDropped, {{"attempt", attempt}});
 }
 
 } // namespace dotterel
--- a/src/coordination/request_effects.h
+++ b/src/coordination/request_effects.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/request.h"
+#include "protocol/crash_notice.h"
 
 namespace dotterel {
 
@@ -17,6 +18,10 @@
     /// Stops \a attempt and has the backend server drop it.
     virtual void cancelAttempt(const AttemptId &attempt) = 0;
 
+    /// Stops reading the answer of \a attempt, or goes on, so that a caller that does not read
+    /// holds the engine back instead of filling memory.
+    virtual void pauseAttempt(const AttemptId &attempt, bool paused) = 0;
+
     /// Claims an order; onClaimSettled() gets the outcome.
     virtual void claimOrder(const OrderClaim &claim) = 0;
 
@@ -35,6 +40,9 @@
     /// Passes the whole answer of a plain service to the caller.
     virtual void deliverServiceAnswer(const RequestId &request, const ServiceAnswer &answer) = 0;
 
+    /// Tells the other entry hosts of a request that may crash backend servers.
+    virtual void announceCrash(const CrashNotice &notice) = 0;
+
     /// Gives the caller its final refusal.
     virtual void refuse(const RequestId &request, const Failure &failure) = 0;
 };
--- /dev/null
+++ b/src/coordination/request_entry.cpp
@@ -0,0 +1,33 @@
+#include "coordination/request_entry.h"
+
+#include <algorithm>
+
+namespace dotterel {
+
+namespace {
+
+/// Even the shortest request costs a connection and a place in a batch.
+constexpr std::uint64_t LeastWork = 1'000;
+
+} // namespace
+
+std::uint64_t RequestEntry::work() const
+{
+    return std::max(this->request.promptTokens, LeastWork);
+}
+
+PlacementQuery RequestEntry::query() const
+{
+    PlacementQuery query;
+    query.request = this->request.id;
+    query.workspace = this->request.workspace;
+    query.pool = this->request.pool;
+    query.promptTokens = this->request.promptTokens;
+    query.maxTokens = this->request.maxTokens;
+    query.prefixHashes = this->request.prefixHashes;
+    query.deadline = this->deadline;
+    query.excluded = this->excluded;
+    return query;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/coordination/request_retry_budget.cpp
@@ -0,0 +1,27 @@
+#include "coordination/request_retry_budget.h"
+
+#include <algorithm>
+
+namespace dotterel {
+
+RequestRetryBudget::RequestRetryBudget(double ratio, std::uint64_t reserve)
+    : ratio(ratio)
+    , reserve(static_cast<double>(reserve))
+    , available(static_cast<double>(reserve))
+{}
+
+void RequestRetryBudget::onFirstTry(std::uint64_t work)
+{
+    this->available =
+            std::min(this->reserve, this->available + this->ratio * static_cast<double>(work));
+}
+
+bool RequestRetryBudget::withdraw(std::uint64_t work)
+{
+    if (this->available < static_cast<double>(work))
+        return false;
+    this->available -= static_cast<double>(work);
+    return true;
+}
+
+} // namespace dotterel
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -8,12 +8,13 @@
 
 namespace {
 
-constexpr std::array<EnumName<RetryReason>, 6> RetryReasonNames = {{
+constexpr std::array<EnumName<RetryReason>, 7> RetryReasonNames = {{
         {RetryReason::ConnectFailed, "connect_failed"},
         {RetryReason::Refused, "refused"},
         {RetryReason::ServerFailed, "server_failed"},
         {RetryReason::AnswerCut, "answer_cut"},
         {RetryReason::FirstTokenTimeout, "first_token_timeout"},
+        {RetryReason::TokenTimeout, "token_timeout"},
         {RetryReason::MemoryUnavailable, "memory_unavailable"},
 }};
 
@@ -26,7 +27,7 @@
         {LengthBand::UpTo1M, "256k-1M"},
 }};
 
-constexpr std::array<EnumName<Counter>, 13> CounterNames = {{
+constexpr std::array<EnumName<Counter>, 14> CounterNames = {{
         {Counter::RequestsAdmitted, "requests_admitted"},
         {Counter::RequestsFinished, "requests_finished"},
         {Counter::ForeignBytesDropped, "foreign_bytes_dropped"},
@@ -40,6 +41,7 @@
         {Counter::OrdersClaimed, "orders_claimed"},
         {Counter::OrderClaimBatches, "order_claim_batches"},
         {Counter::CrashSuspects, "crash_suspects"},
+        {Counter::RetriesWithheld, "retries_withheld"},
 }};
 
 constexpr std::array<EnumName<Gauge>, 5> GaugeNames = {{
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -15,6 +15,7 @@
     ServerFailed,
     AnswerCut,
     FirstTokenTimeout,
+    TokenTimeout,
     MemoryUnavailable,
 };
 
@@ -52,6 +53,7 @@
     OrdersClaimed,
     OrderClaimBatches,
     CrashSuspects,
+    RetriesWithheld, ///< Silent attempts that the retry budget did not let go elsewhere.
 };
 
 /// Returns the external name of \a counter.
--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -44,6 +44,8 @@
             {Reason::ShuttingDown, "shutting_down", 503, true},
             {Reason::CallerGone, "caller_gone", 499, false},
             {Reason::TooManyRequests, "too_many_requests", 429, true},
+            {Reason::RetryBudgetExhausted, "retry_budget_exhausted", 503, true},
+            {Reason::CallerTooSlow, "caller_too_slow", 408, false},
     };
     return table;
 }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -43,6 +43,8 @@
     ShuttingDown,
     CallerGone,
     TooManyRequests,
+    RetryBudgetExhausted,
+    CallerTooSlow,
 };
 
 /// Static properties of a Reason.
--- a/src/entry_host/backend_client.h
+++ b/src/entry_host/backend_client.h
@@ -27,6 +27,9 @@
     /// Starts an attempt; the listener hears of it until it ends or is cancelled.
     virtual void send(const AttemptOrder &order) = 0;
 
+    /// Stops reading the answer of an attempt, or goes on.
+    virtual void pause(const AttemptId &attempt, bool paused) = 0;
+
     /// Stops an attempt and tells the backend server to drop it.
     virtual void cancel(const AttemptId &attempt) = 0;
 };
--- a/src/entry_host/caller_api.cpp
+++ b/src/entry_host/caller_api.cpp
@@ -8,8 +8,10 @@
 constexpr std::string_view ServicePrefix = "/v1/services/";
 constexpr int StatusOk = 200;
 /// Room above the limit, so that a body just over it gets the documented answer.
-constexpr std::size_t BodyLimitSlack = 64UL * 1024 * 1024;
+constexpr std::size_t BodyLimitSlack = 16UL * 1024 * 1024;
 constexpr std::size_t MostHeaderBytes = 256;
+/// From here on a stream waits until its caller has read everything.
+constexpr std::size_t MostUnsentBytes = 256UL * 1024;
 
 const HttpHeaders EventStreamHeaders = {{"Content-Type", "text/event-stream"},
                                         {"Cache-Control", "no-cache"}};
@@ -45,6 +47,19 @@
         open->exchange->startReply(StatusOk, EventStreamHeaders);
     }
     open->exchange->sendChunk(completionChunk(request, open->model, text));
+    if (open->blocked || open->exchange->unsentBytes() < MostUnsentBytes)
+        return;
+    open->blocked = true;
+    this->listener.onCallerBlocked(request, true);
+}
+
+void CallerApi::onDrained(const RequestId &request)
+{
+    Open *open = this->openRequest(request);
+    if (open == nullptr || !open->blocked)
+        return;
+    open->blocked = false;
+    this->listener.onCallerBlocked(request, false);
 }
 
 void CallerApi::finishAnswer(const RequestId &request, std::uint64_t tokens)
@@ -91,6 +106,14 @@
     this->requests.erase(request);
 }
 
+std::size_t CallerApi::unsentBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[id, open] : this->requests)
+        bytes += open.exchange->unsentBytes();
+    return bytes;
+}
+
 void CallerApi::handle(const HttpExchangePointer &exchange)
 {
     const std::string path = exchange->path();
@@ -176,6 +199,7 @@
         this->requests.erase(id);
         this->listener.onCallerGone(id);
     });
+    exchange->onDrained([this, id] { this->onDrained(id); });
     this->listener.onRequest(request);
 }
 
--- a/src/entry_host/caller_api.h
+++ b/src/entry_host/caller_api.h
@@ -25,6 +25,9 @@
 
     /// The caller of \a request closed its connection.
     virtual void onCallerGone(const RequestId &request) = 0;
+
+    /// The caller of \a request leaves too much of its answer unread, or has read it after all.
+    virtual void onCallerBlocked(const RequestId &request, bool blocked) = 0;
 };
 
 /// Serves callers over HTTP:
@@ -51,9 +54,21 @@
     /// Ends the request with \a failure.
     void refuse(const RequestId &request, const Failure &failure);
 
+    /// Closes each connection after its next answer, so that callers go to other hosts.
+    void closeAfterReplies() { this->server.closeAfterReplies(); }
+
     /// Stops taking new connections.
     void stopListening() { this->server.stopListening(); }
 
+    /// Returns true if every answer has been sent to its last byte.
+    bool idle() const { return this->server.idle(); }
+
+    /// Returns how many bytes of running answers callers have not taken yet.
+    std::size_t unsentBytes() const;
+
+    /// Returns how many bytes callers have sent; it grows while a request is still being read.
+    std::uint64_t receivedBytes() const { return this->server.receivedBytes(); }
+
     /// The address and port in use.
     Endpoint endpoint() const { return this->server.endpoint(); }
 
@@ -64,7 +79,8 @@
         std::string model;
         bool stream = false;
         bool started = false;
-        std::string text; ///< Collected when the answer is not streamed.
+        bool blocked = false; ///< Too much of the answer is unread.
+        std::string text;     ///< Collected when the answer is not streamed.
         std::uint64_t promptTokens = 0;
     };
 
@@ -75,6 +91,7 @@
     void replyFailure(const HttpExchangePointer &exchange, const Failure &failure);
     void rejectMalformed(const HttpExchangePointer &exchange, Reason reason,
                          const std::string &detail);
+    void onDrained(const RequestId &request);
     Open *openRequest(const RequestId &request);
 
     Settings settings;
--- a/src/entry_host/entry_host.cpp
+++ b/src/entry_host/entry_host.cpp
@@ -35,7 +35,9 @@
     , platform(loop, this->httpClient, settings.platform, settings.platformTimeout, this->metrics)
     , directory(log, this->metrics)
     , placement(this->directory, this->random)
-    , controller(limitsOf(settings), this->directory, this->placement, *this, this->metrics, log)
+    , crashGuard(CrashLimits{}, this->metrics, log)
+    , controller(limitsOf(settings), this->directory, this->placement, this->crashGuard, *this,
+                 this->metrics, log)
     , ledger(this->identity, this->platform, this->random, log)
     , follower(
               [this](const Configuration &configuration) {
@@ -100,6 +102,16 @@
     this->backend.cancel(attempt);
 }
 
+void EntryHost::pauseAttempt(const AttemptId &attempt, bool paused)
+{
+    this->backend.pause(attempt, paused);
+}
+
+void EntryHost::announceCrash(const CrashNotice &notice)
+{
+    this->mesh.broadcast(notice);
+}
+
 void EntryHost::claimOrder(const OrderClaim &claim)
 {
     const RequestId request = claim.request;
@@ -183,6 +195,12 @@
     this->armTimer();
 }
 
+void EntryHost::onCallerBlocked(const RequestId &request, bool blocked)
+{
+    this->controller.onCallerBlocked(request, blocked, this->loop.now());
+    this->armTimer();
+}
+
 void EntryHost::onPeerMessage(std::uint64_t link, const PeerMessage &message)
 {
     if (const Heartbeat *heartbeat = std::get_if<Heartbeat>(&message)) {
@@ -198,6 +216,10 @@
         if (this->follower.current().version > request->knownVersion)
             this->mesh.send(link, ConfigurationOffer{this->follower.current().version,
                                                      this->follower.currentText()});
+    } else if (const CrashNotice *notice = std::get_if<CrashNotice>(&message)) {
+        // News goes on to peers that the sender is not linked to; what is known already stops here.
+        if (this->controller.onCrashNotice(*notice, this->loop.now()))
+            this->mesh.broadcast(*notice);
     } else if (const ConfigurationOffer *offer = std::get_if<ConfigurationOffer>(&message)) {
         this->follower.offer(offer->text);
     }
--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -41,10 +41,15 @@
     Endpoint operators() const { return this->operatorServer.endpoint(); }
     Endpoint peers() const { return this->mesh.endpoint(); }
 
+    /// Bytes of answers that callers have not taken yet.
+    std::size_t unsentCallerBytes() const { return this->callerApi.unsentBytes(); }
+
 private:
     // RequestEffects
     void sendAttempt(const AttemptOrder &order) override;
     void cancelAttempt(const AttemptId &attempt) override;
+    void pauseAttempt(const AttemptId &attempt, bool paused) override;
+    void announceCrash(const CrashNotice &notice) override;
     void claimOrder(const OrderClaim &claim) override;
     void recordOrderAnswer(const OrderClaim &claim, const ServiceAnswer &answer) override;
     void releaseOrder(const OrderClaim &claim) override;
@@ -63,6 +68,7 @@
     void onRequest(const Request &request) override;
     void onMalformedRequest(const Failure &failure) override;
     void onCallerGone(const RequestId &request) override;
+    void onCallerBlocked(const RequestId &request, bool blocked) override;
 
     // PeerListener
     void onPeerMessage(std::uint64_t link, const PeerMessage &message) override;
@@ -86,6 +92,7 @@
     HttpObjectStore platform;
     BackendDirectory directory;
     TwoChoicesPlacement placement;
+    CrashGuard crashGuard;
     RequestController controller;
     OrderLedger ledger;
     ConfigurationFollower follower;
--- a/src/entry_host/http_backend_client.cpp
+++ b/src/entry_host/http_backend_client.cpp
@@ -20,17 +20,18 @@
 
 AttemptFailure connectionFailure(const HttpFailure &failure)
 {
-    if (failure.kind == HttpFailureKind::AnswerCut)
-        return {{Verdict::MayHaveRun, Reason::AnswerCut, "the answer of the backend server was cut",
-                 RetryAfterBreak},
-                ServerFault::Unreachable};
     if (failure.kind == HttpFailureKind::ConnectFailed)
         return {{Verdict::NotRun, Reason::BackendConnectFailed,
                  "the backend server could not be connected", RetryAfterBreak},
                 ServerFault::Unreachable};
+    if (failure.kind == HttpFailureKind::AnswerCut)
+        return {{Verdict::MayHaveRun, Reason::AnswerCut, "the answer of the backend server was cut",
+                 RetryAfterBreak},
+                ServerFault::Died};
+    const bool silent = failure.kind == HttpFailureKind::Timeout;
     return {{failure.verdict, Reason::BackendFailed, "the connection to the backend server broke",
              RetryAfterBreak},
-            ServerFault::Unreachable};
+            silent ? ServerFault::Unreachable : ServerFault::Died};
 }
 
 } // namespace
@@ -48,6 +49,8 @@
 
     void start(const HttpRequest &request) { this->call = this->owner.client.send(request, *this); }
 
+    void pause(bool paused) { this->call->pause(paused); }
+
     const Endpoint &server() const { return this->endpoint; }
 
     void onHead(int newStatus, const HttpHeaders &newHeaders) override
@@ -200,6 +203,13 @@
     attempt->start(request);
 }
 
+void HttpBackendClient::pause(const AttemptId &attempt, bool paused)
+{
+    const auto found = this->attempts.find(attempt);
+    if (found != this->attempts.end())
+        found->second->pause(paused);
+}
+
 void HttpBackendClient::cancel(const AttemptId &attempt)
 {
     const std::unique_ptr<Attempt> cancelled = this->release(attempt);
--- a/src/entry_host/http_backend_client.h
+++ b/src/entry_host/http_backend_client.h
@@ -20,6 +20,7 @@
     ~HttpBackendClient() override;
 
     void send(const AttemptOrder &order) override;
+    void pause(const AttemptId &attempt, bool paused) override;
     void cancel(const AttemptId &attempt) override;
 
 private:
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -11,6 +11,10 @@
 constexpr const char *HeartbeatType = "h";
 constexpr const char *RequestType = "r";
 constexpr const char *OfferType = "o";
+constexpr const char *CrashType = "c";
+
+constexpr std::size_t MostFingerprintBytes = 64;
+constexpr std::size_t MostCrashes = 8;
 
 nlohmann::json encodeIdentity(const HostIdentity &identity)
 {
@@ -46,6 +50,37 @@
     return {{TypeKey, OfferType}, {"v", offer.version}, {"c", offer.text}};
 }
 
+nlohmann::json encode(const CrashNotice &notice)
+{
+    nlohmann::json crashes = nlohmann::json::array();
+    for (const CrashRecord &crash : notice.crashes)
+        crashes.push_back({crash.server, crash.age.count()});
+    nlohmann::json json = {
+            {TypeKey, CrashType}, {"f", notice.fingerprint}, {"c", crashes}, {"r", notice.runsOn}};
+    if (notice.cleared)
+        json["x"] = notice.cleared->count();
+    return json;
+}
+
+Duration decodeAge(const nlohmann::json &json)
+{
+    return Duration(std::max<Duration::rep>(0, json.get<Duration::rep>()));
+}
+
+CrashNotice decodeCrashNotice(const nlohmann::json &json)
+{
+    CrashNotice notice;
+    notice.fingerprint = json.at("f").get<std::string>();
+    if (notice.fingerprint.size() > MostFingerprintBytes || json.at("c").size() > MostCrashes)
+        throw nlohmann::json::other_error::create(0, "the notice is too long", &json);
+    for (const nlohmann::json &item : json.at("c"))
+        notice.crashes.push_back({item.at(0).get<ServerId>(), decodeAge(item.at(1))});
+    if (json.contains("x"))
+        notice.cleared = decodeAge(json.at("x"));
+    notice.runsOn = json.at("r").get<ServerId>();
+    return notice;
+}
+
 Heartbeat decodeHeartbeat(const nlohmann::json &json)
 {
     Heartbeat heartbeat;
@@ -83,6 +118,8 @@
         if (type == OfferType)
             return ConfigurationOffer{json.at("v").get<std::uint64_t>(),
                                       json.at("c").get<std::string>()};
+        if (type == CrashType)
+            return decodeCrashNotice(json);
         return tl::unexpected("unknown message type \"" + type + "\"");
     } catch (const nlohmann::json::exception &error) {
         return tl::unexpected(std::string(error.what()));
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/identity.h"
+#include "protocol/crash_notice.h"
 
 #include <cstdint>
 #include <string>
@@ -41,7 +42,7 @@
     std::string text;
 };
 
-using PeerMessage = std::variant<Heartbeat, ConfigurationRequest, ConfigurationOffer>;
+using PeerMessage = std::variant<Heartbeat, ConfigurationRequest, ConfigurationOffer, CrashNotice>;
 
 /// Returns \a message as CBOR.
 std::string encodePeerMessage(const PeerMessage &message);
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
@@ -104,6 +105,15 @@
     EvhttpCall(const EvhttpCall &) = delete;
     EvhttpCall &operator=(const EvhttpCall &) = delete;
 
+    void pause(bool paused)
+    {
+        bufferevent *stream = evhttp_connection_get_bufferevent(this->connection);
+        if (paused)
+            bufferevent_disable(stream, EV_READ);
+        else if (this->listener != nullptr)
+            bufferevent_enable(stream, EV_READ);
+    }
+
     /// Makes no further call to the listener.
     void silence() { this->listener = nullptr; }
 
@@ -225,6 +235,8 @@
     EvhttpCallHandle(const EvhttpCallHandle &) = delete;
     EvhttpCallHandle &operator=(const EvhttpCallHandle &) = delete;
 
+    void pause(bool paused) override { this->call->pause(paused); }
+
 private:
     EventLoop &loop;
     std::shared_ptr<EvhttpCall> call;
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -64,6 +64,9 @@
 {
 public:
     virtual ~HttpCall() = default;
+
+    /// Stops reading the answer, or goes on.
+    virtual void pause(bool paused) = 0;
 };
 
 /// Sends HTTP/1.1 requests, each on a fresh connection: a connection that the other side may
--- a/tests/entry_host/test_http_backend_client.cpp
+++ b/tests/entry_host/test_http_backend_client.cpp
@@ -97,7 +97,7 @@
     const PoolKind model = PoolKind::Model;
     const PoolKind service = PoolKind::Service;
     const Verdict unknown = Verdict::MayHaveRun;
-    const ServerFault gone = ServerFault::Unreachable;
+    const ServerFault gone = ServerFault::Died;
     const ServerFault none = ServerFault::None;
     return {
             {"reset when accepted",
@@ -130,7 +130,7 @@
              {1, "", ScriptEnd::Hold},
              unknown,
              Reason::BackendFailed,
-             gone},
+             ServerFault::Unreachable},
             {"head cut",
              service,
              {1, "HTTP/1.1 200 OK\r\nContent-Le", ScriptEnd::Close},
--- /dev/null
+++ b/tests/entry_host/test_slow_caller.cpp
@@ -0,0 +1,41 @@
+#include "support/fleet.h"
+#include "support/raw_client.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dotterel;
+using namespace dotterel::support;
+
+TEST_CASE("A caller that reads slowly bounds what its host keeps", "[EntryHost][CallerApi]")
+{
+    FleetShape shape;
+    shape.hosts = 1;
+    shape.engines = 1;
+    shape.services = 1;
+    Fleet fleet(shape);
+    constexpr std::uint64_t Tokens = 25'000;
+    fakes::EngineBehaviour behaviour;
+    behaviour.answerTokens = Tokens;
+    behaviour.tokenInterval = Duration::zero();
+    fleet.engine(0).setBehaviour(behaviour);
+    const std::string body = completionBody(1'000);
+    RawClient caller(fleet.eventLoop(), fleet.host(0).callers());
+    caller.send("POST /v1/completions HTTP/1.1\r\nHost: h\r\nX-Workspace: harinal\r\n"
+                "X-Request-Class: question\r\nContent-Length: "
+                + std::to_string(body.size()) + "\r\n\r\n" + body);
+    REQUIRE(fleet.runUntil([&] { return !caller.received().empty(); }));
+    caller.pause();
+
+    // The engine makes about 4 MB of events; sockets and one watermark hold far less.
+    REQUIRE(fleet.runUntil([&] { return fleet.engine(0).running() == 0; }));
+    fleet.runFor(std::chrono::milliseconds(300));
+    const std::size_t unsent = fleet.host(0).unsentCallerBytes();
+    CAPTURE(unsent);
+    CHECK(unsent > 0);
+    CHECK(unsent < 512UL * 1024);
+
+    caller.resume();
+    REQUIRE(fleet.runUntil(
+            [&] { return caller.received().find("data: [DONE]") != std::string::npos; }));
+    CHECK(caller.received().find("t" + std::to_string(Tokens - 1) + " ") != std::string::npos);
+}
--- a/tests/support/raw_client.cpp
+++ b/tests/support/raw_client.cpp
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <sys/socket.h>
 
 namespace dotterel::support {
 
@@ -13,6 +14,9 @@
     bufferevent_enable(this->stream, EV_READ | EV_WRITE);
     bufferevent_socket_connect_hostname(this->stream, nullptr, AF_INET, endpoint.address.c_str(),
                                         endpoint.port);
+    const int smallBuffer = 64 * 1024;
+    setsockopt(bufferevent_getfd(this->stream), SOL_SOCKET, SO_RCVBUF, &smallBuffer,
+               sizeof(smallBuffer));
 }
 
 RawClient::~RawClient()
