--- a/src/entry_host/entry_host.cpp
+++ b/src/entry_host/entry_host.cpp
@@ -7,6 +7,8 @@
 constexpr Duration WatchWait = std::chrono::seconds(20);
 constexpr Duration WatchRetry = std::chrono::milliseconds(500);
 constexpr Duration HostsInterval = std::chrono::seconds(1);
+constexpr Duration LedgerInterval = std::chrono::milliseconds(5);
+constexpr Duration LedgerGrace = std::chrono::seconds(10);
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(50);
 
 RequestLimits limitsOf(const Settings &settings)
@@ -32,7 +34,7 @@
     , crashGuard(CrashLimits{}, this->metrics, log)
     , controller(limitsOf(settings), this->directory, this->placement, this->crashGuard, *this,
                  this->metrics, log)
-    , ledger(this->identity, this->platform, this->random, log)
+    , ledger(this->identity, this->platform, *this, this->random, log)
     , follower(
               [this](const Configuration &configuration) {
                   this->applyConfiguration(configuration);
@@ -56,7 +58,11 @@
     this->watchConfiguration();
 }
 
-EntryHost::~EntryHost() = default;
+EntryHost::~EntryHost()
+{
+    // Open connections close with their server, and must not arm a timer that is gone already.
+    this->destroying = true;
+}
 
 void EntryHost::beginShutdown(std::function<void()> finished)
 {
@@ -78,7 +84,13 @@
 
 void EntryHost::finishShutdownIfIdle()
 {
-    if (this->controller.inFlight() > 0 || this->ledger.pending() > 0)
+    if (this->controller.inFlight() > 0)
+        return;
+    // Outcomes are recorded first, but a store that stays away does not keep the host for ever.
+    const TimePoint now = this->loop.now();
+    if (!this->ledgerGraceEnds)
+        this->ledgerGraceEnds = now + LedgerGrace;
+    if (this->ledger.pending() > 0 && now < *this->ledgerGraceEnds)
         return;
     this->drainTimer.reset();
     this->log.write(Event::ShutdownDone, {});
@@ -113,6 +125,16 @@
         this->controller.onClaimSettled(request, outcome, now);
         this->armTimer();
     });
+    if (!this->ledgerTimer)
+        this->ledgerTimer = this->loop.every(LedgerInterval, [this] { this->runLedger(); });
+}
+
+void EntryHost::runLedger()
+{
+    const TimePoint now = this->loop.now();
+    const std::optional<TimePoint> next = this->ledger.nextTimer();
+    if (next && *next <= now)
+        this->ledger.onTimer(now);
 }
 
 void EntryHost::recordOrderAnswer(const OrderClaim &claim, const ServiceAnswer &answer)
@@ -142,9 +164,19 @@
 
 void EntryHost::refuse(const RequestId &request, const Failure &failure)
 {
+    this->ledger.onRefused(request, failure.verdict);
     this->callerApi.refuse(request, failure);
 }
 
+bool EntryHost::believedAlive(const HostId &host, Incarnation incarnation) const
+{
+    for (const MemberRecord &member : this->membership.live()) {
+        if (member.identity.host == host && member.identity.incarnation == incarnation)
+            return true;
+    }
+    return false;
+}
+
 void EntryHost::onToken(const AttemptId &attempt, const AnswerToken &token)
 {
     this->controller.onToken(attempt, token, this->loop.now());
@@ -268,6 +300,8 @@
 
 void EntryHost::armTimer()
 {
+    if (this->destroying)
+        return;
     const std::optional<TimePoint> next = this->controller.nextTimer();
     if (!next) {
         this->deadlineTimer.reset();
