--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -3,6 +3,8 @@
 #include "core/identity.h"
 #include "core/time.h"
 #include "core/verdict.h"
+#include "protocol/peer_message.h"
+#include "state/configuration.h"
 
 #include <cstdint>
 #include <string>
@@ -28,14 +30,16 @@
 struct PlacementChoice
 {
     ServerId server;
-    int priority = 0; ///< Given to the engine; a lower number runs first.
+    std::vector<ServerId> others; ///< Servers that share a prompt too long for one engine.
+    std::int64_t priority = 0;    ///< Given to the engine; a lower number runs first.
     Duration predictedFirstToken = Duration::zero();
 };
 
 /// What a backend server says of its own load, late.
 struct LoadReport
 {
-    std::uint64_t queuedPromptTokens = 0; ///< Prompt tokens that it has not processed yet.
+    std::uint64_t queuedPromptTokens = 0;    ///< Prompt tokens that it has not processed yet.
+    std::vector<std::uint64_t> queuedByBand; ///< The same by length band; empty if not known.
     std::uint64_t runningStreams = 0;
     std::uint64_t memoryTokensUsed = 0;
     bool draining = false;
@@ -47,6 +51,9 @@
 public:
     virtual ~Placement() = default;
 
+    /// Takes over what operators decided. Placements that use none of it ignore it.
+    virtual void applyConfiguration(const Configuration & /*configuration*/) {}
+
     /// Chooses a server for \a query, or says why the request is refused.
     virtual tl::expected<PlacementChoice, Failure> choose(const PlacementQuery &query,
                                                           TimePoint now) = 0;
@@ -63,6 +70,12 @@
 
     /// \a server reported its load.
     virtual void onLoadReport(const ServerId &server, const LoadReport &report, TimePoint now) = 0;
+
+    /// A peer told of its dispatches. Placements that use no news ignore it.
+    virtual void onNews(const DispatchNews & /*news*/, TimePoint /*now*/) {}
+
+    /// Returns what the peers should hear and has not been taken yet.
+    virtual DispatchNews takeNews() { return {}; }
 };
 
 } // namespace dotterel
--- /dev/null
+++ b/src/coordination/placement_candidates.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "coordination/backend_directory.h"
+#include "coordination/placement.h"
+
+namespace dotterel {
+
+/// Returns the servers that may run \a query at \a now; never an empty list, but a refusal instead.
+tl::expected<std::vector<const BackendServer *>, Failure>
+placementCandidates(const BackendDirectory &directory, const PlacementQuery &query, TimePoint now);
+
+} // namespace dotterel
--- a/src/coordination/request.h
+++ b/src/coordination/request.h
@@ -43,7 +43,7 @@
     AttemptId attempt;
     PoolKind kind = PoolKind::Model;
     BackendServer server;
-    int priority = 0;
+    std::int64_t priority = 0;  ///< A lower number runs first.
     std::uint64_t resumeAt = 0; ///< Index of the first token that is still missing.
     TimePoint deadline;
     const Request *request = nullptr; ///< Valid during the call only.
--- a/src/coordination/two_choices_placement.cpp
+++ b/src/coordination/two_choices_placement.cpp
@@ -1,40 +1,30 @@
 #include "coordination/two_choices_placement.h"
 
-#include <algorithm>
+#include "coordination/placement_candidates.h"
 
 namespace dotterel {
 
-namespace {
-
-constexpr Duration RetryWithoutServer = std::chrono::seconds(1);
-
-} // namespace
-
-TwoChoicesPlacement::TwoChoicesPlacement(const BackendDirectory &directory, RandomSource &random)
+TwoChoicesPlacement::TwoChoicesPlacement(const BackendDirectory &directory, RandomSource &random,
+                                         EnginePriority enginePriority)
     : directory(directory)
     , random(random)
+    , enginePriority(enginePriority)
 {}
 
 tl::expected<PlacementChoice, Failure> TwoChoicesPlacement::choose(const PlacementQuery &query,
                                                                    TimePoint now)
 {
-    std::vector<const BackendServer *> servers = this->directory.usable(query.pool, now);
-    const auto excluded = [&query](const BackendServer *server) {
-        return std::find(query.excluded.begin(), query.excluded.end(), server->id)
-               != query.excluded.end();
-    };
-    servers.erase(std::remove_if(servers.begin(), servers.end(), excluded), servers.end());
-    if (servers.empty())
-        return tl::unexpected(
-                Failure{Verdict::NotRun, Reason::NoBackendServer,
-                        "no backend server of pool \"" + query.pool + "\" can take the request",
-                        RetryWithoutServer});
+    const auto candidates = placementCandidates(this->directory, query, now);
+    if (!candidates)
+        return tl::unexpected(candidates.error());
+    const std::vector<const BackendServer *> &servers = *candidates;
     const BackendServer *first = servers[this->random.below(servers.size())];
     const BackendServer *second = servers[this->random.below(servers.size())];
     const bool takeSecond = this->load(second->id) < this->load(first->id);
     PlacementChoice choice;
     choice.server = takeSecond ? second->id : first->id;
-    choice.priority = static_cast<int>(lengthBand(query.promptTokens));
+    if (this->enginePriority == EnginePriority::ByLength)
+        choice.priority = static_cast<std::int64_t>(query.promptTokens);
     return choice;
 }
 
--- a/src/coordination/two_choices_placement.h
+++ b/src/coordination/two_choices_placement.h
@@ -8,12 +8,19 @@
 
 namespace dotterel {
 
-/// Takes the less loaded of two random servers and gives shorter prompts a higher priority.
+/// Whether engines are told to prefer shorter prompts.
+enum class EnginePriority {
+    None,
+    ByLength,
+};
+
+/// Takes the less loaded of two random servers and may give shorter prompts a higher priority.
 /// Load is what the server last reported plus what this host has sent to it.
 class TwoChoicesPlacement : public Placement
 {
 public:
-    TwoChoicesPlacement(const BackendDirectory &directory, RandomSource &random);
+    TwoChoicesPlacement(const BackendDirectory &directory, RandomSource &random,
+                        EnginePriority enginePriority = EnginePriority::ByLength);
 
     tl::expected<PlacementChoice, Failure> choose(const PlacementQuery &query,
                                                   TimePoint now) override;
@@ -35,6 +42,7 @@
 
     const BackendDirectory &directory;
     RandomSource &random;
+    EnginePriority enginePriority;
     std::map<AttemptId, Running> running;
     std::map<ServerId, std::uint64_t> sentTokens;
     std::map<ServerId, LoadReport> reports;
--- a/src/core/hashing.cpp
+++ b/src/core/hashing.cpp
@@ -11,6 +11,11 @@
     return XXH3_64bits(bytes.data(), bytes.size());
 }
 
+std::uint32_t hash32(std::string_view bytes)
+{
+    return static_cast<std::uint32_t>(hash64(bytes));
+}
+
 std::string hash128Hex(std::string_view bytes)
 {
     const XXH128_hash_t hash = XXH3_128bits(bytes.data(), bytes.size());
--- a/src/core/hashing.h
+++ b/src/core/hashing.h
@@ -10,6 +10,9 @@
 /// Returns the 64-bit xxHash3 of \a bytes.
 std::uint64_t hash64(std::string_view bytes);
 
+/// Returns 32 bits of the xxHash3 of \a bytes, for messages where bytes count.
+std::uint32_t hash32(std::string_view bytes);
+
 /// Returns the 128-bit xxHash3 of \a bytes as 32 hexadecimal digits.
 std::string hash128Hex(std::string_view bytes);
 
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -1,5 +1,6 @@
 #include "protocol/peer_message.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace dotterel {
@@ -11,6 +12,7 @@
 constexpr const char *HeartbeatType = "h";
 constexpr const char *RequestType = "r";
 constexpr const char *OfferType = "o";
+constexpr const char *NewsType = "n";
 
 nlohmann::json encodeIdentity(const HostIdentity &identity)
 {
@@ -46,6 +48,45 @@
     return {{TypeKey, OfferType}, {"v", offer.version}, {"c", offer.text}};
 }
 
+nlohmann::json encode(const DispatchNews &news)
+{
+    nlohmann::json events = nlohmann::json::array();
+    for (const DispatchEvent &event : news.events) {
+        nlohmann::json row = {static_cast<int>(event.kind), event.sequence};
+        if (event.kind == DispatchEventKind::Dispatched) {
+            row.push_back(event.server);
+            row.push_back(event.promptTokens);
+            row.push_back(event.priority);
+            row.push_back(event.workspace);
+            if (event.contextTokens > 0)
+                row.push_back(event.contextTokens);
+        }
+        events.push_back(std::move(row));
+    }
+    return {{TypeKey, NewsType}, {"s", news.sender}, {"e", events}};
+}
+
+DispatchNews decodeNews(const nlohmann::json &json)
+{
+    DispatchNews news;
+    news.sender = json.at("s").get<std::uint32_t>();
+    for (const nlohmann::json &row : json.at("e")) {
+        DispatchEvent event;
+        const int kind = std::clamp(row.at(0).get<int>(), 0, 2);
+        event.kind = static_cast<DispatchEventKind>(kind);
+        event.sequence = row.at(1).get<std::uint64_t>();
+        if (event.kind == DispatchEventKind::Dispatched) {
+            event.server = row.at(2).get<std::uint32_t>();
+            event.promptTokens = row.at(3).get<std::uint64_t>();
+            event.priority = row.at(4).get<std::int64_t>();
+            event.workspace = row.at(5).get<std::uint32_t>();
+            event.contextTokens = row.size() > 6 ? row.at(6).get<std::uint64_t>() : 0;
+        }
+        news.events.push_back(event);
+    }
+    return news;
+}
+
 Heartbeat decodeHeartbeat(const nlohmann::json &json)
 {
     Heartbeat heartbeat;
@@ -83,6 +124,8 @@
         if (type == OfferType)
             return ConfigurationOffer{json.at("v").get<std::uint64_t>(),
                                       json.at("c").get<std::string>()};
+        if (type == NewsType)
+            return decodeNews(json);
         return tl::unexpected("unknown message type \"" + type + "\"");
     } catch (const nlohmann::json::exception &error) {
         return tl::unexpected(std::string(error.what()));
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -41,7 +41,33 @@
     std::string text;
 };
 
-using PeerMessage = std::variant<Heartbeat, ConfigurationRequest, ConfigurationOffer>;
+/// What became of an attempt that the sender dispatched.
+enum class DispatchEventKind : std::uint8_t {
+    Dispatched = 0,
+    FirstToken = 1,
+    Ended = 2,
+};
+
+/// One step of an attempt; all but kind and sequence are only carried by Dispatched.
+struct DispatchEvent
+{
+    DispatchEventKind kind = DispatchEventKind::Dispatched;
+    std::uint64_t sequence = 0;      ///< Names the attempt at one server among those of the sender.
+    std::uint32_t server = 0;        ///< Hash of its name.
+    std::uint64_t promptTokens = 0;  ///< That this server processes.
+    std::uint64_t contextTokens = 0; ///< Of the prompt, on other servers before these.
+    std::int64_t priority = 0;       ///< A lower number runs first.
+    std::uint32_t workspace = 0;     ///< Hash of its name.
+};
+
+/// Tells the peers that share servers with the sender what it sent there.
+struct DispatchNews
+{
+    std::uint32_t sender = 0; ///< Hash of the host's name and incarnation.
+    std::vector<DispatchEvent> events;
+};
+
+using PeerMessage = std::variant<Heartbeat, ConfigurationRequest, ConfigurationOffer, DispatchNews>;
 
 /// Returns \a message as CBOR.
 std::string encodePeerMessage(const PeerMessage &message);
--- a/tests/fakes/fake_engine.cpp
+++ b/tests/fakes/fake_engine.cpp
@@ -59,7 +59,7 @@
     const std::string id = exchange->header("X-Attempt-Id");
     Attempt attempt;
     attempt.exchange = exchange;
-    attempt.priority = std::atoi(exchange->header("X-Priority").c_str());
+    attempt.priority = std::atoll(exchange->header("X-Priority").c_str());
     attempt.promptTokens = std::max<std::uint64_t>(1, body.size() / BytesPerToken);
     attempt.nextIndex = std::strtoull(exchange->header("X-Resume-At").c_str(), nullptr, 10);
     exchange->onClosed([this, id] { this->cancel(id); });
--- a/tests/fakes/fake_engine.h
+++ b/tests/fakes/fake_engine.h
@@ -40,7 +40,7 @@
     struct Attempt
     {
         HttpExchangePointer exchange;
-        int priority = 0;
+        std::int64_t priority = 0;
         std::uint64_t promptTokens = 0;
         std::uint64_t nextIndex = 0;
         EventLoop::TimerHandle timer;
