--- /dev/null
+++ b/src/state/sheet_reader.cpp
@@ -0,0 +1,384 @@
+#include "state/sheet_reader.h"
+
+#include "state/csv_table.h"
+#include "state/sheet_text.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdlib>
+#include <map>
+#include <set>
+
+namespace dotterel {
+
+namespace {
+
+constexpr std::size_t MostBytes = 8UL * 1024 * 1024;
+constexpr std::size_t MostNameBytes = 128;
+constexpr double LargestShare = 1e6;
+constexpr double ShortestDeadlineSeconds = 0.1;
+constexpr double LongestDeadlineSeconds = 86'400;
+
+enum class Column {
+    Kind,
+    Name,
+    Share,
+    Deadline,
+    Idempotent,
+    Exported,
+};
+
+enum class Kind {
+    Sheet,
+    Workspace,
+    Class,
+    Mark,
+};
+
+std::string lowered(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char character) {
+        return static_cast<char>(character < 0x80 ? std::tolower(character) : character);
+    });
+    return text;
+}
+
+template <typename Enum>
+std::optional<Enum> wordValue(const std::vector<SheetWord> &words, const std::string &text)
+{
+    const std::string wanted = lowered(text);
+    for (std::size_t i = 0; i < words.size(); ++i) {
+        if (words[i].english == wanted || words[i].spanish == wanted)
+            return static_cast<Enum>(i);
+    }
+    return std::nullopt;
+}
+
+std::string wordList(const std::vector<SheetWord> &words)
+{
+    std::string text;
+    for (const SheetWord &word : words)
+        text += (text.empty() ? "" : ", ") + std::string(word.english) + " or "
+                + std::string(word.spanish);
+    return text;
+}
+
+std::string columnLetter(std::size_t index)
+{
+    constexpr std::size_t Letters = 26;
+    std::string letter(1, static_cast<char>('A' + index % Letters));
+    return index < Letters ? letter : columnLetter(index / Letters - 1) + letter;
+}
+
+/// The delimiter of the first line: a semicolon if it has one outside quotation marks.
+char delimiterOf(const std::string &text)
+{
+    bool quoted = false;
+    for (const char character : text.substr(0, text.find('\n'))) {
+        if (character == '"')
+            quoted = !quoted;
+        if (character == ';' && !quoted)
+            return ';';
+    }
+    return ',';
+}
+
+/// Reads a number with a decimal comma or point and without separators of thousands.
+std::optional<double> decimal(std::string text)
+{
+    if (text.empty() || text.find_first_not_of("0123456789.,-") != std::string::npos)
+        return std::nullopt;
+    if (std::count_if(text.begin(), text.end(), [](char c) { return c == ',' || c == '.'; }) > 1)
+        return std::nullopt;
+    std::replace(text.begin(), text.end(), ',', '.');
+    char *end = nullptr;
+    const double value = std::strtod(text.c_str(), &end);
+    if (*end != '\0' || !std::isfinite(value))
+        return std::nullopt;
+    return value;
+}
+
+std::optional<bool> yesOrNo(const std::string &text)
+{
+    const std::string word = lowered(text);
+    for (const char *yes : {"yes", "sí", "sÍ", "si", "true", "verdadero"}) {
+        if (word == yes)
+            return true;
+    }
+    for (const char *no : {"no", "false", "falso"}) {
+        if (word == no)
+            return false;
+    }
+    return std::nullopt;
+}
+
+class SheetReader
+{
+public:
+    explicit SheetReader(const std::string &file)
+        : file(file)
+    {}
+
+    tl::expected<Sheet, std::vector<SheetFault>> read(std::string_view bytes)
+    {
+        this->readBytes(bytes);
+        if (!this->faults.empty())
+            return tl::unexpected(this->faults);
+        return this->sheet;
+    }
+
+private:
+    void readBytes(std::string_view bytes)
+    {
+        if (bytes.size() > MostBytes) {
+            this->fault(0, "has " + std::to_string(bytes.size()) + " bytes; at most "
+                                   + std::to_string(MostBytes) + " are read");
+            return;
+        }
+        const auto text = decodeSheetText(bytes);
+        if (!text) {
+            this->fault(0, text.error());
+            return;
+        }
+        const auto rows = readCsv(*text, delimiterOf(*text));
+        if (!rows)
+            this->fault(rows.error().row, rows.error().message);
+        else if (rows->empty())
+            this->fault(0, "is empty; its first row must name the columns "
+                                   + wordList(sheetColumns()));
+        else if (this->readHeader(rows->front()))
+            this->readRows(*rows);
+    }
+
+    bool readHeader(const CsvRow &row)
+    {
+        for (const std::string &cell : row.cells) {
+            const auto column = wordValue<Column>(sheetColumns(), cell);
+            this->headers.push_back(cell);
+            if (!column)
+                this->fault(row.number, this->headers.size() - 1,
+                            "unknown column \"" + cell + "\"; columns are "
+                                    + wordList(sheetColumns()));
+            else if (!this->places.emplace(*column, this->headers.size() - 1).second)
+                this->fault(row.number, this->headers.size() - 1, "the column is given twice");
+        }
+        for (const Column needed : {Column::Kind, Column::Name}) {
+            if (this->places.count(needed) == 0)
+                this->fault(
+                        row.number,
+                        "the column "
+                                + wordList({sheetColumns().at(static_cast<std::size_t>(needed))})
+                                + " is missing");
+        }
+        return this->faults.empty();
+    }
+
+    void readRows(const std::vector<CsvRow> &rows)
+    {
+        for (std::size_t i = 1; i < rows.size(); ++i)
+            this->readRow(rows[i]);
+    }
+
+    void readRow(const CsvRow &row)
+    {
+        if (row.cells.size() > this->headers.size()) {
+            this->fault(row.number, "has " + std::to_string(row.cells.size()) + " cells; the header"
+                                            + " names " + std::to_string(this->headers.size()));
+            return;
+        }
+        const std::string kindText = this->cell(row, Column::Kind);
+        const auto kind = wordValue<Kind>(sheetKinds(), kindText);
+        if (!kind) {
+            this->fault(row, Column::Kind,
+                        "must be " + wordList(sheetKinds()) + ", not \"" + kindText + "\"");
+            return;
+        }
+        switch (*kind) {
+        case Kind::Sheet:
+            this->readExportTime(row);
+            break;
+        case Kind::Workspace:
+            this->readWorkspace(row);
+            break;
+        case Kind::Class:
+            this->readClass(row);
+            break;
+        case Kind::Mark:
+            this->readMark(row);
+            break;
+        }
+    }
+
+    void readExportTime(const CsvRow &row)
+    {
+        this->rejectOthers(row, {Column::Exported});
+        const std::string text = this->cell(row, Column::Exported);
+        const auto time = parseIsoTime(text);
+        if (!time)
+            this->fault(row, Column::Exported,
+                        "must be a time with its zone, such as 2026-12-03T06:00:00-03:00, not \""
+                                + text + "\"");
+        else if (this->sheet.exportedAt)
+            this->fault(row, Column::Exported, "the export time is given twice");
+        else
+            this->sheet.exportedAt = time;
+    }
+
+    void readWorkspace(const CsvRow &row)
+    {
+        this->rejectOthers(row, {Column::Name, Column::Share});
+        const std::string name = this->nameOf(row, Kind::Workspace);
+        const auto share = this->number(row, Column::Share, 0, LargestShare);
+        if (share)
+            this->sheet.workspaces.push_back({row.number, name, *share});
+    }
+
+    void readClass(const CsvRow &row)
+    {
+        this->rejectOthers(row, {Column::Name, Column::Deadline});
+        const std::string name = this->nameOf(row, Kind::Class);
+        const auto seconds = this->number(row, Column::Deadline, ShortestDeadlineSeconds,
+                                          LongestDeadlineSeconds);
+        if (seconds)
+            this->sheet.classes.push_back({row.number, name, fromSeconds(*seconds)});
+    }
+
+    void readMark(const CsvRow &row)
+    {
+        this->rejectOthers(row, {Column::Name, Column::Idempotent});
+        const std::string name = this->nameOf(row, Kind::Mark);
+        const std::string text = this->cell(row, Column::Idempotent);
+        const auto idempotent = yesOrNo(text);
+        if (!idempotent)
+            this->fault(row, Column::Idempotent, "must be yes, sí or no, not \"" + text + "\"");
+        else
+            this->sheet.marks.push_back({row.number, name, *idempotent});
+    }
+
+    std::string nameOf(const CsvRow &row, Kind kind)
+    {
+        std::string name = this->cell(row, Column::Name);
+        if (name.empty())
+            this->fault(row, Column::Name, "must not be empty");
+        else if (name.size() > MostNameBytes)
+            this->fault(row, Column::Name,
+                        "is too long; a name has at most " + std::to_string(MostNameBytes)
+                                + " bytes");
+        else if (name.find_first_of("\n\t") != std::string::npos)
+            this->fault(row, Column::Name, "must be one line without tabs");
+        else if (const auto known = this->names.emplace(std::make_pair(kind, name), row.number);
+                 !known.second)
+            this->fault(row, Column::Name,
+                        "\"" + name + "\" stands in row " + std::to_string(known.first->second)
+                                + " already");
+        return name;
+    }
+
+    std::optional<double> number(const CsvRow &row, Column column, double least, double most)
+    {
+        const std::string text = this->cell(row, column);
+        const std::optional<double> value = decimal(text);
+        if (value && *value >= least && *value <= most)
+            return value;
+        const std::string leastText = least == 0 ? "0" : "0,1";
+        this->fault(row, column,
+                    "must be a number from " + leastText + " to "
+                            + std::to_string(static_cast<std::int64_t>(most))
+                            + " without separators of thousands, not \"" + text + "\"");
+        return std::nullopt;
+    }
+
+    void rejectOthers(const CsvRow &row, const std::set<Column> &allowed)
+    {
+        for (const auto &[column, place] : this->places) {
+            if (column == Column::Kind || allowed.count(column) > 0)
+                continue;
+            if (!this->cell(row, column).empty())
+                this->fault(row, column,
+                            "must be empty in a row of kind " + this->cell(row, Column::Kind));
+        }
+    }
+
+    std::string cell(const CsvRow &row, Column column) const
+    {
+        const auto place = this->places.find(column);
+        if (place == this->places.end() || place->second >= row.cells.size())
+            return {};
+        return row.cells[place->second];
+    }
+
+    void fault(const CsvRow &row, Column column, const std::string &message)
+    {
+        const auto place = this->places.find(column);
+        if (place != this->places.end()) {
+            this->fault(row.number, place->second, message);
+            return;
+        }
+        const SheetWord &word = sheetColumns().at(static_cast<std::size_t>(column));
+        this->fault(row.number, "needs the column " + wordList({word}));
+    }
+
+    void fault(std::size_t row, std::size_t place, const std::string &message)
+    {
+        this->faults.push_back({this->file, row,
+                                columnLetter(place) + " (" + this->headers.at(place) + ")",
+                                message});
+    }
+
+    void fault(std::size_t row, const std::string &message)
+    {
+        this->faults.push_back({this->file, row, "", message});
+    }
+
+    std::string file;
+    std::vector<std::string> headers;
+    std::map<Column, std::size_t> places;
+    std::map<std::pair<Kind, std::string>, std::size_t> names;
+    std::vector<SheetFault> faults;
+    Sheet sheet;
+};
+
+} // namespace
+
+std::string SheetFault::text() const
+{
+    std::string place = this->file;
+    if (this->row > 0)
+        place += ": row " + std::to_string(this->row);
+    if (!this->column.empty())
+        place += ", column " + this->column;
+    return place + ": " + this->message;
+}
+
+const std::vector<SheetWord> &sheetColumns()
+{
+    static const std::vector<SheetWord> words = {
+            {"kind", "tipo", "What the row is."},
+            {"name", "nombre", "The workspace or the request class."},
+            {"share", "cuota", "Workspace: its weight under overload, 0 to 1000000."},
+            {"deadline_s", "plazo_s", "Class: seconds from arrival to the end, 0,1 to 86400."},
+            {"idempotent", "idempotente", "Mark: yes, sí or no."},
+            {"exported", "exportado", "Sheet: when it was exported, with its zone."},
+    };
+    return words;
+}
+
+const std::vector<SheetWord> &sheetKinds()
+{
+    static const std::vector<SheetWord> words = {
+            {"sheet", "planilla", "The sheet itself: its export time."},
+            {"workspace", "espacio", "A workspace and its share."},
+            {"class", "clase", "A request class and its deadline."},
+            {"mark", "marca", "Whether the requests of a class are idempotent."},
+    };
+    return words;
+}
+
+tl::expected<Sheet, std::vector<SheetFault>> readSheet(std::string_view bytes,
+                                                       const std::string &file)
+{
+    return SheetReader(file).read(bytes);
+}
+
+} // namespace dotterel
--- a/src/transport/endpoint.h
+++ b/src/transport/endpoint.h
@@ -25,4 +25,7 @@
     std::string text() const { return this->address + ":" + std::to_string(this->port); }
 };
 
+/// Returns true if \a text is an IPv4 or IPv6 number, such as "10.0.0.1" or "::1".
+bool isIpNumber(const std::string &text);
+
 } // namespace dotterel
