Check settings from one table of keys

Cause: a key given twice, an empty or second document, bytes that are not UTF-8, a host name in place of an IP number and two equal endpoints passed or were reported without saying what is allowed; keys stood only in code. Change: settingTable() has a row a key, which reads, checks and documents it; parseYaml() and readTextFile() bound size and check UTF-8 for settings, configuration and sheet. Ruled out: a schema language for YAML; another parser for twelve keys. Conclusion: a new setting needs a member and a row.

--- a/programs/dotterelfieldd.cpp
+++ b/programs/dotterelfieldd.cpp
@@ -1,12 +1,11 @@
 #include "core/structured_log.h"
 #include "entry_host/entry_host.h"
+#include "state/text_file.h"
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
 #include <popt.h>
 #include <random>
-#include <sstream>
 
 namespace {
 
@@ -52,12 +51,10 @@
 tl::expected<dotterel::Settings, std::vector<dotterel::YamlFault>>
 loadSettings(const std::string &path)
 {
-    std::ifstream file(path);
-    if (!file)
-        return tl::unexpected(std::vector<dotterel::YamlFault>{{path, 0, "", "cannot be opened"}});
-    std::ostringstream text;
-    text << file.rdbuf();
-    return dotterel::settingsFromYaml(text.str(), path);
+    const auto text = dotterel::readTextFile(path, dotterel::MostSettingsBytes);
+    if (!text)
+        return tl::unexpected(std::vector<dotterel::YamlFault>{{path, 0, "", text.error()}});
+    return dotterel::settingsFromYaml(*text, path);
 }
 
 /// A later start of the same host draws a higher number; the low bits part two starts at once.
--- a/src/operator_tools/deployment.cpp
+++ b/src/operator_tools/deployment.cpp
@@ -19,9 +19,11 @@
     case HttpFailureKind::ConnectionLost:
         return "connection lost";
     case HttpFailureKind::Malformed:
+        return "malformed answer";
+    case HttpFailureKind::AnswerCut:
         break;
     }
-    return "malformed answer";
+    return "the answer broke off";
 }
 
 tl::expected<HostStatus, std::string> statusOf(const std::optional<HttpResponse> &response,
--- a/src/operator_tools/operator_commands.cpp
+++ b/src/operator_tools/operator_commands.cpp
@@ -5,18 +5,17 @@
 #include "operator_tools/text_table.h"
 #include "state/configuration_codec.h"
 #include "state/sheet_text.h"
+#include "state/text_file.h"
 
 #include <algorithm>
-#include <fstream>
 #include <nlohmann/json.hpp>
 #include <ostream>
-#include <sstream>
 
 namespace dotterel {
 
 namespace {
 
-constexpr std::uintmax_t MostFileBytes = 64UL * 1024 * 1024;
+constexpr std::size_t MostFileBytes = 64UL * 1024 * 1024;
 constexpr int DrainTries = 5;
 /// How far the clocks of the planners and of this machine may differ.
 constexpr WallMilliseconds ClockToleranceMilliseconds = 300'000;
@@ -270,18 +269,10 @@
 
 tl::expected<std::string, ExitCode> OperatorCommands::readFile(const std::string &path)
 {
-    std::ifstream file(path, std::ios::binary);
-    std::ostringstream text;
-    if (!file || !(text << file.rdbuf()).good())
-        return tl::unexpected(
-                this->fail(ExitCode::BadInput, path + ": cannot be read, or is empty"));
-    std::string content = text.str();
-    if (content.size() > MostFileBytes)
-        return tl::unexpected(this->fail(ExitCode::BadInput,
-                                         path + ": has " + std::to_string(content.size())
-                                                 + " bytes; at most "
-                                                 + std::to_string(MostFileBytes) + " are read"));
-    return content;
+    const auto text = readTextFile(path, MostFileBytes);
+    if (!text)
+        return tl::unexpected(this->fail(ExitCode::BadInput, path + ": " + text.error()));
+    return *text;
 }
 
 tl::expected<Configuration, ExitCode> OperatorCommands::loadStored()
--- a/src/state/configuration_codec.cpp
+++ b/src/state/configuration_codec.cpp
@@ -11,6 +11,7 @@
 constexpr double LargestShare = 1e6;
 constexpr std::uint64_t LargestMemoryTokens = 1'000'000'000;
 constexpr std::uint64_t LargestPort = 65'535;
+constexpr std::size_t MostYamlBytes = 64UL * 1024 * 1024;
 
 class ConfigurationReader
 {
@@ -24,12 +25,9 @@
 
     tl::expected<Configuration, std::vector<YamlFault>> read(const std::string &text)
     {
-        try {
-            const YAML::Node root = YAML::Load(text);
+        const YAML::Node root = parseYaml(text, this->file, MostYamlBytes, this->faults);
+        if (this->faults.empty())
             this->readRoot(root);
-        } catch (const YAML::Exception &error) {
-            this->faults.push_back({this->file, error.mark.line + 1, "", error.msg});
-        }
         if (!this->faults.empty())
             return tl::unexpected(this->faults);
         return this->configuration;
@@ -110,6 +108,9 @@
         reader.readBoolean("draining", server.draining);
         reader.rejectUnknownKeys();
         server.endpoint.port = static_cast<std::uint16_t>(port);
+        if (reader.has("address") && !isIpNumber(server.endpoint.address))
+            reader.fault("address",
+                         "must be an IP number, not \"" + server.endpoint.address + "\"");
         const bool poolExists = this->configuration.pools.count(server.pool) > 0
                                 || this->base.pools.count(server.pool) > 0;
         if (!server.pool.empty() && !poolExists)
--- a/src/state/settings.cpp
+++ b/src/state/settings.cpp
@@ -1,5 +1,6 @@
 #include "state/settings.h"
 
+#include <array>
 #include <yaml-cpp/yaml.h>
 
 namespace dotterel {
@@ -10,92 +11,250 @@
 constexpr std::uint64_t LargestBodyBytes = 256UL * 1024 * 1024;
 constexpr std::uint64_t MostRequestsInFlight = 1'000'000;
 constexpr std::uint64_t LongestMilliseconds = 600'000;
+constexpr std::uint64_t LongestNameBytes = 64;
+constexpr const char *NameCharacters =
+        "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+constexpr std::array<Severity, 4> Severities = {Severity::Debug, Severity::Info, Severity::Warning,
+                                                Severity::Error};
 
-class SettingsReader
+std::vector<std::string> severityNames()
+{
+    std::vector<std::string> names;
+    names.reserve(Severities.size());
+    for (const Severity severity : Severities)
+        names.emplace_back(severityName(severity));
+    return names;
+}
+
+std::uint64_t milliseconds(Duration duration)
+{
+    return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+std::string rangeText(const SettingInfo &setting)
+{
+    return std::to_string(setting.least) + " to " + std::to_string(setting.most);
+}
+
+/// Says what is allowed for a setting, by the type of its member.
+struct AllowedText
+{
+    const SettingInfo &setting;
+
+    std::string operator()(std::string Settings::* /*member*/) const
+    {
+        return "letters, digits, `-`, `_` and `.`, at most " + std::to_string(setting.most);
+    }
+    std::string operator()(Endpoint Settings::* /*member*/) const
+    {
+        return "map of `address`, an IP number, and `port`, " + rangeText(setting);
+    }
+    std::string operator()(std::uint64_t Settings::* /*member*/) const
+    {
+        return rangeText(setting);
+    }
+    std::string operator()(Duration Settings::* /*member*/) const
+    {
+        return rangeText(setting) + " milliseconds";
+    }
+    std::string operator()(Severity Settings::* /*member*/) const
+    {
+        std::string text;
+        for (const std::string &name : severityNames())
+            text += (text.empty() ? "`" : ", `") + name + "`";
+        return text;
+    }
+};
+
+/// Writes the value of a setting, by the type of its member.
+struct ValueText
+{
+    const Settings &settings;
+
+    std::string operator()(std::string Settings::*member) const { return settings.*member; }
+    std::string operator()(Endpoint Settings::*member) const { return (settings.*member).text(); }
+    std::string operator()(std::uint64_t Settings::*member) const
+    {
+        return std::to_string(settings.*member);
+    }
+    std::string operator()(Duration Settings::*member) const
+    {
+        return std::to_string(milliseconds(settings.*member));
+    }
+    std::string operator()(Severity Settings::*member) const
+    {
+        return std::string(severityName(settings.*member));
+    }
+};
+
+/// Reads one setting after another into their members.
+class SettingReader
 {
 public:
-    explicit SettingsReader(std::string file)
-        : file(std::move(file))
+    SettingReader(YamlMapReader &reader, std::vector<YamlFault> &faults, std::string file,
+                  Settings &settings)
+        : reader(reader)
+        , faults(faults)
+        , file(std::move(file))
+        , settings(settings)
     {}
 
-    tl::expected<Settings, std::vector<YamlFault>> read(const std::string &text)
+    void read(const SettingInfo &setting)
     {
-        try {
-            const YAML::Node root = YAML::Load(text);
-            this->readRoot(root);
-        } catch (const YAML::Exception &error) {
-            this->faults.push_back({this->file, error.mark.line + 1, "", error.msg});
-        }
-        if (!this->faults.empty())
-            return tl::unexpected(this->faults);
-        return this->settings;
+        std::visit([this, &setting](auto member) { this->readMember(setting, member); },
+                   setting.member);
     }
 
 private:
-    void readRoot(const YAML::Node &root)
+    void readMember(const SettingInfo &setting, std::string Settings::*member)
     {
-        YamlMapReader reader(root, this->file, "", this->faults);
-        reader.readString("host", this->settings.host, true);
-        reader.readString("failure-domain", this->settings.failureDomain, true);
-        this->readEndpoint(reader, "callers", this->settings.callers, 0);
-        this->readEndpoint(reader, "operators", this->settings.operators, 0);
-        this->readEndpoint(reader, "peers", this->settings.peers, 0);
-        this->readEndpoint(reader, "platform", this->settings.platform, 1);
-        reader.readInteger("max-body-bytes", this->settings.maxBodyBytes, 1'024, LargestBodyBytes);
-        reader.readInteger("max-requests-in-flight", this->settings.maxRequestsInFlight, 1,
-                           MostRequestsInFlight);
-        this->readMilliseconds(reader, "platform-timeout-ms", this->settings.platformTimeout);
-        this->readMilliseconds(reader, "heartbeat-interval-ms", this->settings.heartbeatInterval);
-        this->readMilliseconds(reader, "shutdown-grace-ms", this->settings.shutdownGrace);
-        this->readSeverity(reader);
-        reader.rejectUnknownKeys();
+        const std::string key(setting.key);
+        std::string &name = this->settings.*member;
+        this->reader.readString(key, name, setting.required);
+        if (name.size() > setting.most || name.find_first_not_of(NameCharacters) != name.npos)
+            this->reader.fault(key, "must be " + settingAllowed(setting));
     }
 
-    void readEndpoint(YamlMapReader &parent, const std::string &key, Endpoint &endpoint,
-                      std::uint64_t leastPort)
+    void readMember(const SettingInfo &setting, Endpoint Settings::*member)
     {
-        if (!parent.has(key))
-            parent.fault(key, "is missing; it must be a map of address and port");
-        const YAML::Node node = parent.readMap(key);
-        if (!parent.has(key))
+        const std::string key(setting.key);
+        if (!this->reader.has(key)) {
+            this->reader.fault(key, "is missing; it must be a " + settingAllowed(setting));
+            this->reader.readMap(key);
             return;
-        YamlMapReader reader(node, this->file, key, this->faults);
+        }
+        Endpoint &endpoint = this->settings.*member;
+        const YAML::Node node = this->reader.readMap(key);
+        YamlMapReader map(node, this->file, key, this->faults);
         std::uint64_t port = 0;
-        reader.readString("address", endpoint.address, true);
-        reader.readInteger("port", port, leastPort, LargestPort, true);
-        reader.rejectUnknownKeys();
+        map.readString("address", endpoint.address, true);
+        map.readInteger("port", port, setting.least, setting.most, true);
+        map.rejectUnknownKeys();
+        if (map.has("address") && !isIpNumber(endpoint.address))
+            map.fault("address", "must be an IP number, not \"" + endpoint.address + "\"");
         endpoint.port = static_cast<std::uint16_t>(port);
     }
 
-    void readMilliseconds(YamlMapReader &reader, const std::string &key, Duration &value)
+    void readMember(const SettingInfo &setting, std::uint64_t Settings::*member)
     {
-        std::uint64_t milliseconds = static_cast<std::uint64_t>(value.count() / 1'000);
-        reader.readInteger(key, milliseconds, 1, LongestMilliseconds);
-        value = std::chrono::milliseconds(milliseconds);
+        this->reader.readInteger(std::string(setting.key), this->settings.*member, setting.least,
+                                 setting.most, setting.required);
     }
 
-    void readSeverity(YamlMapReader &reader)
+    void readMember(const SettingInfo &setting, Duration Settings::*member)
     {
-        std::string name(severityName(this->settings.logThreshold));
-        reader.readChoice("log-threshold", name, {"debug", "info", "warning", "error"});
-        for (const Severity severity :
-             {Severity::Debug, Severity::Info, Severity::Warning, Severity::Error}) {
+        std::uint64_t value = milliseconds(this->settings.*member);
+        this->reader.readInteger(std::string(setting.key), value, setting.least, setting.most,
+                                 setting.required);
+        this->settings.*member = std::chrono::milliseconds(value);
+    }
+
+    void readMember(const SettingInfo &setting, Severity Settings::*member)
+    {
+        std::string name(severityName(this->settings.*member));
+        this->reader.readChoice(std::string(setting.key), name, severityNames(), setting.required);
+        for (const Severity severity : Severities) {
             if (severityName(severity) == name)
-                this->settings.logThreshold = severity;
+                this->settings.*member = severity;
         }
     }
 
+    YamlMapReader &reader;
+    std::vector<YamlFault> &faults;
     std::string file;
-    std::vector<YamlFault> faults;
-    Settings settings;
+    Settings &settings;
 };
 
+bool isWildcard(const Endpoint &endpoint)
+{
+    return endpoint.address == "0.0.0.0" || endpoint.address == "::";
+}
+
+bool overlap(const Endpoint &left, const Endpoint &right)
+{
+    const bool sameAddress = left.address == right.address || isWildcard(left) || isWildcard(right);
+    return left.port != 0 && left.port == right.port && sameAddress;
+}
+
+void rejectOverlaps(YamlMapReader &reader, const Settings &settings)
+{
+    std::vector<std::pair<std::string, Endpoint>> seen;
+    for (const SettingInfo &setting : settingTable()) {
+        const auto *member = std::get_if<Endpoint Settings::*>(&setting.member);
+        if (member == nullptr)
+            continue;
+        const Endpoint &endpoint = settings.**member;
+        const std::string key(setting.key);
+        for (const auto &[otherKey, other] : seen) {
+            if (overlap(endpoint, other))
+                reader.fault(key, "must differ from " + otherKey + ", which is " + other.text()
+                                          + " too");
+        }
+        seen.emplace_back(key, endpoint);
+    }
+}
+
 } // namespace
 
+const std::vector<SettingInfo> &settingTable()
+{
+    static const std::vector<SettingInfo> table = {
+            {"host", &Settings::host, true, 1, LongestNameBytes,
+             "Name of this entry host, unique in the deployment."},
+            {"failure-domain", &Settings::failureDomain, true, 1, LongestNameBytes,
+             "Failure domain of this entry host."},
+            {"callers", &Settings::callers, true, 0, LargestPort,
+             "Where callers are served; port 0 takes a free one."},
+            {"operators", &Settings::operators, true, 0, LargestPort,
+             "Where status, metrics and health are served; port 0 takes a free one."},
+            {"peers", &Settings::peers, true, 0, LargestPort,
+             "Where other entry hosts connect; port 0 takes a free one."},
+            {"platform", &Settings::platform, true, 1, LargestPort,
+             "The platform's object API and list of hosts."},
+            {"max-body-bytes", &Settings::maxBodyBytes, false, 1'024, LargestBodyBytes,
+             "Longest body of a caller's request, in bytes."},
+            {"max-requests-in-flight", &Settings::maxRequestsInFlight, false, 1,
+             MostRequestsInFlight, "More requests than this at once are refused."},
+            {"platform-timeout-ms", &Settings::platformTimeout, false, 1, LongestMilliseconds,
+             "Longest wait for an answer of the platform."},
+            {"heartbeat-interval-ms", &Settings::heartbeatInterval, false, 1, LongestMilliseconds,
+             "Time between heartbeats to other entry hosts."},
+            {"shutdown-grace-ms", &Settings::shutdownGrace, false, 1, LongestMilliseconds,
+             "Time from not ready to the end of listening in a graceful shutdown."},
+            {"log-threshold", &Settings::logThreshold, false, 0, 0,
+             "Events below this severity are not logged."},
+    };
+    return table;
+}
+
+std::string settingAllowed(const SettingInfo &setting)
+{
+    return std::visit(AllowedText{setting}, setting.member);
+}
+
+std::string settingText(const SettingInfo &setting, const Settings &settings)
+{
+    return std::visit(ValueText{settings}, setting.member);
+}
+
 tl::expected<Settings, std::vector<YamlFault>> settingsFromYaml(const std::string &text,
                                                                 const std::string &file)
 {
-    return SettingsReader(file).read(text);
+    Settings settings;
+    std::vector<YamlFault> faults;
+    const YAML::Node root = parseYaml(text, file, MostSettingsBytes, faults);
+    if (faults.empty()) {
+        YamlMapReader reader(root, file, "", faults);
+        SettingReader settingReader(reader, faults, file, settings);
+        for (const SettingInfo &setting : settingTable())
+            settingReader.read(setting);
+        reader.rejectUnknownKeys();
+        rejectOverlaps(reader, settings);
+    }
+    if (!faults.empty())
+        return tl::unexpected(faults);
+    return settings;
 }
 
 } // namespace dotterel
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -7,11 +7,16 @@
 #include "transport/endpoint.h"
 
 #include <string>
+#include <string_view>
 #include <tl/expected.hpp>
+#include <variant>
 #include <vector>
 
 namespace dotterel {
 
+/// Longest settings file that is read.
+inline constexpr std::size_t MostSettingsBytes = 64UL * 1024;
+
 /// Settings of one entry host, read from YAML once at its start. docs/SETTINGS.md is the page.
 struct Settings
 {
@@ -29,6 +34,31 @@
     Severity logThreshold = Severity::Info;
 };
 
+/// The member that a setting is read into; its type says how the setting is written.
+using SettingMember =
+        std::variant<std::string Settings::*, Endpoint Settings::*, std::uint64_t Settings::*,
+                     Duration Settings::*, Severity Settings::*>;
+
+/// One key of the settings. A new setting needs a member and a row; nothing else.
+struct SettingInfo
+{
+    std::string_view key;
+    SettingMember member;
+    bool required;
+    std::uint64_t least; ///< Numbers, milliseconds and, for an endpoint, its port.
+    std::uint64_t most;
+    std::string_view meaning;
+};
+
+/// Returns all rows of the table of settings, in the order in which they are documented.
+const std::vector<SettingInfo> &settingTable();
+
+/// Returns what is allowed for \a setting, in words.
+std::string settingAllowed(const SettingInfo &setting);
+
+/// Returns the value of \a setting in \a settings as a file would give it.
+std::string settingText(const SettingInfo &setting, const Settings &settings);
+
 /// Reads settings from \a text; \a file names the source in faults. Returns every fault at once.
 tl::expected<Settings, std::vector<YamlFault>> settingsFromYaml(const std::string &text,
                                                                 const std::string &file);
--- a/src/state/sheet_text.cpp
+++ b/src/state/sheet_text.cpp
@@ -1,12 +1,12 @@
 #include "state/sheet_text.h"
 
+#include "state/text_file.h"
+
 #include <unicode/normalizer2.h>
 #include <unicode/smpdtfmt.h>
 #include <unicode/uchar.h>
 #include <unicode/ucnv.h>
 #include <unicode/unistr.h>
-#include <unicode/ustring.h>
-#include <vector>
 
 namespace dotterel {
 
@@ -25,15 +25,6 @@
     return startsWith(bytes, "\xFF\xFE") || startsWith(bytes, "\xFE\xFF");
 }
 
-bool isUtf8(std::string_view bytes)
-{
-    UErrorCode status = U_ZERO_ERROR;
-    std::int32_t length = 0;
-    u_strFromUTF8(nullptr, 0, &length, bytes.data(), static_cast<std::int32_t>(bytes.size()),
-                  &status);
-    return U_SUCCESS(status) || status == U_BUFFER_OVERFLOW_ERROR;
-}
-
 icu::UnicodeString decoded(std::string_view bytes)
 {
     const std::int32_t size = static_cast<std::int32_t>(bytes.size());
--- a/src/state/yaml_reader.cpp
+++ b/src/state/yaml_reader.cpp
@@ -1,8 +1,11 @@
 #include "state/yaml_reader.h"
 
+#include "state/text_file.h"
+
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
+#include <set>
 #include <yaml-cpp/yaml.h>
 
 namespace dotterel {
@@ -28,6 +31,33 @@
 
 } // namespace
 
+YAML::Node parseYaml(const std::string &text, const std::string &file, std::size_t mostBytes,
+                     std::vector<YamlFault> &faults)
+{
+    if (text.size() > mostBytes) {
+        faults.push_back({file, 0, "",
+                          "has " + std::to_string(text.size()) + " bytes; at most "
+                                  + std::to_string(mostBytes) + " are read"});
+        return {};
+    }
+    if (!isUtf8(text)) {
+        faults.push_back({file, 0, "", "is not UTF-8"});
+        return {};
+    }
+    try {
+        const std::vector<YAML::Node> documents = YAML::LoadAll(text);
+        if (documents.size() == 1)
+            return documents.front();
+        faults.push_back({file, 0, "",
+                          documents.empty() ? "is empty; it must be a map of keys and "
+                                              "values"
+                                            : "must be one YAML document only"});
+    } catch (const YAML::Exception &error) {
+        faults.push_back({file, error.mark.line + 1, "", error.msg});
+    }
+    return {};
+}
+
 std::string YamlFault::text() const
 {
     const std::string place = this->line > 0 ? ":" + std::to_string(this->line) : "";
@@ -45,6 +75,8 @@
     if (!this->node.IsMap())
         this->faults.push_back({this->file, this->node.Mark().line + 1, this->path,
                                 "must be a map of keys and values"});
+    else
+        this->rejectDuplicateKeys();
 }
 
 bool YamlMapReader::has(const std::string &key) const
@@ -161,6 +193,17 @@
     this->faults.push_back({this->file, this->lineOf(key), this->pathOf(key), message});
 }
 
+void YamlMapReader::rejectDuplicateKeys()
+{
+    std::set<std::string> seen;
+    for (const auto &entry : this->node) {
+        const bool scalar = entry.first.IsScalar();
+        if (scalar && !seen.insert(entry.first.Scalar()).second)
+            this->faults.push_back({this->file, entry.first.Mark().line + 1,
+                                    this->pathOf(entry.first.Scalar()), "the key is given twice"});
+    }
+}
+
 int YamlMapReader::lineOf(const std::string &key) const
 {
     if (this->has(key))
--- a/src/state/yaml_reader.h
+++ b/src/state/yaml_reader.h
@@ -24,11 +24,17 @@
     std::string text() const;
 };
 
+/// Reads \a text, one YAML document in UTF-8 of at most \a mostBytes bytes. Returns an empty node
+/// and adds to \a faults if it is none.
+YAML::Node parseYaml(const std::string &text, const std::string &file, std::size_t mostBytes,
+                     std::vector<YamlFault> &faults);
+
 /// Reads the keys of one YAML map and collects every fault instead of stopping at the first.
 class YamlMapReader
 {
 public:
-    /// Reads \a node, called \a path in messages. Faults go to \a faults.
+    /// Reads \a node, called \a path in messages. Faults go to \a faults, the first of them if the
+    /// node is no map or gives a key twice.
     YamlMapReader(const YAML::Node &node, std::string file, std::string path,
                   std::vector<YamlFault> &faults);
 
@@ -66,6 +72,7 @@
     void fault(const std::string &key, const std::string &message);
 
 private:
+    void rejectDuplicateKeys();
     int lineOf(const std::string &key) const;
     std::string pathOf(const std::string &key) const;
     bool scalar(const std::string &key, const std::string &expected, bool required,
