--- a/src/coordination/request.h
+++ b/src/coordination/request.h
@@ -43,7 +43,7 @@
     AttemptId attempt;
     PoolKind kind = PoolKind::Model;
     BackendServer server;
-    int priority = 0;
+    std::int64_t priority = 0;  ///< A lower number runs first.
     std::uint64_t resumeAt = 0; ///< Index of the first token that is still missing.
     TimePoint deadline;
     const Request *request = nullptr; ///< Valid during the call only.
@@ -78,9 +78,10 @@
 
 /// What a failed attempt says of the backend server.
 enum class ServerFault {
-    None,       ///< The server answered and goes on.
-    Draining,   ///< The server refused because it is leaving.
-    Unreachable ///< The connection failed or broke.
+    None,        ///< The server answered and goes on.
+    Draining,    ///< The server refused because it is leaving.
+    Unreachable, ///< It could not be connected or did not answer in time.
+    Died         ///< The connection broke while the request was running.
 };
 
 /// How an attempt failed.
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -1,5 +1,6 @@
 #include "protocol/peer_message.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace dotterel {
@@ -12,6 +13,11 @@
 constexpr const char *RequestType = "r";
 constexpr const char *OfferType = "o";
 constexpr const char *OutcomeType = "u";
+constexpr const char *CrashType = "c";
+constexpr const char *NewsType = "n";
+
+constexpr std::size_t MostFingerprintBytes = 64;
+constexpr std::size_t MostCrashes = 8;
 
 nlohmann::json encodeIdentity(const HostIdentity &identity)
 {
@@ -63,6 +69,76 @@
             std::string(record.begin(), record.end())};
 }
 
+nlohmann::json encode(const CrashNotice &notice)
+{
+    nlohmann::json crashes = nlohmann::json::array();
+    for (const CrashRecord &crash : notice.crashes)
+        crashes.push_back({crash.server, crash.age.count()});
+    nlohmann::json json = {
+            {TypeKey, CrashType}, {"f", notice.fingerprint}, {"c", crashes}, {"r", notice.runsOn}};
+    if (notice.cleared)
+        json["x"] = notice.cleared->count();
+    return json;
+}
+
+Duration decodeAge(const nlohmann::json &json)
+{
+    return Duration(std::max<Duration::rep>(0, json.get<Duration::rep>()));
+}
+
+CrashNotice decodeCrashNotice(const nlohmann::json &json)
+{
+    CrashNotice notice;
+    notice.fingerprint = json.at("f").get<std::string>();
+    if (notice.fingerprint.size() > MostFingerprintBytes || json.at("c").size() > MostCrashes)
+        throw nlohmann::json::other_error::create(0, "the notice is too long", &json);
+    for (const nlohmann::json &item : json.at("c"))
+        notice.crashes.push_back({item.at(0).get<ServerId>(), decodeAge(item.at(1))});
+    if (json.contains("x"))
+        notice.cleared = decodeAge(json.at("x"));
+    notice.runsOn = json.at("r").get<ServerId>();
+    return notice;
+}
+
+nlohmann::json encode(const DispatchNews &news)
+{
+    nlohmann::json events = nlohmann::json::array();
+    for (const DispatchEvent &event : news.events) {
+        nlohmann::json row = {static_cast<int>(event.kind), event.sequence};
+        if (event.kind == DispatchEventKind::Dispatched) {
+            row.push_back(event.server);
+            row.push_back(event.promptTokens);
+            row.push_back(event.priority);
+            row.push_back(event.workspace);
+            if (event.contextTokens > 0)
+                row.push_back(event.contextTokens);
+        }
+        events.push_back(std::move(row));
+    }
+    return {{TypeKey, NewsType}, {"s", news.sender}, {"e", events}};
+}
+
+DispatchNews decodeNews(const nlohmann::json &json)
+{
+    DispatchNews news;
+    news.sender = json.at("s").get<std::uint32_t>();
+    for (const nlohmann::json &row : json.at("e")) {
+        DispatchEvent event;
+        const int kind = std::clamp(row.at(0).get<int>(), 0, 2);
+        event.kind = static_cast<DispatchEventKind>(kind);
+        event.sequence = row.at(1).get<std::uint64_t>();
+        if (event.kind == DispatchEventKind::Dispatched) {
+            event.server = row.at(2).get<std::uint32_t>();
+            event.promptTokens = row.at(3).get<std::uint64_t>();
+            event.priority = row.at(4).get<std::int64_t>();
+            event.workspace = row.at(5).get<std::uint32_t>();
+            event.contextTokens = row.size() > 6 ? row.at(6).get<std::uint64_t>() : 0;
+        }
+        news.events.push_back(event);
+    }
+    return news;
+}
+
 Heartbeat decodeHeartbeat(const nlohmann::json &json)
 {
     Heartbeat heartbeat;
@@ -102,6 +178,10 @@
                                       json.at("c").get<std::string>()};
         if (type == OutcomeType)
             return decodeOutcome(json);
+        if (type == CrashType)
+            return decodeCrashNotice(json);
+        if (type == NewsType)
+            return decodeNews(json);
         return tl::unexpected("unknown message type \"" + type + "\"");
     } catch (const nlohmann::json::exception &error) {
         return tl::unexpected(std::string(error.what()));
