--- a/src/bench/bench_run.cpp
+++ b/src/bench/bench_run.cpp
@@ -128,7 +128,8 @@
         entry.request.workspace = this->workload.workspaces[arrival.workspace].name;
         entry.request.requestClass = benchRequestClass(arrival.promptTokens);
         entry.request.pool = BenchPool;
-        entry.request.body = this->body;
+        // The guard against requests that crash servers tells them apart by their bodies.
+        entry.request.body = std::make_shared<const std::string>(entry.request.id);
         entry.request.promptTokens = arrival.promptTokens;
         entry.request.maxTokens = arrival.answerTokens;
         entry.request.prefixHashes = arrival.prefixHashes;
@@ -275,7 +276,6 @@
     WorkloadGenerator generator;
     RunRecord record;
     Duration end = Duration::zero();
-    std::shared_ptr<const std::string> body = std::make_shared<const std::string>();
     BenchEngines engines;
     std::vector<std::unique_ptr<BenchHost>> hosts;
     std::vector<bool> newsScheduled;
