--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -3,7 +3,7 @@
 #include "coordination/backend_directory.h"
 #include "coordination/configuration_follower.h"
 #include "coordination/membership.h"
-#include "coordination/order_ledger.h"
+#include "coordination/order_object_ledger.h"
 #include "coordination/request_controller.h"
 #include "coordination/two_choices_placement.h"
 #include "core/prometheus_metrics.h"
@@ -28,6 +28,7 @@
     , private AttemptListener
     , private CallerListener
     , private PeerListener
+    , private HostLiveness
     , private OperatorTarget
 {
 public:
@@ -77,6 +78,8 @@
     // PeerListener
     void onPeerMessage(std::uint64_t link, const PeerMessage &message) override;
 
+    // HostLiveness
+    bool believedAlive(const HostId &host, Incarnation incarnation) const override;
     // OperatorTarget
     bool isReady() const override;
     HostStatus status() const override;
@@ -87,6 +90,7 @@
     void readHosts();
     void heartbeat();
     void armTimer();
+    void runLedger();
     void finishShutdownIfIdle();
 
     EventLoop &loop;
@@ -101,7 +105,7 @@
     TwoChoicesPlacement placement;
     CrashGuard crashGuard;
     RequestController controller;
-    OrderLedger ledger;
+    OrderObjectLedger ledger;
     ConfigurationFollower follower;
     Membership membership;
     HttpBackendClient backend;
@@ -110,10 +114,13 @@
     OperatorApi operatorApi;
     std::function<void()> drained;
     bool shuttingDown = false;
+    bool destroying = false;
     bool platformReachable = true;
     std::uint64_t watchedVersion = 0; ///< Of the object that holds the configuration.
     std::function<void()> shutdownFinished;
     EventLoop::TimerHandle deadlineTimer;
+    EventLoop::TimerHandle ledgerTimer; ///< Runs from the first order on.
+    std::optional<TimePoint> ledgerGraceEnds;
     EventLoop::TimerHandle heartbeatTimer;
     EventLoop::TimerHandle hostsTimer;
     EventLoop::TimerHandle watchTimer;
