Cut no request when a host shuts down

Cause: after the grace time a request on a kept-alive connection was refused, a caller whose body was still being read was cut, and answers carried no Connection: close, so callers kept coming. Ruled out: counting connections; evhttp tells neither when one opens nor when it is half read. Bytes that still come in are counted instead: the host ends when nothing ran, nothing waited to be sent and no byte came in for 500 ms. Requests that come more than 10 s after the end of listening are refused, so that a shutdown ends. Not proved: an upload that pauses for more than 500 ms after the grace time is cut.

--- a/src/bench/bench_host.cpp
+++ b/src/bench/bench_host.cpp
@@ -40,7 +40,9 @@
     , random(seed)
     , directory(this->log, this->metrics)
     , inner(makePlacement(policy, workload, this->directory, this->random, this->self, number))
-    , controller(RequestLimits{}, this->directory, *this, *this, this->metrics, this->log)
+    , crashGuard(CrashLimits{}, this->metrics, this->log)
+    , controller(RequestLimits{}, this->directory, *this, this->crashGuard, *this, this->metrics,
+                 this->log)
 {
     const Configuration configuration = configurationOf(workload);
     this->directory.applyConfiguration(configuration);
--- a/src/bench/bench_host.h
+++ b/src/bench/bench_host.h
@@ -49,6 +49,8 @@
     // RequestEffects
     void sendAttempt(const AttemptOrder &order) override;
     void cancelAttempt(const AttemptId &attempt) override;
+    void pauseAttempt(const AttemptId & /*attempt*/, bool /*paused*/) override {}
+    void announceCrash(const CrashNotice & /*notice*/) override {}
     void claimOrder(const OrderClaim & /*claim*/) override {}
     void recordOrderAnswer(const OrderClaim & /*claim*/, const ServiceAnswer & /*answer*/) override
     {}
@@ -69,6 +71,7 @@
     BackendDirectory directory;
     std::unique_ptr<Placement> inner;
     PlacementChoice lastChoice;
+    CrashGuard crashGuard;
     RequestController controller;
 };
 
--- a/src/entry_host/entry_host.cpp
+++ b/src/entry_host/entry_host.cpp
@@ -10,6 +10,8 @@
 constexpr Duration LedgerInterval = std::chrono::milliseconds(5);
 constexpr Duration LedgerGrace = std::chrono::seconds(10);
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(50);
+constexpr Duration QuietTime = std::chrono::milliseconds(500);
+constexpr Duration LateRequestLimit = std::chrono::seconds(10);
 
 RequestLimits limitsOf(const Settings &settings)
 {
@@ -72,22 +74,32 @@
     this->shutdownFinished = std::move(finished);
     this->membership.beginLeaving();
     this->log.write(Event::ShutdownBegan, {});
+    this->callerApi.closeAfterReplies();
     // The balancer needs a moment to see that the host is not ready; until then it sends requests,
     // which are served.
     this->graceTimer = this->loop.after(this->settings.shutdownGrace, [this] {
-        this->controller.beginShutdown();
         this->callerApi.stopListening();
+        this->quietSince = this->loop.now();
         this->drainTimer =
                 this->loop.every(DrainCheckInterval, [this] { this->finishShutdownIfIdle(); });
+        // What still arrives on open connections is served, but not for ever.
+        this->graceTimer =
+                this->loop.after(LateRequestLimit, [this] { this->controller.beginShutdown(); });
     });
 }
 
 void EntryHost::finishShutdownIfIdle()
 {
-    if (this->controller.inFlight() > 0)
+    const TimePoint now = this->loop.now();
+    // A request that is still being read is not in flight yet, but its bytes come in.
+    const std::uint64_t received = this->callerApi.receivedBytes();
+    const bool busy = this->controller.inFlight() > 0 || !this->callerApi.idle();
+    if (busy || received != this->drainedBytes)
+        this->quietSince = now;
+    this->drainedBytes = received;
+    if (now - this->quietSince < QuietTime)
         return;
     // Outcomes are recorded first, but a store that stays away does not keep the host for ever.
-    const TimePoint now = this->loop.now();
     if (!this->ledgerGraceEnds)
         this->ledgerGraceEnds = now + LedgerGrace;
     if (this->ledger.pending() > 0 && now < *this->ledgerGraceEnds)
--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -117,6 +117,8 @@
     bool destroying = false;
     bool platformReachable = true;
     std::uint64_t watchedVersion = 0; ///< Of the object that holds the configuration.
+    TimePoint quietSince;             ///< Since when a host that shuts down has nothing to do.
+    std::uint64_t drainedBytes = 0;
     std::function<void()> shutdownFinished;
     EventLoop::TimerHandle deadlineTimer;
     EventLoop::TimerHandle ledgerTimer; ///< Runs from the first order on.
--- a/tests/support/controller_bench.cpp
+++ b/tests/support/controller_bench.cpp
@@ -10,7 +10,7 @@
     for (const BackendServer *server : this->directory.usable(query.pool, now)) {
         const auto &excluded = query.excluded;
         if (std::find(excluded.begin(), excluded.end(), server->id) == excluded.end())
-            return PlacementChoice{server->id, 0, this->predicted};
+            return PlacementChoice{server->id, {}, 0, this->predicted};
     }
     return tl::unexpected(
             Failure{Verdict::NotRun, Reason::NoBackendServer, "none", std::chrono::seconds(1)});
