--- a/src/bench/bench_host.cpp
+++ b/src/bench/bench_host.cpp
@@ -7,6 +7,14 @@
 
 namespace {
 
+/// The model delivers each answer as one token, so that there are no gaps to watch.
+RequestLimits limitsOf()
+{
+    RequestLimits limits;
+    limits.tokenGap = std::chrono::minutes(10);
+    return limits;
+}
+
 Configuration configurationOf(const Workload &workload)
 {
     Configuration configuration;
@@ -40,7 +48,9 @@
     , random(seed)
     , directory(this->log, this->metrics)
     , inner(makePlacement(policy, workload, this->directory, this->random, this->self, number))
-    , controller(RequestLimits{}, this->directory, *this, *this, this->metrics, this->log)
+    , crashGuard(CrashLimits{}, this->metrics, this->log)
+    , controller(limitsOf(), this->directory, *this, this->crashGuard, *this, this->metrics,
+                 this->log)
 {
     const Configuration configuration = configurationOf(workload);
     this->directory.applyConfiguration(configuration);
--- a/src/coordination/load_estimate.h
+++ b/src/coordination/load_estimate.h
@@ -67,7 +67,7 @@
     /// Returns the work that waits and would run after new work of \a tokens at \a priority.
     WorkBehind behind(std::uint64_t tokens, std::int64_t priority, TimePoint now);
 
-    /// Returns how many times longer than usual the server takes; at least 1.
+    /// Returns how many times longer than usual the server takes.
     double slowness() const { return this->slow; }
 
     /// Returns the fraction of time that recent work of shorter prompts takes up.
@@ -87,8 +87,11 @@
         TimePoint dispatched;
         TimePoint expected; ///< When the replay finished the prefill.
         bool prefilled = false;
+        bool metIdleServer = false; ///< Nothing else waited or ran when it was sent.
     };
 
+    void reportTotal(double queuedTokens);
+    bool idle() const;
     void advance(TimePoint now);
     void replay(double seconds);
     void dropExpired(TimePoint now);
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -30,9 +30,9 @@
 struct PlacementChoice
 {
     ServerId server;
-    std::vector<ServerId> others; ///< Servers that share a prompt too long for one engine.
-    std::int64_t priority = 0;    ///< Given to the engine; a lower number runs first.
+    std::int64_t priority = 0; ///< Given to the engine; a lower number runs first.
     Duration predictedFirstToken = Duration::zero();
+    std::vector<ServerId> others; ///< Servers that share a prompt too long for one engine.
 };
 
 /// What a backend server says of its own load, late.
@@ -74,6 +74,9 @@
     /// A peer told of its dispatches. Placements that use no news ignore it.
     virtual void onNews(const DispatchNews & /*news*/, TimePoint /*now*/) {}
 
+    /// Returns true if takeNews() would return something.
+    virtual bool hasNews() const { return false; }
+
     /// Returns what the peers should hear and has not been taken yet.
     virtual DispatchNews takeNews() { return {}; }
 };
--- a/src/coordination/work_ahead_placement.cpp
+++ b/src/coordination/work_ahead_placement.cpp
@@ -13,6 +13,7 @@
 constexpr double LeastAgingFactor = 4;   ///< Without any weight on short slowdown.
 constexpr double AgingFactorRange = 36;  ///< Added at full weight on short slowdown.
 constexpr double LeastWaitSeconds = 0.5; ///< Allowed to any prompt before it outranks newer ones.
+constexpr double LeastOwnSeconds = 0.001;
 constexpr double SlackMargin = 1.2;
 constexpr double DemotionSeconds = 60; ///< Behind others, for a workspace over its share.
 constexpr double TypicalSeconds = 0.2; ///< A first token later by this counts as one slowdown.
@@ -255,7 +256,9 @@
                                    : 2 * toSeconds(this->settings.crossDomainLatency);
     const WorkBehind behind = load.behind(tokens, priority, now);
     const PolicyWeights &weights = this->settings.weights;
-    const double own = this->settings.prefill.seconds(static_cast<double>(tokens));
+    // Plain services have no prompt, and their calls count alike.
+    const double own =
+            std::max(LeastOwnSeconds, this->settings.prefill.seconds(static_cast<double>(tokens)));
     Candidate candidate;
     candidate.server = &server;
     candidate.seconds = alone / (1 - shorter) + latency;
--- a/src/coordination/work_ahead_placement.h
+++ b/src/coordination/work_ahead_placement.h
@@ -35,6 +35,7 @@
     void onEnded(const AttemptId &attempt, TimePoint now) override;
     void onLoadReport(const ServerId &server, const LoadReport &report, TimePoint now) override;
     void onNews(const DispatchNews &news, TimePoint now) override;
+    bool hasNews() const override { return !this->news.events.empty(); }
     DispatchNews takeNews() override;
 
 private:
--- a/src/entry_host/entry_host.cpp
+++ b/src/entry_host/entry_host.cpp
@@ -1,5 +1,7 @@
 #include "entry_host/entry_host.h"
 
+#include "core/hashing.h"
+
 namespace dotterel {
 
 namespace {
@@ -7,6 +9,8 @@
 constexpr Duration WatchWait = std::chrono::seconds(20);
 constexpr Duration WatchRetry = std::chrono::milliseconds(500);
 constexpr Duration HostsInterval = std::chrono::seconds(1);
+constexpr Duration LoadPollInterval = std::chrono::seconds(1);
+constexpr Duration NewsInterval = std::chrono::milliseconds(10);
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(50);
 
 RequestLimits limitsOf(const Settings &settings)
@@ -28,8 +32,11 @@
     , httpClient(loop)
     , platform(loop, this->httpClient, settings.platform, settings.platformTimeout, this->metrics)
     , directory(log, this->metrics)
-    , placement(this->directory, this->random)
-    , controller(limitsOf(settings), this->directory, this->placement, *this, this->metrics, log)
+    , placement(this->directory, this->random, PlacementSettings{}, this->identity,
+                loop.wallTime() - loop.now().time_since_epoch().count() / 1'000)
+    , crashGuard(CrashLimits{}, this->metrics, log)
+    , controller(limitsOf(settings), this->directory, this->placement, this->crashGuard, *this,
+                 this->metrics, log)
     , ledger(this->identity, this->platform, this->random, log)
     , follower(
               [this](const Configuration &configuration) {
@@ -37,6 +44,10 @@
               },
               this->metrics, log)
     , membership(this->identity, settings.heartbeatInterval, this->metrics, log)
+    , loadPoller(this->httpClient, settings.host,
+                 [this](const ServerId &server, const LoadReport &report) {
+                     this->onLoadReport(server, report);
+                 })
     , backend(loop, this->httpClient, this->identity, *this)
     , callerApi(loop, settings, this->identity, *this)
     , mesh(loop, settings.peers, settings.host, *this, this->metrics, log)
@@ -49,6 +60,7 @@
                                          {"operators", this->operators().text()},
                                          {"peers", this->peers().text()}});
     this->heartbeatTimer = loop.every(settings.heartbeatInterval, [this] { this->heartbeat(); });
+    this->loadTimer = loop.every(LoadPollInterval, [this] { this->pollLoads(); });
     this->hostsTimer = loop.every(HostsInterval, [this] { this->readHosts(); });
     this->readHosts();
     this->watchConfiguration();
@@ -94,6 +106,16 @@
     this->backend.cancel(attempt);
 }
 
+void EntryHost::pauseAttempt(const AttemptId &attempt, bool paused)
+{
+    this->backend.pause(attempt, paused);
+}
+
+void EntryHost::announceCrash(const CrashNotice &notice)
+{
+    this->mesh.broadcast(notice);
+}
+
 void EntryHost::claimOrder(const OrderClaim &claim)
 {
     const RequestId request = claim.request;
@@ -136,6 +158,7 @@
 void EntryHost::onToken(const AttemptId &attempt, const AnswerToken &token)
 {
     this->controller.onToken(attempt, token, this->loop.now());
+    this->armNews();
 }
 
 void EntryHost::onAnswerEnd(const AttemptId &attempt, const AnswerEnd &end)
@@ -177,6 +200,12 @@
     this->armTimer();
 }
 
+void EntryHost::onCallerBlocked(const RequestId &request, bool blocked)
+{
+    this->controller.onCallerBlocked(request, blocked, this->loop.now());
+    this->armTimer();
+}
+
 void EntryHost::onPeerMessage(std::uint64_t link, const PeerMessage &message)
 {
     if (const Heartbeat *heartbeat = std::get_if<Heartbeat>(&message)) {
@@ -192,6 +221,14 @@
         if (this->follower.current().version > request->knownVersion)
             this->mesh.send(link, ConfigurationOffer{this->follower.current().version,
                                                      this->follower.currentText()});
+    } else if (const CrashNotice *notice = std::get_if<CrashNotice>(&message)) {
+        // News goes on to peers that the sender is not linked to; what is known already stops here.
+        if (this->controller.onCrashNotice(*notice, this->loop.now()))
+            this->mesh.broadcast(*notice);
+    } else if (const DispatchNews *news = std::get_if<DispatchNews>(&message)) {
+        this->placement.onNews(*news, this->loop.now());
+    } else if (const LoadNews *loads = std::get_if<LoadNews>(&message)) {
+        this->onLoadNews(*loads);
     } else if (const ConfigurationOffer *offer = std::get_if<ConfigurationOffer>(&message)) {
         this->follower.offer(offer->text);
     }
@@ -201,6 +238,7 @@
 {
     this->directory.applyConfiguration(configuration);
     this->controller.applyConfiguration(configuration);
+    this->placement.applyConfiguration(configuration);
     this->log.write(Event::HostReady,
                     {{"version", static_cast<std::int64_t>(configuration.version)}});
 }
@@ -244,8 +282,51 @@
             this->membership.beat(this->follower.current().version, this->directory.draining()));
 }
 
+void EntryHost::pollLoads()
+{
+    std::vector<HostId> live{this->identity.host};
+    for (const MemberRecord &member : this->membership.live())
+        live.push_back(member.identity.host);
+    this->loadPoller.poll(this->follower.current(), live);
+}
+
+void EntryHost::onLoadReport(const ServerId &server, const LoadReport &report)
+{
+    this->placement.onLoadReport(server, report, this->loop.now());
+    if (report.draining)
+        this->directory.markDraining(server);
+    this->mesh.broadcast(
+            LoadNews{{{hash32(server), report.queuedPromptTokens, report.queuedByBand}}});
+}
+
+void EntryHost::onLoadNews(const LoadNews &news)
+{
+    for (const ServerLoad &load : news.loads) {
+        for (const auto &[id, server] : this->follower.current().servers) {
+            if (hash32(id) != load.server)
+                continue;
+            LoadReport report;
+            report.queuedPromptTokens = load.queuedTokens;
+            report.queuedByBand = load.queuedByBand;
+            this->placement.onLoadReport(id, report, this->loop.now());
+        }
+    }
+}
+
+void EntryHost::armNews()
+{
+    if (this->newsArmed || !this->placement.hasNews())
+        return;
+    this->newsArmed = true;
+    this->newsTimer = this->loop.after(NewsInterval, [this] {
+        this->newsArmed = false;
+        this->mesh.broadcast(this->placement.takeNews());
+    });
+}
+
 void EntryHost::armTimer()
 {
+    this->armNews();
     const std::optional<TimePoint> next = this->controller.nextTimer();
     if (!next) {
         this->deadlineTimer.reset();
--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -5,11 +5,12 @@
 #include "coordination/membership.h"
 #include "coordination/order_ledger.h"
 #include "coordination/request_controller.h"
-#include "coordination/two_choices_placement.h"
+#include "coordination/work_ahead_placement.h"
 #include "core/prometheus_metrics.h"
 #include "core/random_source.h"
 #include "entry_host/caller_api.h"
 #include "entry_host/http_backend_client.h"
+#include "entry_host/load_poller.h"
 #include "entry_host/operator_api.h"
 #include "entry_host/peer_mesh.h"
 #include "state/http_object_store.h"
@@ -45,10 +46,15 @@
     Endpoint operators() const { return this->operatorApi.endpoint(); }
     Endpoint peers() const { return this->mesh.endpoint(); }
 
+    /// Bytes of answers that callers have not taken yet.
+    std::size_t unsentCallerBytes() const { return this->callerApi.unsentBytes(); }
+
 private:
     // RequestEffects
     void sendAttempt(const AttemptOrder &order) override;
     void cancelAttempt(const AttemptId &attempt) override;
+    void pauseAttempt(const AttemptId &attempt, bool paused) override;
+    void announceCrash(const CrashNotice &notice) override;
     void claimOrder(const OrderClaim &claim) override;
     void recordOrderAnswer(const OrderClaim &claim, const ServiceAnswer &answer) override;
     void releaseOrder(const OrderClaim &claim) override;
@@ -67,6 +73,7 @@
     void onRequest(const Request &request) override;
     void onMalformedRequest(const Failure &failure) override;
     void onCallerGone(const RequestId &request) override;
+    void onCallerBlocked(const RequestId &request, bool blocked) override;
 
     // PeerListener
     void onPeerMessage(std::uint64_t link, const PeerMessage &message) override;
@@ -81,6 +88,10 @@
     void readHosts();
     void heartbeat();
     void armTimer();
+    void armNews();
+    void pollLoads();
+    void onLoadReport(const ServerId &server, const LoadReport &report);
+    void onLoadNews(const LoadNews &news);
     void finishShutdownIfIdle();
 
     EventLoop &loop;
@@ -92,11 +103,13 @@
     HttpClient httpClient;
     HttpObjectStore platform;
     BackendDirectory directory;
-    TwoChoicesPlacement placement;
+    WorkAheadPlacement placement;
+    CrashGuard crashGuard;
     RequestController controller;
     OrderLedger ledger;
     ConfigurationFollower follower;
     Membership membership;
+    LoadPoller loadPoller;
     HttpBackendClient backend;
     CallerApi callerApi;
     PeerMesh mesh;
@@ -108,6 +121,9 @@
     std::function<void()> shutdownFinished;
     EventLoop::TimerHandle deadlineTimer;
     EventLoop::TimerHandle heartbeatTimer;
+    EventLoop::TimerHandle loadTimer;
+    EventLoop::TimerHandle newsTimer;
+    bool newsArmed = false;
     EventLoop::TimerHandle hostsTimer;
     EventLoop::TimerHandle watchTimer;
     EventLoop::TimerHandle graceTimer;
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -13,6 +13,11 @@
 constexpr const char *RequestType = "r";
 constexpr const char *OfferType = "o";
 constexpr const char *NewsType = "n";
+constexpr const char *LoadType = "l";
+constexpr const char *CrashType = "c";
+
+constexpr std::size_t MostFingerprintBytes = 64;
+constexpr std::size_t MostCrashes = 8;
 
 nlohmann::json encodeIdentity(const HostIdentity &identity)
 {
@@ -66,6 +71,24 @@
     return {{TypeKey, NewsType}, {"s", news.sender}, {"e", events}};
 }
 
+nlohmann::json encode(const LoadNews &news)
+{
+    nlohmann::json loads = nlohmann::json::array();
+    for (const ServerLoad &load : news.loads)
+        loads.push_back({load.server, load.queuedTokens, load.queuedByBand});
+    return {{TypeKey, LoadType}, {"l", loads}};
+}
+
+LoadNews decodeLoadNews(const nlohmann::json &json)
+{
+    LoadNews news;
+    for (const nlohmann::json &row : json.at("l")) {
+        news.loads.push_back({row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint64_t>(),
+                              row.at(2).get<std::vector<std::uint64_t>>()});
+    }
+    return news;
+}
+
 DispatchNews decodeNews(const nlohmann::json &json)
 {
     DispatchNews news;
@@ -87,6 +110,37 @@
     return news;
 }
 
+nlohmann::json encode(const CrashNotice &notice)
+{
+    nlohmann::json crashes = nlohmann::json::array();
+    for (const CrashRecord &crash : notice.crashes)
+        crashes.push_back({crash.server, crash.age.count()});
+    nlohmann::json json = {
+            {TypeKey, CrashType}, {"f", notice.fingerprint}, {"c", crashes}, {"r", notice.runsOn}};
+    if (notice.cleared)
+        json["x"] = notice.cleared->count();
+    return json;
+}
+
+Duration decodeAge(const nlohmann::json &json)
+{
+    return Duration(std::max<Duration::rep>(0, json.get<Duration::rep>()));
+}
+
+CrashNotice decodeCrashNotice(const nlohmann::json &json)
+{
+    CrashNotice notice;
+    notice.fingerprint = json.at("f").get<std::string>();
+    if (notice.fingerprint.size() > MostFingerprintBytes || json.at("c").size() > MostCrashes)
+        throw nlohmann::json::other_error::create(0, "the notice is too long", &json);
+    for (const nlohmann::json &item : json.at("c"))
+        notice.crashes.push_back({item.at(0).get<ServerId>(), decodeAge(item.at(1))});
+    if (json.contains("x"))
+        notice.cleared = decodeAge(json.at("x"));
+    notice.runsOn = json.at("r").get<ServerId>();
+    return notice;
+}
+
 Heartbeat decodeHeartbeat(const nlohmann::json &json)
 {
     Heartbeat heartbeat;
@@ -126,6 +180,10 @@
                                       json.at("c").get<std::string>()};
         if (type == NewsType)
             return decodeNews(json);
+        if (type == LoadType)
+            return decodeLoadNews(json);
+        if (type == CrashType)
+            return decodeCrashNotice(json);
         return tl::unexpected("unknown message type \"" + type + "\"");
     } catch (const nlohmann::json::exception &error) {
         return tl::unexpected(std::string(error.what()));
--- a/tests/coordination/test_work_ahead_placement.cpp
+++ b/tests/coordination/test_work_ahead_placement.cpp
@@ -1,4 +1,6 @@
 #include "coordination/least_loaded_placement.h"
+#include "coordination/load_poll_plan.h"
+#include "coordination/load_report_codec.h"
 #include "coordination/round_robin_placement.h"
 #include "coordination/two_choices_placement.h"
 #include "coordination/work_ahead_placement.h"
@@ -228,3 +230,33 @@
         CHECK(admission.shareState(greedy, 15, at(200)) == ShareState::Exhausted);
     }
 }
+
+TEST_CASE("Each server is polled by two hosts", "[Coordination][LoadPollPlan]")
+{
+    std::vector<HostId> hosts;
+    for (int i = 0; i < 9; ++i)
+        hosts.push_back("host-" + std::to_string(i));
+    std::map<HostId, int> polls;
+    for (int server = 0; server < 300; ++server) {
+        int pollers = 0;
+        for (const HostId &host : hosts) {
+            const bool asks = pollsServer("engine-" + std::to_string(server), host, hosts);
+            pollers += asks ? 1 : 0;
+            polls[host] += asks ? 1 : 0;
+        }
+        CHECK(pollers == 2);
+    }
+    for (const auto &[host, count] : polls)
+        CHECK(count < 2 * 300 / 9 * 2);
+    CHECK(pollsServer("engine-1", "host-1", {"host-1"}));
+}
+
+TEST_CASE("Load reports of engines are read with what they give", "[Coordination][LoadReport]")
+{
+    CHECK(parseLoadReport(R"({"queued_prompt_tokens":7,"draining":true})")->draining);
+    CHECK(parseLoadReport(R"({"queued_prompt_tokens":7,"queued_by_band":[1,2,0,0,0,4]})")
+                  ->queuedByBand.size()
+          == 6);
+    for (const char *faulty : {"", "[]", "{}", R"({"queued_prompt_tokens":"many"})"})
+        CHECK_FALSE(parseLoadReport(faulty));
+}
