Let prompts outrank newer ones after four times their prefill

Change: the factor is 4, not a function of the weights; a prompt is refused when it would wait more than three times that.

--- a/programs/dotterelbench.cpp
+++ b/programs/dotterelbench.cpp
@@ -44,7 +44,7 @@
 
 std::string taken(char *text)
 {
-    const std::string copy = text == nullptr ? "" : text;
+    std::string copy = text == nullptr ? "" : text;
     std::free(text);
     return copy;
 }
--- a/src/bench/bench_engines.cpp
+++ b/src/bench/bench_engines.cpp
@@ -161,11 +161,11 @@
     if (found == this->attempts.end())
         return;
     const std::size_t host = found->second.host;
-    const AttemptId copy = name;
-    this->drop(copy);
-    this->queue.after(this->workload.oneWayLatency, [this, host, copy, failure] {
-        this->listener.onAttemptFailed(host, copy, failure);
+    // The name may belong to the entry that drop() erases.
+    this->queue.after(this->workload.oneWayLatency, [this, host, name = AttemptId(name), failure] {
+        this->listener.onAttemptFailed(host, name, failure);
     });
+    this->drop(name);
 }
 
 Duration BenchEngines::latency(std::size_t host, std::size_t server) const
--- a/src/coordination/work_ahead_placement.cpp
+++ b/src/coordination/work_ahead_placement.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr double LeastAgingFactor = 4;   ///< Without any weight on short slowdown.
-constexpr double AgingFactorRange = 36;  ///< Added at full weight on short slowdown.
+constexpr double AgingFactor = 4;        ///< Times its prefill that a prompt is overtaken.
+constexpr double MostWaitFactor = 3;     ///< Times that wait, beyond which it is refused.
 constexpr double LeastWaitSeconds = 0.5; ///< Allowed to any prompt before it outranks newer ones.
 constexpr double LeastOwnSeconds = 0.001;
 constexpr double SlackMargin = 1.2;
@@ -74,7 +74,8 @@
     for (std::size_t i = 0; i < parts; ++i)
         predicted = std::max(predicted, ranked[i].seconds);
     choice.predictedFirstToken = fromSeconds(predicted);
-    const std::optional<Failure> refusal = this->admission.check(query, predicted, allowed, now);
+    const std::optional<Failure> refusal =
+            this->admission.check(query, predicted, allowed * MostWaitFactor, now);
     if (refusal)
         return tl::unexpected(*refusal);
     return choice;
@@ -200,14 +201,10 @@
 double WorkAheadPlacement::allowedWait(double seconds, const PlacementQuery &query,
                                        TimePoint now) const
 {
-    const PolicyWeights &weights = this->settings.weights;
-    const double sum = weights.shortSlowdown + weights.firstToken;
-    const double shortWeight = sum > 0 ? weights.shortSlowdown / sum : 0;
-    const double aging = LeastAgingFactor + AgingFactorRange * shortWeight;
     const double decode =
             static_cast<double>(query.maxTokens) * toSeconds(this->settings.tokenInterval);
     const double slack = toSeconds(query.deadline - now) - decode - seconds * SlackMargin;
-    return std::max(0.0, std::min(slack, LeastWaitSeconds + aging * seconds));
+    return std::max(0.0, std::min(slack, LeastWaitSeconds + AgingFactor * seconds));
 }
 
 std::vector<WorkAheadPlacement::Candidate>
