Call a fifth above the fair part no excess of a workspace

Cause: at 120%, where all workspaces offer alike, large ones were put behind others now and then: short p99 4.4. Change: a workspace is over its share only beyond 1.2 times the fair part plus the 15 s for one long prompt.

--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -13,6 +13,7 @@
 
 constexpr double UsageWindowSeconds = 30;
 constexpr double MostChargedSeconds = 10; ///< A longer prompt counts as this much.
+constexpr double FairTolerance = 0.2;     ///< Overload that all share alike is nobody's excess.
 constexpr double OverSeconds = 15;        ///< Beyond the fair part; one long prompt is no excess.
 constexpr double ExhaustedSeconds = 30;
 constexpr double ForgottenSeconds = 0.001; ///< Of usage that is not worth keeping.
@@ -66,7 +67,8 @@
     const auto usage = this->usages.find(workspace);
     if (usage == this->usages.end())
         return ShareState::Within;
-    const double excess = usage->second.at(now) - this->level * this->shareOf(workspace);
+    const double fair = this->level * this->shareOf(workspace);
+    const double excess = usage->second.at(now) - fair * (1 + FairTolerance);
     if (excess > ExhaustedSeconds)
         return ShareState::Exhausted;
     return excess > OverSeconds ? ShareState::Over : ShareState::Within;
