Take back the charge of dispatches that a server refused

Change: a dispatch that ends within 100 ms without a first token is taken back, at peers too; the capacity that is shared counts all usable servers, not those left for one request. The bench gives each request a body of its own, since equal bodies were one crash suspect. A caller that cancels within 100 ms is not charged either.

--- a/programs/dotterelbench.cpp
+++ b/programs/dotterelbench.cpp
@@ -1,5 +1,6 @@
 #include "bench/bench_report.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -18,6 +19,7 @@
 struct Options
 {
     std::string workload;
+    std::string label;
     std::vector<std::string> policies;
     std::vector<double> loads; ///< Fractions.
     std::uint64_t seeds = 1;
@@ -93,6 +95,7 @@
     char *loads = nullptr;
     char *faults = nullptr;
     char *table = nullptr;
+    char *label = nullptr;
     int seeds = 1;
     int firstSeed = 1;
     int json = 0;
@@ -113,6 +116,7 @@
              "seconds of virtual time that are measured", "S"},
             {"short-weight", 0, POPT_ARG_DOUBLE, &options.shortWeight, 0,
              "weight of the short slowdown, 0 to 1; the first token gets the rest", "W"},
+            {"label", 0, POPT_ARG_STRING, &label, 0, "text of the column \"condition\"", "TEXT"},
             {"retry-storm", 0, POPT_ARG_NONE, &retryStorm, 0, "refused callers ask again at once",
              nullptr},
             {"json", 'j', POPT_ARG_NONE, &json, 0, "write JSON instead of a table", nullptr},
@@ -131,6 +135,7 @@
     options.seeds = static_cast<std::uint64_t>(std::max(1, seeds));
     options.firstSeed = static_cast<std::uint64_t>(std::max(0, firstSeed));
     options.json = json != 0;
+    options.label = taken(label);
     options.retryStorm = retryStorm != 0;
     const auto orElse = [](const std::string &text, const char *fallback) {
         return text.empty() ? std::string(fallback) : text;
@@ -168,7 +173,8 @@
         for (const dotterel::bench::Fault fault : options.faults) {
             for (const std::string &policy : options.policies) {
                 SeriesSummary series;
-                series.settings = {policy, load, options.greed, options.retryStorm, fault, 0};
+                series.settings = {policy, load, options.greed, options.retryStorm,
+                                   fault,  0,    options.label};
                 for (std::uint64_t i = 0; i < options.seeds; ++i) {
                     series.settings.seed = options.firstSeed + i;
                     series.runs.push_back(summarise(runBench(workload, series.settings)));
--- a/src/bench/bench_report.cpp
+++ b/src/bench/bench_report.cpp
@@ -158,6 +158,8 @@
 
 std::string conditionText(const RunSettings &settings)
 {
+    if (!settings.label.empty())
+        return settings.label;
     std::string text;
     if (settings.fault != Fault::None)
         text += std::string(faultName(settings.fault)) + " ";
--- a/src/bench/bench_run.cpp
+++ b/src/bench/bench_run.cpp
@@ -128,7 +128,8 @@
         entry.request.workspace = this->workload.workspaces[arrival.workspace].name;
         entry.request.requestClass = benchRequestClass(arrival.promptTokens);
         entry.request.pool = BenchPool;
-        entry.request.body = this->body;
+        // Bodies differ, since equal ones would be one suspect when a server dies.
+        entry.request.body = std::make_shared<const std::string>(entry.request.id);
         entry.request.promptTokens = arrival.promptTokens;
         entry.request.maxTokens = arrival.answerTokens;
         entry.request.prefixHashes = arrival.prefixHashes;
@@ -290,7 +291,6 @@
     WorkloadGenerator generator;
     RunRecord record;
     Duration end = Duration::zero();
-    std::shared_ptr<const std::string> body = std::make_shared<const std::string>();
     BenchEngines engines;
     std::vector<std::unique_ptr<BenchHost>> hosts;
     std::vector<bool> newsScheduled;
--- a/src/bench/bench_run.h
+++ b/src/bench/bench_run.h
@@ -43,6 +43,7 @@
     bool retryStorm = false; ///< Refused callers ask again at once, until their deadline.
     Fault fault = Fault::None;
     std::uint64_t seed = 1;
+    std::string label; ///< Names the condition in tables; empty derives it.
 };
 
 /// What became of one request.
--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -54,7 +54,8 @@
 void Admission::onDispatched(WorkspaceHash workspace, double seconds, TimePoint now)
 {
     Usage &usage = this->usages[workspace];
-    usage.seconds = usage.at(now) + std::min(seconds, MostChargedSeconds);
+    const double charge = std::clamp(seconds, -MostChargedSeconds, MostChargedSeconds);
+    usage.seconds = std::max(0.0, usage.at(now) + charge);
     usage.updatedAt = now;
 }
 
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -32,7 +32,8 @@
     /// Takes over the shares of the workspaces.
     void applyConfiguration(const Configuration &configuration);
 
-    /// Work of \a seconds of prefill was dispatched for \a workspace, by any host.
+    /// Work of \a seconds of prefill was dispatched for \a workspace, by any host; less than 0
+    /// takes back work that did not run.
     void onDispatched(WorkspaceHash workspace, double seconds, TimePoint now);
 
     /// Returns how \a workspace stands; the fleet does \a capacity seconds of prefill a second.
--- a/src/coordination/work_ahead_placement.cpp
+++ b/src/coordination/work_ahead_placement.cpp
@@ -18,6 +18,7 @@
 constexpr double DemotionSeconds = 60; ///< Behind others, for a workspace over its share.
 constexpr double TypicalSeconds = 0.2; ///< A first token later by this counts as one slowdown.
 constexpr double MostShorterUtilisation = 0.9;
+constexpr Duration RefundWindow = std::chrono::milliseconds(100);
 constexpr std::uint64_t SequencesKeptOfPeer = 4'096;
 
 } // namespace
@@ -57,8 +58,10 @@
     const double seconds = this->settings.prefill.seconds(static_cast<double>(query.promptTokens));
     const std::size_t parts = std::min(this->partCount(query.promptTokens), servers->size());
     const double allowed = this->allowedWait(seconds / static_cast<double>(parts), query, now);
-    const ShareState share = this->admission.shareState(workspaceHash(query.workspace),
-                                                        static_cast<double>(servers->size()), now);
+    // Servers that this request alone must avoid still count.
+    const auto capacity = static_cast<double>(this->directory.usable(query.pool, now).size());
+    const ShareState share =
+            this->admission.shareState(workspaceHash(query.workspace), capacity, now);
     if (share == ShareState::Exhausted)
         return tl::unexpected(Admission::overShare());
     PlacementChoice choice;
@@ -103,8 +106,8 @@
                                          hash32(server), entry.partTokens, context, choice.priority,
                                          workspaceHash(query.workspace)});
     }
-    this->admission.onDispatched(workspaceHash(query.workspace),
-                                 seconds * static_cast<double>(parts), now);
+    entry.charge = {workspaceHash(query.workspace), seconds * static_cast<double>(parts), now};
+    this->admission.onDispatched(entry.charge.workspace, entry.charge.seconds, now);
     this->running[attempt] = std::move(entry);
     if (this->settings.prefixAffinity && parts == 1)
         this->prefixes.note(query.prefixHashes, choice.server);
@@ -127,6 +130,8 @@
     const auto found = this->running.find(attempt);
     if (found == this->running.end())
         return;
+    if (!found->second.firstToken)
+        this->refund(found->second.charge, now);
     const bool heldMemory = found->second.partTokens > ShortPromptTokens;
     for (const Part &part : found->second.parts) {
         this->estimate(part.server).end({0, part.sequence}, now);
@@ -162,24 +167,34 @@
                     .add({key, event.promptTokens, event.contextTokens, event.priority, seconds},
                          now);
             this->admission.onDispatched(event.workspace, seconds, now);
-            peer.servers[event.sequence] = known->second;
-            if (peer.servers.size() > SequencesKeptOfPeer)
-                peer.servers.erase(peer.servers.begin());
+            peer.works[event.sequence] = {known->second, {event.workspace, seconds, now}, false};
+            if (peer.works.size() > SequencesKeptOfPeer)
+                peer.works.erase(peer.works.begin());
             continue;
         }
-        const auto server = peer.servers.find(event.sequence);
-        if (server == peer.servers.end())
+        const auto work = peer.works.find(event.sequence);
+        if (work == peer.works.end())
             continue;
-        LoadEstimate &load = this->estimate(server->second);
+        LoadEstimate &load = this->estimate(work->second.server);
         if (event.kind == DispatchEventKind::FirstToken) {
+            work->second.firstToken = true;
             load.firstToken(key, now);
             continue;
         }
+        if (!work->second.firstToken)
+            this->refund(work->second.charge, now);
         load.end(key, now);
-        peer.servers.erase(server);
+        peer.works.erase(work);
     }
 }
 
+void WorkAheadPlacement::refund(const Charge &charge, TimePoint now)
+{
+    // A server that refuses or cannot be reached does no work; one that is cancelled later does.
+    if (now - charge.at < RefundWindow)
+        this->admission.onDispatched(charge.workspace, -charge.seconds, now);
+}
+
 DispatchNews WorkAheadPlacement::takeNews()
 {
     DispatchNews taken = this->news;
--- a/src/coordination/work_ahead_placement.h
+++ b/src/coordination/work_ahead_placement.h
@@ -52,16 +52,32 @@
         std::uint64_t sequence = 0;
     };
 
+    /// What a workspace was charged for a dispatch.
+    struct Charge
+    {
+        WorkspaceHash workspace = 0;
+        double seconds = 0;
+        TimePoint at;
+    };
+
     struct Running
     {
         std::vector<Part> parts;
         std::uint64_t partTokens = 0;
         bool firstToken = false;
+        Charge charge;
+    };
+
+    struct PeerWork
+    {
+        ServerId server;
+        Charge charge;
+        bool firstToken = false;
     };
 
     struct Peer
     {
-        std::map<std::uint64_t, ServerId> servers; ///< By sequence, of work not known to end.
+        std::map<std::uint64_t, PeerWork> works; ///< By sequence, those not known to end.
     };
 
     LoadEstimate &estimate(const ServerId &server);
@@ -74,6 +90,7 @@
     double shorterUtilisation(const std::vector<const BackendServer *> &servers,
                               std::uint64_t tokens, TimePoint now);
     void keepSample(std::vector<const BackendServer *> &servers);
+    void refund(const Charge &charge, TimePoint now);
     void tell(DispatchEventKind kind, const Part &part);
     std::int64_t sharedMilliseconds(TimePoint now) const;
 
