--- a/src/bench/bench_run.cpp
+++ b/src/bench/bench_run.cpp
@@ -23,7 +23,6 @@
 }};
 
 constexpr double FaultSlowness = 5;
-constexpr Duration DeadlineCheckDelay = std::chrono::microseconds(1);
 constexpr Duration CallerPause = std::chrono::milliseconds(10);
 constexpr Duration LoadReportsAfterEnd = std::chrono::seconds(60);
 
@@ -44,6 +43,7 @@
             this->hosts.push_back(std::make_unique<BenchHost>(workload, settings.policy, i,
                                                               this->random.next(), *this));
         this->newsScheduled.resize(workload.hosts, false);
+        this->timers.resize(workload.hosts);
     }
 
     RunRecord run()
@@ -76,7 +76,7 @@
     {
         this->tracked.at(order.request->id).record.admitted = true;
         this->engines.send(host, order, choice);
-        this->scheduleNews(host);
+        this->afterEvent(host);
     }
 
     void cancel(std::size_t /*host*/, const AttemptId &attempt) override
@@ -128,7 +128,7 @@
         entry.request.workspace = this->workload.workspaces[arrival.workspace].name;
         entry.request.requestClass = benchRequestClass(arrival.promptTokens);
         entry.request.pool = BenchPool;
-        // The guard against requests that crash servers tells them apart by their bodies.
+        // Bodies differ, since equal ones would be one suspect when a server dies.
         entry.request.body = std::make_shared<const std::string>(entry.request.id);
         entry.request.promptTokens = arrival.promptTokens;
         entry.request.maxTokens = arrival.answerTokens;
@@ -142,12 +142,8 @@
     {
         const std::size_t host = entry.host;
         entry.record.refusal.reset();
-        const Duration deadline = this->deadlineOf(entry.record.promptTokens);
         this->hosts[host]->requests().submit(entry.request, this->queue.now());
-        this->queue.after(deadline + DeadlineCheckDelay, [this, host] {
-            this->hosts[host]->requests().onTimer(this->queue.now());
-            this->scheduleNews(host);
-        });
+        this->afterEvent(host);
     }
 
     double idleSeconds(std::uint64_t tokens) const
@@ -172,30 +168,49 @@
         if (!entry.firstTokenSeconds)
             entry.firstTokenSeconds = toSeconds(this->queue.now() - entry.arrival);
         this->hosts[host]->requests().onToken(attempt, {attempt, 0, "x"}, this->queue.now());
-        this->scheduleNews(host);
+        this->afterEvent(host);
     }
 
     void onAnswerEnd(std::size_t host, const AttemptId &attempt) override
     {
         this->hosts[host]->requests().onAnswerEnd(attempt, {attempt, 1}, this->queue.now());
-        this->scheduleNews(host);
+        this->afterEvent(host);
     }
 
     void onAttemptFailed(std::size_t host, const AttemptId &attempt,
                          const AttemptFailure &failure) override
     {
         this->hosts[host]->requests().onAttemptFailed(attempt, failure, this->queue.now());
-        this->scheduleNews(host);
+        this->afterEvent(host);
     }
 
-    void scheduleNews(std::size_t host)
+    /// Sees to what the decisions of \a host want to be called for.
+    void afterEvent(std::size_t host)
     {
+        this->armTimer(host);
         if (this->newsScheduled[host])
             return;
         this->newsScheduled[host] = true;
         this->queue.after(this->workload.newsInterval, [this, host] { this->sendNews(host); });
     }
 
+    void armTimer(std::size_t host)
+    {
+        const std::optional<TimePoint> next = this->hosts[host]->requests().nextTimer();
+        std::optional<TimePoint> &armed = this->timers[host];
+        if (!next || (armed && *armed <= *next))
+            return;
+        armed = next;
+        const Duration delay = std::max(Duration::zero(), *next - this->queue.now());
+        this->queue.after(delay, [this, host, at = *next] {
+            if (this->timers[host] != at)
+                return;
+            this->timers[host].reset();
+            this->hosts[host]->requests().onTimer(this->queue.now());
+            this->afterEvent(host);
+        });
+    }
+
     void sendNews(std::size_t host)
     {
         this->newsScheduled[host] = false;
@@ -279,6 +294,7 @@
     BenchEngines engines;
     std::vector<std::unique_ptr<BenchHost>> hosts;
     std::vector<bool> newsScheduled;
+    std::vector<std::optional<TimePoint>> timers; ///< Armed for the requests of each host.
     std::unordered_map<RequestId, Tracked> tracked;
     std::uint64_t offeredTokens = 0;
     std::uint64_t newsBytes = 0;
--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -5,11 +5,12 @@
 #include "coordination/membership.h"
 #include "coordination/order_object_ledger.h"
 #include "coordination/request_controller.h"
-#include "coordination/two_choices_placement.h"
+#include "coordination/work_ahead_placement.h"
 #include "core/prometheus_metrics.h"
 #include "core/random_source.h"
 #include "entry_host/caller_api.h"
 #include "entry_host/http_backend_client.h"
+#include "entry_host/load_poller.h"
 #include "entry_host/operator_api.h"
 #include "entry_host/peer_mesh.h"
 #include "state/http_object_store.h"
@@ -96,6 +97,10 @@
     void armTimer();
     void runLedger();
     void startLedgerTimer();
+    void armNews();
+    void pollLoads();
+    void onLoadReport(const ServerId &server, const LoadReport &report);
+    void onLoadNews(const LoadNews &news);
     void finishShutdownIfIdle();
 
     EventLoop &loop;
@@ -107,12 +112,13 @@
     HttpClient httpClient;
     HttpObjectStore platform;
     BackendDirectory directory;
-    TwoChoicesPlacement placement;
+    WorkAheadPlacement placement;
     CrashGuard crashGuard;
     RequestController controller;
     OrderObjectLedger ledger;
     ConfigurationFollower follower;
     Membership membership;
+    LoadPoller loadPoller;
     HttpBackendClient backend;
     CallerApi callerApi;
     PeerMesh mesh;
@@ -129,6 +135,9 @@
     EventLoop::TimerHandle ledgerTimer; ///< Runs from the first order on.
     std::optional<TimePoint> ledgerGraceEnds;
     EventLoop::TimerHandle heartbeatTimer;
+    EventLoop::TimerHandle loadTimer;
+    EventLoop::TimerHandle newsTimer;
+    bool newsArmed = false;
     EventLoop::TimerHandle hostsTimer;
     EventLoop::TimerHandle watchTimer;
     EventLoop::TimerHandle graceTimer;
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -13,6 +13,7 @@
 constexpr const char *RequestType = "r";
 constexpr const char *OfferType = "o";
 constexpr const char *OutcomeType = "u";
+constexpr const char *LoadType = "l";
 constexpr const char *CrashType = "c";
 constexpr const char *NewsType = "n";
 
@@ -118,6 +119,24 @@
     return {{TypeKey, NewsType}, {"s", news.sender}, {"e", events}};
 }
 
+nlohmann::json encode(const LoadNews &news)
+{
+    nlohmann::json loads = nlohmann::json::array();
+    for (const ServerLoad &load : news.loads)
+        loads.push_back({load.server, load.queuedTokens, load.queuedByBand});
+    return {{TypeKey, LoadType}, {"l", loads}};
+}
+
+LoadNews decodeLoadNews(const nlohmann::json &json)
+{
+    LoadNews news;
+    for (const nlohmann::json &row : json.at("l")) {
+        news.loads.push_back({row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint64_t>(),
+                              row.at(2).get<std::vector<std::uint64_t>>()});
+    }
+    return news;
+}
+
 DispatchNews decodeNews(const nlohmann::json &json)
 {
     DispatchNews news;
@@ -182,6 +201,8 @@
             return decodeCrashNotice(json);
         if (type == NewsType)
             return decodeNews(json);
+        if (type == LoadType)
+            return decodeLoadNews(json);
         return tl::unexpected("unknown message type \"" + type + "\"");
     } catch (const nlohmann::json::exception &error) {
         return tl::unexpected(std::string(error.what()));
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -76,8 +76,22 @@
     std::vector<DispatchEvent> events;
 };
 
+/// What a backend server reported of its load to the sender.
+struct ServerLoad
+{
+    std::uint32_t server = 0; ///< Hash of its name.
+    std::uint64_t queuedTokens = 0;
+    std::vector<std::uint64_t> queuedByBand; ///< By length band; empty if the server gave none.
+};
+
+/// Tells the peers what the sender read from the servers that it polls.
+struct LoadNews
+{
+    std::vector<ServerLoad> loads;
+};
+
 using PeerMessage = std::variant<Heartbeat, ConfigurationRequest, ConfigurationOffer, CrashNotice,
-                                 DispatchNews, OrderOutcomeOffer>;
+                                 DispatchNews, LoadNews, OrderOutcomeOffer>;
 
 /// Returns \a message as CBOR.
 std::string encodePeerMessage(const PeerMessage &message);
