--- a/programs/dotterelfieldd.cpp
+++ b/programs/dotterelfieldd.cpp
@@ -1,5 +1,6 @@
 #include "core/structured_log.h"
 #include "entry_host/entry_host.h"
+#include "operator_tools/reference_pages.h"
 #include "state/text_file.h"
 
 #include <csignal>
@@ -14,12 +15,29 @@
 constexpr int ExitBadSettings = 3;
 constexpr int ExitCannotRun = 4;
 
+constexpr const char *OtherHelp =
+        "[OPTION...]\n  --print-events|--print-metrics|--print-settings|--print-sheet|"
+        "--print-commands\n                          print the tables of a page in docs/ and exit\n"
+        "Exit codes: 0 ended as asked, 2 bad command line, 3 bad settings, 4 cannot run\n";
+
 struct Options
 {
     std::string settingsPath;
     bool checkOnly = false;
 };
 
+/// Prints the generated part of a page if \a argument names one.
+bool printPage(const std::string &argument)
+{
+    for (const dotterel::ReferencePage &page : dotterel::referencePages()) {
+        if (argument != "--" + std::string(page.option))
+            continue;
+        std::cout << page.text();
+        return true;
+    }
+    return false;
+}
+
 /// Reads the command line; returns an exit code if the process should end.
 std::optional<int> parseOptions(int argc, const char **argv, Options &options)
 {
@@ -31,6 +49,7 @@
             {"check", 'c', POPT_ARG_NONE, &checkOnly, 0, "check the settings and exit", nullptr},
             POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext("dotterelfieldd", argc, argv, table, 0);
+    poptSetOtherOptionHelp(context, OtherHelp);
     const int result = poptGetNextOpt(context);
     const char *surplus = poptGetArg(context);
     if (result < -1 || surplus != nullptr || settingsPath == nullptr) {
@@ -82,6 +101,8 @@
 
 int main(int argc, const char **argv)
 {
+    if (argc == 2 && printPage(argv[1]))
+        return ExitOk;
     Options options;
     const std::optional<int> early = parseOptions(argc, argv, options);
     if (early)
--- a/src/core/prometheus_metrics.cpp
+++ b/src/core/prometheus_metrics.cpp
@@ -1,5 +1,7 @@
 #include "core/prometheus_metrics.h"
 
+#include "core/metric_catalogue.h"
+
 #include <map>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -15,9 +17,13 @@
 const prometheus::Histogram::BucketBoundaries FirstTokenBucketsSeconds = {
         0.01, 0.025, 0.05, 0.1, 0.2, 0.33, 0.5, 1, 2, 5, 10, 30, 60, 120};
 
-std::string prefixed(std::string_view name, std::string_view suffix)
+std::string helpOf(const std::string &name)
 {
-    return "dotterel_" + std::string(name) + std::string(suffix);
+    for (const MetricInfo &info : metricCatalogue()) {
+        if (info.name == name)
+            return std::string(info.meaning);
+    }
+    return {};
 }
 
 } // namespace
@@ -33,47 +39,44 @@
 
     Families()
     {
-        auto &refusalFamily = prometheus::BuildCounter()
-                                      .Name("dotterel_refusals_total")
-                                      .Help("Final refusals by reason.")
-                                      .Register(this->registry);
-        for (const ReasonInfo &info : reasonTable())
-            this->refusals[info.reason] = &refusalFamily.Add({{"reason", std::string(info.name)}});
-
-        auto &retryFamily = prometheus::BuildCounter()
-                                    .Name("dotterel_retries_total")
-                                    .Help("Further attempts by reason.")
-                                    .Register(this->registry);
-        for (int i = 0; i <= static_cast<int>(RetryReason::MemoryUnavailable); ++i) {
-            const RetryReason reason = static_cast<RetryReason>(i);
-            this->retries[reason] =
-                    &retryFamily.Add({{"reason", std::string(retryReasonName(reason))}});
-        }
-        for (int i = 0; i <= static_cast<int>(Counter::CrashSuspects); ++i) {
-            const Counter counter = static_cast<Counter>(i);
-            this->counters[counter] = &prometheus::BuildCounter()
-                                               .Name(prefixed(counterName(counter), "_total"))
-                                               .Register(this->registry)
-                                               .Add({});
-        }
-        for (int i = 0; i <= static_cast<int>(Gauge::QueuedBytes); ++i) {
-            const Gauge gauge = static_cast<Gauge>(i);
+        this->addReasons();
+        for (const Counter counter : allValues(counterName))
+            this->counters[counter] = &this->counterFamily(counterMetricName(counter)).Add({});
+        for (const Gauge gauge : allValues(gaugeName)) {
+            const std::string name = gaugeMetricName(gauge);
             this->gauges[gauge] = &prometheus::BuildGauge()
-                                           .Name(prefixed(gaugeName(gauge), ""))
+                                           .Name(name)
+                                           .Help(helpOf(name))
                                            .Register(this->registry)
                                            .Add({});
         }
         auto &histogramFamily = prometheus::BuildHistogram()
-                                        .Name("dotterel_first_token_seconds")
-                                        .Help("Time to first token by prompt length.")
+                                        .Name(FirstTokenMetric)
+                                        .Help(helpOf(FirstTokenMetric))
                                         .Register(this->registry);
-        for (int i = 0; i <= static_cast<int>(LengthBand::UpTo1M); ++i) {
-            const LengthBand band = static_cast<LengthBand>(i);
+        for (const LengthBand band : allValues(lengthBandName)) {
             this->firstToken[band] =
                     &histogramFamily.Add({{"prompt_tokens", std::string(lengthBandName(band))}},
                                          FirstTokenBucketsSeconds);
         }
     }
+
+    void addReasons()
+    {
+        auto &refusalFamily = this->counterFamily(RefusalsMetric);
+        for (const ReasonInfo &info : reasonTable())
+            this->refusals[info.reason] = &refusalFamily.Add({{"reason", std::string(info.name)}});
+        auto &retryFamily = this->counterFamily(RetriesMetric);
+        for (const RetryReason reason : allValues(retryReasonName)) {
+            this->retries[reason] =
+                    &retryFamily.Add({{"reason", std::string(retryReasonName(reason))}});
+        }
+    }
+
+    prometheus::Family<prometheus::Counter> &counterFamily(const std::string &name)
+    {
+        return prometheus::BuildCounter().Name(name).Help(helpOf(name)).Register(this->registry);
+    }
 };
 
 PrometheusMetrics::PrometheusMetrics()
