--- a/src/bench/bench_host.h
+++ b/src/bench/bench_host.h
@@ -49,7 +49,6 @@
     // RequestEffects
     void sendAttempt(const AttemptOrder &order) override;
     void cancelAttempt(const AttemptId &attempt) override;
-    void pauseAttempt(const AttemptId & /*attempt*/, bool /*paused*/) override {}
     void claimOrder(const OrderClaim & /*claim*/) override {}
     void recordOrderAnswer(const OrderClaim & /*claim*/, const ServiceAnswer & /*answer*/) override
     {}
@@ -61,7 +60,6 @@
     void deliverServiceAnswer(const RequestId & /*request*/,
                               const ServiceAnswer & /*answer*/) override
     {}
-    void announceCrash(const CrashNotice & /*notice*/) override {}
     void refuse(const RequestId &request, const Failure &failure) override;
 
     std::size_t number;
