--- /dev/null
+++ b/src/coordination/member_table.cpp
@@ -0,0 +1,145 @@
+#include "coordination/member_table.h"
+
+#include "core/hashing.h"
+
+#include <tuple>
+
+namespace dotterel {
+
+namespace {
+
+std::size_t bucketOf(const std::string &name)
+{
+    return hash64(name) % MemberBuckets;
+}
+
+bool ended(MemberState state)
+{
+    return state == MemberState::Dead || state == MemberState::Left;
+}
+
+std::uint64_t fingerprint(const MemberRecord &record)
+{
+    std::string bytes = record.identity.host;
+    bytes.push_back('\0');
+    bytes += toHex(record.identity.incarnation);
+    bytes += toHex(record.counter);
+    bytes.push_back(static_cast<char>('0' + static_cast<int>(record.state)));
+    return hash64(bytes);
+}
+
+std::uint64_t fingerprint(const ServerNotice &notice)
+{
+    return hash64(notice.server + '\0' + toHex(notice.sequence) + (notice.draining ? "d" : "u"));
+}
+
+} // namespace
+
+bool overrides(const MemberRecord &left, const MemberRecord &right)
+{
+    const auto rank = [](const MemberRecord &record) {
+        return std::tuple(record.identity.incarnation, record.counter, record.state);
+    };
+    return rank(left) > rank(right);
+}
+
+bool overrides(const ServerNotice &left, const ServerNotice &right)
+{
+    const auto rank = [](const ServerNotice &notice) {
+        return std::pair(notice.sequence, notice.draining);
+    };
+    return rank(left) > rank(right);
+}
+
+bool MemberTable::merge(const MemberRecord &record, TimePoint now)
+{
+    const auto known = this->members.find(record.identity.host);
+    if (known != this->members.end() && !overrides(record, known->second.record))
+        return false;
+    this->members[record.identity.host] = {record, now};
+    ++this->changes;
+    return true;
+}
+
+bool MemberTable::merge(const ServerNotice &notice)
+{
+    const auto known = this->servers.find(notice.server);
+    if (known != this->servers.end() && !overrides(notice, known->second))
+        return false;
+    this->servers[notice.server] = notice;
+    ++this->changes;
+    return true;
+}
+
+void MemberTable::setConfigurationVersion(const HostId &host, std::uint64_t version)
+{
+    const auto known = this->members.find(host);
+    if (known != this->members.end())
+        known->second.record.configurationVersion = version;
+}
+
+const MemberTable::Entry *MemberTable::find(const HostId &host) const
+{
+    const auto known = this->members.find(host);
+    return known == this->members.end() ? nullptr : &known->second;
+}
+
+void MemberTable::shiftTimes(Duration gap)
+{
+    for (auto &[host, entry] : this->members)
+        entry.since += gap;
+}
+
+void MemberTable::forgetEndedBefore(TimePoint time)
+{
+    for (auto row = this->members.begin(); row != this->members.end();) {
+        const bool forget = ended(row->second.record.state) && row->second.since < time;
+        row = forget ? this->members.erase(row) : std::next(row);
+    }
+}
+
+BucketDigests MemberTable::digests(const MemberRecord &self) const
+{
+    BucketDigests digests{};
+    digests.at(bucketOf(self.identity.host)) ^= fingerprint(self);
+    // Hosts forget ended members at different times, so these cannot count.
+    for (const auto &[host, entry] : this->members) {
+        if (!ended(entry.record.state))
+            digests.at(bucketOf(host)) ^= fingerprint(entry.record);
+    }
+    for (const auto &[server, notice] : this->servers)
+        digests.at(bucketOf(server)) ^= fingerprint(notice);
+    return digests;
+}
+
+MemberUpdate MemberTable::difference(const MemberRecord &self,
+                                     const std::vector<std::uint64_t> &theirs) const
+{
+    MemberUpdate update;
+    const BucketDigests own = this->digests(self);
+    const auto differs = [&own, &theirs](const std::string &name) {
+        const std::size_t bucket = bucketOf(name);
+        return bucket >= theirs.size() || theirs[bucket] != own.at(bucket);
+    };
+    if (differs(self.identity.host))
+        update.members.push_back(self);
+    for (const auto &[host, entry] : this->members) {
+        if (differs(host))
+            update.members.push_back(entry.record);
+    }
+    for (const auto &[server, notice] : this->servers) {
+        if (differs(server))
+            update.notices.push_back(notice);
+    }
+    return update;
+}
+
+std::uint64_t combined(const BucketDigests &digests)
+{
+    std::uint64_t result = 0;
+    for (const std::uint64_t digest : digests)
+        result = result * 31 + digest;
+    return result;
+}
+
+} // namespace dotterel
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -1,95 +1,420 @@
 #include "coordination/membership.h"
 
+#include "coordination/member_topology.h"
+#include "core/hashing.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace dotterel {
 
 namespace {
 
-/// A member is suspected after this many heartbeat intervals without news.
-constexpr int MissedHeartbeats = 8;
+// Time limits, in ticks.
+constexpr std::uint64_t TicksPerHeartbeat = 2;
+constexpr std::uint64_t TicksPerProbe = 20;
+constexpr int SilentTicks = 8;
+constexpr int SuspicionTicks = 5;
+constexpr int DifferenceTicks = 4;
+constexpr int PauseTicks = 4;
+constexpr Duration ForgetAfter = std::chrono::minutes(10);
+
+constexpr std::size_t MostNewsPerHeartbeat = 48;
+constexpr std::size_t ListReaders = 2;
+const std::string ListDuty = "host-list";
 
-bool isNewer(const MemberRecord &left, const MemberRecord &right)
+std::vector<std::uint64_t> toVector(const BucketDigests &digests)
 {
-    if (left.identity.incarnation != right.identity.incarnation)
-        return left.identity.incarnation > right.identity.incarnation;
-    return left.heartbeat > right.heartbeat;
+    return {digests.begin(), digests.end()};
+}
+
+bool isLive(MemberState state)
+{
+    return state == MemberState::Alive || state == MemberState::Suspected;
 }
 
 } // namespace
 
-Membership::Membership(HostIdentity self, Duration heartbeatInterval, Metrics &metrics,
-                       EventLog &log)
-    : self(std::move(self))
-    , suspectAfter(heartbeatInterval * MissedHeartbeats)
+Membership::Membership(HostIdentity self, Duration tick, Metrics &metrics, EventLog &log)
+    : tick(tick)
     , metrics(metrics)
     , log(log)
-{}
+{
+    this->self.identity = std::move(self);
+    this->self.counter = 1;
+}
 
-Heartbeat Membership::beat(std::uint64_t configurationVersion,
-                           const std::vector<ServerId> &draining)
+std::optional<Heartbeat> Membership::onTick(TimePoint now)
+{
+    this->forgivePause(now);
+    ++this->ticks;
+    this->probeRound = this->ticks / TicksPerProbe;
+    this->suspectSilent(now);
+    this->buryUnrefuted(now);
+    this->table.forgetEndedBefore(now - ForgetAfter);
+    this->chooseTargets(now);
+    this->metrics.set(Gauge::LiveMembers, static_cast<double>(this->liveCount()));
+    const bool due = this->ticks % TicksPerHeartbeat == 0;
+    if (!due && !this->beatNow && this->news.empty() && this->noticeNews.empty())
+        return std::nullopt;
+    this->beatNow = false;
+    Heartbeat heartbeat = this->greeting();
+    heartbeat.news = this->takeNews();
+    for (const auto &[server, notice] : std::exchange(this->noticeNews, {}))
+        heartbeat.notices.push_back(notice);
+    return heartbeat;
+}
+
+Heartbeat Membership::greeting() const
 {
-    this->ownConfigurationVersion = configurationVersion;
     Heartbeat heartbeat;
     heartbeat.sender = this->self;
-    heartbeat.members.push_back({this->self, ++this->counter, configurationVersion, this->leaving});
-    for (const auto &[host, entry] : this->members) {
-        if (!entry.suspected)
-            heartbeat.members.push_back(entry.record);
-    }
-    heartbeat.draining = draining;
+    heartbeat.digest = this->digest();
+    return heartbeat;
+}
+
+Heartbeat Membership::goodbye() const
+{
+    Heartbeat heartbeat = this->greeting();
+    heartbeat.unlinking = true;
     return heartbeat;
 }
 
-void Membership::onHeartbeat(const Heartbeat &heartbeat, TimePoint now)
+std::optional<PeerMessage> Membership::onHeartbeat(const Heartbeat &heartbeat, TimePoint now)
 {
-    for (const MemberRecord &record : heartbeat.members)
-        this->merge(record, now);
-    this->metrics.set(Gauge::LiveMembers, static_cast<double>(this->live().size()));
+    const MemberRecord &sender = heartbeat.sender;
+    if (sender.identity.host == this->self.identity.host)
+        return std::nullopt;
+    this->highestVersion = std::max(this->highestVersion, sender.configurationVersion);
+    this->take(sender, now);
+    this->heard[sender.identity.host] = now;
+    this->table.setConfigurationVersion(sender.identity.host, sender.configurationVersion);
+    for (const MemberRecord &record : heartbeat.news)
+        this->take(record, now);
+    for (const ServerNotice &notice : heartbeat.notices)
+        this->publish(notice);
+    // Without a link, silence says nothing of a member.
+    if (heartbeat.unlinking) {
+        this->heard.erase(sender.identity.host);
+        return std::nullopt;
+    }
+    // A member that is held for dead must learn of it, so that it can refute.
+    const MemberTable::Entry *known = this->table.find(sender.identity.host);
+    if (known != nullptr && overrides(known->record, sender))
+        return MemberUpdate{{known->record}, {}, {}};
+    return this->compare(heartbeat, now);
 }
 
-void Membership::onTimer(TimePoint now)
+MemberUpdate Membership::onDigest(const MemberDigest &digest) const
 {
-    for (auto &[host, entry] : this->members) {
-        if (entry.suspected || now - entry.heard < this->suspectAfter)
-            continue;
-        entry.suspected = true;
-        this->log.write(Event::MemberSuspected, {{"member", host}});
+    MemberUpdate update = this->table.difference(this->self, digest.buckets);
+    update.buckets = toVector(this->table.digests(this->self));
+    return update;
+}
+
+std::optional<PeerMessage> Membership::onUpdate(const MemberUpdate &update, TimePoint now)
+{
+    for (const MemberRecord &record : update.members)
+        this->take(record, now);
+    for (const ServerNotice &notice : update.notices)
+        this->publish(notice);
+    if (update.buckets.empty())
+        return std::nullopt;
+    this->hasTable = true;
+    const MemberUpdate back = this->table.difference(this->self, update.buckets);
+    // Records that came with the update are the sender's own; only what it lacks goes back.
+    MemberUpdate lacking;
+    for (const MemberRecord &record : back.members) {
+        const auto same = [&record](const MemberRecord &other) {
+            return other.identity.host == record.identity.host && !overrides(record, other);
+        };
+        if (std::none_of(update.members.begin(), update.members.end(), same))
+            lacking.members.push_back(record);
+    }
+    for (const ServerNotice &notice : back.notices) {
+        const auto same = [&notice](const ServerNotice &other) {
+            return other.server == notice.server && !overrides(notice, other);
+        };
+        if (std::none_of(update.notices.begin(), update.notices.end(), same))
+            lacking.notices.push_back(notice);
+    }
+    if (lacking.members.empty() && lacking.notices.empty())
+        return std::nullopt;
+    return lacking;
+}
+
+void Membership::onListed(const std::vector<MemberRecord> &hosts)
+{
+    this->listed.clear();
+    for (const MemberRecord &host : hosts) {
+        if (host.identity.host != this->self.identity.host)
+            this->listed[host.identity.host] = host;
     }
-    this->metrics.set(Gauge::LiveMembers, static_cast<double>(this->live().size()));
+    for (auto row = this->unreachable.begin(); row != this->unreachable.end();)
+        row = this->listed.count(*row) > 0 ? std::next(row) : this->unreachable.erase(row);
+    this->targetsRevision = 0;
+}
+
+bool Membership::readsHostList() const
+{
+    return hasDuty(this->self.identity, this->live(), ListDuty, ListReaders);
+}
+
+void Membership::setConfigurationVersion(std::uint64_t version)
+{
+    this->beatNow = this->beatNow || version != this->self.configurationVersion;
+    this->self.configurationVersion = version;
+    this->highestVersion = std::max(this->highestVersion, version);
+}
+
+void Membership::publish(const ServerNotice &notice)
+{
+    if (!this->table.merge(notice))
+        return;
+    this->noticeNews[notice.server] = notice;
+    this->arrivedNotices.push_back(notice);
+}
+
+std::vector<ServerNotice> Membership::takeNotices()
+{
+    return std::exchange(this->arrivedNotices, {});
+}
+
+void Membership::beginLeaving()
+{
+    this->self.leaving = true;
+    this->announce();
+}
+
+Heartbeat Membership::farewell()
+{
+    this->self.state = MemberState::Left;
+    this->announce();
+    Heartbeat heartbeat = this->greeting();
+    heartbeat.news.push_back(this->self);
+    return heartbeat;
 }
 
 std::vector<MemberRecord> Membership::live() const
 {
-    std::vector<MemberRecord> records = {
-            {this->self, this->counter, this->ownConfigurationVersion, this->leaving}};
-    for (const auto &[host, entry] : this->members) {
-        if (!entry.suspected)
+    std::vector<MemberRecord> records = {this->self};
+    for (const auto &[host, entry] : this->table.entries()) {
+        if (isLive(entry.record.state))
             records.push_back(entry.record);
     }
     return records;
 }
 
-std::uint64_t Membership::highestConfigurationVersion() const
+std::size_t Membership::liveCount() const
+{
+    const auto &entries = this->table.entries();
+    const auto live = std::count_if(entries.begin(), entries.end(), [](const auto &row) {
+        return isLive(row.second.record.state);
+    });
+    return static_cast<std::size_t>(live) + 1;
+}
+
+bool Membership::mayRun(const HostId &host, Incarnation incarnation) const
 {
-    std::uint64_t highest = 0;
-    for (const auto &[host, entry] : this->members)
-        highest = std::max(highest, entry.record.configurationVersion);
-    return highest;
+    if (host == this->self.identity.host)
+        return incarnation == this->self.identity.incarnation;
+    const MemberTable::Entry *known = this->table.find(host);
+    if (known == nullptr)
+        return true;
+    if (known->record.identity.incarnation != incarnation)
+        return known->record.identity.incarnation < incarnation;
+    return isLive(known->record.state);
 }
 
-void Membership::merge(const MemberRecord &record, TimePoint now)
+void Membership::take(const MemberRecord &record, TimePoint now)
 {
-    if (record.identity.host == this->self.host)
+    if (record.identity.host == this->self.identity.host) {
+        this->refute(record);
         return;
-    const auto known = this->members.find(record.identity.host);
-    if (known != this->members.end() && !isNewer(record, known->second.record))
+    }
+    this->highestVersion = std::max(this->highestVersion, record.configurationVersion);
+    const MemberTable::Entry *known = this->table.find(record.identity.host);
+    const bool joined = isLive(record.state)
+                        && (known == nullptr || !isLive(known->record.state)
+                            || known->record.identity.incarnation != record.identity.incarnation);
+    if (!this->table.merge(record, now))
         return;
-    const bool joined = known == this->members.end() || known->second.suspected
-                        || known->second.record.identity.incarnation != record.identity.incarnation;
-    this->members[record.identity.host] = {record, now, false};
+    this->addNews(record);
+    this->unreachable.erase(record.identity.host);
     if (joined)
         this->log.write(Event::MemberJoined, {{"member", record.identity.host}});
 }
 
+void Membership::addNews(const MemberRecord &record)
+{
+    const HostId &host = record.identity.host;
+    const bool waiting = this->news.count(host) > 0;
+    this->news[host] = record;
+    if (waiting)
+        return;
+    // A refutation must overtake the suspicion.
+    if (host == this->self.identity.host)
+        this->newsOrder.push_front(host);
+    else
+        this->newsOrder.push_back(host);
+}
+
+std::vector<MemberRecord> Membership::takeNews()
+{
+    std::vector<MemberRecord> records;
+    while (!this->newsOrder.empty() && records.size() < MostNewsPerHeartbeat) {
+        const auto row = this->news.find(this->newsOrder.front());
+        records.push_back(std::move(row->second));
+        this->news.erase(row);
+        this->newsOrder.pop_front();
+    }
+    return records;
+}
+
+void Membership::refute(const MemberRecord &record)
+{
+    const bool ofThisLife = record.identity.incarnation == this->self.identity.incarnation;
+    if (!ofThisLife || this->self.state != MemberState::Alive || !overrides(record, this->self))
+        return;
+    this->self.counter = record.counter;
+    this->announce();
+}
+
+void Membership::announce()
+{
+    ++this->self.counter;
+    this->addNews(this->self);
+    this->beatNow = true;
+}
+
+void Membership::setState(const MemberRecord &record, MemberState state, TimePoint now)
+{
+    MemberRecord changed = record;
+    changed.state = state;
+    this->table.merge(changed, now);
+    this->addNews(changed);
+}
+
+void Membership::forgivePause(TimePoint now)
+{
+    const Duration gap = this->lastTick ? now - *this->lastTick : Duration::zero();
+    this->lastTick = now;
+    if (gap < this->tick * PauseTicks)
+        return;
+    // This process did not run and heard nobody, so silence says nothing of the others.
+    for (auto &[host, time] : this->heard)
+        time += gap;
+    this->table.shiftTimes(gap);
+}
+
+void Membership::suspectSilent(TimePoint now)
+{
+    for (auto row = this->heard.begin(); row != this->heard.end();) {
+        if (now - row->second < this->tick * SilentTicks) {
+            ++row;
+            continue;
+        }
+        const MemberTable::Entry *known = this->table.find(row->first);
+        if (known == nullptr) {
+            this->unreachable.insert(row->first);
+            this->targetsRevision = 0;
+        } else if (known->record.state == MemberState::Alive) {
+            this->log.write(Event::MemberSuspected, {{"member", row->first}});
+            this->setState(known->record, MemberState::Suspected, now);
+        }
+        this->differsSince.erase(row->first);
+        row = this->heard.erase(row);
+    }
+}
+
+void Membership::buryUnrefuted(TimePoint now)
+{
+    std::vector<MemberRecord> dead;
+    for (const auto &[host, entry] : this->table.entries()) {
+        if (entry.record.state == MemberState::Suspected
+            && now - entry.since >= this->tick * SuspicionTicks)
+            dead.push_back(entry.record);
+    }
+    for (const MemberRecord &record : dead)
+        this->setState(record, MemberState::Dead, now);
+}
+
+void Membership::chooseTargets(TimePoint now)
+{
+    const bool probeDue = this->ticks % TicksPerProbe == 0;
+    if (this->targetsRevision == this->table.revision() && !probeDue)
+        return;
+    this->targetsRevision = this->table.revision();
+    std::vector<MemberRecord> candidates = this->live();
+    for (const auto &[host, record] : this->listed) {
+        if (this->table.find(host) == nullptr && this->unreachable.count(host) == 0)
+            candidates.push_back(record);
+    }
+    const std::vector<MemberRecord> chosen = chooseLinks(this->self.identity, candidates);
+    for (const MemberRecord &target : chosen)
+        this->heard.emplace(target.identity.host, now);
+    // A link that is given up says nothing of its peer; one that the peer opened is heard again.
+    for (const MemberRecord &target : this->targets) {
+        const HostId &host = target.identity.host;
+        const bool kept = std::any_of(chosen.begin(), chosen.end(), [&host](const auto &other) {
+            return other.identity.host == host;
+        });
+        if (!kept)
+            this->heard.erase(host);
+    }
+    this->targets = chosen;
+    const std::optional<MemberRecord> probe = this->probeTarget();
+    if (probe)
+        this->targets.push_back(*probe);
+}
+
+std::optional<MemberRecord> Membership::probeTarget() const
+{
+    std::vector<const MemberRecord *> candidates;
+    for (const auto &[host, entry] : this->table.entries()) {
+        if (entry.record.state == MemberState::Dead)
+            candidates.push_back(&entry.record);
+    }
+    for (const HostId &host : this->unreachable) {
+        const auto record = this->listed.find(host);
+        if (record != this->listed.end())
+            candidates.push_back(&record->second);
+    }
+    if (candidates.empty())
+        return std::nullopt;
+    const std::uint64_t draw = hash64(this->self.identity.host + toHex(this->probeRound));
+    return *candidates[draw % candidates.size()];
+}
+
+std::uint64_t Membership::digest() const
+{
+    const bool valid = this->digestRevision == this->table.revision()
+                       && this->digestCounter == this->self.counter;
+    if (!valid) {
+        this->cachedDigest = combined(this->table.digests(this->self));
+        this->digestRevision = this->table.revision();
+        this->digestCounter = this->self.counter;
+    }
+    return this->cachedDigest;
+}
+
+std::optional<PeerMessage> Membership::compare(const Heartbeat &heartbeat, TimePoint now)
+{
+    const HostId &host = heartbeat.sender.identity.host;
+    if (heartbeat.digest == this->digest()) {
+        this->differsSince.erase(host);
+        return std::nullopt;
+    }
+    const TimePoint since = this->differsSince.emplace(host, now).first->second;
+    const Duration patience = this->tick * DifferenceTicks;
+    const bool settled = now - since >= patience;
+    const bool paced = !this->lastComparison || now - *this->lastComparison >= patience;
+    // A host that has just started takes over a table at once.
+    if (!paced || (!settled && this->hasTable))
+        return std::nullopt;
+    this->lastComparison = now;
+    this->differsSince.erase(host);
+    return MemberDigest{toVector(this->table.digests(this->self))};
+}
+
 } // namespace dotterel
--- a/src/entry_host/entry_host.cpp
+++ b/src/entry_host/entry_host.cpp
@@ -8,7 +8,8 @@
 
 constexpr Duration WatchWait = std::chrono::seconds(20);
 constexpr Duration WatchRetry = std::chrono::milliseconds(500);
-constexpr Duration HostsInterval = std::chrono::seconds(1);
+constexpr Duration FarewellTime = std::chrono::milliseconds(50);
+constexpr int SilentHeartbeats = 8;
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(50);
 constexpr std::size_t MostOperatorBodyBytes = 64UL * 1024;
 constexpr int StatusOk = 200;
@@ -45,7 +46,9 @@
     , membership(this->identity, settings.heartbeatInterval, this->metrics, log)
     , backend(loop, this->httpClient, this->identity, *this)
     , callerApi(loop, settings, this->identity, *this)
-    , mesh(loop, settings.peers, settings.host, *this, this->metrics, log)
+    , mesh(loop, settings.peers, settings.host, settings.heartbeatInterval * SilentHeartbeats,
+           *this, this->random, this->metrics, log)
+    , agent(loop, settings.heartbeatInterval, this->membership, this->mesh, this->platform, *this)
     , operatorServer(
               loop, settings.operators, MostOperatorBodyBytes,
               [this](const HttpExchangePointer &exchange) { this->handleOperator(exchange); })
@@ -55,9 +58,6 @@
                                          {"callers", this->callers().text()},
                                          {"operators", this->operators().text()},
                                          {"peers", this->peers().text()}});
-    this->heartbeatTimer = loop.every(settings.heartbeatInterval, [this] { this->heartbeat(); });
-    this->hostsTimer = loop.every(HostsInterval, [this] { this->readHosts(); });
-    this->readHosts();
     this->watchConfiguration();
 }
 
@@ -87,7 +87,8 @@
         return;
     this->drainTimer.reset();
     this->log.write(Event::ShutdownDone, {});
-    this->shutdownFinished();
+    this->agent.sayFarewell();
+    this->drainTimer = this->loop.after(FarewellTime, [this] { this->shutdownFinished(); });
 }
 
 void EntryHost::sendAttempt(const AttemptOrder &order)
@@ -183,16 +184,17 @@
     this->armTimer();
 }
 
+void EntryHost::onPeerLinked(std::uint64_t link)
+{
+    this->agent.onPeerLinked(link);
+}
+
 void EntryHost::onPeerMessage(std::uint64_t link, const PeerMessage &message)
 {
+    this->agent.onPeerMessage(link, message);
     if (const Heartbeat *heartbeat = std::get_if<Heartbeat>(&message)) {
-        this->membership.onHeartbeat(*heartbeat, this->loop.now());
-        for (const ServerId &server : heartbeat->draining)
-            this->directory.markDraining(server);
         const std::uint64_t known = this->follower.current().version;
-        const bool peerHasNewer = !heartbeat->members.empty()
-                                  && heartbeat->members.front().configurationVersion > known;
-        if (peerHasNewer)
+        if (heartbeat->sender.configurationVersion > known)
             this->mesh.send(link, ConfigurationRequest{known});
     } else if (const ConfigurationRequest *request = std::get_if<ConfigurationRequest>(&message)) {
         if (this->follower.current().version > request->knownVersion)
@@ -203,8 +205,29 @@
     }
 }
 
+void EntryHost::onHostList(const std::vector<ListedHost> &hosts)
+{
+    for (const ListedHost &host : hosts) {
+        if (host.role == "backend" && host.leaving)
+            this->directory.markDraining(host.id);
+    }
+}
+
+void EntryHost::onServerNotice(const ServerNotice &notice)
+{
+    if (notice.draining)
+        this->directory.markDraining(notice.server);
+}
+
+void EntryHost::beforeHeartbeat()
+{
+    for (const ServerId &server : this->directory.draining())
+        this->membership.publish({server, 1, true});
+}
+
 void EntryHost::applyConfiguration(const Configuration &configuration)
 {
+    this->agent.announceConfiguration(configuration.version);
     this->directory.applyConfiguration(configuration);
     this->controller.applyConfiguration(configuration);
     this->log.write(Event::HostReady,
@@ -230,26 +253,6 @@
             });
 }
 
-void EntryHost::readHosts()
-{
-    this->platform.hosts([this](const HostList::Result &result, TimePoint) {
-        if (!result)
-            return;
-        this->mesh.applyHosts(*result);
-        for (const ListedHost &host : *result) {
-            if (host.role == "backend" && host.leaving)
-                this->directory.markDraining(host.id);
-        }
-    });
-}
-
-void EntryHost::heartbeat()
-{
-    this->membership.onTimer(this->loop.now());
-    this->mesh.broadcast(
-            this->membership.beat(this->follower.current().version, this->directory.draining()));
-}
-
 void EntryHost::armTimer()
 {
     const std::optional<TimePoint> next = this->controller.nextTimer();
@@ -299,6 +302,7 @@
                                    {"incarnation", member.identity.incarnation},
                                    {"failure_domain", member.identity.failureDomain},
                                    {"configuration_version", member.configurationVersion},
+                                   {"state", memberStateName(member.state)},
                                    {"leaving", member.leaving}});
     }
     json["backend_servers"] = nlohmann::ordered_json::array();
--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -10,6 +10,7 @@
 #include "core/random_source.h"
 #include "entry_host/caller_api.h"
 #include "entry_host/http_backend_client.h"
+#include "entry_host/peer_agent.h"
 #include "entry_host/peer_mesh.h"
 #include "state/http_object_store.h"
 #include "state/settings.h"
@@ -27,6 +28,7 @@
     , private AttemptListener
     , private CallerListener
     , private PeerListener
+    , private PeerAgentListener
 {
 public:
     /// Binds the host's three addresses. Throws std::runtime_error if one cannot be bound.
@@ -65,12 +67,16 @@
     void onCallerGone(const RequestId &request) override;
 
     // PeerListener
+    void onPeerLinked(std::uint64_t link) override;
     void onPeerMessage(std::uint64_t link, const PeerMessage &message) override;
 
+    // PeerAgentListener
+    void onHostList(const std::vector<ListedHost> &hosts) override;
+    void onServerNotice(const ServerNotice &notice) override;
+    void beforeHeartbeat() override;
+
     void applyConfiguration(const Configuration &configuration);
     void watchConfiguration();
-    void readHosts();
-    void heartbeat();
     void armTimer();
     void finishShutdownIfIdle();
     void handleOperator(const HttpExchangePointer &exchange);
@@ -93,14 +99,13 @@
     HttpBackendClient backend;
     CallerApi callerApi;
     PeerMesh mesh;
+    PeerAgent agent;
     HttpServer operatorServer;
     bool shuttingDown = false;
     bool platformReachable = true;
     std::uint64_t watchedVersion = 0; ///< Of the object that holds the configuration.
     std::function<void()> shutdownFinished;
     EventLoop::TimerHandle deadlineTimer;
-    EventLoop::TimerHandle heartbeatTimer;
-    EventLoop::TimerHandle hostsTimer;
     EventLoop::TimerHandle watchTimer;
     EventLoop::TimerHandle graceTimer;
     EventLoop::TimerHandle drainTimer;
--- a/src/entry_host/peer_mesh.cpp
+++ b/src/entry_host/peer_mesh.cpp
@@ -1,37 +1,13 @@
 #include "entry_host/peer_mesh.h"
 
-#include "core/hashing.h"
-
 #include <algorithm>
-#include <set>
 
 namespace dotterel {
 
 namespace {
 
-/// Links that a host opens; those that others open to it come on top.
-constexpr std::size_t OutgoingLinks = 4;
 constexpr std::size_t MostIncomingLinks = 64;
 
-/// Returns the hosts that \a self links to: a different spread for each host, which changes little
-/// when hosts come and go.
-std::vector<ListedHost> chooseHosts(const HostId &self, const std::vector<ListedHost> &hosts)
-{
-    std::vector<std::pair<std::uint64_t, const ListedHost *>> ranked;
-    for (const ListedHost &host : hosts) {
-        if (host.role == "entry" && host.id != self && !host.leaving)
-            ranked.emplace_back(hash64(self + '\0' + host.id), &host);
-    }
-    std::sort(ranked.begin(), ranked.end());
-    if (ranked.size() > OutgoingLinks)
-        ranked.resize(OutgoingLinks);
-    std::vector<ListedHost> chosen;
-    chosen.reserve(ranked.size());
-    for (const auto &[weight, host] : ranked)
-        chosen.push_back(*host);
-    return chosen;
-}
-
 } // namespace
 
 /// One link and its place in the mesh.
@@ -46,7 +22,7 @@
     void onLinkOpened() override
     {
         this->open = true;
-        this->owner.log.write(Event::PeerLinked, {{"link", static_cast<std::int64_t>(this->id)}});
+        this->owner.opened(this->id);
     }
     void onFrame(std::string_view bytes) override { this->owner.received(this->id, bytes); }
     void onLinkClosed(LinkEnd end) override { this->owner.closed(this->id, end); }
@@ -54,19 +30,23 @@
     std::unique_ptr<WebsocketLink> websocket;
     bool open = false;
     bool incoming = false;
+    HostId peer; ///< Empty on an accepted link until its first heartbeat.
+    TimePoint heard;
 
 private:
     PeerMesh &owner;
     std::uint64_t id;
 };
 
-PeerMesh::PeerMesh(EventLoop &loop, const Endpoint &endpoint, HostId self, PeerListener &listener,
-                   Metrics &metrics, EventLog &log)
+PeerMesh::PeerMesh(EventLoop &loop, const Endpoint &endpoint, HostId self, Duration silence,
+                   PeerListener &listener, RandomSource &random, Metrics &metrics, EventLog &log)
     : loop(loop)
     , self(std::move(self))
+    , silence(silence)
     , listener(listener)
     , metrics(metrics)
     , log(log)
+    , backoff(random)
     , websockets(loop, endpoint, LinkLimits{}, [this](std::unique_ptr<WebsocketLink> websocket) {
         this->accepted(std::move(websocket));
     })
@@ -74,29 +54,77 @@
 
 PeerMesh::~PeerMesh() = default;
 
-void PeerMesh::applyHosts(const std::vector<ListedHost> &hosts)
+void PeerMesh::maintain(const std::vector<MemberRecord> &targets, const PeerMessage &goodbye)
 {
-    const std::vector<ListedHost> chosen = chooseHosts(this->self, hosts);
-    std::set<HostId> wanted;
-    for (const ListedHost &host : chosen)
-        wanted.insert(host.id);
-    for (auto row = this->outgoing.begin(); row != this->outgoing.end();) {
-        const bool keep = wanted.count(row->first) > 0;
-        if (!keep)
-            this->links.erase(row->second);
-        row = keep ? std::next(row) : this->outgoing.erase(row);
+    this->closeUnwanted(targets, goodbye);
+    this->closeSilent();
+    const TimePoint now = this->loop.now();
+    this->backoff.forgetOld(now);
+    for (const MemberRecord &target : targets) {
+        const HostId &host = target.identity.host;
+        if (this->outgoing.count(host) == 0 && !this->hasIncomingFrom(host)
+            && this->backoff.mayConnect(host, now))
+            this->connect(target);
     }
-    for (const ListedHost &host : chosen) {
-        if (this->outgoing.count(host.id) > 0)
+}
+
+void PeerMesh::closeUnwanted(const std::vector<MemberRecord> &targets, const PeerMessage &goodbye)
+{
+    for (auto row = this->outgoing.begin(); row != this->outgoing.end();) {
+        const HostId &host = row->first;
+        const bool wanted =
+                std::any_of(targets.begin(), targets.end(), [&host](const MemberRecord &target) {
+                    return target.identity.host == host;
+                });
+        // Two hosts that chose each other keep one of their two links.
+        const bool spare = host < this->self && this->hasIncomingFrom(host);
+        if (wanted && !spare) {
+            ++row;
             continue;
-        const std::uint64_t id = this->nextLink++;
-        Link &link = *this->links.emplace(id, std::make_unique<Link>(*this, id)).first->second;
-        this->outgoing[host.id] = id;
-        link.websocket =
-                connectWebsocket(this->loop, {host.address, host.peerPort}, LinkLimits{}, link);
+        }
+        // Sending may close the link and take it from the tables.
+        const std::uint64_t link = row->second;
+        row = this->outgoing.erase(row);
+        this->send(link, goodbye);
+        this->links.erase(link);
     }
 }
 
+void PeerMesh::closeSilent()
+{
+    const TimePoint limit = this->loop.now() - this->silence;
+    std::vector<std::uint64_t> silent;
+    for (const auto &[id, link] : this->links) {
+        if (link->open && link->heard < limit)
+            silent.push_back(id);
+    }
+    for (const std::uint64_t id : silent)
+        this->closed(id, LinkEnd::PeerSilent);
+}
+
+void PeerMesh::connect(const MemberRecord &target)
+{
+    const std::uint64_t id = this->nextLink++;
+    Link &link = *this->links.emplace(id, std::make_unique<Link>(*this, id)).first->second;
+    link.peer = target.identity.host;
+    this->outgoing[link.peer] = id;
+    link.websocket = connectWebsocket(this->loop, target.peers, LinkLimits{}, link);
+}
+
+bool PeerMesh::hasIncomingFrom(const HostId &host) const
+{
+    return std::any_of(this->links.begin(), this->links.end(), [&host](const auto &row) {
+        return row.second->incoming && row.second->open && row.second->peer == host;
+    });
+}
+
+void PeerMesh::opened(std::uint64_t link)
+{
+    this->links.at(link)->heard = this->loop.now();
+    this->log.write(Event::PeerLinked, {{"link", static_cast<std::int64_t>(link)}});
+    this->listener.onPeerLinked(link);
+}
+
 void PeerMesh::broadcast(const PeerMessage &message)
 {
     const std::string bytes = encodePeerMessage(message);
@@ -140,19 +168,26 @@
                                             {"end", std::string(linkEndName(end))}});
     if (end == LinkEnd::FrameTooLarge || end == LinkEnd::ProtocolError)
         this->metrics.count(Counter::PeerFramesRejected, 1);
-    for (auto row = this->outgoing.begin(); row != this->outgoing.end(); ++row) {
-        if (row->second == link) {
-            this->outgoing.erase(row);
-            break;
-        }
-    }
-    this->links.erase(link);
+    const auto found = this->links.find(link);
+    if (found == this->links.end())
+        return;
+    const std::unique_ptr<Link> ended = std::move(found->second);
+    this->links.erase(found);
+    if (ended->incoming)
+        return;
+    const auto place = this->outgoing.find(ended->peer);
+    if (place == this->outgoing.end() || place->second != link)
+        return;
+    this->outgoing.erase(place);
+    this->backoff.onFailed(ended->peer, this->loop.now());
 }
 
 void PeerMesh::received(std::uint64_t link, std::string_view bytes)
 {
     const tl::expected<PeerMessage, std::string> message = decodePeerMessage(bytes);
     if (message) {
+        if (!this->noteSender(link, *message))
+            return;
         this->listener.onPeerMessage(link, *message);
         return;
     }
@@ -163,6 +198,28 @@
         found->second->websocket->close();
 }
 
+bool PeerMesh::noteSender(std::uint64_t link, const PeerMessage &message)
+{
+    const auto found = this->links.find(link);
+    if (found == this->links.end())
+        return false;
+    Link &source = *found->second;
+    source.heard = this->loop.now();
+    const Heartbeat *heartbeat = std::get_if<Heartbeat>(&message);
+    if (heartbeat == nullptr)
+        return true;
+    const HostId &sender = heartbeat->sender.identity.host;
+    if (source.incoming) {
+        source.peer = sender;
+    } else if (source.peer != sender) {
+        // Another host runs at this address by now.
+        source.websocket->close();
+        return false;
+    }
+    this->backoff.onWorked(sender);
+    return true;
+}
+
 void PeerMesh::accepted(std::unique_ptr<WebsocketLink> websocket)
 {
     const auto incoming = std::count_if(this->links.begin(), this->links.end(),
--- a/src/entry_host/peer_mesh.h
+++ b/src/entry_host/peer_mesh.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "coordination/member_backoff.h"
 #include "core/event_log.h"
 #include "core/metrics.h"
 #include "protocol/peer_message.h"
-#include "state/object_store.h"
 #include "transport/websocket_link.h"
 
 #include <functional>
@@ -19,6 +19,9 @@
 public:
     virtual ~PeerListener() = default;
 
+    /// \a link is open; the first message over it names this host.
+    virtual void onPeerLinked(std::uint64_t link) = 0;
+
     /// \a message came from the peer behind \a link; reply with PeerMesh::send().
     virtual void onPeerMessage(std::uint64_t link, const PeerMessage &message) = 0;
 };
@@ -27,12 +30,14 @@
 class PeerMesh
 {
 public:
-    PeerMesh(EventLoop &loop, const Endpoint &endpoint, HostId self, PeerListener &listener,
-             Metrics &metrics, EventLog &log);
+    /// A link that is silent for \a silence is closed.
+    PeerMesh(EventLoop &loop, const Endpoint &endpoint, HostId self, Duration silence,
+             PeerListener &listener, RandomSource &random, Metrics &metrics, EventLog &log);
     ~PeerMesh();
 
-    /// Opens links to the peers that this host chooses among \a hosts and closes others.
-    void applyHosts(const std::vector<ListedHost> &hosts);
+    /// Opens links to \a targets and closes those that this host opened to others, after saying
+    /// \a goodbye. Called often: it tries again where a link failed, and closes silent links.
+    void maintain(const std::vector<MemberRecord> &targets, const PeerMessage &goodbye);
 
     /// Sends \a message over every open link.
     void broadcast(const PeerMessage &message);
@@ -49,16 +54,24 @@
 private:
     class Link;
 
+    void closeUnwanted(const std::vector<MemberRecord> &targets, const PeerMessage &goodbye);
+    void closeSilent();
+    void connect(const MemberRecord &target);
+    bool hasIncomingFrom(const HostId &host) const;
+    void opened(std::uint64_t link);
     void sendBytes(Link &link, const std::string &bytes);
     void closed(std::uint64_t link, LinkEnd end);
     void received(std::uint64_t link, std::string_view bytes);
+    bool noteSender(std::uint64_t link, const PeerMessage &message);
     void accepted(std::unique_ptr<WebsocketLink> websocket);
 
     EventLoop &loop;
     HostId self;
+    Duration silence;
     PeerListener &listener;
     Metrics &metrics;
     EventLog &log;
+    MemberBackoff backoff;
     std::uint64_t nextLink = 1;
     std::map<std::uint64_t, std::unique_ptr<Link>> links;
     std::map<HostId, std::uint64_t> outgoing;
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -1,5 +1,10 @@
 #include "protocol/peer_message.h"
 
+#include "core/enum_names.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace dotterel {
@@ -11,29 +16,160 @@
 constexpr const char *HeartbeatType = "h";
 constexpr const char *RequestType = "r";
 constexpr const char *OfferType = "o";
+constexpr const char *DigestType = "g";
+constexpr const char *UpdateType = "u";
+
+/// The states of a member and its leaving flag share one byte on the wire.
+constexpr unsigned LeavingBit = 8;
+constexpr std::size_t MostNameBytes = 255;
+constexpr std::size_t MostRecords = 2'000;
+constexpr std::size_t MostBuckets = 64;
+
+constexpr std::array<EnumName<MemberState>, 4> MemberStateNames = {{
+        {MemberState::Alive, "alive"},
+        {MemberState::Suspected, "suspected"},
+        {MemberState::Dead, "dead"},
+        {MemberState::Left, "left"},
+}};
+
+/// Stops the decoding of frames that nest deeply: the decoder calls itself for each level.
+class DepthLimit : public nlohmann::json_sax<nlohmann::json>
+{
+public:
+    bool null() override { return true; }
+    bool boolean(bool /*value*/) override { return true; }
+    bool number_integer(std::int64_t /*value*/) override { return true; }
+    bool number_unsigned(std::uint64_t /*value*/) override { return true; }
+    bool number_float(double /*value*/, const std::string & /*text*/) override { return true; }
+    bool string(std::string & /*value*/) override { return true; }
+    bool binary(binary_t & /*value*/) override { return true; }
+    bool key(std::string & /*value*/) override { return true; }
+    bool start_object(std::size_t /*size*/) override { return ++this->depth <= DeepestFrame; }
+    bool start_array(std::size_t /*size*/) override { return ++this->depth <= DeepestFrame; }
+    bool end_object() override { return this->leave(); }
+    bool end_array() override { return this->leave(); }
+    bool parse_error(std::size_t /*position*/, const std::string & /*token*/,
+                     const nlohmann::detail::exception & /*error*/) override
+    {
+        return false;
+    }
 
-nlohmann::json encodeIdentity(const HostIdentity &identity)
+private:
+    static constexpr int DeepestFrame = 8;
+
+    bool leave()
+    {
+        --this->depth;
+        return true;
+    }
+
+    int depth = 0;
+};
+
+template <typename Number>
+Number checkedNumber(const nlohmann::json &json)
 {
-    return nlohmann::json::array({identity.host, identity.incarnation, identity.failureDomain});
+    if (!json.is_number_unsigned()
+        || json.get<std::uint64_t>() > std::numeric_limits<Number>::max())
+        throw nlohmann::json::other_error::create(501, "a number is out of range", &json);
+    return json.get<Number>();
 }
 
-HostIdentity decodeIdentity(const nlohmann::json &json)
+std::string checkedName(const nlohmann::json &json)
 {
-    return {json.at(0).get<std::string>(), json.at(1).get<Incarnation>(),
-            json.at(2).get<std::string>()};
+    std::string name = json.get<std::string>();
+    const auto printable = [](char byte) { return byte > ' ' && byte <= '~'; };
+    if (name.empty() || name.size() > MostNameBytes
+        || !std::all_of(name.begin(), name.end(), printable))
+        throw nlohmann::json::other_error::create(501, "a name is not printable", &json);
+    return name;
+}
+
+nlohmann::json encodeRecord(const MemberRecord &record)
+{
+    const unsigned flags = static_cast<unsigned>(record.state) | (record.leaving ? LeavingBit : 0U);
+    return nlohmann::json::array({record.identity.host, record.identity.incarnation,
+                                  record.identity.failureDomain, record.peers.address,
+                                  record.peers.port, record.counter, flags,
+                                  record.configurationVersion});
+}
+
+MemberRecord decodeRecord(const nlohmann::json &json)
+{
+    MemberRecord record;
+    record.identity = {checkedName(json.at(0)), checkedNumber<Incarnation>(json.at(1)),
+                       checkedName(json.at(2))};
+    record.peers = {checkedName(json.at(3)), checkedNumber<std::uint16_t>(json.at(4))};
+    record.counter = checkedNumber<std::uint64_t>(json.at(5));
+    const unsigned flags = checkedNumber<unsigned>(json.at(6));
+    if (flags >= 2 * LeavingBit || (flags & (LeavingBit - 1)) >= MemberStateNames.size())
+        throw nlohmann::json::other_error::create(501, "unknown state of a member", &json);
+    record.state = static_cast<MemberState>(flags & (LeavingBit - 1));
+    record.leaving = (flags & LeavingBit) != 0;
+    record.configurationVersion = checkedNumber<std::uint64_t>(json.at(7));
+    return record;
+}
+
+nlohmann::json encodeNotice(const ServerNotice &notice)
+{
+    return nlohmann::json::array({notice.server, notice.sequence, notice.draining});
+}
+
+ServerNotice decodeNotice(const nlohmann::json &json)
+{
+    return {checkedName(json.at(0)), checkedNumber<std::uint64_t>(json.at(1)),
+            json.at(2).get<bool>()};
+}
+
+template <typename Item, typename Encoder>
+nlohmann::json encodeList(const std::vector<Item> &items, Encoder encoder)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const Item &item : items)
+        list.push_back(encoder(item));
+    return list;
+}
+
+/// Reads the list at \a key; an absent one is empty.
+template <typename Item, typename Decoder>
+std::vector<Item> decodeList(const nlohmann::json &json, const char *key, Decoder decoder)
+{
+    std::vector<Item> items;
+    if (!json.contains(key))
+        return items;
+    const nlohmann::json &list = json.at(key);
+    if (!list.is_array() || list.size() > MostRecords)
+        throw nlohmann::json::other_error::create(501, "a list is too long", &json);
+    for (const nlohmann::json &item : list)
+        items.push_back(decoder(item));
+    return items;
 }
 
 nlohmann::json encode(const Heartbeat &heartbeat)
 {
-    nlohmann::json members = nlohmann::json::array();
-    for (const MemberRecord &member : heartbeat.members) {
-        members.push_back({encodeIdentity(member.identity), member.heartbeat,
-                           member.configurationVersion, member.leaving});
-    }
-    return {{TypeKey, HeartbeatType},
-            {"s", encodeIdentity(heartbeat.sender)},
-            {"m", members},
-            {"d", heartbeat.draining}};
+    nlohmann::json json = {{TypeKey, HeartbeatType},
+                           {"s", encodeRecord(heartbeat.sender)},
+                           {"g", heartbeat.digest}};
+    if (!heartbeat.news.empty())
+        json["m"] = encodeList(heartbeat.news, encodeRecord);
+    if (!heartbeat.notices.empty())
+        json["n"] = encodeList(heartbeat.notices, encodeNotice);
+    if (heartbeat.unlinking)
+        json["x"] = true;
+    return json;
+}
+
+nlohmann::json encode(const MemberDigest &digest)
+{
+    return {{TypeKey, DigestType}, {"b", digest.buckets}};
+}
+
+nlohmann::json encode(const MemberUpdate &update)
+{
+    return {{TypeKey, UpdateType},
+            {"m", encodeList(update.members, encodeRecord)},
+            {"n", encodeList(update.notices, encodeNotice)},
+            {"b", update.buckets}};
 }
 
 nlohmann::json encode(const ConfigurationRequest &request)
@@ -49,17 +185,36 @@
 Heartbeat decodeHeartbeat(const nlohmann::json &json)
 {
     Heartbeat heartbeat;
-    heartbeat.sender = decodeIdentity(json.at("s"));
-    for (const nlohmann::json &item : json.at("m")) {
-        heartbeat.members.push_back({decodeIdentity(item.at(0)), item.at(1).get<std::uint64_t>(),
-                                     item.at(2).get<std::uint64_t>(), item.at(3).get<bool>()});
-    }
-    heartbeat.draining = json.at("d").get<std::vector<ServerId>>();
+    heartbeat.sender = decodeRecord(json.at("s"));
+    heartbeat.digest = checkedNumber<std::uint64_t>(json.at("g"));
+    heartbeat.news = decodeList<MemberRecord>(json, "m", decodeRecord);
+    heartbeat.notices = decodeList<ServerNotice>(json, "n", decodeNotice);
+    heartbeat.unlinking = json.contains("x");
     return heartbeat;
 }
 
+std::vector<std::uint64_t> decodeBuckets(const nlohmann::json &json)
+{
+    const std::vector<std::uint64_t> buckets =
+            decodeList<std::uint64_t>(json, "b", checkedNumber<std::uint64_t>);
+    if (buckets.size() > MostBuckets)
+        throw nlohmann::json::other_error::create(501, "too many buckets", &json);
+    return buckets;
+}
+
+MemberUpdate decodeUpdate(const nlohmann::json &json)
+{
+    return {decodeList<MemberRecord>(json, "m", decodeRecord),
+            decodeList<ServerNotice>(json, "n", decodeNotice), decodeBuckets(json)};
+}
+
 } // namespace
 
+std::string_view memberStateName(MemberState state)
+{
+    return enumName(MemberStateNames, state);
+}
+
 std::string encodePeerMessage(const PeerMessage &message)
 {
     const nlohmann::json json =
@@ -71,6 +226,9 @@
 
 tl::expected<PeerMessage, std::string> decodePeerMessage(std::string_view bytes)
 {
+    DepthLimit depthLimit;
+    if (!nlohmann::json::sax_parse(bytes, &depthLimit, nlohmann::json::input_format_t::cbor))
+        return tl::unexpected(std::string("the frame is not CBOR or nests too deeply"));
     const nlohmann::json json = nlohmann::json::from_cbor(bytes, true, false);
     if (!json.is_object())
         return tl::unexpected(std::string("the frame is not a CBOR map"));
@@ -78,12 +236,16 @@
         const std::string type = json.at(TypeKey).get<std::string>();
         if (type == HeartbeatType)
             return decodeHeartbeat(json);
+        if (type == DigestType)
+            return MemberDigest{decodeBuckets(json)};
+        if (type == UpdateType)
+            return decodeUpdate(json);
         if (type == RequestType)
-            return ConfigurationRequest{json.at("v").get<std::uint64_t>()};
+            return ConfigurationRequest{checkedNumber<std::uint64_t>(json.at("v"))};
         if (type == OfferType)
-            return ConfigurationOffer{json.at("v").get<std::uint64_t>(),
+            return ConfigurationOffer{checkedNumber<std::uint64_t>(json.at("v")),
                                       json.at("c").get<std::string>()};
-        return tl::unexpected("unknown message type \"" + type + "\"");
+        return tl::unexpected(std::string("unknown message type"));
     } catch (const nlohmann::json::exception &error) {
         return tl::unexpected(std::string(error.what()));
     }
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/identity.h"
+#include "transport/endpoint.h"
 
 #include <cstdint>
 #include <string>
@@ -11,21 +12,58 @@
 
 namespace dotterel {
 
-/// What a host knows of another entry host.
+/// What is known of a member's life. A later state overrides an earlier one of the same counter.
+enum class MemberState : std::uint8_t {
+    Alive,
+    Suspected, ///< A host linked to it heard nothing for a while; it may refute that.
+    Dead,      ///< The suspicion was not refuted in time.
+    Left,      ///< The member said that it ends.
+};
+
+/// Returns the external name of \a state.
+std::string_view memberStateName(MemberState state);
+
+/// What a host knows of an entry host. Ordered by incarnation, then counter, then state.
 struct MemberRecord
 {
     HostIdentity identity;
-    std::uint64_t heartbeat = 0; ///< Counter that the member raises with each heartbeat.
-    std::uint64_t configurationVersion = 0;
-    bool leaving = false;
+    Endpoint peers;            ///< Where the member accepts links.
+    std::uint64_t counter = 0; ///< Raised by the member alone, to refute a suspicion.
+    MemberState state = MemberState::Alive;
+    bool leaving = false;                   ///< The member finishes its work and takes no new one.
+    std::uint64_t configurationVersion = 0; ///< In force when the member was last heard directly.
+};
+
+/// Whether a backend server is leaving. A higher sequence overrides; at the same one draining does.
+struct ServerNotice
+{
+    ServerId server;
+    std::uint64_t sequence = 0;
+    bool draining = false;
 };
 
-/// Sent to each linked peer at every heartbeat interval.
+/// Sent to each linked peer at every heartbeat, and at once when there is news.
 struct Heartbeat
 {
-    HostIdentity sender;
-    std::vector<MemberRecord> members; ///< The sender first, then those it heard news of.
-    std::vector<ServerId> draining;    ///< Backend servers that are known to leave.
+    MemberRecord sender;
+    std::uint64_t digest = 0;       ///< Of all that the sender knows of live members and servers.
+    std::vector<MemberRecord> news; ///< Records that changed, each sent once over each link.
+    std::vector<ServerNotice> notices;
+    bool unlinking = false; ///< The sender closes this link and goes on living.
+};
+
+/// Asks a peer for the records of those buckets that differ from its own.
+struct MemberDigest
+{
+    std::vector<std::uint64_t> buckets;
+};
+
+/// Records that the sender holds and the receiver lacks.
+struct MemberUpdate
+{
+    std::vector<MemberRecord> members;
+    std::vector<ServerNotice> notices;
+    std::vector<std::uint64_t> buckets; ///< Of the sender; empty if no answer is wanted.
 };
 
 /// Asks a peer for its configuration.
@@ -41,7 +79,8 @@
     std::string text;
 };
 
-using PeerMessage = std::variant<Heartbeat, ConfigurationRequest, ConfigurationOffer>;
+using PeerMessage = std::variant<Heartbeat, MemberDigest, MemberUpdate, ConfigurationRequest,
+                                 ConfigurationOffer>;
 
 /// Returns \a message as CBOR.
 std::string encodePeerMessage(const PeerMessage &message);
--- a/src/transport/websocket_link.cpp
+++ b/src/transport/websocket_link.cpp
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 #include <netinet/tcp.h>
 #include <stdexcept>
+#include <sys/socket.h>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/core.hpp>
 #include <websocketpp/config/core_client.hpp>
@@ -29,7 +30,7 @@
 using Server = websocketpp::server<ServerConfig>;
 using Client = websocketpp::client<ClientConfig>;
 
-constexpr std::array<EnumName<LinkEnd>, 7> LinkEndNames = {{
+constexpr std::array<EnumName<LinkEnd>, 8> LinkEndNames = {{
         {LinkEnd::ConnectFailed, "connect_failed"},
         {LinkEnd::HandshakeFailed, "handshake_failed"},
         {LinkEnd::PeerClosed, "peer_closed"},
@@ -37,6 +38,7 @@
         {LinkEnd::FrameTooLarge, "frame_too_large"},
         {LinkEnd::ProtocolError, "protocol_error"},
         {LinkEnd::PeerTooSlow, "peer_too_slow"},
+        {LinkEnd::PeerSilent, "peer_silent"},
 }};
 
 sockaddr_in socketAddress(const Endpoint &endpoint)
@@ -181,10 +183,25 @@
     {
         if (this->stream == nullptr)
             return;
+        this->flush();
         bufferevent_free(this->stream);
         this->stream = nullptr;
     }
 
+    /// Gives the socket what was sent last; freeing the stream would drop it.
+    void flush()
+    {
+        evbuffer *output = bufferevent_get_output(this->stream);
+        const std::size_t length = evbuffer_get_length(output);
+        const evutil_socket_t descriptor = bufferevent_getfd(this->stream);
+        if (!this->opened || length == 0 || descriptor < 0)
+            return;
+        std::string bytes(length, '\0');
+        evbuffer_copyout(output, bytes.data(), length);
+        const ssize_t sent = ::send(descriptor, bytes.data(), length, MSG_DONTWAIT | MSG_NOSIGNAL);
+        static_cast<void>(sent);
+    }
+
     static void readable(bufferevent *source, void *argument)
     {
         LinkState *self = static_cast<LinkState *>(argument);
--- a/src/transport/websocket_link.h
+++ b/src/transport/websocket_link.h
@@ -23,7 +23,8 @@
     LocalClosed,
     FrameTooLarge,
     ProtocolError,
-    PeerTooSlow,
+    PeerTooSlow, ///< The peer left too much unread.
+    PeerSilent,  ///< Nothing was heard for too long; decided by the user of the link.
 };
 
 /// Returns the external name of \a end.
--- /dev/null
+++ b/tests/coordination/test_membership.cpp
@@ -0,0 +1,196 @@
+#include "coordination/membership.h"
+
+#include "bench/fleet_simulation.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace dotterel;
+
+namespace {
+
+constexpr Duration Settle = std::chrono::seconds(8);
+
+FleetOptions optionsFor(std::size_t hosts, std::uint64_t seed = 7)
+{
+    FleetOptions options;
+    options.hosts = hosts;
+    options.failureDomains = hosts >= 60 ? 5 : 3;
+    options.seed = seed;
+    return options;
+}
+
+/// Starts every host and lets the tables settle.
+void begin(FleetSimulation &fleet, std::size_t hosts)
+{
+    for (std::size_t host = 0; host < hosts; ++host)
+        fleet.start(host);
+    fleet.advance(Settle);
+}
+
+bool knows(const FleetSimulation &fleet, std::size_t host, std::size_t other)
+{
+    const std::vector<MemberRecord> live = fleet.membership(host).live();
+    const HostId name = "entry-" + std::to_string(other);
+    return std::any_of(live.begin(), live.end(), [&name](const MemberRecord &record) {
+        return record.identity.host == name;
+    });
+}
+
+std::size_t knownBy(const FleetSimulation &fleet, std::size_t hosts, std::size_t other)
+{
+    std::size_t count = 0;
+    for (std::size_t host = 0; host < hosts; ++host) {
+        if (host != other && fleet.running(host) && knows(fleet, host, other))
+            ++count;
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("Members learn of each other over few links", "[Coordination][Membership]")
+{
+    const std::size_t hosts = GENERATE(3, 9, 60);
+    const std::uint64_t seed = GENERATE(1, 2);
+    INFO(hosts << " hosts, seed " << seed);
+    FleetSimulation fleet(optionsFor(hosts, seed));
+    begin(fleet, hosts);
+
+    SECTION("and every host knows all")
+    {
+        for (std::size_t host = 0; host < hosts; ++host)
+            CHECK(fleet.membership(host).live().size() == hosts);
+    }
+    SECTION("and a host that dies is known dead in 5 s, and one that joins again in 2 s")
+    {
+        fleet.kill(1);
+        fleet.advance(std::chrono::seconds(5));
+        CHECK(knownBy(fleet, hosts, 1) == 0);
+        fleet.start(1);
+        fleet.advance(std::chrono::seconds(2));
+        CHECK(knownBy(fleet, hosts, 1) == hosts - 1);
+    }
+    SECTION("and one that leaves is known to in 2 s, without a suspicion")
+    {
+        fleet.leave(1);
+        fleet.advance(std::chrono::seconds(2));
+        CHECK(knownBy(fleet, hosts, 1) == 0);
+    }
+    SECTION("and a configuration version is in force everywhere in 2 s")
+    {
+        fleet.announce(0, 5);
+        fleet.advance(std::chrono::seconds(2));
+        for (std::size_t host = 0; host < hosts; ++host)
+            CHECK(fleet.configurationVersion(host) == 5);
+    }
+    SECTION("and at rest a host sends less than 4 KB/s")
+    {
+        const FleetTraffic before = fleet.traffic();
+        fleet.advance(std::chrono::seconds(10));
+        const FleetTraffic after = fleet.traffic();
+        CHECK((after.bytes - before.bytes) / 10 / hosts < 4'000);
+        CHECK((after.listReads - before.listReads) / 10 <= 2 * std::min<std::size_t>(hosts, 5));
+    }
+}
+
+TEST_CASE("A frozen member that wakes is no split", "[Coordination][Membership]")
+{
+    constexpr std::size_t Hosts = 9;
+    FleetSimulation fleet(optionsFor(Hosts));
+    begin(fleet, Hosts);
+    const Duration pause =
+            GENERATE(Duration(std::chrono::seconds(1)), Duration(std::chrono::seconds(3)),
+                     Duration(std::chrono::seconds(30)));
+    INFO("frozen for " << toSeconds(pause) << " s");
+    const Incarnation incarnation = fleet.membership(4).own().identity.incarnation;
+    fleet.freeze(4);
+    fleet.advance(pause);
+    const bool buried = pause > std::chrono::seconds(5);
+    CHECK((knownBy(fleet, Hosts, 4) == 0) == buried);
+    fleet.wake(4);
+    fleet.advance(std::chrono::seconds(6));
+
+    CHECK(knownBy(fleet, Hosts, 4) == Hosts - 1);
+    CHECK(fleet.membership(4).own().identity.incarnation == incarnation);
+    for (std::size_t host = 0; host < Hosts; ++host) {
+        CHECK(fleet.membership(host).live().size() == Hosts);
+        CHECK(fleet.membership(host).mayRun("entry-4", incarnation));
+    }
+}
+
+TEST_CASE("A cut between failure domains heals", "[Coordination][Membership]")
+{
+    const std::size_t hosts = GENERATE(3, 9, 60);
+    INFO(hosts << " hosts");
+    FleetSimulation fleet(optionsFor(hosts));
+    begin(fleet, hosts);
+    const std::string domain = fleet.membership(0).own().identity.failureDomain;
+    const std::vector<MemberRecord> all = fleet.membership(0).live();
+    const auto inside = static_cast<std::size_t>(
+            std::count_if(all.begin(), all.end(), [&domain](const MemberRecord &record) {
+                return record.identity.failureDomain == domain;
+            }));
+
+    // Members without a link across the cut are found dead when links to them are tried.
+    fleet.cut({domain});
+    fleet.advance(std::chrono::seconds(15));
+    CHECK(fleet.membership(0).live().size() == inside);
+    CHECK(fleet.membership(1).live().size() == hosts - inside);
+    fleet.publish(0, {"engine-1", 1, true});
+
+    fleet.cut({});
+    fleet.advance(std::chrono::seconds(20));
+    for (std::size_t host = 0; host < hosts; ++host) {
+        CHECK(fleet.membership(host).live().size() == hosts);
+        if (host != 0)
+            CHECK(fleet.noticesOf(host).size() == 1);
+    }
+}
+
+TEST_CASE("News of a backend server reach every member once", "[Coordination][Membership]")
+{
+    constexpr std::size_t Hosts = 60;
+    FleetSimulation fleet(optionsFor(Hosts));
+    begin(fleet, Hosts);
+    fleet.publish(3, {"engine-1", 1, true});
+    fleet.advance(std::chrono::seconds(2));
+    fleet.publish(9, {"engine-1", 2, false});
+    fleet.publish(11, {"engine-1", 1, true});
+    fleet.advance(std::chrono::seconds(2));
+    for (std::size_t host = 0; host < Hosts; ++host) {
+        const std::vector<ServerNotice> &notices = fleet.noticesOf(host);
+        REQUIRE_FALSE(notices.empty());
+        CHECK(notices.size() <= 2);
+        CHECK(notices.back().sequence == 2);
+    }
+}
+
+TEST_CASE("A member's own word goes before a rumour of it", "[Coordination][Membership]")
+{
+    NullMetrics metrics;
+    NullEventLog log;
+    const Duration tick = std::chrono::milliseconds(250);
+    Membership membership({"a", 5, "centro-a"}, tick, metrics, log);
+    TimePoint now{};
+    static_cast<void>(membership.onTick(now));
+    MemberRecord rumour = membership.own();
+    rumour.state = GENERATE(MemberState::Suspected, MemberState::Dead, MemberState::Left);
+    MemberRecord sender{{"b", 1, "centro-a"}, {}, 1, MemberState::Alive, false, 0};
+
+    SECTION("it raises its counter above the rumour's and says so at once")
+    {
+        static_cast<void>(membership.onHeartbeat({sender, 0, {rumour}, {}}, now));
+        CHECK(membership.own().counter == rumour.counter + 1);
+        const std::optional<Heartbeat> heartbeat = membership.onTick(now + tick);
+        REQUIRE(heartbeat);
+        CHECK(heartbeat->sender.counter == rumour.counter + 1);
+        CHECK(heartbeat->news.size() >= 1);
+    }
+    SECTION("a rumour of another life changes nothing")
+    {
+        rumour.identity.incarnation = 4;
+        static_cast<void>(membership.onHeartbeat({sender, 0, {rumour}, {}}, now));
+        CHECK(membership.own().counter == 1);
+    }
+}
