Use a leaving server again once it has returned

Cause: markDraining() was for ever, and peers repeated it to each other without an order, so a server that came back stayed unused until it was removed from the configuration. Change: notices with a sequence per server travel as news; at the same sequence draining wins. A mark of the platform's list ends with the mark; a server's own word ends when it says the opposite to its prober (one host, rendezvous over live members, once a second) three times in a row; removal from the configuration ends both. Ruled out: ending the own word after a time (a server that only reports its draining would get new work); asking plain services (no route that is safe to call), which come back by list or configuration. Seen to fail first: returning after the mark was gone or the engine took work again.

--- a/src/coordination/backend_directory.cpp
+++ b/src/coordination/backend_directory.cpp
@@ -3,6 +3,7 @@
 #include "core/enum_names.h"
 
 #include <array>
+#include <utility>
 
 namespace dotterel {
 
@@ -16,6 +17,9 @@
 
 constexpr Duration DownPause = std::chrono::seconds(1);
 
+/// Another reader's list may be newer than ours for this long.
+constexpr Duration ListLag = std::chrono::seconds(5);
+
 } // namespace
 
 std::string_view serverStateName(ServerState state)
@@ -40,7 +44,17 @@
         entry.server = server;
         next.emplace(id, entry);
     }
+    // A server that was removed and comes back is used again, whatever was known of it.
+    for (const auto &[id, entry] : this->entries) {
+        if (entry.leaving && next.count(id) == 0)
+            this->found.push_back({id, ++this->sequences[id], false, false});
+    }
     this->entries = std::move(next);
+    this->modelPools.clear();
+    for (const auto &[name, pool] : configuration.pools) {
+        if (pool.kind == PoolKind::Model)
+            this->modelPools.insert(name);
+    }
     this->metrics.set(Gauge::BackendServersUsable, static_cast<double>(this->entries.size()));
 }
 
@@ -66,7 +80,7 @@
     const auto entry = this->entries.find(id);
     if (entry == this->entries.end())
         return ServerState::Down;
-    if (entry->second.leaving)
+    if (entry->second.leaving || entry->second.server.draining)
         return ServerState::Draining;
     if (entry->second.down && now < entry->second.retryAt)
         return ServerState::Down;
@@ -76,10 +90,80 @@
 void BackendDirectory::markDraining(const ServerId &id)
 {
     const auto entry = this->entries.find(id);
-    if (entry == this->entries.end() || entry->second.leaving)
+    if (entry == this->entries.end())
+        return;
+    if (!entry->second.leaving || entry->second.byList)
+        this->setLeaving(id, entry->second, true, false);
+}
+
+void BackendDirectory::markReturned(const ServerId &id)
+{
+    const auto entry = this->entries.find(id);
+    if (entry != this->entries.end() && entry->second.leaving)
+        this->setLeaving(id, entry->second, false, false);
+}
+
+void BackendDirectory::applyList(const std::set<ServerId> &leaving, TimePoint now)
+{
+    for (auto &[id, entry] : this->entries) {
+        if (leaving.count(id) > 0) {
+            entry.listedHere = true;
+            entry.changed = now;
+            if (!entry.leaving)
+                this->setLeaving(id, entry, true, true);
+            continue;
+        }
+        const bool unmarked = std::exchange(entry.listedHere, false);
+        const bool markedElsewhere = entry.byList && now - entry.changed >= ListLag;
+        if (entry.leaving && (unmarked || markedElsewhere))
+            this->setLeaving(id, entry, false, false);
+    }
+}
+
+void BackendDirectory::applyNotice(const ServerNotice &notice, TimePoint now)
+{
+    std::uint64_t &sequence = this->sequences[notice.server];
+    const auto entry = this->entries.find(notice.server);
+    const bool known = entry != this->entries.end();
+    const bool leaving = known && entry->second.leaving;
+    const bool newer = notice.sequence > sequence
+                       || (notice.sequence == sequence && notice.draining && !leaving);
+    if (!newer)
+        return;
+    sequence = notice.sequence;
+    if (!known)
         return;
-    entry->second.leaving = true;
-    this->log.write(Event::ServerDraining, {{"server", id}});
+    if (notice.draining != leaving)
+        this->log.write(notice.draining ? Event::ServerDraining : Event::ServerUp,
+                        {{"server", notice.server}});
+    entry->second.leaving = notice.draining;
+    entry->second.byList = notice.byList;
+    entry->second.changed = now;
+}
+
+std::vector<ServerNotice> BackendDirectory::takeNotices()
+{
+    return std::exchange(this->found, {});
+}
+
+std::vector<ServerId> BackendDirectory::drainingByOwnWord() const
+{
+    std::vector<ServerId> servers;
+    for (const auto &[id, entry] : this->entries) {
+        const bool model = this->modelPools.count(entry.server.pool) > 0;
+        if (entry.leaving && !entry.byList && !entry.listedHere && model)
+            servers.push_back(id);
+    }
+    return servers;
+}
+
+void BackendDirectory::setLeaving(const ServerId &id, Entry &entry, bool leaving, bool byList)
+{
+    if (entry.leaving != leaving)
+        this->log.write(leaving ? Event::ServerDraining : Event::ServerUp, {{"server", id}});
+    entry.leaving = leaving;
+    entry.byList = byList;
+    this->found.push_back({id, ++this->sequences[id], leaving, byList});
 }
 
 void BackendDirectory::markDown(const ServerId &id, TimePoint now)
@@ -102,14 +186,4 @@
     this->log.write(Event::ServerUp, {{"server", id}});
 }
 
-std::vector<ServerId> BackendDirectory::draining() const
-{
-    std::vector<ServerId> leaving;
-    for (const auto &[id, entry] : this->entries) {
-        if (entry.leaving)
-            leaving.push_back(id);
-    }
-    return leaving;
-}
-
 } // namespace dotterel
--- a/src/entry_host/entry_host.cpp
+++ b/src/entry_host/entry_host.cpp
@@ -1,7 +1,5 @@
 #include "entry_host/entry_host.h"
 
-#include <nlohmann/json.hpp>
-
 namespace dotterel {
 
 namespace {
@@ -10,11 +8,9 @@
 constexpr Duration WatchRetry = std::chrono::milliseconds(500);
 constexpr Duration FarewellTime = std::chrono::milliseconds(50);
 constexpr int SilentHeartbeats = 8;
+constexpr Duration LedgerInterval = std::chrono::milliseconds(5);
+constexpr Duration LedgerGrace = std::chrono::seconds(10);
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(50);
-constexpr std::size_t MostOperatorBodyBytes = 64UL * 1024;
-constexpr int StatusOk = 200;
-constexpr int StatusNotFound = 404;
-constexpr int StatusUnavailable = 503;
 
 RequestLimits limitsOf(const Settings &settings)
 {
@@ -26,7 +22,7 @@
 } // namespace
 
 EntryHost::EntryHost(EventLoop &loop, const Settings &settings, Incarnation incarnation,
-                     EventLog &log)
+                     EventLog &log, std::function<void()> drained)
     : loop(loop)
     , settings(settings)
     , identity{settings.host, incarnation, settings.failureDomain}
@@ -36,8 +32,10 @@
     , platform(loop, this->httpClient, settings.platform, settings.platformTimeout, this->metrics)
     , directory(log, this->metrics)
     , placement(this->directory, this->random)
-    , controller(limitsOf(settings), this->directory, this->placement, *this, this->metrics, log)
-    , ledger(this->identity, this->platform, this->random, log)
+    , crashGuard(CrashLimits{}, this->metrics, log)
+    , controller(limitsOf(settings), this->directory, this->placement, this->crashGuard, *this,
+                 this->metrics, log)
+    , ledger(this->identity, this->platform, *this, this->random, log)
     , follower(
               [this](const Configuration &configuration) {
                   this->applyConfiguration(configuration);
@@ -49,9 +47,9 @@
     , mesh(loop, settings.peers, settings.host, settings.heartbeatInterval * SilentHeartbeats,
            *this, this->random, this->metrics, log)
     , agent(loop, settings.heartbeatInterval, this->membership, this->mesh, this->platform, *this)
-    , operatorServer(
-              loop, settings.operators, MostOperatorBodyBytes,
-              [this](const HttpExchangePointer &exchange) { this->handleOperator(exchange); })
+    , returnProber(loop, this->httpClient, this->identity, this->directory)
+    , operatorApi(loop, settings.operators, *this, this->metrics)
+    , drained(std::move(drained))
 {
     this->log.write(Event::HostStarted, {{"failure_domain", settings.failureDomain},
                                          {"incarnation", std::to_string(incarnation)},
@@ -61,7 +59,11 @@
     this->watchConfiguration();
 }
 
-EntryHost::~EntryHost() = default;
+EntryHost::~EntryHost()
+{
+    // Open connections close with their server, and must not arm a timer that is gone already.
+    this->destroying = true;
+}
 
 void EntryHost::beginShutdown(std::function<void()> finished)
 {
@@ -83,12 +85,21 @@
 
 void EntryHost::finishShutdownIfIdle()
 {
-    if (this->controller.inFlight() > 0 || this->ledger.pending() > 0)
+    if (this->controller.inFlight() > 0)
+        return;
+    // Outcomes are recorded first, but a store that stays away does not keep the host for ever.
+    const TimePoint now = this->loop.now();
+    if (!this->ledgerGraceEnds)
+        this->ledgerGraceEnds = now + LedgerGrace;
+    if (this->ledger.pending() > 0 && now < *this->ledgerGraceEnds)
         return;
     this->drainTimer.reset();
     this->log.write(Event::ShutdownDone, {});
     this->agent.sayFarewell();
-    this->drainTimer = this->loop.after(FarewellTime, [this] { this->shutdownFinished(); });
+    this->drainTimer = this->loop.after(FarewellTime, [this] {
+        if (this->shutdownFinished)
+            this->shutdownFinished();
+    });
 }
 
 void EntryHost::sendAttempt(const AttemptOrder &order)
@@ -101,6 +112,16 @@
     this->backend.cancel(attempt);
 }
 
+void EntryHost::pauseAttempt(const AttemptId &attempt, bool paused)
+{
+    this->backend.pause(attempt, paused);
+}
+
+void EntryHost::announceCrash(const CrashNotice &notice)
+{
+    this->mesh.broadcast(notice);
+}
+
 void EntryHost::claimOrder(const OrderClaim &claim)
 {
     const RequestId request = claim.request;
@@ -108,6 +129,16 @@
         this->controller.onClaimSettled(request, outcome, now);
         this->armTimer();
     });
+    if (!this->ledgerTimer)
+        this->ledgerTimer = this->loop.every(LedgerInterval, [this] { this->runLedger(); });
+}
+
+void EntryHost::runLedger()
+{
+    const TimePoint now = this->loop.now();
+    const std::optional<TimePoint> next = this->ledger.nextTimer();
+    if (next && *next <= now)
+        this->ledger.onTimer(now);
 }
 
 void EntryHost::recordOrderAnswer(const OrderClaim &claim, const ServiceAnswer &answer)
@@ -137,9 +168,19 @@
 
 void EntryHost::refuse(const RequestId &request, const Failure &failure)
 {
+    this->ledger.onRefused(request, failure.verdict);
     this->callerApi.refuse(request, failure);
 }
 
+bool EntryHost::believedAlive(const HostId &host, Incarnation incarnation) const
+{
+    for (const MemberRecord &member : this->membership.live()) {
+        if (member.identity.host == host && member.identity.incarnation == incarnation)
+            return true;
+    }
+    return false;
+}
+
 void EntryHost::onToken(const AttemptId &attempt, const AnswerToken &token)
 {
     this->controller.onToken(attempt, token, this->loop.now());
@@ -189,6 +230,12 @@
     this->agent.onPeerLinked(link);
 }
 
+void EntryHost::onCallerBlocked(const RequestId &request, bool blocked)
+{
+    this->controller.onCallerBlocked(request, blocked, this->loop.now());
+    this->armTimer();
+}
+
 void EntryHost::onPeerMessage(std::uint64_t link, const PeerMessage &message)
 {
     this->agent.onPeerMessage(link, message);
@@ -200,6 +247,10 @@
         if (this->follower.current().version > request->knownVersion)
             this->mesh.send(link, ConfigurationOffer{this->follower.current().version,
                                                      this->follower.currentText()});
+    } else if (const CrashNotice *notice = std::get_if<CrashNotice>(&message)) {
+        // News goes on to peers that the sender is not linked to; what is known already stops here.
+        if (this->controller.onCrashNotice(*notice, this->loop.now()))
+            this->mesh.broadcast(*notice);
     } else if (const ConfigurationOffer *offer = std::get_if<ConfigurationOffer>(&message)) {
         this->follower.offer(offer->text);
     }
@@ -207,22 +258,24 @@
 
 void EntryHost::onHostList(const std::vector<ListedHost> &hosts)
 {
+    std::set<ServerId> leaving;
     for (const ListedHost &host : hosts) {
         if (host.role == "backend" && host.leaving)
-            this->directory.markDraining(host.id);
+            leaving.insert(host.id);
     }
+    this->directory.applyList(leaving, this->loop.now());
 }
 
 void EntryHost::onServerNotice(const ServerNotice &notice)
 {
-    if (notice.draining)
-        this->directory.markDraining(notice.server);
+    this->directory.applyNotice(notice, this->loop.now());
 }
 
 void EntryHost::beforeHeartbeat()
 {
-    for (const ServerId &server : this->directory.draining())
-        this->membership.publish({server, 1, true});
+    for (const ServerNotice &notice : this->directory.takeNotices())
+        this->membership.publish(notice);
+    this->returnProber.maintain(this->directory.drainingByOwnWord(), this->membership.live());
 }
 
 void EntryHost::applyConfiguration(const Configuration &configuration)
@@ -255,6 +308,8 @@
 
 void EntryHost::armTimer()
 {
+    if (this->destroying)
+        return;
     const std::optional<TimePoint> next = this->controller.nextTimer();
     if (!next) {
         this->deadlineTimer.reset();
@@ -266,52 +321,32 @@
     });
 }
 
-void EntryHost::handleOperator(const HttpExchangePointer &exchange)
-{
-    const std::string path = exchange->path();
-    if (path == "/healthz") {
-        exchange->reply(StatusOk, {}, "ok\n");
-    } else if (path == "/readyz") {
-        const bool ready = !this->shuttingDown && this->follower.current().version > 0;
-        exchange->reply(ready ? StatusOk : StatusUnavailable, {},
-                        ready ? "ready\n" : "not ready\n");
-    } else if (path == "/metrics") {
-        exchange->reply(StatusOk, {{"Content-Type", "text/plain; version=0.0.4"}},
-                        this->metrics.text());
-    } else if (path == "/status") {
-        exchange->reply(StatusOk, {{"Content-Type", "application/json"}}, this->statusDocument());
-    } else {
-        exchange->reply(StatusNotFound, {}, "routes are /healthz, /readyz, /metrics and /status\n");
-    }
+bool EntryHost::isReady() const
+{
+    return !this->shuttingDown && this->follower.current().version > 0;
 }
 
-std::string EntryHost::statusDocument() const
+HostStatus EntryHost::status() const
 {
-    nlohmann::ordered_json json;
-    json["host"] = this->identity.host;
-    json["incarnation"] = this->identity.incarnation;
-    json["failure_domain"] = this->identity.failureDomain;
-    json["configuration_version"] = this->follower.current().version;
-    json["shutting_down"] = this->shuttingDown;
-    json["platform_reachable"] = this->platformReachable;
-    json["requests_in_flight"] = this->controller.inFlight();
-    json["peer_links"] = this->mesh.openLinks();
-    json["members"] = nlohmann::ordered_json::array();
-    for (const MemberRecord &member : this->membership.live()) {
-        json["members"].push_back({{"host", member.identity.host},
-                                   {"incarnation", member.identity.incarnation},
-                                   {"failure_domain", member.identity.failureDomain},
-                                   {"configuration_version", member.configurationVersion},
-                                   {"state", memberStateName(member.state)},
-                                   {"leaving", member.leaving}});
-    }
-    json["backend_servers"] = nlohmann::ordered_json::array();
+    HostStatus status;
+    status.identity = this->identity;
+    status.configurationVersion = this->follower.current().version;
+    status.shuttingDown = this->shuttingDown;
+    status.platformReachable = this->platformReachable;
+    status.requestsInFlight = this->controller.inFlight();
+    status.peerLinks = this->mesh.openLinks();
+    for (const MemberRecord &member : this->membership.live())
+        status.members.push_back({member.identity, member.configurationVersion, member.leaving});
     for (const auto &[id, server] : this->follower.current().servers) {
         const ServerState state = this->directory.state(id, this->loop.now());
-        json["backend_servers"].push_back(
-                {{"id", id}, {"pool", server.pool}, {"state", serverStateName(state)}});
+        status.servers.push_back({id, server.pool, std::string(serverStateName(state))});
     }
-    return json.dump();
+    return status;
+}
+
+void EntryHost::drain()
+{
+    this->beginShutdown(this->drained);
 }
 
 } // namespace dotterel
--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -3,15 +3,17 @@
 #include "coordination/backend_directory.h"
 #include "coordination/configuration_follower.h"
 #include "coordination/membership.h"
-#include "coordination/order_ledger.h"
+#include "coordination/order_object_ledger.h"
 #include "coordination/request_controller.h"
 #include "coordination/two_choices_placement.h"
 #include "core/prometheus_metrics.h"
 #include "core/random_source.h"
 #include "entry_host/caller_api.h"
 #include "entry_host/http_backend_client.h"
+#include "entry_host/operator_api.h"
 #include "entry_host/peer_agent.h"
 #include "entry_host/peer_mesh.h"
+#include "entry_host/server_return_prober.h"
 #include "state/http_object_store.h"
 #include "state/settings.h"
 #include "transport/http_client.h"
@@ -29,10 +31,14 @@
     , private CallerListener
     , private PeerListener
     , private PeerAgentListener
+    , private HostLiveness
+    , private OperatorTarget
 {
 public:
     /// Binds the host's three addresses. Throws std::runtime_error if one cannot be bound.
-    EntryHost(EventLoop &loop, const Settings &settings, Incarnation incarnation, EventLog &log);
+    /// \a drained is called at the end of a graceful shutdown that an operator asked for.
+    EntryHost(EventLoop &loop, const Settings &settings, Incarnation incarnation, EventLog &log,
+              std::function<void()> drained = {});
     ~EntryHost() override;
 
     /// Begins a graceful shutdown; \a finished is called when every request has ended.
@@ -40,13 +46,18 @@
 
     /// Addresses in use.
     Endpoint callers() const { return this->callerApi.endpoint(); }
-    Endpoint operators() const { return this->operatorServer.endpoint(); }
+    Endpoint operators() const { return this->operatorApi.endpoint(); }
     Endpoint peers() const { return this->mesh.endpoint(); }
 
+    /// Bytes of answers that callers have not taken yet.
+    std::size_t unsentCallerBytes() const { return this->callerApi.unsentBytes(); }
+
 private:
     // RequestEffects
     void sendAttempt(const AttemptOrder &order) override;
     void cancelAttempt(const AttemptId &attempt) override;
+    void pauseAttempt(const AttemptId &attempt, bool paused) override;
+    void announceCrash(const CrashNotice &notice) override;
     void claimOrder(const OrderClaim &claim) override;
     void recordOrderAnswer(const OrderClaim &claim, const ServiceAnswer &answer) override;
     void releaseOrder(const OrderClaim &claim) override;
@@ -65,6 +76,7 @@
     void onRequest(const Request &request) override;
     void onMalformedRequest(const Failure &failure) override;
     void onCallerGone(const RequestId &request) override;
+    void onCallerBlocked(const RequestId &request, bool blocked) override;
 
     // PeerListener
     void onPeerLinked(std::uint64_t link) override;
@@ -74,13 +86,18 @@
     void onHostList(const std::vector<ListedHost> &hosts) override;
     void onServerNotice(const ServerNotice &notice) override;
     void beforeHeartbeat() override;
+    // HostLiveness
+    bool believedAlive(const HostId &host, Incarnation incarnation) const override;
+    // OperatorTarget
+    bool isReady() const override;
+    HostStatus status() const override;
+    void drain() override;
 
     void applyConfiguration(const Configuration &configuration);
     void watchConfiguration();
     void armTimer();
+    void runLedger();
     void finishShutdownIfIdle();
-    void handleOperator(const HttpExchangePointer &exchange);
-    std::string statusDocument() const;
 
     EventLoop &loop;
     Settings settings;
@@ -92,20 +109,26 @@
     HttpObjectStore platform;
     BackendDirectory directory;
     TwoChoicesPlacement placement;
+    CrashGuard crashGuard;
     RequestController controller;
-    OrderLedger ledger;
+    OrderObjectLedger ledger;
     ConfigurationFollower follower;
     Membership membership;
     HttpBackendClient backend;
     CallerApi callerApi;
     PeerMesh mesh;
     PeerAgent agent;
-    HttpServer operatorServer;
+    ServerReturnProber returnProber;
+    OperatorApi operatorApi;
+    std::function<void()> drained;
     bool shuttingDown = false;
+    bool destroying = false;
     bool platformReachable = true;
     std::uint64_t watchedVersion = 0; ///< Of the object that holds the configuration.
     std::function<void()> shutdownFinished;
     EventLoop::TimerHandle deadlineTimer;
+    EventLoop::TimerHandle ledgerTimer; ///< Runs from the first order on.
+    std::optional<TimePoint> ledgerGraceEnds;
     EventLoop::TimerHandle watchTimer;
     EventLoop::TimerHandle graceTimer;
     EventLoop::TimerHandle drainTimer;
--- a/src/entry_host/http_backend_client.cpp
+++ b/src/entry_host/http_backend_client.cpp
@@ -24,9 +24,14 @@
         return {{Verdict::NotRun, Reason::BackendConnectFailed,
                  "the backend server could not be connected", RetryAfterBreak},
                 ServerFault::Unreachable};
+    if (failure.kind == HttpFailureKind::AnswerCut)
+        return {{Verdict::MayHaveRun, Reason::AnswerCut, "the answer of the backend server was cut",
+                 RetryAfterBreak},
+                ServerFault::Died};
+    const bool silent = failure.kind == HttpFailureKind::Timeout;
     return {{failure.verdict, Reason::BackendFailed, "the connection to the backend server broke",
              RetryAfterBreak},
-            ServerFault::Unreachable};
+            silent ? ServerFault::Unreachable : ServerFault::Died};
 }
 
 } // namespace
@@ -44,6 +49,8 @@
 
     void start(const HttpRequest &request) { this->call = this->owner.client.send(request, *this); }
 
+    void pause(bool paused) { this->call->pause(paused); }
+
     const Endpoint &server() const { return this->endpoint; }
 
     void onHead(int newStatus, const HttpHeaders &newHeaders) override
@@ -86,7 +93,12 @@
                         ServerFault::None});
     }
 
-    void onFailed(const HttpFailure &failure) override { this->fail(connectionFailure(failure)); }
+    void onFailed(const HttpFailure &failure) override
+    {
+        // The promise stands in the head, so it holds even if the rest of the answer was cut.
+        const bool refused = this->status >= FirstErrorStatus && this->refusedWithoutRunning();
+        this->fail(refused ? this->refusal() : connectionFailure(failure));
+    }
 
 private:
     bool refusedWithoutRunning() const { return headerOf(this->headers, "X-Not-Run") == "true"; }
@@ -191,6 +203,13 @@
     attempt->start(request);
 }
 
+void HttpBackendClient::pause(const AttemptId &attempt, bool paused)
+{
+    const auto found = this->attempts.find(attempt);
+    if (found != this->attempts.end())
+        found->second->pause(paused);
+}
+
 void HttpBackendClient::cancel(const AttemptId &attempt)
 {
     const std::unique_ptr<Attempt> cancelled = this->release(attempt);
--- /dev/null
+++ b/src/entry_host/server_return_prober.cpp
@@ -0,0 +1,76 @@
+#include "entry_host/server_return_prober.h"
+
+#include "core/hashing.h"
+
+#include <nlohmann/json.hpp>
+
+namespace dotterel {
+
+namespace {
+
+constexpr Duration ProbeInterval = std::chrono::seconds(1);
+constexpr Duration ProbeTimeout = std::chrono::milliseconds(900);
+constexpr int StatusOk = 200;
+
+/// Returns whether \a response says that the server takes new work; a bad answer does not.
+bool saysDraining(const std::optional<HttpResponse> &response)
+{
+    if (!response || response->status != StatusOk)
+        return true;
+    const nlohmann::json json = nlohmann::json::parse(response->body, nullptr, false);
+    const bool readable =
+            json.is_object() && json.contains("draining") && json["draining"].is_boolean();
+    return !readable || json["draining"].get<bool>();
+}
+
+} // namespace
+
+ServerReturnProber::ServerReturnProber(EventLoop &loop, HttpClient &client, HostIdentity self,
+                                       BackendDirectory &directory)
+    : loop(loop)
+    , client(client)
+    , self(std::move(self))
+    , directory(directory)
+{}
+
+void ServerReturnProber::maintain(const std::vector<ServerId> &draining,
+                                  const std::vector<MemberRecord> &live)
+{
+    const TimePoint now = this->loop.now();
+    if (now < this->nextProbe)
+        return;
+    this->nextProbe = now + ProbeInterval;
+    this->decision.keep(draining);
+    if (draining.empty())
+        return;
+    std::vector<std::string> hosts;
+    for (const MemberRecord &member : live)
+        hosts.push_back(member.identity.host);
+    for (const ServerId &server : draining) {
+        if (hosts[rendezvousOwner(server, hosts)] == this->self.host)
+            this->probe(server);
+    }
+}
+
+void ServerReturnProber::probe(const ServerId &server)
+{
+    const BackendServer *known = this->directory.find(server);
+    if (known == nullptr || this->probes.count(server) > 0)
+        return;
+    HttpRequest request;
+    request.endpoint = known->endpoint;
+    request.target = "/v1/load";
+    request.timeout = ProbeTimeout;
+    std::unique_ptr<HttpFetch> &place = this->probes[server];
+    place = std::make_unique<HttpFetch>(
+            this->client, request,
+            [this, server](const std::optional<HttpResponse> &response, const HttpFailure &) {
+                this->loop.disposeLater(
+                        std::shared_ptr<HttpFetch>(std::move(this->probes.at(server))));
+                this->probes.erase(server);
+                if (this->decision.onReport(server, saysDraining(response)))
+                    this->directory.markReturned(server);
+            });
+}
+
+} // namespace dotterel
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -18,6 +18,11 @@
 constexpr const char *OfferType = "o";
 constexpr const char *DigestType = "g";
 constexpr const char *UpdateType = "u";
+constexpr const char *CrashType = "c";
+constexpr const char *NewsType = "n";
+
+constexpr std::size_t MostFingerprintBytes = 64;
+constexpr std::size_t MostCrashes = 8;
 
 /// The states of a member and its leaving flag share one byte on the wire.
 constexpr unsigned LeavingBit = 8;
@@ -112,13 +117,13 @@
 
 nlohmann::json encodeNotice(const ServerNotice &notice)
 {
-    return nlohmann::json::array({notice.server, notice.sequence, notice.draining});
+    return nlohmann::json::array({notice.server, notice.sequence, notice.draining, notice.byList});
 }
 
 ServerNotice decodeNotice(const nlohmann::json &json)
 {
     return {checkedName(json.at(0)), checkedNumber<std::uint64_t>(json.at(1)),
-            json.at(2).get<bool>()};
+            json.at(2).get<bool>(), json.at(3).get<bool>()};
 }
 
 template <typename Item, typename Encoder>
@@ -182,6 +187,76 @@
     return {{TypeKey, OfferType}, {"v", offer.version}, {"c", offer.text}};
 }
 
+nlohmann::json encode(const CrashNotice &notice)
+{
+    nlohmann::json crashes = nlohmann::json::array();
+    for (const CrashRecord &crash : notice.crashes)
+        crashes.push_back({crash.server, crash.age.count()});
+    nlohmann::json json = {
+            {TypeKey, CrashType}, {"f", notice.fingerprint}, {"c", crashes}, {"r", notice.runsOn}};
+    if (notice.cleared)
+        json["x"] = notice.cleared->count();
+    return json;
+}
+
+Duration decodeAge(const nlohmann::json &json)
+{
+    return Duration(std::max<Duration::rep>(0, json.get<Duration::rep>()));
+}
+
+CrashNotice decodeCrashNotice(const nlohmann::json &json)
+{
+    CrashNotice notice;
+    notice.fingerprint = json.at("f").get<std::string>();
+    if (notice.fingerprint.size() > MostFingerprintBytes || json.at("c").size() > MostCrashes)
+        throw nlohmann::json::other_error::create(0, "the notice is too long", &json);
+    for (const nlohmann::json &item : json.at("c"))
+        notice.crashes.push_back({item.at(0).get<ServerId>(), decodeAge(item.at(1))});
+    if (json.contains("x"))
+        notice.cleared = decodeAge(json.at("x"));
+    notice.runsOn = json.at("r").get<ServerId>();
+    return notice;
+}
+
+nlohmann::json encode(const DispatchNews &news)
+{
+    nlohmann::json events = nlohmann::json::array();
+    for (const DispatchEvent &event : news.events) {
+        nlohmann::json row = {static_cast<int>(event.kind), event.sequence};
+        if (event.kind == DispatchEventKind::Dispatched) {
+            row.push_back(event.server);
+            row.push_back(event.promptTokens);
+            row.push_back(event.priority);
+            row.push_back(event.workspace);
+            if (event.contextTokens > 0)
+                row.push_back(event.contextTokens);
+        }
+        events.push_back(std::move(row));
+    }
+    return {{TypeKey, NewsType}, {"s", news.sender}, {"e", events}};
+}
+
+DispatchNews decodeNews(const nlohmann::json &json)
+{
+    DispatchNews news;
+    news.sender = json.at("s").get<std::uint32_t>();
+    for (const nlohmann::json &row : json.at("e")) {
+        DispatchEvent event;
+        const int kind = std::clamp(row.at(0).get<int>(), 0, 2);
+        event.kind = static_cast<DispatchEventKind>(kind);
+        event.sequence = row.at(1).get<std::uint64_t>();
+        if (event.kind == DispatchEventKind::Dispatched) {
+            event.server = row.at(2).get<std::uint32_t>();
+            event.promptTokens = row.at(3).get<std::uint64_t>();
+            event.priority = row.at(4).get<std::int64_t>();
+            event.workspace = row.at(5).get<std::uint32_t>();
+            event.contextTokens = row.size() > 6 ? row.at(6).get<std::uint64_t>() : 0;
+        }
+        news.events.push_back(event);
+    }
+    return news;
+}
+
 Heartbeat decodeHeartbeat(const nlohmann::json &json)
 {
     Heartbeat heartbeat;
@@ -245,6 +320,10 @@
         if (type == OfferType)
             return ConfigurationOffer{checkedNumber<std::uint64_t>(json.at("v")),
                                       json.at("c").get<std::string>()};
+        if (type == CrashType)
+            return decodeCrashNotice(json);
+        if (type == NewsType)
+            return decodeNews(json);
         return tl::unexpected(std::string("unknown message type"));
     } catch (const nlohmann::json::exception &error) {
         return tl::unexpected(std::string(error.what()));
--- a/tests/coordination/test_membership.cpp
+++ b/tests/coordination/test_membership.cpp
@@ -137,7 +137,7 @@
     fleet.advance(std::chrono::seconds(15));
     CHECK(fleet.membership(0).live().size() == inside);
     CHECK(fleet.membership(1).live().size() == hosts - inside);
-    fleet.publish(0, {"engine-1", 1, true});
+    fleet.publish(0, {"engine-1", 1, true, false});
 
     fleet.cut({});
     fleet.advance(std::chrono::seconds(20));
@@ -153,10 +153,10 @@
     constexpr std::size_t Hosts = 60;
     FleetSimulation fleet(optionsFor(Hosts));
     begin(fleet, Hosts);
-    fleet.publish(3, {"engine-1", 1, true});
+    fleet.publish(3, {"engine-1", 1, true, false});
     fleet.advance(std::chrono::seconds(2));
-    fleet.publish(9, {"engine-1", 2, false});
-    fleet.publish(11, {"engine-1", 1, true});
+    fleet.publish(9, {"engine-1", 2, false, false});
+    fleet.publish(11, {"engine-1", 1, true, false});
     fleet.advance(std::chrono::seconds(2));
     for (std::size_t host = 0; host < Hosts; ++host) {
         const std::vector<ServerNotice> &notices = fleet.noticesOf(host);
