--- a/src/coordination/backend_directory.cpp
+++ b/src/coordination/backend_directory.cpp
@@ -146,6 +146,16 @@
     return std::exchange(this->found, {});
 }
 
+std::vector<ServerId> BackendDirectory::modelServers() const
+{
+    std::vector<ServerId> servers;
+    for (const auto &[id, entry] : this->entries) {
+        if (this->modelPools.count(entry.server.pool) > 0)
+            servers.push_back(id);
+    }
+    return servers;
+}
+
 std::vector<ServerId> BackendDirectory::drainingByOwnWord() const
 {
     std::vector<ServerId> servers;
--- a/src/coordination/backend_directory.h
+++ b/src/coordination/backend_directory.h
@@ -58,6 +58,9 @@
     /// Returns what this host found out since the last call, for the peers.
     std::vector<ServerNotice> takeNotices();
 
+    /// Returns the servers of all model pools, whatever their state.
+    std::vector<ServerId> modelServers() const;
+
     /// Returns the leaving servers of model pools that may be asked whether they are back.
     std::vector<ServerId> drainingByOwnWord() const;
 
--- a/src/entry_host/entry_host.cpp
+++ b/src/entry_host/entry_host.cpp
@@ -48,6 +48,7 @@
            *this, this->random, this->metrics, log)
     , agent(loop, settings.heartbeatInterval, this->membership, this->mesh, this->platform, *this)
     , returnProber(loop, this->httpClient, this->identity, this->directory)
+    , memorySweeper(loop, this->httpClient, this->membership, this->directory, this->metrics, log)
     , operatorApi(loop, settings.operators, *this, this->metrics)
     , drained(std::move(drained))
 {
--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -9,6 +9,7 @@
 #include "core/prometheus_metrics.h"
 #include "core/random_source.h"
 #include "entry_host/caller_api.h"
+#include "entry_host/engine_memory_sweeper.h"
 #include "entry_host/http_backend_client.h"
 #include "entry_host/operator_api.h"
 #include "entry_host/peer_agent.h"
@@ -119,6 +120,7 @@
     PeerMesh mesh;
     PeerAgent agent;
     ServerReturnProber returnProber;
+    EngineMemorySweeper memorySweeper;
     OperatorApi operatorApi;
     std::function<void()> drained;
     bool shuttingDown = false;
--- a/src/entry_host/http_backend_client.cpp
+++ b/src/entry_host/http_backend_client.cpp
@@ -145,6 +145,9 @@
     void fail(const AttemptFailure &failure)
     {
         const std::unique_ptr<Attempt> self = this->owner.release(this->id);
+        // An engine keeps the memory of an attempt whose connection broke.
+        if (this->kind == PoolKind::Model && failure.failure.verdict != Verdict::NotRun)
+            this->owner.tellServerToDrop(this->endpoint, this->id);
         self->owner.listener.onAttemptFailed(self->id, failure);
     }
 
--- a/tests/fakes/fake_engine.cpp
+++ b/tests/fakes/fake_engine.cpp
@@ -10,6 +10,7 @@
 constexpr std::size_t MostBodyBytes = 256UL * 1024 * 1024;
 constexpr std::uint64_t BytesPerToken = 4;
 const std::string CancelPrefix = "/v1/attempts/";
+const std::string MemoryPath = "/v1/allocations";
 
 } // namespace
 
@@ -25,11 +26,18 @@
     const std::string path = exchange->path();
     if (this->crashed) {
         exchange->abort();
+    } else if (this->behaviour.frozen) {
+        this->unanswered.push_back(exchange);
+    } else if (path.compare(0, MemoryPath.size(), MemoryPath) == 0) {
+        this->handleMemory(exchange, path.size() > MemoryPath.size()
+                                             ? path.substr(MemoryPath.size() + 1)
+                                             : "");
     } else if (path == "/v1/completions") {
         this->complete(exchange);
     } else if (path.compare(0, CancelPrefix.size(), CancelPrefix) == 0) {
         const std::string rest = path.substr(CancelPrefix.size());
         this->cancel(rest.substr(0, rest.find('/')));
+        this->allocations.erase(rest.substr(0, rest.find('/')));
         exchange->reply(200, {}, "");
     } else if (path == "/v1/load") {
         const nlohmann::json load = {{"queued_prompt_tokens", this->queuedTokens()},
@@ -62,7 +70,15 @@
     attempt.priority = std::atoll(exchange->header("X-Priority").c_str());
     attempt.promptTokens = std::max<std::uint64_t>(1, body.size() / BytesPerToken);
     attempt.nextIndex = std::strtoull(exchange->header("X-Resume-At").c_str(), nullptr, 10);
+    // Only the work stops with the connection; the memory waits for the attempt to be resumed.
     exchange->onClosed([this, id] { this->cancel(id); });
+    this->allocations[id] = {
+            exchange->header("X-Host"),
+            exchange->header("X-Incarnation"),
+            id,
+            attempt.promptTokens,
+            std::strtoull(exchange->header("X-Time-To-Live-Ms").c_str(), nullptr, 10),
+            this->loop.now()};
     this->attempts[id] = std::move(attempt);
     this->queue.push_back(id);
     ++this->startedCount;
@@ -117,6 +133,7 @@
     if (attempt.nextIndex >= this->behaviour.answerTokens) {
         const HttpExchangePointer exchange = attempt.exchange;
         exchange->sendChunk(encodeEngineEvent(AnswerEnd{id, this->behaviour.answerTokens}));
+        this->allocations.erase(id);
         this->attempts.erase(found);
         exchange->endReply();
         return;
@@ -128,6 +145,62 @@
             this->loop.after(this->behaviour.tokenInterval, [this, id] { this->sendToken(id); });
 }
 
+std::uint64_t FakeEngine::memoryHeld() const
+{
+    std::uint64_t tokens = 0;
+    for (const auto &[id, allocation] : this->allocations)
+        tokens += allocation.tokens;
+    return tokens;
+}
+
+void FakeEngine::handleMemory(const HttpExchangePointer &exchange, const std::string &id)
+{
+    if (exchange->method() == "GET") {
+        exchange->reply(200, {{"Content-Type", "application/json"}}, this->listAllocations());
+    } else if (exchange->method() == "PUT") {
+        this->reserve(exchange, id);
+    } else if (exchange->method() == "DELETE") {
+        this->cancel(id);
+        this->allocations.erase(id);
+        exchange->reply(200, {}, "");
+    } else {
+        exchange->reply(404, {}, "");
+    }
+}
+
+void FakeEngine::reserve(const HttpExchangePointer &exchange, const std::string &id)
+{
+    const nlohmann::json json = nlohmann::json::parse(exchange->takeBody());
+    const std::uint64_t tokens = json.at("tokens").get<std::uint64_t>();
+    if (this->memoryHeld() + tokens > this->behaviour.memoryTokens) {
+        exchange->reply(409, {{"X-Not-Run", "true"}}, "");
+        return;
+    }
+    this->allocations[id] = {json.at("host").get<std::string>(),
+                             std::to_string(json.at("incarnation").get<std::uint64_t>()),
+                             json.at("request").get<std::string>(),
+                             tokens,
+                             json.at("time_to_live_ms").get<std::uint64_t>(),
+                             this->loop.now()};
+    exchange->reply(200, {}, "");
+}
+
+std::string FakeEngine::listAllocations() const
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &[id, allocation] : this->allocations) {
+        const Duration age = this->loop.now() - allocation.since;
+        list.push_back({{"id", id},
+                        {"host", allocation.host},
+                        {"incarnation", std::strtoull(allocation.incarnation.c_str(), nullptr, 10)},
+                        {"request", allocation.request},
+                        {"tokens", allocation.tokens},
+                        {"age_ms", age.count() / 1'000},
+                        {"time_to_live_ms", allocation.timeToLiveMilliseconds}});
+    }
+    return list.dump();
+}
+
 std::uint64_t FakeEngine::queuedTokens() const
 {
     std::uint64_t tokens = 0;
--- a/tests/fakes/fake_engine.h
+++ b/tests/fakes/fake_engine.h
@@ -15,9 +15,11 @@
     double prefillTokensPerSecond = 400'000;
     Duration tokenInterval = std::chrono::milliseconds(2);
     std::uint64_t answerTokens = 8;
-    std::uint64_t cutAfterTokens = 0; ///< Breaks each stream there; 0 never does.
-    bool draining = false;            ///< Refuses new work, promising that it did not run.
-    std::string crashMarker;          ///< A body that contains it stops the engine.
+    std::uint64_t cutAfterTokens = 0;     ///< Breaks each stream there; 0 never does.
+    bool draining = false;                ///< Refuses new work, promising that it did not run.
+    bool frozen = false;                  ///< Accepts connections and answers nothing.
+    std::uint64_t memoryTokens = 400'000; ///< KV memory of reservations and attempts together.
+    std::string crashMarker;              ///< A body that contains it stops the engine.
 };
 
 /// Stand-in for a model engine: prefill in order of priority, then one token an interval.
@@ -34,9 +36,22 @@
     /// Returns how many attempts are queued or running.
     std::size_t running() const { return this->attempts.size(); }
 
+    /// Returns the tokens of KV memory that are held, by reservations and by attempts. An attempt's
+    /// stay held when its connection breaks, until it is cancelled, resumed or released.
+    std::uint64_t memoryHeld() const;
+
     Endpoint endpoint() const { return this->server.endpoint(); }
 
 private:
+    struct Allocation
+    {
+        std::string host;
+        std::string incarnation;
+        std::string request;
+        std::uint64_t tokens = 0;
+        std::uint64_t timeToLiveMilliseconds = 0;
+        TimePoint since;
+    };
     struct Attempt
     {
         HttpExchangePointer exchange;
@@ -49,6 +64,9 @@
     void handle(const HttpExchangePointer &exchange);
     void complete(const HttpExchangePointer &exchange);
     void cancel(const std::string &attempt);
+    void handleMemory(const HttpExchangePointer &exchange, const std::string &id);
+    void reserve(const HttpExchangePointer &exchange, const std::string &id);
+    std::string listAllocations() const;
     void startNextPrefill();
     void sendToken(const std::string &attempt);
     std::uint64_t queuedTokens() const;
@@ -56,7 +74,9 @@
     EventLoop &loop;
     EngineBehaviour behaviour;
     std::map<std::string, Attempt> attempts;
-    std::list<std::string> queue; ///< Attempts that wait for prefill.
+    std::map<std::string, Allocation> allocations; ///< By unique id; of an attempt, the attempt's.
+    std::list<HttpExchangePointer> unanswered;     ///< While frozen.
+    std::list<std::string> queue;                  ///< Attempts that wait for prefill.
     EventLoop::TimerHandle prefill;
     std::string prefilling;
     std::uint64_t startedCount = 0;
