--- a/src/entry_host/entry_host.cpp
+++ b/src/entry_host/entry_host.cpp
@@ -8,7 +8,8 @@
 
 constexpr Duration WatchWait = std::chrono::seconds(20);
 constexpr Duration WatchRetry = std::chrono::milliseconds(500);
-constexpr Duration HostsInterval = std::chrono::seconds(1);
+constexpr Duration FarewellTime = std::chrono::milliseconds(50);
+constexpr int SilentHeartbeats = 8;
 constexpr Duration LedgerInterval = std::chrono::milliseconds(5);
 constexpr Duration LedgerGrace = std::chrono::seconds(10);
 constexpr Duration LoadPollInterval = std::chrono::seconds(1);
@@ -54,7 +55,11 @@
                  })
     , backend(loop, this->httpClient, this->identity, *this)
     , callerApi(loop, settings, this->identity, *this)
-    , mesh(loop, settings.peers, settings.host, *this, this->metrics, log)
+    , mesh(loop, settings.peers, settings.host, settings.heartbeatInterval * SilentHeartbeats,
+           *this, this->random, this->metrics, log)
+    , agent(loop, settings.heartbeatInterval, this->membership, this->mesh, this->platform, *this)
+    , returnProber(loop, this->httpClient, this->identity, this->directory)
+    , memorySweeper(loop, this->httpClient, this->membership, this->directory, this->metrics, log)
     , operatorApi(loop, settings.operators, *this, this->metrics)
     , drained(std::move(drained))
 {
@@ -63,10 +68,7 @@
                                          {"callers", this->callers().text()},
                                          {"operators", this->operators().text()},
                                          {"peers", this->peers().text()}});
-    this->heartbeatTimer = loop.every(settings.heartbeatInterval, [this] { this->heartbeat(); });
     this->loadTimer = loop.every(LoadPollInterval, [this] { this->pollLoads(); });
-    this->hostsTimer = loop.every(HostsInterval, [this] { this->readHosts(); });
-    this->readHosts();
     this->watchConfiguration();
 }
 
@@ -116,8 +118,11 @@
         return;
     this->drainTimer.reset();
     this->log.write(Event::ShutdownDone, {});
-    if (this->shutdownFinished)
-        this->shutdownFinished();
+    this->agent.sayFarewell();
+    this->drainTimer = this->loop.after(FarewellTime, [this] {
+        if (this->shutdownFinished)
+            this->shutdownFinished();
+    });
 }
 
 void EntryHost::sendAttempt(const AttemptOrder &order)
@@ -255,6 +260,11 @@
     this->armTimer();
 }
 
+void EntryHost::onPeerLinked(std::uint64_t link)
+{
+    this->agent.onPeerLinked(link);
+}
+
 void EntryHost::onCallerBlocked(const RequestId &request, bool blocked)
 {
     this->controller.onCallerBlocked(request, blocked, this->loop.now());
@@ -263,14 +273,10 @@
 
 void EntryHost::onPeerMessage(std::uint64_t link, const PeerMessage &message)
 {
+    this->agent.onPeerMessage(link, message);
     if (const Heartbeat *heartbeat = std::get_if<Heartbeat>(&message)) {
-        this->membership.onHeartbeat(*heartbeat, this->loop.now());
-        for (const ServerId &server : heartbeat->draining)
-            this->directory.markDraining(server);
         const std::uint64_t known = this->follower.current().version;
-        const bool peerHasNewer = !heartbeat->members.empty()
-                                  && heartbeat->members.front().configurationVersion > known;
-        if (peerHasNewer)
+        if (heartbeat->sender.configurationVersion > known)
             this->mesh.send(link, ConfigurationRequest{known});
     } else if (const ConfigurationRequest *request = std::get_if<ConfigurationRequest>(&message)) {
         if (this->follower.current().version > request->knownVersion)
@@ -295,8 +301,31 @@
     }
 }
 
+void EntryHost::onHostList(const std::vector<ListedHost> &hosts)
+{
+    std::set<ServerId> leaving;
+    for (const ListedHost &host : hosts) {
+        if (host.role == "backend" && host.leaving)
+            leaving.insert(host.id);
+    }
+    this->directory.applyList(leaving, this->loop.now());
+}
+
+void EntryHost::onServerNotice(const ServerNotice &notice)
+{
+    this->directory.applyNotice(notice, this->loop.now());
+}
+
+void EntryHost::beforeHeartbeat()
+{
+    for (const ServerNotice &notice : this->directory.takeNotices())
+        this->membership.publish(notice);
+    this->returnProber.maintain(this->directory.drainingByOwnWord(), this->membership.live());
+}
+
 void EntryHost::applyConfiguration(const Configuration &configuration)
 {
+    this->agent.announceConfiguration(configuration.version);
     this->directory.applyConfiguration(configuration);
     this->controller.applyConfiguration(configuration);
     this->placement.applyConfiguration(configuration);
@@ -323,26 +352,6 @@
             });
 }
 
-void EntryHost::readHosts()
-{
-    this->platform.hosts([this](const HostList::Result &result, TimePoint) {
-        if (!result)
-            return;
-        this->mesh.applyHosts(*result);
-        for (const ListedHost &host : *result) {
-            if (host.role == "backend" && host.leaving)
-                this->directory.markDraining(host.id);
-        }
-    });
-}
-
-void EntryHost::heartbeat()
-{
-    this->membership.onTimer(this->loop.now());
-    this->mesh.broadcast(
-            this->membership.beat(this->follower.current().version, this->directory.draining()));
-}
-
 void EntryHost::pollLoads()
 {
     std::vector<HostId> live{this->identity.host};
