Take servers without a measurement for as fast as the measured ones

Ruled out: the mark of draining (the status of every host said up), the pause of stuck servers (none was), prefix affinity (prompts below one block). Change: an unmeasured server counts as the average of the measured ones.

--- a/src/coordination/load_estimate.cpp
+++ b/src/coordination/load_estimate.cpp
@@ -238,6 +238,7 @@
 
 void LoadEstimate::learn(const Entry &entry, TimePoint now)
 {
+    this->measured = true;
     const double elapsed = toSeconds(now - entry.dispatched);
     const double expected = entry.remaining > 0 ? elapsed + entry.remaining * this->slow
                                                 : toSeconds(entry.expected - entry.dispatched);
--- a/src/coordination/load_estimate.h
+++ b/src/coordination/load_estimate.h
@@ -70,6 +70,16 @@
     /// Returns how many times longer than usual the server takes.
     double slowness() const { return this->slow; }
 
+    /// Returns true once a first token has told how fast the server is.
+    bool isMeasured() const { return this->measured; }
+
+    /// Takes \a typical for the slowness of a server that has not been measured.
+    void assumeSlowness(double typical)
+    {
+        if (!this->measured)
+            this->slow = typical;
+    }
+
     /// Returns the fraction of time that recent work of shorter prompts takes up.
     double shorterUtilisation(std::uint64_t tokens, TimePoint now) const;
 
@@ -110,6 +120,7 @@
     TimePoint advancedAt;
     TimePoint arrivalsAt;
     double slow = 1;
+    bool measured = false;
     TimePoint progressAt; ///< Of the last first token.
     TimePoint stuckUntil;
     Duration stuckPause;
--- a/src/coordination/work_ahead_placement.cpp
+++ b/src/coordination/work_ahead_placement.cpp
@@ -229,6 +229,7 @@
     std::vector<Candidate> ranked;
     std::vector<Candidate> stuck;
     const double shorter = this->shorterUtilisation(servers, query.promptTokens, now);
+    this->assumeTypicalSlowness(servers);
     const std::size_t offset = this->random.below(servers.size());
     for (std::size_t i = 0; i < servers.size(); ++i) {
         const BackendServer *server = servers[(offset + i) % servers.size()];
@@ -244,6 +245,23 @@
     return ranked;
 }
 
+void WorkAheadPlacement::assumeTypicalSlowness(const std::vector<const BackendServer *> &servers)
+{
+    double sum = 0;
+    std::size_t measured = 0;
+    for (const BackendServer *server : servers) {
+        const LoadEstimate &load = this->estimate(server->id);
+        if (!load.isMeasured())
+            continue;
+        sum += load.slowness();
+        ++measured;
+    }
+    if (measured == 0)
+        return;
+    for (const BackendServer *server : servers)
+        this->estimate(server->id).assumeSlowness(sum / static_cast<double>(measured));
+}
+
 WorkAheadPlacement::Candidate WorkAheadPlacement::assess(const BackendServer &server,
                                                          const PlacementQuery &query,
                                                          std::int64_t priority, double shorter,
--- a/src/coordination/work_ahead_placement.h
+++ b/src/coordination/work_ahead_placement.h
@@ -85,6 +85,11 @@
     double allowedWait(double seconds, const PlacementQuery &query, TimePoint now) const;
     std::vector<Candidate> rank(const std::vector<const BackendServer *> &servers,
                                 const PlacementQuery &query, std::int64_t priority, TimePoint now);
+
+    /// Servers that have not been measured count as fast as the measured ones on average; otherwise
+    /// the first one that turns out to be fast would get everything.
+    void assumeTypicalSlowness(const std::vector<const BackendServer *> &servers);
+
     Candidate assess(const BackendServer &server, const PlacementQuery &query,
                      std::int64_t priority, double shorter, TimePoint now);
     double shorterUtilisation(const std::vector<const BackendServer *> &servers,
