--- a/tests/fakes/fake_engine.cpp
+++ b/tests/fakes/fake_engine.cpp
@@ -54,6 +54,8 @@
         for (const auto &[id, attempt] : this->attempts)
             attempt.exchange->abort();
         exchange->abort();
+        // A process that died refuses connections.
+        this->server.stopListening();
         return;
     }
     const std::string id = exchange->header("X-Attempt-Id");
--- a/tests/fakes/fake_engine.h
+++ b/tests/fakes/fake_engine.h
@@ -31,6 +31,9 @@
     /// Returns how many attempts began to run.
     std::uint64_t started() const { return this->startedCount; }
 
+    /// Returns whether a body with the crash marker stopped the engine.
+    bool hasCrashed() const { return this->crashed; }
+
     /// Returns how many attempts are queued or running.
     std::size_t running() const { return this->attempts.size(); }
 
