--- a/src/entry_host/entry_host.cpp
+++ b/src/entry_host/entry_host.cpp
@@ -1,5 +1,7 @@
 #include "entry_host/entry_host.h"
 
+#include "core/hashing.h"
+
 namespace dotterel {
 
 namespace {
@@ -9,6 +11,8 @@
 constexpr Duration HostsInterval = std::chrono::seconds(1);
 constexpr Duration LedgerInterval = std::chrono::milliseconds(5);
 constexpr Duration LedgerGrace = std::chrono::seconds(10);
+constexpr Duration LoadPollInterval = std::chrono::seconds(1);
+constexpr Duration NewsInterval = std::chrono::milliseconds(10);
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration QuietTime = std::chrono::milliseconds(500);
 constexpr Duration LateRequestLimit = std::chrono::seconds(10);
@@ -32,17 +36,22 @@
     , httpClient(loop)
     , platform(loop, this->httpClient, settings.platform, settings.platformTimeout, this->metrics)
     , directory(log, this->metrics)
-    , placement(this->directory, this->random)
+    , placement(this->directory, this->random, PlacementSettings{}, this->identity,
+                loop.wallTime() - loop.now().time_since_epoch().count() / 1'000)
     , crashGuard(CrashLimits{}, this->metrics, log)
     , controller(limitsOf(settings), this->directory, this->placement, this->crashGuard, *this,
                  this->metrics, log)
-    , ledger(this->identity, this->platform, *this, this->random, log)
+    , ledger(this->identity, this->platform, *this, *this, this->random, log)
     , follower(
               [this](const Configuration &configuration) {
                   this->applyConfiguration(configuration);
               },
               this->metrics, log)
     , membership(this->identity, settings.heartbeatInterval, this->metrics, log)
+    , loadPoller(this->httpClient, settings.host,
+                 [this](const ServerId &server, const LoadReport &report) {
+                     this->onLoadReport(server, report);
+                 })
     , backend(loop, this->httpClient, this->identity, *this)
     , callerApi(loop, settings, this->identity, *this)
     , mesh(loop, settings.peers, settings.host, *this, this->metrics, log)
@@ -55,6 +64,7 @@
                                          {"operators", this->operators().text()},
                                          {"peers", this->peers().text()}});
     this->heartbeatTimer = loop.every(settings.heartbeatInterval, [this] { this->heartbeat(); });
+    this->loadTimer = loop.every(LoadPollInterval, [this] { this->pollLoads(); });
     this->hostsTimer = loop.every(HostsInterval, [this] { this->readHosts(); });
     this->readHosts();
     this->watchConfiguration();
@@ -137,10 +147,21 @@
         this->controller.onClaimSettled(request, outcome, now);
         this->armTimer();
     });
+    this->startLedgerTimer();
+}
+
+void EntryHost::startLedgerTimer()
+{
     if (!this->ledgerTimer)
         this->ledgerTimer = this->loop.every(LedgerInterval, [this] { this->runLedger(); });
 }
 
+void EntryHost::offerOutcome(const OrderOutcome &outcome)
+{
+    this->mesh.broadcast(
+            OrderOutcomeOffer{outcome.name, outcome.version, encodeOrderRecord(outcome.record)});
+}
+
 void EntryHost::runLedger()
 {
     const TimePoint now = this->loop.now();
@@ -192,6 +213,7 @@
 void EntryHost::onToken(const AttemptId &attempt, const AnswerToken &token)
 {
     this->controller.onToken(attempt, token, this->loop.now());
+    this->armNews();
 }
 
 void EntryHost::onAnswerEnd(const AttemptId &attempt, const AnswerEnd &end)
@@ -258,8 +280,18 @@
         // News goes on to peers that the sender is not linked to; what is known already stops here.
         if (this->controller.onCrashNotice(*notice, this->loop.now()))
             this->mesh.broadcast(*notice);
+    } else if (const DispatchNews *news = std::get_if<DispatchNews>(&message)) {
+        this->placement.onNews(*news, this->loop.now());
+    } else if (const LoadNews *loads = std::get_if<LoadNews>(&message)) {
+        this->onLoadNews(*loads);
     } else if (const ConfigurationOffer *offer = std::get_if<ConfigurationOffer>(&message)) {
         this->follower.offer(offer->text);
+    } else if (const OrderOutcomeOffer *outcome = std::get_if<OrderOutcomeOffer>(&message)) {
+        const std::optional<OrderRecord> record = decodeOrderRecord(outcome->record);
+        if (!record || record->state == OrderState::Claimed)
+            return;
+        this->ledger.adopt({outcome->name, outcome->version, *record}, this->loop.now());
+        this->startLedgerTimer();
     }
 }
 
@@ -267,6 +299,7 @@
 {
     this->directory.applyConfiguration(configuration);
     this->controller.applyConfiguration(configuration);
+    this->placement.applyConfiguration(configuration);
     this->log.write(Event::HostReady,
                     {{"version", static_cast<std::int64_t>(configuration.version)}});
 }
@@ -310,10 +343,53 @@
             this->membership.beat(this->follower.current().version, this->directory.draining()));
 }
 
+void EntryHost::pollLoads()
+{
+    std::vector<HostId> live{this->identity.host};
+    for (const MemberRecord &member : this->membership.live())
+        live.push_back(member.identity.host);
+    this->loadPoller.poll(this->follower.current(), live);
+}
+
+void EntryHost::onLoadReport(const ServerId &server, const LoadReport &report)
+{
+    this->placement.onLoadReport(server, report, this->loop.now());
+    if (report.draining)
+        this->directory.markDraining(server);
+    this->mesh.broadcast(
+            LoadNews{{{hash32(server), report.queuedPromptTokens, report.queuedByBand}}});
+}
+
+void EntryHost::onLoadNews(const LoadNews &news)
+{
+    for (const ServerLoad &load : news.loads) {
+        for (const auto &[id, server] : this->follower.current().servers) {
+            if (hash32(id) != load.server)
+                continue;
+            LoadReport report;
+            report.queuedPromptTokens = load.queuedTokens;
+            report.queuedByBand = load.queuedByBand;
+            this->placement.onLoadReport(id, report, this->loop.now());
+        }
+    }
+}
+
+void EntryHost::armNews()
+{
+    if (this->newsArmed || !this->placement.hasNews())
+        return;
+    this->newsArmed = true;
+    this->newsTimer = this->loop.after(NewsInterval, [this] {
+        this->newsArmed = false;
+        this->mesh.broadcast(this->placement.takeNews());
+    });
+}
+
 void EntryHost::armTimer()
 {
     if (this->destroying)
         return;
+    this->armNews();
     const std::optional<TimePoint> next = this->controller.nextTimer();
     if (!next) {
         this->deadlineTimer.reset();
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -12,6 +12,8 @@
 constexpr const char *HeartbeatType = "h";
 constexpr const char *RequestType = "r";
 constexpr const char *OfferType = "o";
+constexpr const char *OutcomeType = "u";
+constexpr const char *LoadType = "l";
 constexpr const char *CrashType = "c";
 constexpr const char *NewsType = "n";
 
@@ -52,6 +54,22 @@
     return {{TypeKey, OfferType}, {"v", offer.version}, {"c", offer.text}};
 }
 
+nlohmann::json encode(const OrderOutcomeOffer &offer)
+{
+    const std::vector<std::uint8_t> record(offer.record.begin(), offer.record.end());
+    return {{TypeKey, OutcomeType},
+            {"n", offer.name},
+            {"v", offer.version},
+            {"r", nlohmann::json::binary(record)}};
+}
+
+OrderOutcomeOffer decodeOutcome(const nlohmann::json &json)
+{
+    const nlohmann::json::binary_t &record = json.at("r").get_binary();
+    return {json.at("n").get<std::string>(), json.at("v").get<std::uint64_t>(),
+            std::string(record.begin(), record.end())};
+}
+
 nlohmann::json encode(const CrashNotice &notice)
 {
     nlohmann::json crashes = nlohmann::json::array();
@@ -101,6 +119,24 @@
     return {{TypeKey, NewsType}, {"s", news.sender}, {"e", events}};
 }
 
+nlohmann::json encode(const LoadNews &news)
+{
+    nlohmann::json loads = nlohmann::json::array();
+    for (const ServerLoad &load : news.loads)
+        loads.push_back({load.server, load.queuedTokens, load.queuedByBand});
+    return {{TypeKey, LoadType}, {"l", loads}};
+}
+
+LoadNews decodeLoadNews(const nlohmann::json &json)
+{
+    LoadNews news;
+    for (const nlohmann::json &row : json.at("l")) {
+        news.loads.push_back({row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint64_t>(),
+                              row.at(2).get<std::vector<std::uint64_t>>()});
+    }
+    return news;
+}
+
 DispatchNews decodeNews(const nlohmann::json &json)
 {
     DispatchNews news;
@@ -159,10 +195,14 @@
         if (type == OfferType)
             return ConfigurationOffer{json.at("v").get<std::uint64_t>(),
                                       json.at("c").get<std::string>()};
+        if (type == OutcomeType)
+            return decodeOutcome(json);
         if (type == CrashType)
             return decodeCrashNotice(json);
         if (type == NewsType)
             return decodeNews(json);
+        if (type == LoadType)
+            return decodeLoadNews(json);
         return tl::unexpected("unknown message type \"" + type + "\"");
     } catch (const nlohmann::json::exception &error) {
         return tl::unexpected(std::string(error.what()));
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -42,6 +42,14 @@
     std::string text;
 };
 
+/// Carries the outcome of an order that its host could not store at once.
+struct OrderOutcomeOffer
+{
+    std::string name;          ///< Of the order.
+    std::uint64_t version = 0; ///< Of the object that the record is to replace.
+    std::string record;        ///< As encodeOrderRecord() writes it.
+};
+
 /// What became of an attempt that the sender dispatched.
 enum class DispatchEventKind : std::uint8_t {
     Dispatched = 0,
@@ -68,8 +76,22 @@
     std::vector<DispatchEvent> events;
 };
 
+/// What a backend server reported of its load to the sender.
+struct ServerLoad
+{
+    std::uint32_t server = 0; ///< Hash of its name.
+    std::uint64_t queuedTokens = 0;
+    std::vector<std::uint64_t> queuedByBand; ///< By length band; empty if the server gave none.
+};
+
+/// Tells the peers what the sender read from the servers that it polls.
+struct LoadNews
+{
+    std::vector<ServerLoad> loads;
+};
+
 using PeerMessage = std::variant<Heartbeat, ConfigurationRequest, ConfigurationOffer, CrashNotice,
-                                 DispatchNews>;
+                                 DispatchNews, LoadNews, OrderOutcomeOffer>;
 
 /// Returns \a message as CBOR.
 std::string encodePeerMessage(const PeerMessage &message);
