--- a/src/coordination/work_ahead_placement.cpp
+++ b/src/coordination/work_ahead_placement.cpp
@@ -15,7 +15,6 @@
 constexpr double LeastWaitSeconds = 0.5; ///< Allowed to any prompt before it outranks newer ones.
 constexpr double LeastOwnSeconds = 0.001;
 constexpr double SlackMargin = 1.2;
-constexpr double DemotionSeconds = 60; ///< Behind others, for a workspace over its share.
 constexpr double TypicalSeconds = 0.2; ///< A first token later by this counts as one slowdown.
 constexpr double MostShorterUtilisation = 0.9;
 constexpr Duration RefundWindow = std::chrono::milliseconds(100);
@@ -60,13 +59,10 @@
     const double allowed = this->allowedWait(seconds / static_cast<double>(parts), query, now);
     // Servers that this request alone must avoid still count.
     const auto capacity = static_cast<double>(this->directory.usable(query.pool, now).size());
-    const ShareState share =
-            this->admission.shareState(workspaceHash(query.workspace), capacity, now);
-    if (share == ShareState::Exhausted)
+    if (this->admission.isOverShare(workspaceHash(query.workspace), capacity, now))
         return tl::unexpected(Admission::overShare());
     PlacementChoice choice;
-    const double demotion = share == ShareState::Over ? DemotionSeconds : 0;
-    choice.priority = this->sharedMilliseconds(now + fromSeconds(allowed + demotion));
+    choice.priority = this->sharedMilliseconds(now + fromSeconds(allowed));
     if (parts == 1)
         this->keepSample(*servers);
     const std::vector<Candidate> ranked = this->rank(*servers, query, choice.priority, now);
--- a/src/entry_host/entry_host.cpp
+++ b/src/entry_host/entry_host.cpp
@@ -9,9 +9,13 @@
 constexpr Duration WatchWait = std::chrono::seconds(20);
 constexpr Duration WatchRetry = std::chrono::milliseconds(500);
 constexpr Duration HostsInterval = std::chrono::seconds(1);
+constexpr Duration LedgerInterval = std::chrono::milliseconds(5);
+constexpr Duration LedgerGrace = std::chrono::seconds(10);
 constexpr Duration LoadPollInterval = std::chrono::seconds(1);
 constexpr Duration NewsInterval = std::chrono::milliseconds(10);
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(50);
+constexpr Duration QuietTime = std::chrono::milliseconds(500);
+constexpr Duration LateRequestLimit = std::chrono::seconds(10);
 
 RequestLimits limitsOf(const Settings &settings)
 {
@@ -37,7 +41,7 @@
     , crashGuard(CrashLimits{}, this->metrics, log)
     , controller(limitsOf(settings), this->directory, this->placement, this->crashGuard, *this,
                  this->metrics, log)
-    , ledger(this->identity, this->platform, this->random, log)
+    , ledger(this->identity, this->platform, *this, *this, this->random, log)
     , follower(
               [this](const Configuration &configuration) {
                   this->applyConfiguration(configuration);
@@ -66,7 +70,11 @@
     this->watchConfiguration();
 }
 
-EntryHost::~EntryHost() = default;
+EntryHost::~EntryHost()
+{
+    // Open connections close with their server, and must not arm a timer that is gone already.
+    this->destroying = true;
+}
 
 void EntryHost::beginShutdown(std::function<void()> finished)
 {
@@ -76,19 +84,35 @@
     this->shutdownFinished = std::move(finished);
     this->membership.beginLeaving();
     this->log.write(Event::ShutdownBegan, {});
+    this->callerApi.closeAfterReplies();
     // The balancer needs a moment to see that the host is not ready; until then it sends requests,
     // which are served.
     this->graceTimer = this->loop.after(this->settings.shutdownGrace, [this] {
-        this->controller.beginShutdown();
         this->callerApi.stopListening();
+        this->quietSince = this->loop.now();
         this->drainTimer =
                 this->loop.every(DrainCheckInterval, [this] { this->finishShutdownIfIdle(); });
+        // What still arrives on open connections is served, but not for ever.
+        this->graceTimer =
+                this->loop.after(LateRequestLimit, [this] { this->controller.beginShutdown(); });
     });
 }
 
 void EntryHost::finishShutdownIfIdle()
 {
-    if (this->controller.inFlight() > 0 || this->ledger.pending() > 0)
+    const TimePoint now = this->loop.now();
+    // A request that is still being read is not in flight yet, but its bytes come in.
+    const std::uint64_t received = this->callerApi.receivedBytes();
+    const bool busy = this->controller.inFlight() > 0 || !this->callerApi.idle();
+    if (busy || received != this->drainedBytes)
+        this->quietSince = now;
+    this->drainedBytes = received;
+    if (now - this->quietSince < QuietTime)
+        return;
+    // Outcomes are recorded first, but a store that stays away does not keep the host for ever.
+    if (!this->ledgerGraceEnds)
+        this->ledgerGraceEnds = now + LedgerGrace;
+    if (this->ledger.pending() > 0 && now < *this->ledgerGraceEnds)
         return;
     this->drainTimer.reset();
     this->log.write(Event::ShutdownDone, {});
@@ -123,6 +147,27 @@
         this->controller.onClaimSettled(request, outcome, now);
         this->armTimer();
     });
+    this->startLedgerTimer();
+}
+
+void EntryHost::startLedgerTimer()
+{
+    if (!this->ledgerTimer)
+        this->ledgerTimer = this->loop.every(LedgerInterval, [this] { this->runLedger(); });
+}
+
+void EntryHost::offerOutcome(const OrderOutcome &outcome)
+{
+    this->mesh.broadcast(
+            OrderOutcomeOffer{outcome.name, outcome.version, encodeOrderRecord(outcome.record)});
+}
+
+void EntryHost::runLedger()
+{
+    const TimePoint now = this->loop.now();
+    const std::optional<TimePoint> next = this->ledger.nextTimer();
+    if (next && *next <= now)
+        this->ledger.onTimer(now);
 }
 
 void EntryHost::recordOrderAnswer(const OrderClaim &claim, const ServiceAnswer &answer)
@@ -152,9 +197,19 @@
 
 void EntryHost::refuse(const RequestId &request, const Failure &failure)
 {
+    this->ledger.onRefused(request, failure.verdict);
     this->callerApi.refuse(request, failure);
 }
 
+bool EntryHost::believedAlive(const HostId &host, Incarnation incarnation) const
+{
+    for (const MemberRecord &member : this->membership.live()) {
+        if (member.identity.host == host && member.identity.incarnation == incarnation)
+            return true;
+    }
+    return false;
+}
+
 void EntryHost::onToken(const AttemptId &attempt, const AnswerToken &token)
 {
     this->controller.onToken(attempt, token, this->loop.now());
@@ -231,6 +286,12 @@
         this->onLoadNews(*loads);
     } else if (const ConfigurationOffer *offer = std::get_if<ConfigurationOffer>(&message)) {
         this->follower.offer(offer->text);
+    } else if (const OrderOutcomeOffer *outcome = std::get_if<OrderOutcomeOffer>(&message)) {
+        const std::optional<OrderRecord> record = decodeOrderRecord(outcome->record);
+        if (!record || record->state == OrderState::Claimed)
+            return;
+        this->ledger.adopt({outcome->name, outcome->version, *record}, this->loop.now());
+        this->startLedgerTimer();
     }
 }
 
@@ -326,6 +387,8 @@
 
 void EntryHost::armTimer()
 {
+    if (this->destroying)
+        return;
     this->armNews();
     const std::optional<TimePoint> next = this->controller.nextTimer();
     if (!next) {
--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -3,7 +3,7 @@
 #include "coordination/backend_directory.h"
 #include "coordination/configuration_follower.h"
 #include "coordination/membership.h"
-#include "coordination/order_ledger.h"
+#include "coordination/order_object_ledger.h"
 #include "coordination/request_controller.h"
 #include "coordination/work_ahead_placement.h"
 #include "core/prometheus_metrics.h"
@@ -29,6 +29,8 @@
     , private AttemptListener
     , private CallerListener
     , private PeerListener
+    , private HostLiveness
+    , private OrderOutcomePeers
     , private OperatorTarget
 {
 public:
@@ -78,6 +80,11 @@
     // PeerListener
     void onPeerMessage(std::uint64_t link, const PeerMessage &message) override;
 
+    // OrderOutcomePeers
+    void offerOutcome(const OrderOutcome &outcome) override;
+
+    // HostLiveness
+    bool believedAlive(const HostId &host, Incarnation incarnation) const override;
     // OperatorTarget
     bool isReady() const override;
     HostStatus status() const override;
@@ -88,6 +95,8 @@
     void readHosts();
     void heartbeat();
     void armTimer();
+    void runLedger();
+    void startLedgerTimer();
     void armNews();
     void pollLoads();
     void onLoadReport(const ServerId &server, const LoadReport &report);
@@ -106,7 +115,7 @@
     WorkAheadPlacement placement;
     CrashGuard crashGuard;
     RequestController controller;
-    OrderLedger ledger;
+    OrderObjectLedger ledger;
     ConfigurationFollower follower;
     Membership membership;
     LoadPoller loadPoller;
@@ -116,10 +125,15 @@
     OperatorApi operatorApi;
     std::function<void()> drained;
     bool shuttingDown = false;
+    bool destroying = false;
     bool platformReachable = true;
     std::uint64_t watchedVersion = 0; ///< Of the object that holds the configuration.
+    TimePoint quietSince;             ///< Since when a host that shuts down has nothing to do.
+    std::uint64_t drainedBytes = 0;
     std::function<void()> shutdownFinished;
     EventLoop::TimerHandle deadlineTimer;
+    EventLoop::TimerHandle ledgerTimer; ///< Runs from the first order on.
+    std::optional<TimePoint> ledgerGraceEnds;
     EventLoop::TimerHandle heartbeatTimer;
     EventLoop::TimerHandle loadTimer;
     EventLoop::TimerHandle newsTimer;
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -12,9 +12,10 @@
 constexpr const char *HeartbeatType = "h";
 constexpr const char *RequestType = "r";
 constexpr const char *OfferType = "o";
-constexpr const char *NewsType = "n";
+constexpr const char *OutcomeType = "u";
 constexpr const char *LoadType = "l";
 constexpr const char *CrashType = "c";
+constexpr const char *NewsType = "n";
 
 constexpr std::size_t MostFingerprintBytes = 64;
 constexpr std::size_t MostCrashes = 8;
@@ -53,6 +54,53 @@
     return {{TypeKey, OfferType}, {"v", offer.version}, {"c", offer.text}};
 }
 
+nlohmann::json encode(const OrderOutcomeOffer &offer)
+{
+    const std::vector<std::uint8_t> record(offer.record.begin(), offer.record.end());
+    return {{TypeKey, OutcomeType},
+            {"n", offer.name},
+            {"v", offer.version},
+            {"r", nlohmann::json::binary(record)}};
+}
+
+OrderOutcomeOffer decodeOutcome(const nlohmann::json &json)
+{
+    const nlohmann::json::binary_t &record = json.at("r").get_binary();
+    return {json.at("n").get<std::string>(), json.at("v").get<std::uint64_t>(),
+            std::string(record.begin(), record.end())};
+}
+
+nlohmann::json encode(const CrashNotice &notice)
+{
+    nlohmann::json crashes = nlohmann::json::array();
+    for (const CrashRecord &crash : notice.crashes)
+        crashes.push_back({crash.server, crash.age.count()});
+    nlohmann::json json = {
+            {TypeKey, CrashType}, {"f", notice.fingerprint}, {"c", crashes}, {"r", notice.runsOn}};
+    if (notice.cleared)
+        json["x"] = notice.cleared->count();
+    return json;
+}
+
+Duration decodeAge(const nlohmann::json &json)
+{
+    return Duration(std::max<Duration::rep>(0, json.get<Duration::rep>()));
+}
+
+CrashNotice decodeCrashNotice(const nlohmann::json &json)
+{
+    CrashNotice notice;
+    notice.fingerprint = json.at("f").get<std::string>();
+    if (notice.fingerprint.size() > MostFingerprintBytes || json.at("c").size() > MostCrashes)
+        throw nlohmann::json::other_error::create(0, "the notice is too long", &json);
+    for (const nlohmann::json &item : json.at("c"))
+        notice.crashes.push_back({item.at(0).get<ServerId>(), decodeAge(item.at(1))});
+    if (json.contains("x"))
+        notice.cleared = decodeAge(json.at("x"));
+    notice.runsOn = json.at("r").get<ServerId>();
+    return notice;
+}
+
 nlohmann::json encode(const DispatchNews &news)
 {
     nlohmann::json events = nlohmann::json::array();
@@ -110,37 +158,6 @@
     return news;
 }
 
-nlohmann::json encode(const CrashNotice &notice)
-{
-    nlohmann::json crashes = nlohmann::json::array();
-    for (const CrashRecord &crash : notice.crashes)
-        crashes.push_back({crash.server, crash.age.count()});
-    nlohmann::json json = {
-            {TypeKey, CrashType}, {"f", notice.fingerprint}, {"c", crashes}, {"r", notice.runsOn}};
-    if (notice.cleared)
-        json["x"] = notice.cleared->count();
-    return json;
-}
-
-Duration decodeAge(const nlohmann::json &json)
-{
-    return Duration(std::max<Duration::rep>(0, json.get<Duration::rep>()));
-}
-
-CrashNotice decodeCrashNotice(const nlohmann::json &json)
-{
-    CrashNotice notice;
-    notice.fingerprint = json.at("f").get<std::string>();
-    if (notice.fingerprint.size() > MostFingerprintBytes || json.at("c").size() > MostCrashes)
-        throw nlohmann::json::other_error::create(0, "the notice is too long", &json);
-    for (const nlohmann::json &item : json.at("c"))
-        notice.crashes.push_back({item.at(0).get<ServerId>(), decodeAge(item.at(1))});
-    if (json.contains("x"))
-        notice.cleared = decodeAge(json.at("x"));
-    notice.runsOn = json.at("r").get<ServerId>();
-    return notice;
-}
-
 Heartbeat decodeHeartbeat(const nlohmann::json &json)
 {
     Heartbeat heartbeat;
@@ -178,12 +195,14 @@
         if (type == OfferType)
             return ConfigurationOffer{json.at("v").get<std::uint64_t>(),
                                       json.at("c").get<std::string>()};
+        if (type == OutcomeType)
+            return decodeOutcome(json);
+        if (type == CrashType)
+            return decodeCrashNotice(json);
         if (type == NewsType)
             return decodeNews(json);
         if (type == LoadType)
             return decodeLoadNews(json);
-        if (type == CrashType)
-            return decodeCrashNotice(json);
         return tl::unexpected("unknown message type \"" + type + "\"");
     } catch (const nlohmann::json::exception &error) {
         return tl::unexpected(std::string(error.what()));
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -42,6 +42,14 @@
     std::string text;
 };
 
+/// Carries the outcome of an order that its host could not store at once.
+struct OrderOutcomeOffer
+{
+    std::string name;          ///< Of the order.
+    std::uint64_t version = 0; ///< Of the object that the record is to replace.
+    std::string record;        ///< As encodeOrderRecord() writes it.
+};
+
 /// What became of an attempt that the sender dispatched.
 enum class DispatchEventKind : std::uint8_t {
     Dispatched = 0,
@@ -83,7 +91,7 @@
 };
 
 using PeerMessage = std::variant<Heartbeat, ConfigurationRequest, ConfigurationOffer, CrashNotice,
-                                 DispatchNews, LoadNews>;
+                                 DispatchNews, LoadNews, OrderOutcomeOffer>;
 
 /// Returns \a message as CBOR.
 std::string encodePeerMessage(const PeerMessage &message);
