Give the bench host the effect that pauses an attempt

Change: an empty pauseAttempt(); the bench has no slow callers. Ruled out: a default in RequestEffects, which would let a real host forget it.

--- a/src/bench/bench_host.h
+++ b/src/bench/bench_host.h
@@ -49,6 +49,7 @@
     // RequestEffects
     void sendAttempt(const AttemptOrder &order) override;
     void cancelAttempt(const AttemptId &attempt) override;
+    void pauseAttempt(const AttemptId & /*attempt*/, bool /*paused*/) override {}
     void claimOrder(const OrderClaim & /*claim*/) override {}
     void recordOrderAnswer(const OrderClaim & /*claim*/, const ServiceAnswer & /*answer*/) override
     {}
