Let the weights say how long a long prompt may wait, and weigh credits

Cause: with callers that ask again at once at 120%, repeated long prompts filled admission up to its bound, where they outrank short ones: short p95 5.8. Change: a prompt is refused when it would wait more than 2 to 3 times the wait after which it outranks newer ones, by the weight on the first token; CreditPlacement (two choices within credits by AIMD on queueing delay, after Catena and Breakwater) joins the baselines. Conclusion: kept; credits are not taken, since they bound queues but do not say where the short ones are.

--- a/src/bench/bench_policies.cpp
+++ b/src/bench/bench_policies.cpp
@@ -1,5 +1,6 @@
 #include "bench/bench_policies.h"
 
+#include "coordination/credit_placement.h"
 #include "coordination/least_loaded_placement.h"
 #include "coordination/round_robin_placement.h"
 #include "coordination/two_choices_placement.h"
@@ -58,6 +59,7 @@
             {"least-loaded", "least queued tokens by lagged report, first come first served"},
             {"two-choices-fifo", "the less loaded of two, first come first served"},
             {"two-choices", "the less loaded of two, engines prefer shorter prompts"},
+            {"credits", "two choices with priorities, within credits by AIMD on queueing delay"},
             {"work-ahead", "the policy"},
             {"no-news", "the policy without peers' dispatches"},
             {"two-candidates", "the policy with two candidates"},
@@ -82,6 +84,8 @@
         return std::make_unique<TwoChoicesPlacement>(directory, random, EnginePriority::None);
     if (policy == "two-choices")
         return std::make_unique<TwoChoicesPlacement>(directory, random, EnginePriority::ByLength);
+    if (policy == "credits")
+        return std::make_unique<CreditPlacement>(directory, random, settingsFor(workload));
     const std::optional<PlacementSettings> variant = variantOf(policy, workload);
     if (!variant)
         return nullptr;
--- /dev/null
+++ b/src/coordination/credit_placement.cpp
@@ -0,0 +1,103 @@
+#include "coordination/credit_placement.h"
+
+#include "coordination/placement_candidates.h"
+
+#include <algorithm>
+
+namespace dotterel {
+
+namespace {
+
+constexpr double TargetDelaySeconds = 0.05; ///< Of short prompts, whose delay shows queueing.
+constexpr double CreditStep = 0.1;          ///< Seconds of prefill, for each first token in time.
+constexpr double CreditCut = 0.7;
+constexpr double LeastCredit = 0.5;
+constexpr double MostCredit = 60;
+constexpr Duration CutInterval = std::chrono::milliseconds(500);
+constexpr Duration RetryWithoutCredit = std::chrono::seconds(1);
+
+} // namespace
+
+CreditPlacement::CreditPlacement(const BackendDirectory &directory, RandomSource &random,
+                                 const PlacementSettings &settings)
+    : directory(directory)
+    , random(random)
+    , settings(settings)
+{}
+
+tl::expected<PlacementChoice, Failure> CreditPlacement::choose(const PlacementQuery &query,
+                                                               TimePoint now)
+{
+    auto servers = placementCandidates(this->directory, query, now);
+    if (!servers)
+        return tl::unexpected(servers.error());
+    // A prompt longer than the window may run alone.
+    const auto exhausted = [this](const BackendServer *server) {
+        const Window &window = this->windows[server->id];
+        return window.inFlight >= window.credit;
+    };
+    servers->erase(std::remove_if(servers->begin(), servers->end(), exhausted), servers->end());
+    if (servers->empty())
+        return tl::unexpected(Failure{Verdict::NotRun, Reason::TooManyRequests,
+                                      "no backend server has credit left", RetryWithoutCredit});
+    const auto load = [this](const BackendServer *server) {
+        return this->windows[server->id].inFlight + this->reportedSeconds[server->id];
+    };
+    const BackendServer *first = (*servers)[this->random.below(servers->size())];
+    const BackendServer *second = (*servers)[this->random.below(servers->size())];
+    PlacementChoice choice;
+    choice.server = load(second) < load(first) ? second->id : first->id;
+    choice.priority = static_cast<std::int64_t>(query.promptTokens);
+    return choice;
+}
+
+void CreditPlacement::onDispatched(const AttemptId &attempt, const PlacementQuery &query,
+                                   const PlacementChoice &choice, TimePoint now)
+{
+    const double seconds = this->settings.prefill.seconds(static_cast<double>(query.promptTokens));
+    this->running[attempt] = {choice.server, seconds, query.promptTokens <= ShortPromptTokens, now};
+    this->windows[choice.server].inFlight += seconds;
+}
+
+void CreditPlacement::onFirstToken(const AttemptId &attempt, TimePoint now)
+{
+    const auto found = this->running.find(attempt);
+    if (found == this->running.end())
+        return;
+    this->adapt(found->second, now);
+    this->onEnded(attempt, now);
+}
+
+void CreditPlacement::onEnded(const AttemptId &attempt, TimePoint /*now*/)
+{
+    const auto found = this->running.find(attempt);
+    if (found == this->running.end())
+        return;
+    this->windows[found->second.server].inFlight -= found->second.seconds;
+    this->running.erase(found);
+}
+
+void CreditPlacement::onLoadReport(const ServerId &server, const LoadReport &report,
+                                   TimePoint /*now*/)
+{
+    this->reportedSeconds[server] =
+            this->settings.prefill.seconds(static_cast<double>(report.queuedPromptTokens));
+}
+
+void CreditPlacement::adapt(const Running &entry, TimePoint now)
+{
+    if (!entry.isShort)
+        return;
+    Window &window = this->windows[entry.server];
+    const double delay = toSeconds(now - entry.dispatched) - entry.seconds;
+    if (delay <= TargetDelaySeconds) {
+        window.credit = std::min(MostCredit, window.credit + CreditStep);
+        return;
+    }
+    if (now - window.cutAt < CutInterval)
+        return;
+    window.cutAt = now;
+    window.credit = std::max(LeastCredit, window.credit * CreditCut);
+}
+
+} // namespace dotterel
--- a/src/coordination/work_ahead_placement.cpp
+++ b/src/coordination/work_ahead_placement.cpp
@@ -10,8 +10,10 @@
 
 namespace {
 
-constexpr double AgingFactor = 4;        ///< Times its prefill that a prompt is overtaken.
-constexpr double MostWaitFactor = 3;     ///< Times that wait, beyond which it is refused.
+constexpr double AgingFactor = 4; ///< Times its prefill that a prompt is overtaken.
+/// Times that wait, beyond which a prompt is refused: more patience costs short prompts.
+constexpr double LeastPatience = 2;
+constexpr double PatienceRange = 1;      ///< Added at full weight on the first token.
 constexpr double LeastWaitSeconds = 0.5; ///< Allowed to any prompt before it outranks newer ones.
 constexpr double LeastOwnSeconds = 0.001;
 constexpr double SlackMargin = 1.2;
@@ -74,7 +76,7 @@
         predicted = std::max(predicted, ranked[i].seconds);
     choice.predictedFirstToken = fromSeconds(predicted);
     const std::optional<Failure> refusal =
-            this->admission.check(query, predicted, allowed * MostWaitFactor, now);
+            this->admission.check(query, predicted, allowed * this->patience(), now);
     if (refusal)
         return tl::unexpected(*refusal);
     return choice;
@@ -209,6 +211,13 @@
                      this->settings.partMemoryShare);
 }
 
+double WorkAheadPlacement::patience() const
+{
+    const PolicyWeights &weights = this->settings.weights;
+    const double sum = weights.shortSlowdown + weights.firstToken;
+    return LeastPatience + (sum > 0 ? PatienceRange * weights.firstToken / sum : 0);
+}
+
 double WorkAheadPlacement::allowedWait(double seconds, const PlacementQuery &query,
                                        TimePoint now) const
 {
--- a/src/coordination/work_ahead_placement.h
+++ b/src/coordination/work_ahead_placement.h
@@ -82,6 +82,7 @@
 
     LoadEstimate &estimate(const ServerId &server);
     std::size_t partCount(std::uint64_t tokens) const;
+    double patience() const;
     double allowedWait(double seconds, const PlacementQuery &query, TimePoint now) const;
     std::vector<Candidate> rank(const std::vector<const BackendServer *> &servers,
                                 const PlacementQuery &query, std::int64_t priority, TimePoint now);
--- a/tests/bench/test_measurements_page.cpp
+++ b/tests/bench/test_measurements_page.cpp
@@ -56,7 +56,8 @@
     for (const std::string workload : {"harinal", "almacenes"}) {
         for (const auto &[name, kind] : kinds) {
             INFO(workload << " " << name);
-            const auto block = blocks.find(workload + "-" + name);
+            const std::string blockName = workload + "-" + name;
+            const auto block = blocks.find(blockName);
             REQUIRE(block != blocks.end());
             const Lines &lines = block->second;
             const Lines header = linesOf(reportTable(kind, {}));
--- a/tests/coordination/test_work_ahead_placement.cpp
+++ b/tests/coordination/test_work_ahead_placement.cpp
@@ -1,3 +1,4 @@
+#include "coordination/credit_placement.h"
 #include "coordination/least_loaded_placement.h"
 #include "coordination/load_poll_plan.h"
 #include "coordination/load_report_codec.h"
@@ -88,6 +89,7 @@
     placements.push_back(std::make_unique<RoundRobinPlacement>(directory, 0));
     placements.push_back(std::make_unique<LeastLoadedPlacement>(directory, random));
     placements.push_back(std::make_unique<TwoChoicesPlacement>(directory, random));
+    placements.push_back(std::make_unique<CreditPlacement>(directory, random, PlacementSettings{}));
     placements.push_back(std::make_unique<WorkAheadPlacement>(
             directory, random, PlacementSettings{}, HostIdentity{"h", 1, ""}, 0));
     for (const std::unique_ptr<Placement> &placement : placements) {
