--- a/tests/bench/test_measurements_page.cpp
+++ b/tests/bench/test_measurements_page.cpp
@@ -56,7 +56,9 @@
     for (const std::string workload : {"harinal", "almacenes"}) {
         for (const auto &[name, kind] : kinds) {
             INFO(workload << " " << name);
-            const std::string blockName = workload + "-" + name;
+            std::string blockName = workload;
+            blockName += "-";
+            blockName += name;
             const auto block = blocks.find(blockName);
             REQUIRE(block != blocks.end());
             const Lines &lines = block->second;
