Measure what it costs when only some peers hear of dispatches

Cause: the bench let all nine hosts hear each other, while the daemon's links reach only some peers directly. Conclusion: links for news have to follow the servers that hosts share; not built.

--- a/programs/dotterelbench.cpp
+++ b/programs/dotterelbench.cpp
@@ -24,6 +24,7 @@
     std::vector<double> loads; ///< Fractions.
     std::uint64_t seeds = 1;
     std::uint64_t firstSeed = 1;
+    std::uint64_t newsPeers = 0; ///< 0 keeps that of the workload.
     std::vector<dotterel::bench::Fault> faults;
     double greed = 1;
     double reportSeconds = 0; ///< 0 keeps that of the workload.
@@ -99,6 +100,7 @@
     int seeds = 1;
     int firstSeed = 1;
     int json = 0;
+    int newsPeers = 0;
     int retryStorm = 0;
     const poptOption rows[] = {
             {"policies", 'p', POPT_ARG_STRING, &policies, 0, "policies to compare", "NAMES"},
@@ -116,6 +118,8 @@
              "seconds of virtual time that are measured", "S"},
             {"short-weight", 0, POPT_ARG_DOUBLE, &options.shortWeight, 0,
              "weight of the short slowdown, 0 to 1; the first token gets the rest", "W"},
+            {"news-peers", 0, POPT_ARG_INT, &newsPeers, 0,
+             "peers that hear a host's news; 0 means all", "N"},
             {"label", 0, POPT_ARG_STRING, &label, 0, "text of the column \"condition\"", "TEXT"},
             {"retry-storm", 0, POPT_ARG_NONE, &retryStorm, 0, "refused callers ask again at once",
              nullptr},
@@ -135,6 +139,7 @@
     options.seeds = static_cast<std::uint64_t>(std::max(1, seeds));
     options.firstSeed = static_cast<std::uint64_t>(std::max(0, firstSeed));
     options.json = json != 0;
+    options.newsPeers = static_cast<std::uint64_t>(std::max(0, newsPeers));
     options.label = taken(label);
     options.retryStorm = retryStorm != 0;
     const auto orElse = [](const std::string &text, const char *fallback) {
@@ -162,6 +167,8 @@
         workload.engine.chunkTokens = static_cast<std::uint64_t>(options.chunkTokens);
     if (options.measuredSeconds > 0)
         workload.measured = dotterel::fromSeconds(options.measuredSeconds);
+    if (options.newsPeers > 0)
+        workload.newsPeers = options.newsPeers;
     if (options.shortWeight >= 0)
         workload.weights = {options.shortWeight, 1 - options.shortWeight};
 }
--- a/src/bench/bench_run.cpp
+++ b/src/bench/bench_run.cpp
@@ -217,13 +217,15 @@
         const DispatchNews news = this->hosts[host]->placement().takeNews();
         if (news.events.empty())
             return;
-        const std::size_t peers = this->hosts.size() - 1;
+        std::size_t peers = this->hosts.size() - 1;
+        if (this->workload.newsPeers > 0)
+            peers = std::min<std::size_t>(peers, this->workload.newsPeers);
         this->newsBytes += encodePeerMessage(news).size() * peers;
         this->newsMessages += peers;
-        this->queue.after(this->workload.oneWayLatency, [this, host, news] {
-            for (std::size_t peer = 0; peer < this->hosts.size(); ++peer) {
-                if (peer != host)
-                    this->hosts[peer]->placement().onNews(news, this->queue.now());
+        this->queue.after(this->workload.oneWayLatency, [this, host, peers, news] {
+            for (std::size_t i = 1; i <= peers; ++i) {
+                const std::size_t peer = (host + i) % this->hosts.size();
+                this->hosts[peer]->placement().onNews(news, this->queue.now());
             }
         });
     }
--- a/src/bench/bench_settings.cpp
+++ b/src/bench/bench_settings.cpp
@@ -44,6 +44,7 @@
         this->readTime(reader, "one-way-latency-ms", w.oneWayLatency);
         this->readTime(reader, "report-interval-ms", w.reportInterval);
         this->readTime(reader, "news-interval-ms", w.newsInterval);
+        reader.readInteger("news-peers", w.newsPeers, 0, MostNodes);
         this->readTime(reader, "measured-s", w.measured);
         this->readTime(reader, "warm-up-s", w.warmUp);
         this->readTime(reader, "question-deadline-s", w.questionDeadline);
--- a/src/bench/bench_settings.h
+++ b/src/bench/bench_settings.h
@@ -47,6 +47,7 @@
     Duration oneWayLatency = std::chrono::microseconds(500);
     Duration reportInterval = std::chrono::milliseconds(250);
     Duration newsInterval = std::chrono::milliseconds(10); ///< Between batches to a peer.
+    std::uint64_t newsPeers = 0; ///< Peers that hear a host's news; 0 means all.
     Duration measured = std::chrono::seconds(240);
     Duration warmUp = std::chrono::seconds(20);
     std::vector<LengthMix> lengths;
--- a/tests/bench/test_measurements_page.cpp
+++ b/tests/bench/test_measurements_page.cpp
@@ -51,7 +51,7 @@
             {"variants", TableKind::Policies}, {"reports", TableKind::Policies},
             {"chunks", TableKind::Policies},   {"weights", TableKind::Policies},
             {"faults", TableKind::Faults},     {"greed", TableKind::Faults},
-            {"storm", TableKind::Faults}};
+            {"storm", TableKind::Faults},      {"peers", TableKind::Policies}};
     const std::map<std::string, Lines> blocks = blocksOfPage();
     for (const std::string workload : {"harinal", "almacenes"}) {
         for (const auto &[name, kind] : kinds) {
