--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -12,10 +12,9 @@
 namespace {
 
 constexpr double UsageWindowSeconds = 30;
-constexpr double MostChargedSeconds = 10; ///< A longer prompt counts as this much.
-constexpr double FairTolerance = 0.2;     ///< Overload that all share alike is nobody's excess.
-constexpr double OverSeconds = 15;        ///< Beyond the fair part; one long prompt is no excess.
-constexpr double ExhaustedSeconds = 30;
+constexpr double MostChargedSeconds = 10;  ///< A longer prompt counts as this much.
+constexpr double FairTolerance = 0.2;      ///< Overload that all share alike is nobody's excess.
+constexpr double ExcessSeconds = 15;       ///< Beyond that; one long prompt is no excess.
 constexpr double ForgottenSeconds = 0.001; ///< Of usage that is not worth keeping.
 constexpr Duration LevelInterval = std::chrono::milliseconds(250);
 constexpr double SafetyFactor = 0.8; ///< Of the time that is left until the deadline.
@@ -59,20 +58,17 @@
     usage.updatedAt = now;
 }
 
-ShareState Admission::shareState(WorkspaceHash workspace, double capacity, TimePoint now)
+bool Admission::isOverShare(WorkspaceHash workspace, double capacity, TimePoint now)
 {
     if (!this->settings.workspaceShares)
-        return ShareState::Within;
+        return false;
     if (now - this->levelAt > LevelInterval)
         this->updateLevel(capacity, now);
     const auto usage = this->usages.find(workspace);
     if (usage == this->usages.end())
-        return ShareState::Within;
+        return false;
     const double fair = this->level * this->shareOf(workspace);
-    const double excess = usage->second.at(now) - fair * (1 + FairTolerance);
-    if (excess > ExhaustedSeconds)
-        return ShareState::Exhausted;
-    return excess > OverSeconds ? ShareState::Over : ShareState::Within;
+    return usage->second.at(now) > fair * (1 + FairTolerance) + ExcessSeconds;
 }
 
 std::optional<Failure> Admission::check(const PlacementQuery &query, double predictedSeconds,
--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -9,10 +9,13 @@
 #include "core/prometheus_metrics.h"
 #include "core/random_source.h"
 #include "entry_host/caller_api.h"
+#include "entry_host/engine_memory_sweeper.h"
 #include "entry_host/http_backend_client.h"
 #include "entry_host/load_poller.h"
 #include "entry_host/operator_api.h"
+#include "entry_host/peer_agent.h"
 #include "entry_host/peer_mesh.h"
+#include "entry_host/server_return_prober.h"
 #include "state/http_object_store.h"
 #include "state/settings.h"
 #include "transport/http_client.h"
@@ -29,6 +32,7 @@
     , private AttemptListener
     , private CallerListener
     , private PeerListener
+    , private PeerAgentListener
     , private HostLiveness
     , private OrderOutcomePeers
     , private OperatorTarget
@@ -78,11 +82,16 @@
     void onCallerBlocked(const RequestId &request, bool blocked) override;
 
     // PeerListener
+    void onPeerLinked(std::uint64_t link) override;
     void onPeerMessage(std::uint64_t link, const PeerMessage &message) override;
 
     // OrderOutcomePeers
     void offerOutcome(const OrderOutcome &outcome) override;
 
+    // PeerAgentListener
+    void onHostList(const std::vector<ListedHost> &hosts) override;
+    void onServerNotice(const ServerNotice &notice) override;
+    void beforeHeartbeat() override;
     // HostLiveness
     bool believedAlive(const HostId &host, Incarnation incarnation) const override;
     // OperatorTarget
@@ -92,8 +101,6 @@
 
     void applyConfiguration(const Configuration &configuration);
     void watchConfiguration();
-    void readHosts();
-    void heartbeat();
     void armTimer();
     void runLedger();
     void startLedgerTimer();
@@ -122,6 +129,9 @@
     HttpBackendClient backend;
     CallerApi callerApi;
     PeerMesh mesh;
+    PeerAgent agent;
+    ServerReturnProber returnProber;
+    EngineMemorySweeper memorySweeper;
     OperatorApi operatorApi;
     std::function<void()> drained;
     bool shuttingDown = false;
@@ -134,11 +144,9 @@
     EventLoop::TimerHandle deadlineTimer;
     EventLoop::TimerHandle ledgerTimer; ///< Runs from the first order on.
     std::optional<TimePoint> ledgerGraceEnds;
-    EventLoop::TimerHandle heartbeatTimer;
     EventLoop::TimerHandle loadTimer;
     EventLoop::TimerHandle newsTimer;
     bool newsArmed = false;
-    EventLoop::TimerHandle hostsTimer;
     EventLoop::TimerHandle watchTimer;
     EventLoop::TimerHandle graceTimer;
     EventLoop::TimerHandle drainTimer;
