Store large configurations in chunks, and let peers hand them on

Cause: 19,000 workspaces do not fit one object of 1 MB nor one peer frame of 64 KB; a host that started with a stale platform took the older version into force; a stale answer made the watch a busy loop; the outcome of an operator's write whose answer was lost stayed unknown, and the loser of a race did not hear what had changed.

The root object now names content-addressed chunks (64 buckets of workspaces, 16 of servers) once a configuration is over 32 KB; one conditional write of the root switches all. Hosts keep chunks by hash, fetch only missing ones from the platform (8 reads at a time) or from one peer at a time (16 chunks asked), and apply only what is whole and newer. A host that starts waits three heartbeats for what its peers know.

Tried and changed: asking every peer for 4 chunks at each heartbeat sent most chunks several times (200 asks of a host for 69 chunks) and did not finish in 4 s.

--- /dev/null
+++ b/src/entry_host/configuration_feed.cpp
@@ -0,0 +1,133 @@
+#include "entry_host/configuration_feed.h"
+
+namespace dotterel {
+
+namespace {
+
+constexpr Duration WatchWait = std::chrono::seconds(20);
+constexpr Duration WatchRetry = std::chrono::milliseconds(500);
+constexpr std::size_t MostChunkReads = 8;
+constexpr std::size_t MostChunksAsked = 16;
+
+/// A peer that sends nothing for this long is not waited for.
+constexpr Duration ChunkTimeout = std::chrono::milliseconds(500);
+
+} // namespace
+
+ConfigurationFeed::ConfigurationFeed(EventLoop &loop, ObjectStore &platform, PeerMesh &mesh,
+                                     ConfigurationFollower::Listener listener, Metrics &metrics,
+                                     EventLog &log)
+    : loop(loop)
+    , platform(platform)
+    , mesh(mesh)
+    , log(log)
+    , follower(std::move(listener), metrics, log)
+{}
+
+void ConfigurationFeed::start(Duration peerWait)
+{
+    this->follower.beginStart();
+    this->startTimer = this->loop.after(peerWait, [this] { this->follower.endStart(); });
+    this->watch();
+}
+
+void ConfigurationFeed::onTimer()
+{
+    if (this->platformReachable)
+        this->fetchChunks();
+}
+
+void ConfigurationFeed::onPeerVersion(std::uint64_t link, std::uint64_t version)
+{
+    this->follower.onPeerVersion(version);
+    if (version > this->follower.offeredVersion())
+        this->mesh.send(link, ConfigurationRequest{this->follower.current().version});
+    else if (version > this->follower.current().version)
+        this->askForChunks(link);
+}
+
+void ConfigurationFeed::onMessage(std::uint64_t link, const ConfigurationRequest &request)
+{
+    const std::uint64_t version = this->follower.current().version;
+    if (version > request.knownVersion)
+        this->mesh.send(link, ConfigurationOffer{version, this->follower.currentText()});
+}
+
+void ConfigurationFeed::onMessage(std::uint64_t link, const ConfigurationOffer &offer)
+{
+    this->follower.offer(offer.text);
+    this->askForChunks(link);
+}
+
+void ConfigurationFeed::onMessage(std::uint64_t link, const ConfigurationChunkRequest &request)
+{
+    for (std::size_t i = 0; i < request.names.size() && i < MostChunksAsked; ++i) {
+        const std::string *text = this->follower.chunkText(request.names[i]);
+        if (text != nullptr)
+            this->mesh.send(link, ConfigurationChunkOffer{request.names[i], *text});
+    }
+}
+
+void ConfigurationFeed::onMessage(std::uint64_t link, const ConfigurationChunkOffer &offer)
+{
+    this->follower.offerChunk(offer.name, offer.text);
+    if (this->chunksAwaited > 0 && --this->chunksAwaited == 0)
+        this->askForChunks(link);
+}
+
+void ConfigurationFeed::watch()
+{
+    this->platform.watch(
+            ConfigurationKey, this->watchedVersion, WatchWait,
+            [this](const ObjectStore::ReadResult &result, TimePoint) {
+                const bool reachable = result || result.error() == StoreError::NotFound;
+                if (reachable != this->platformReachable)
+                    this->log.write(
+                            reachable ? Event::PlatformReachable : Event::PlatformUnavailable, {});
+                this->platformReachable = reachable;
+                // A stale answer must not turn the watch into a busy loop.
+                const bool isNews = result && result->version > this->watchedVersion;
+                if (isNews) {
+                    this->watchedVersion = result->version;
+                    this->follower.offer(result->value);
+                    this->fetchChunks();
+                }
+                this->watchTimer = this->loop.after(isNews ? Duration::zero() : WatchRetry,
+                                                    [this] { this->watch(); });
+            });
+}
+
+void ConfigurationFeed::fetchChunks()
+{
+    for (const std::string &name : this->follower.missing()) {
+        if (this->chunksFetched.size() >= MostChunkReads)
+            return;
+        if (!this->chunksFetched.insert(name).second)
+            continue;
+        this->platform.read(configurationChunkKey(name),
+                            [this, name](const ObjectStore::ReadResult &result, TimePoint) {
+                                this->chunksFetched.erase(name);
+                                if (!result)
+                                    return;
+                                this->follower.offerChunk(name, result->value);
+                                this->fetchChunks();
+                            });
+    }
+}
+
+void ConfigurationFeed::askForChunks(std::uint64_t link)
+{
+    // One peer is asked at a time; the next one only if that peer sends nothing for a while.
+    const TimePoint now = this->loop.now();
+    if (this->chunksAwaited > 0 && now - this->chunksAskedAt < ChunkTimeout)
+        return;
+    ConfigurationChunkRequest request{this->follower.missing()};
+    if (request.names.size() > MostChunksAsked)
+        request.names.resize(MostChunksAsked);
+    this->chunksAwaited = request.names.size();
+    this->chunksAskedAt = now;
+    if (!request.names.empty())
+        this->mesh.send(link, request);
+}
+
+} // namespace dotterel
--- a/src/entry_host/entry_host.cpp
+++ b/src/entry_host/entry_host.cpp
@@ -4,11 +4,10 @@
 
 namespace {
 
-constexpr Duration WatchWait = std::chrono::seconds(20);
-constexpr Duration WatchRetry = std::chrono::milliseconds(500);
 constexpr Duration HostsInterval = std::chrono::seconds(1);
 constexpr Duration LedgerInterval = std::chrono::milliseconds(5);
 constexpr Duration LedgerGrace = std::chrono::seconds(10);
+constexpr int StartHeartbeats = 3;
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(50);
 
 RequestLimits limitsOf(const Settings &settings)
@@ -35,10 +34,9 @@
     , controller(limitsOf(settings), this->directory, this->placement, this->crashGuard, *this,
                  this->metrics, log)
     , ledger(this->identity, this->platform, *this, *this, this->random, log)
-    , follower(
-              [this](const Configuration &configuration) {
-                  this->applyConfiguration(configuration);
-              },
+    , configuration(
+              loop, this->platform, this->mesh,
+              [this](const Configuration &accepted) { this->applyConfiguration(accepted); },
               this->metrics, log)
     , membership(this->identity, settings.heartbeatInterval, this->metrics, log)
     , backend(loop, this->httpClient, this->identity, *this)
@@ -55,7 +53,7 @@
     this->heartbeatTimer = loop.every(settings.heartbeatInterval, [this] { this->heartbeat(); });
     this->hostsTimer = loop.every(HostsInterval, [this] { this->readHosts(); });
     this->readHosts();
-    this->watchConfiguration();
+    this->configuration.start(settings.heartbeatInterval * StartHeartbeats);
 }
 
 EntryHost::~EntryHost()
@@ -244,21 +242,23 @@
         this->membership.onHeartbeat(*heartbeat, this->loop.now());
         for (const ServerId &server : heartbeat->draining)
             this->directory.markDraining(server);
-        const std::uint64_t known = this->follower.current().version;
-        const bool peerHasNewer = !heartbeat->members.empty()
-                                  && heartbeat->members.front().configurationVersion > known;
-        if (peerHasNewer)
-            this->mesh.send(link, ConfigurationRequest{known});
+        if (!heartbeat->members.empty())
+            this->configuration.onPeerVersion(link,
+                                              heartbeat->members.front().configurationVersion);
     } else if (const ConfigurationRequest *request = std::get_if<ConfigurationRequest>(&message)) {
-        if (this->follower.current().version > request->knownVersion)
-            this->mesh.send(link, ConfigurationOffer{this->follower.current().version,
-                                                     this->follower.currentText()});
+        this->configuration.onMessage(link, *request);
+    } else if (const ConfigurationOffer *offer = std::get_if<ConfigurationOffer>(&message)) {
+        this->configuration.onMessage(link, *offer);
+    } else if (const ConfigurationChunkRequest *chunks =
+                       std::get_if<ConfigurationChunkRequest>(&message)) {
+        this->configuration.onMessage(link, *chunks);
+    } else if (const ConfigurationChunkOffer *chunk =
+                       std::get_if<ConfigurationChunkOffer>(&message)) {
+        this->configuration.onMessage(link, *chunk);
     } else if (const CrashNotice *notice = std::get_if<CrashNotice>(&message)) {
         // News goes on to peers that the sender is not linked to; what is known already stops here.
         if (this->controller.onCrashNotice(*notice, this->loop.now()))
             this->mesh.broadcast(*notice);
-    } else if (const ConfigurationOffer *offer = std::get_if<ConfigurationOffer>(&message)) {
-        this->follower.offer(offer->text);
     } else if (const OrderOutcomeOffer *outcome = std::get_if<OrderOutcomeOffer>(&message)) {
         const std::optional<OrderRecord> record = decodeOrderRecord(outcome->record);
         if (!record || record->state == OrderState::Claimed)
@@ -276,25 +276,6 @@
                     {{"version", static_cast<std::int64_t>(configuration.version)}});
 }
 
-void EntryHost::watchConfiguration()
-{
-    this->platform.watch(
-            ConfigurationKey, this->watchedVersion, WatchWait,
-            [this](const ObjectStore::ReadResult &result, TimePoint) {
-                const bool reachable = result || result.error() == StoreError::NotFound;
-                if (reachable != this->platformReachable)
-                    this->log.write(
-                            reachable ? Event::PlatformReachable : Event::PlatformUnavailable, {});
-                this->platformReachable = reachable;
-                if (result) {
-                    this->watchedVersion = result->version;
-                    this->follower.offer(result->value);
-                }
-                this->watchTimer = this->loop.after(result ? Duration::zero() : WatchRetry,
-                                                    [this] { this->watchConfiguration(); });
-            });
-}
-
 void EntryHost::readHosts()
 {
     this->platform.hosts([this](const HostList::Result &result, TimePoint) {
@@ -311,8 +292,9 @@
 void EntryHost::heartbeat()
 {
     this->membership.onTimer(this->loop.now());
-    this->mesh.broadcast(
-            this->membership.beat(this->follower.current().version, this->directory.draining()));
+    this->configuration.onTimer();
+    this->mesh.broadcast(this->membership.beat(this->configuration.current().version,
+                                               this->directory.draining()));
 }
 
 void EntryHost::armTimer()
@@ -332,21 +314,21 @@
 
 bool EntryHost::isReady() const
 {
-    return !this->shuttingDown && this->follower.current().version > 0;
+    return !this->shuttingDown && this->configuration.current().version > 0;
 }
 
 HostStatus EntryHost::status() const
 {
     HostStatus status;
     status.identity = this->identity;
-    status.configurationVersion = this->follower.current().version;
+    status.configurationVersion = this->configuration.current().version;
     status.shuttingDown = this->shuttingDown;
-    status.platformReachable = this->platformReachable;
+    status.platformReachable = this->configuration.isPlatformReachable();
     status.requestsInFlight = this->controller.inFlight();
     status.peerLinks = this->mesh.openLinks();
     for (const MemberRecord &member : this->membership.live())
         status.members.push_back({member.identity, member.configurationVersion, member.leaving});
-    for (const auto &[id, server] : this->follower.current().servers) {
+    for (const auto &[id, server] : this->configuration.current().servers) {
         const ServerState state = this->directory.state(id, this->loop.now());
         status.servers.push_back({id, server.pool, std::string(serverStateName(state))});
     }
--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "coordination/backend_directory.h"
-#include "coordination/configuration_follower.h"
 #include "coordination/membership.h"
 #include "coordination/order_object_ledger.h"
 #include "coordination/request_controller.h"
@@ -9,6 +8,7 @@
 #include "core/prometheus_metrics.h"
 #include "core/random_source.h"
 #include "entry_host/caller_api.h"
+#include "entry_host/configuration_feed.h"
 #include "entry_host/http_backend_client.h"
 #include "entry_host/operator_api.h"
 #include "entry_host/peer_mesh.h"
@@ -90,7 +90,6 @@
     void drain() override;
 
     void applyConfiguration(const Configuration &configuration);
-    void watchConfiguration();
     void readHosts();
     void heartbeat();
     void armTimer();
@@ -111,7 +110,7 @@
     CrashGuard crashGuard;
     RequestController controller;
     OrderObjectLedger ledger;
-    ConfigurationFollower follower;
+    ConfigurationFeed configuration;
     Membership membership;
     HttpBackendClient backend;
     CallerApi callerApi;
@@ -120,15 +119,12 @@
     std::function<void()> drained;
     bool shuttingDown = false;
     bool destroying = false;
-    bool platformReachable = true;
-    std::uint64_t watchedVersion = 0; ///< Of the object that holds the configuration.
     std::function<void()> shutdownFinished;
     EventLoop::TimerHandle deadlineTimer;
     EventLoop::TimerHandle ledgerTimer; ///< Runs from the first order on.
     std::optional<TimePoint> ledgerGraceEnds;
     EventLoop::TimerHandle heartbeatTimer;
     EventLoop::TimerHandle hostsTimer;
-    EventLoop::TimerHandle watchTimer;
     EventLoop::TimerHandle graceTimer;
     EventLoop::TimerHandle drainTimer;
 };
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -13,6 +13,8 @@
 constexpr const char *RequestType = "r";
 constexpr const char *OfferType = "o";
 constexpr const char *OutcomeType = "u";
+constexpr const char *ChunkRequestType = "k";
+constexpr const char *ChunkType = "b";
 constexpr const char *CrashType = "c";
 constexpr const char *NewsType = "n";
 
@@ -53,6 +55,16 @@
     return {{TypeKey, OfferType}, {"v", offer.version}, {"c", offer.text}};
 }
 
+nlohmann::json encode(const ConfigurationChunkRequest &request)
+{
+    return {{TypeKey, ChunkRequestType}, {"n", request.names}};
+}
+
+nlohmann::json encode(const ConfigurationChunkOffer &offer)
+{
+    return {{TypeKey, ChunkType}, {"n", offer.name}, {"c", offer.text}};
+}
+
 nlohmann::json encode(const OrderOutcomeOffer &offer)
 {
     const std::vector<std::uint8_t> record(offer.record.begin(), offer.record.end());
@@ -176,6 +188,11 @@
         if (type == OfferType)
             return ConfigurationOffer{json.at("v").get<std::uint64_t>(),
                                       json.at("c").get<std::string>()};
+        if (type == ChunkRequestType)
+            return ConfigurationChunkRequest{json.at("n").get<std::vector<std::string>>()};
+        if (type == ChunkType)
+            return ConfigurationChunkOffer{json.at("n").get<std::string>(),
+                                           json.at("c").get<std::string>()};
         if (type == OutcomeType)
             return decodeOutcome(json);
         if (type == CrashType)
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -35,13 +35,26 @@
     std::uint64_t knownVersion = 0;
 };
 
-/// Carries a whole configuration, as configurationToJson() writes it.
+/// Carries the root of a configuration, as it is stored.
 struct ConfigurationOffer
 {
     std::uint64_t version = 0;
     std::string text;
 };
 
+/// Asks a peer for chunks of a configuration.
+struct ConfigurationChunkRequest
+{
+    std::vector<std::string> names;
+};
+
+/// Carries one chunk of a configuration.
+struct ConfigurationChunkOffer
+{
+    std::string name;
+    std::string text;
+};
+
 /// Carries the outcome of an order that its host could not store at once.
 struct OrderOutcomeOffer
 {
@@ -76,8 +89,9 @@
     std::vector<DispatchEvent> events;
 };
 
-using PeerMessage = std::variant<Heartbeat, ConfigurationRequest, ConfigurationOffer, CrashNotice,
-                                 DispatchNews, OrderOutcomeOffer>;
+using PeerMessage =
+        std::variant<Heartbeat, ConfigurationRequest, ConfigurationOffer, CrashNotice, DispatchNews,
+                     OrderOutcomeOffer, ConfigurationChunkRequest, ConfigurationChunkOffer>;
 
 /// Returns \a message as CBOR.
 std::string encodePeerMessage(const PeerMessage &message);
--- /dev/null
+++ b/src/state/configuration_root.cpp
@@ -0,0 +1,152 @@
+#include "state/configuration_root.h"
+
+#include "core/hashing.h"
+#include "state/configuration_codec.h"
+
+#include <functional>
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace dotterel {
+
+namespace {
+
+/// A configuration up to this length stands whole in its root; both fit a peer's frame of 64 KB.
+constexpr std::size_t MostRootBytes = 32UL * 1024;
+
+/// A change of one workspace or server rewrites one bucket.
+constexpr std::size_t WorkspaceBuckets = 64;
+constexpr std::size_t ServerBuckets = 16;
+
+constexpr std::size_t MostNamesDescribed = 5;
+
+std::string rootText(const Configuration &own, const std::string &nonce,
+                     const std::vector<ConfigurationChunk> &chunks)
+{
+    nlohmann::json json = configurationToJson(own);
+    json["nonce"] = nonce;
+    json["chunks"] = nlohmann::json::array();
+    for (const ConfigurationChunk &chunk : chunks)
+        json["chunks"].push_back(chunk.name);
+    return json.dump();
+}
+
+void addChunk(const Configuration &part, std::vector<ConfigurationChunk> &chunks)
+{
+    if (part.workspaces.empty() && part.servers.empty())
+        return;
+    const std::string text = configurationToJson(part).dump();
+    chunks.push_back({hash128Hex(text), text});
+}
+
+template <typename Value>
+void listChanges(const std::string &kind, const std::map<std::string, Value> &before,
+                 const std::map<std::string, Value> &after,
+                 const std::function<nlohmann::json(const Configuration &)> &encoded,
+                 std::map<std::string, Value> Configuration::*member,
+                 std::vector<std::string> &changes)
+{
+    const auto textOf = [&](const std::map<std::string, Value> &values, const std::string &name) {
+        Configuration single;
+        const auto found = values.find(name);
+        if (found != values.end())
+            (single.*member)[name] = found->second;
+        return encoded(single).dump();
+    };
+    std::map<std::string, Value> all = before;
+    all.insert(after.begin(), after.end());
+    for (const auto &[name, value] : all) {
+        if (textOf(before, name) == textOf(after, name))
+            continue;
+        changes.push_back(kind);
+        changes.back().append(" ").append(name);
+    }
+}
+
+} // namespace
+
+std::string configurationChunkKey(const std::string &name)
+{
+    return "config/chunks/" + name;
+}
+
+StoredConfiguration storedConfiguration(const Configuration &configuration,
+                                        const std::string &nonce)
+{
+    const std::string whole = rootText(configuration, nonce, {});
+    if (whole.size() <= MostRootBytes)
+        return {whole, {}};
+    std::array<Configuration, WorkspaceBuckets> workspaces;
+    for (const auto &[name, workspace] : configuration.workspaces)
+        workspaces[hash64(name) % WorkspaceBuckets].workspaces[name] = workspace;
+    std::array<Configuration, ServerBuckets> servers;
+    for (const auto &[id, server] : configuration.servers)
+        servers[hash64(id) % ServerBuckets].servers[id] = server;
+    std::vector<ConfigurationChunk> chunks;
+    for (const Configuration &part : workspaces)
+        addChunk(part, chunks);
+    for (const Configuration &part : servers)
+        addChunk(part, chunks);
+    Configuration own = configuration;
+    own.workspaces.clear();
+    own.servers.clear();
+    return {rootText(own, nonce, chunks), chunks};
+}
+
+tl::expected<ConfigurationRoot, std::string> configurationRoot(std::string_view text)
+{
+    const tl::expected<Configuration, std::string> own = configurationFromJson(text);
+    if (!own)
+        return tl::unexpected(own.error());
+    try {
+        const nlohmann::json json = nlohmann::json::parse(text);
+        return ConfigurationRoot{*own, json.value("nonce", std::string()),
+                                 json.value("chunks", std::vector<std::string>())};
+    } catch (const nlohmann::json::exception &error) {
+        return tl::unexpected(std::string(error.what()));
+    }
+}
+
+tl::expected<Configuration, std::string> configurationChunk(const std::string &name,
+                                                            std::string_view text)
+{
+    if (hash128Hex(text) != name)
+        return tl::unexpected(std::string("the chunk does not have the hash that names it"));
+    return configurationFromJson(text);
+}
+
+void addPart(Configuration &whole, const Configuration &part)
+{
+    whole.workspaces.insert(part.workspaces.begin(), part.workspaces.end());
+    whole.servers.insert(part.servers.begin(), part.servers.end());
+}
+
+void removePart(Configuration &whole, const Configuration &part)
+{
+    for (const auto &[name, workspace] : part.workspaces)
+        whole.workspaces.erase(name);
+    for (const auto &[id, server] : part.servers)
+        whole.servers.erase(id);
+}
+
+std::string describeChanges(const Configuration &before, const Configuration &after)
+{
+    std::vector<std::string> changes;
+    const auto encoded = [](const Configuration &single) { return configurationToJson(single); };
+    listChanges<Workspace>("workspace", before.workspaces, after.workspaces, encoded,
+                           &Configuration::workspaces, changes);
+    listChanges<RequestClass>("request class", before.requestClasses, after.requestClasses, encoded,
+                              &Configuration::requestClasses, changes);
+    listChanges<Pool>("pool", before.pools, after.pools, encoded, &Configuration::pools, changes);
+    listChanges<BackendServer>("backend server", before.servers, after.servers, encoded,
+                               &Configuration::servers, changes);
+    std::string text;
+    for (std::size_t i = 0; i < changes.size() && i < MostNamesDescribed; ++i)
+        text += (i == 0 ? "" : ", ") + changes[i];
+    if (changes.size() > MostNamesDescribed)
+        text += " and " + std::to_string(changes.size() - MostNamesDescribed) + " more";
+    return text.empty() ? "policy or sheet date" : text;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/tests/entry_host/test_configuration.cpp
@@ -0,0 +1,141 @@
+#include "state/configuration_repository.h"
+#include "support/fleet.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+
+using namespace dotterel;
+using namespace dotterel::support;
+
+namespace {
+
+constexpr Duration InForceLimit = std::chrono::seconds(4);
+constexpr std::size_t Hosts = 6;
+
+FleetShape shape()
+{
+    FleetShape shape;
+    shape.hosts = Hosts;
+    return shape;
+}
+
+std::uint64_t versionOf(Fleet &fleet, std::size_t host)
+{
+    return nlohmann::json::parse(fleet.status(host)).at("configuration_version");
+}
+
+bool allHave(Fleet &fleet, std::uint64_t version)
+{
+    for (std::size_t host = 0; host < fleet.hostCount(); ++host) {
+        if (versionOf(fleet, host) != version)
+            return false;
+    }
+    return true;
+}
+
+/// Waits until \a version is in force on all hosts. Looks only now and then, as each look is a call
+/// to every host. Returns false after the time within which it must be.
+bool soonAllHave(Fleet &fleet, std::uint64_t version)
+{
+    const TimePoint begun = fleet.eventLoop().now();
+    while (!allHave(fleet, version)) {
+        if (fleet.eventLoop().now() - begun > InForceLimit)
+            return false;
+        fleet.runFor(std::chrono::milliseconds(20));
+    }
+    if (std::getenv("DOTTEREL_SHOW_FIGURES") != nullptr)
+        WARN("in force after " << toSeconds(fleet.eventLoop().now() - begun) << " s");
+    return true;
+}
+
+/// Stores a configuration of \a workspaces workspaces and returns its version.
+std::uint64_t storeLarge(Fleet &fleet, std::size_t workspaces)
+{
+    NullMetrics metrics;
+    HttpObjectStore store(fleet.eventLoop(), fleet.httpClient(), fleet.platform().endpoint(),
+                          std::chrono::seconds(5), metrics);
+    ConfigurationRepository repository(store);
+    std::uint64_t version = 0;
+    repository.load([&](const tl::expected<Configuration, std::string> &loaded) {
+        REQUIRE(loaded);
+        Configuration configuration = *loaded;
+        for (std::size_t i = 0; i < workspaces; ++i) {
+            const std::string name = "workspace-" + std::to_string(i);
+            configuration.workspaces[name] = {name, 1.0};
+        }
+        repository.replace(configuration, loaded->version, [&version](const auto &result) {
+            REQUIRE(result);
+            version = *result;
+        });
+    });
+    REQUIRE(fleet.runUntil([&version] { return version > 0; }));
+    return version;
+}
+
+} // namespace
+
+TEST_CASE("A configuration is in force on all reachable hosts within 4 s",
+          "[EntryHost][Configuration]")
+{
+    Fleet fleet(shape());
+    fakes::PlatformFaults faults;
+
+    SECTION("the platform goes down when one host has heard of the change")
+    {
+        faults.wokenWatches = 1;
+        fleet.platform().setFaults(faults);
+        fleet.storeConfiguration(2);
+        faults.down = true;
+        fleet.platform().setFaults(faults);
+        CHECK(soonAllHave(fleet, 2));
+    }
+    SECTION("a large one goes from one host to the others in chunks, with the platform down")
+    {
+        faults.wokenWatches = 1;
+        fleet.platform().setFaults(faults);
+        const std::uint64_t version = storeLarge(fleet, 3'000);
+        CHECK(fleet.runUntil([&] {
+            for (std::size_t host = 0; host < Hosts; ++host) {
+                if (versionOf(fleet, host) == version)
+                    return true;
+            }
+            return false;
+        }));
+        faults.down = true;
+        fleet.platform().setFaults(faults);
+        CHECK(soonAllHave(fleet, version));
+    }
+    SECTION("a host that starts with the object API down takes it from its peers")
+    {
+        faults.objectsDown = true;
+        fleet.platform().setFaults(faults);
+        fleet.startHost(0);
+        fleet.publishHosts();
+        CHECK(fleet.runUntil([&fleet] { return versionOf(fleet, 0) == 1; }, InForceLimit));
+    }
+    SECTION("a host that starts with a stale platform never has the older version in force")
+    {
+        fleet.storeConfiguration(2);
+        REQUIRE(soonAllHave(fleet, 2));
+        faults.stale = true;
+        fleet.platform().setFaults(faults);
+        fleet.startHost(0);
+        fleet.publishHosts();
+        std::uint64_t first = 0;
+        CHECK(fleet.runUntil([&] { return (first = versionOf(fleet, 0)) > 0; }, InForceLimit));
+        CHECK(first == 2);
+    }
+    SECTION("a stale platform is not asked without end")
+    {
+        fleet.storeConfiguration(2);
+        faults.stale = true;
+        fleet.platform().setFaults(faults);
+        fleet.storeConfiguration(3);
+        fleet.runFor(std::chrono::milliseconds(200));
+        const std::uint64_t before = fleet.platform().calls();
+        fleet.runFor(std::chrono::seconds(1));
+        CHECK(fleet.platform().calls() - before < 10 * Hosts);
+        CHECK(soonAllHave(fleet, 2));
+    }
+}
--- a/tests/fakes/fake_platform.cpp
+++ b/tests/fakes/fake_platform.cpp
@@ -43,7 +43,9 @@
         this->setFaultsFrom(exchange);
         return;
     }
-    if (this->faults.down) {
+    ++this->callCount;
+    const bool isList = exchange->path() == "/v1/hosts";
+    if (this->faults.down || (this->faults.objectsDown && !isList)) {
         exchange->abort();
         return;
     }
@@ -169,10 +171,13 @@
 
 void FakePlatform::wakeWatches(const std::string &key)
 {
+    int woken = 0;
     for (auto place = this->watches.begin(); place != this->watches.end();) {
         const auto current = place++;
         if (current->key != key)
             continue;
+        if (woken++ >= this->faults.wokenWatches)
+            continue;
         if (this->faults.down)
             current->exchange->abort();
         else
--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -15,6 +15,8 @@
     bool loseWriteAnswers = false; ///< Writes take effect and their answers are lost.
     bool stale = false;            ///< Reads answer the version before the last one.
     Duration delay = Duration::zero();
+    bool objectsDown = false; ///< As down, for all but the host list.
+    int wokenWatches = 1'000; ///< Watches that hear of a write; the others stay asleep.
 };
 
 /// Stand-in for the platform's object API and host list; see HttpObjectStore for the protocol.
@@ -30,6 +32,9 @@
     /// Sets the faults shown from now on.
     void setFaults(const PlatformFaults &newFaults) { this->faults = newFaults; }
 
+    /// Returns how many calls there were, a waiting watch counted as one.
+    std::uint64_t calls() const { return this->callCount; }
+
     /// Returns how many writes took effect.
     std::uint64_t writes() const { return this->writeCount; }
 
@@ -66,6 +71,7 @@
     std::map<std::string, Object> objects;
     std::uint64_t revision = 0;
     std::uint64_t writeCount = 0;
+    std::uint64_t callCount = 0;
     std::string hosts = "[]";
     std::list<Watch> watches;
     std::list<EventLoop::TimerHandle> delays;
--- /dev/null
+++ b/tests/state/test_configuration_repository.cpp
@@ -0,0 +1,164 @@
+#include "coordination/configuration_follower.h"
+#include "fakes/fake_object_store.h"
+#include "state/configuration_repository.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+
+using namespace dotterel;
+
+namespace {
+
+/// One operator's way to the store.
+struct Operator
+{
+    Operator(fakes::VirtualTime &time, fakes::FakeObjects &objects, RandomSource &random)
+        : time(time)
+        , store(time, objects, random)
+        , repository(this->store)
+    {}
+
+    Configuration load()
+    {
+        Configuration result;
+        this->repository.load([&result](const auto &loaded) {
+            REQUIRE(loaded);
+            result = *loaded;
+        });
+        this->time.runFor(std::chrono::seconds(300));
+        return result;
+    }
+    tl::expected<std::uint64_t, std::string> replace(const Configuration &configuration,
+                                                     std::uint64_t base)
+    {
+        tl::expected<std::uint64_t, std::string> result = tl::unexpected(std::string("no answer"));
+        this->repository.replace(configuration, base,
+                                 [&result](const auto &given) { result = given; });
+        this->time.runFor(std::chrono::seconds(300));
+        return result;
+    }
+
+    fakes::VirtualTime &time;
+    fakes::FakeObjectStore store;
+    ConfigurationRepository repository;
+};
+
+Configuration large(std::size_t workspaces)
+{
+    Configuration configuration;
+    for (std::size_t i = 0; i < workspaces; ++i) {
+        const std::string name = "workspace-" + std::to_string(i);
+        configuration.workspaces[name] = {name, 1.0};
+    }
+    for (std::size_t i = 0; i < workspaces / 30; ++i) {
+        BackendServer server;
+        server.id = "engine-" + std::to_string(i);
+        server.pool = "cake-model";
+        server.endpoint.address = "10.0.0.1";
+        configuration.servers[server.id] = server;
+    }
+    return configuration;
+}
+
+} // namespace
+
+TEST_CASE("Operators store a configuration", "[State][ConfigurationRepository]")
+{
+    fakes::VirtualTime time;
+    fakes::FakeObjects objects;
+    SeededRandom random(1);
+    Operator first(time, objects, random);
+    Operator second(time, objects, random);
+    CHECK(first.load().version == 0);
+    REQUIRE(first.replace(large(100), 0) == 1U);
+
+    SECTION("of two that race the second hears what the first changed")
+    {
+        Configuration ours = first.load();
+        Configuration theirs = second.load();
+        ours.workspaces["workspace-7"].share = 3;
+        theirs.workspaces["workspace-8"].share = 4;
+        CHECK(first.replace(ours, 1) == 2U);
+        const auto lost = second.replace(theirs, 1);
+        REQUIRE_FALSE(lost);
+        CHECK(lost.error().find("version 2 changed: workspace workspace-7") != std::string::npos);
+        CHECK(second.load().workspaces.at("workspace-8").share == 1.0);
+    }
+    SECTION("a lost answer is read back")
+    {
+        fakes::ObjectStoreFaults faults;
+        faults.loseAnswer = 1;
+        first.store.setFaults(faults);
+        const auto stored = first.replace(large(3'000), 1);
+        INFO((stored ? "" : stored.error()));
+        CHECK(stored == 2U);
+        CHECK(second.load().workspaces.size() == 3'000);
+    }
+    SECTION("whatever the store does, what is said is true")
+    {
+        for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+            const std::uint64_t base = second.load().version;
+            fakes::ObjectStoreFaults faults;
+            faults.loseAnswer = 0.3;
+            faults.loseRequest = 0.2;
+            faults.stale = 0.2;
+            first.store.setFaults(faults);
+            Configuration changed = large(100);
+            changed.workspaces["workspace-0"].share = static_cast<double>(seed);
+            const auto result = first.replace(changed, base);
+            const Configuration present = second.load();
+            if (result)
+                CHECK(present.workspaces.at("workspace-0").share == static_cast<double>(seed));
+            else if (present.version != base)
+                CHECK(result.error().find("not known") != std::string::npos);
+        }
+    }
+    SECTION("19,000 workspaces: a change rewrites one chunk and the root")
+    {
+        REQUIRE(first.replace(large(19'000), 1) == 2U);
+        Configuration changed = first.load();
+        changed.workspaces["workspace-77"].share = 2;
+        const StoredConfiguration before = storedConfiguration(large(19'000), "nonce");
+        std::size_t largest = 0;
+        std::size_t total = 0;
+        for (const ConfigurationChunk &chunk : before.chunks) {
+            largest = std::max(largest, chunk.text.size());
+            total += chunk.text.size();
+        }
+        CHECK(largest < 48UL * 1024);
+        const std::uint64_t writes = first.store.writes();
+        CHECK(first.replace(changed, 2) == 3U);
+        CHECK(first.store.writes() - writes == 2);
+
+        NullMetrics metrics;
+        NullEventLog log;
+        ConfigurationFollower follower([](const Configuration &) {}, metrics, log);
+        const auto deliver = [&follower](const StoredConfiguration &stored) {
+            follower.offer(stored.root);
+            std::size_t bytes = stored.root.size();
+            for (const ConfigurationChunk &chunk : stored.chunks) {
+                const std::vector<std::string> missing = follower.missing();
+                if (std::find(missing.begin(), missing.end(), chunk.name) == missing.end())
+                    continue;
+                bytes += chunk.text.size();
+                follower.offerChunk(chunk.name, chunk.text);
+            }
+            return bytes;
+        };
+        Configuration old = large(19'000);
+        old.version = 2;
+        changed.version = 3;
+        deliver(storedConfiguration(old, "a"));
+        const StoredConfiguration next = storedConfiguration(changed, "b");
+        const std::clock_t begun = std::clock();
+        const std::size_t bytes = deliver(next);
+        const double milliseconds =
+                1e3 * static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC;
+        CHECK(follower.current().version == 3);
+        CHECK(bytes < 64UL * 1024);
+        if (std::getenv("DOTTEREL_SHOW_FIGURES") != nullptr)
+            WARN("chunks " << before.chunks.size() << ", all " << total << " B, largest " << largest
+                           << " B, root " << before.root.size() << " B; a change: " << bytes
+                           << " B to a host, " << milliseconds << " ms of its processor");
+    }
+}
--- a/tests/support/order_simulation.cpp
+++ b/tests/support/order_simulation.cpp
@@ -1,5 +1,7 @@
 #include "support/order_simulation.h"
 
+#include "coordination/order_object_ledger.h"
+
 namespace dotterel::support {
 
 namespace {
@@ -251,4 +253,12 @@
         host->ledger->onRefused(order.claim.request, verdict);
 }
 
+std::unique_ptr<OrderLedger> makeOrderObjectLedger(const HostIdentity &identity, ObjectStore &store,
+                                                   const HostLiveness &liveness,
+                                                   OrderOutcomePeers &peers, RandomSource &random)
+{
+    static NullEventLog log;
+    return std::make_unique<OrderObjectLedger>(identity, store, liveness, peers, random, log);
+}
+
 } // namespace dotterel::support
--- a/tests/support/order_simulation.h
+++ b/tests/support/order_simulation.h
@@ -90,4 +90,9 @@
     std::map<std::string, int> counts;
 };
 
+/// Makes the ledger that the daemon runs.
+std::unique_ptr<OrderLedger> makeOrderObjectLedger(const HostIdentity &identity, ObjectStore &store,
+                                                   const HostLiveness &liveness,
+                                                   OrderOutcomePeers &peers, RandomSource &random);
+
 } // namespace dotterel::support
