--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -12,9 +12,9 @@
 namespace {
 
 constexpr double UsageWindowSeconds = 30;
-constexpr double MostChargedSeconds = 10; ///< A longer prompt counts as this much.
-constexpr double OverSeconds = 15;        ///< Beyond the fair part; one long prompt is no excess.
-constexpr double ExhaustedSeconds = 30;
+constexpr double MostChargedSeconds = 10;  ///< A longer prompt counts as this much.
+constexpr double FairTolerance = 0.2;      ///< Overload that all share alike is nobody's excess.
+constexpr double ExcessSeconds = 15;       ///< Beyond that; one long prompt is no excess.
 constexpr double ForgottenSeconds = 0.001; ///< Of usage that is not worth keeping.
 constexpr Duration LevelInterval = std::chrono::milliseconds(250);
 constexpr double SafetyFactor = 0.8; ///< Of the time that is left until the deadline.
@@ -53,23 +53,22 @@
 void Admission::onDispatched(WorkspaceHash workspace, double seconds, TimePoint now)
 {
     Usage &usage = this->usages[workspace];
-    usage.seconds = usage.at(now) + std::min(seconds, MostChargedSeconds);
+    const double charge = std::clamp(seconds, -MostChargedSeconds, MostChargedSeconds);
+    usage.seconds = std::max(0.0, usage.at(now) + charge);
     usage.updatedAt = now;
 }
 
-ShareState Admission::shareState(WorkspaceHash workspace, double capacity, TimePoint now)
+bool Admission::isOverShare(WorkspaceHash workspace, double capacity, TimePoint now)
 {
     if (!this->settings.workspaceShares)
-        return ShareState::Within;
+        return false;
     if (now - this->levelAt > LevelInterval)
         this->updateLevel(capacity, now);
     const auto usage = this->usages.find(workspace);
     if (usage == this->usages.end())
-        return ShareState::Within;
-    const double excess = usage->second.at(now) - this->level * this->shareOf(workspace);
-    if (excess > ExhaustedSeconds)
-        return ShareState::Exhausted;
-    return excess > OverSeconds ? ShareState::Over : ShareState::Within;
+        return false;
+    const double fair = this->level * this->shareOf(workspace);
+    return usage->second.at(now) > fair * (1 + FairTolerance) + ExcessSeconds;
 }
 
 std::optional<Failure> Admission::check(const PlacementQuery &query, double predictedSeconds,
--- a/src/coordination/load_estimate.h
+++ b/src/coordination/load_estimate.h
@@ -67,9 +67,19 @@
     /// Returns the work that waits and would run after new work of \a tokens at \a priority.
     WorkBehind behind(std::uint64_t tokens, std::int64_t priority, TimePoint now);
 
-    /// Returns how many times longer than usual the server takes; at least 1.
+    /// Returns how many times longer than usual the server takes.
     double slowness() const { return this->slow; }
 
+    /// Returns true once a first token has told how fast the server is.
+    bool isMeasured() const { return this->measured; }
+
+    /// Takes \a typical for the slowness of a server that has not been measured.
+    void assumeSlowness(double typical)
+    {
+        if (!this->measured)
+            this->slow = typical;
+    }
+
     /// Returns the fraction of time that recent work of shorter prompts takes up.
     double shorterUtilisation(std::uint64_t tokens, TimePoint now) const;
 
@@ -87,8 +97,11 @@
         TimePoint dispatched;
         TimePoint expected; ///< When the replay finished the prefill.
         bool prefilled = false;
+        bool metIdleServer = false; ///< Nothing else waited or ran when it was sent.
     };
 
+    void reportTotal(double queuedTokens);
+    bool idle() const;
     void advance(TimePoint now);
     void replay(double seconds);
     void dropExpired(TimePoint now);
@@ -107,6 +120,7 @@
     TimePoint advancedAt;
     TimePoint arrivalsAt;
     double slow = 1;
+    bool measured = false;
     TimePoint progressAt; ///< Of the last first token.
     TimePoint stuckUntil;
     Duration stuckPause;
--- a/src/coordination/work_ahead_placement.h
+++ b/src/coordination/work_ahead_placement.h
@@ -35,6 +35,7 @@
     void onEnded(const AttemptId &attempt, TimePoint now) override;
     void onLoadReport(const ServerId &server, const LoadReport &report, TimePoint now) override;
     void onNews(const DispatchNews &news, TimePoint now) override;
+    bool hasNews() const override { return !this->news.events.empty(); }
     DispatchNews takeNews() override;
 
 private:
@@ -51,16 +52,32 @@
         std::uint64_t sequence = 0;
     };
 
+    /// What a workspace was charged for a dispatch.
+    struct Charge
+    {
+        WorkspaceHash workspace = 0;
+        double seconds = 0;
+        TimePoint at;
+    };
+
     struct Running
     {
         std::vector<Part> parts;
         std::uint64_t partTokens = 0;
         bool firstToken = false;
+        Charge charge;
+    };
+
+    struct PeerWork
+    {
+        ServerId server;
+        Charge charge;
+        bool firstToken = false;
     };
 
     struct Peer
     {
-        std::map<std::uint64_t, ServerId> servers; ///< By sequence, of work not known to end.
+        std::map<std::uint64_t, PeerWork> works; ///< By sequence, those not known to end.
     };
 
     LoadEstimate &estimate(const ServerId &server);
@@ -68,11 +85,17 @@
     double allowedWait(double seconds, const PlacementQuery &query, TimePoint now) const;
     std::vector<Candidate> rank(const std::vector<const BackendServer *> &servers,
                                 const PlacementQuery &query, std::int64_t priority, TimePoint now);
+
+    /// Servers that have not been measured count as fast as the measured ones on average; otherwise
+    /// the first one that turns out to be fast would get everything.
+    void assumeTypicalSlowness(const std::vector<const BackendServer *> &servers);
+
     Candidate assess(const BackendServer &server, const PlacementQuery &query,
                      std::int64_t priority, double shorter, TimePoint now);
     double shorterUtilisation(const std::vector<const BackendServer *> &servers,
                               std::uint64_t tokens, TimePoint now);
     void keepSample(std::vector<const BackendServer *> &servers);
+    void refund(const Charge &charge, TimePoint now);
     void tell(DispatchEventKind kind, const Part &part);
     std::int64_t sharedMilliseconds(TimePoint now) const;
 
--- a/src/entry_host/configuration_feed.cpp
+++ b/src/entry_host/configuration_feed.cpp
@@ -28,13 +28,29 @@
 {
     this->follower.beginStart();
     this->startTimer = this->loop.after(peerWait, [this] { this->follower.endStart(); });
+    this->fetchTimer = this->loop.every(ChunkTimeout, [this] {
+        if (this->platformReachable)
+            this->fetchChunks();
+    });
     this->watch();
 }
 
-void ConfigurationFeed::onTimer()
+void ConfigurationFeed::onPeerMessage(std::uint64_t link, const PeerMessage &message)
 {
-    if (this->platformReachable)
-        this->fetchChunks();
+    if (const Heartbeat *heartbeat = std::get_if<Heartbeat>(&message)) {
+        this->onPeerVersion(link, heartbeat->sender.configurationVersion);
+    } else if (const ConfigurationRequest *request = std::get_if<ConfigurationRequest>(&message)) {
+        this->serveRoot(link, *request);
+    } else if (const ConfigurationOffer *offer = std::get_if<ConfigurationOffer>(&message)) {
+        this->follower.offer(offer->text);
+        this->askForChunks(link);
+    } else if (const ConfigurationChunkRequest *chunks =
+                       std::get_if<ConfigurationChunkRequest>(&message)) {
+        this->serveChunks(link, *chunks);
+    } else if (const ConfigurationChunkOffer *chunk =
+                       std::get_if<ConfigurationChunkOffer>(&message)) {
+        this->onChunk(link, *chunk);
+    }
 }
 
 void ConfigurationFeed::onPeerVersion(std::uint64_t link, std::uint64_t version)
@@ -46,20 +62,14 @@
         this->askForChunks(link);
 }
 
-void ConfigurationFeed::onMessage(std::uint64_t link, const ConfigurationRequest &request)
+void ConfigurationFeed::serveRoot(std::uint64_t link, const ConfigurationRequest &request)
 {
     const std::uint64_t version = this->follower.current().version;
     if (version > request.knownVersion)
         this->mesh.send(link, ConfigurationOffer{version, this->follower.currentText()});
 }
 
-void ConfigurationFeed::onMessage(std::uint64_t link, const ConfigurationOffer &offer)
-{
-    this->follower.offer(offer.text);
-    this->askForChunks(link);
-}
-
-void ConfigurationFeed::onMessage(std::uint64_t link, const ConfigurationChunkRequest &request)
+void ConfigurationFeed::serveChunks(std::uint64_t link, const ConfigurationChunkRequest &request)
 {
     for (std::size_t i = 0; i < request.names.size() && i < MostChunksAsked; ++i) {
         const std::string *text = this->follower.chunkText(request.names[i]);
@@ -68,7 +78,7 @@
     }
 }
 
-void ConfigurationFeed::onMessage(std::uint64_t link, const ConfigurationChunkOffer &offer)
+void ConfigurationFeed::onChunk(std::uint64_t link, const ConfigurationChunkOffer &offer)
 {
     this->follower.offerChunk(offer.name, offer.text);
     if (this->chunksAwaited > 0 && --this->chunksAwaited == 0)
--- a/src/entry_host/configuration_feed.h
+++ b/src/entry_host/configuration_feed.h
@@ -23,17 +23,8 @@
     /// platform gives.
     void start(Duration peerWait);
 
-    /// Repeats reads of chunks that are still missing; to be called now and then.
-    void onTimer();
-
-    /// The peer behind \a link has \a version in force.
-    void onPeerVersion(std::uint64_t link, std::uint64_t version);
-
-    /// A message about configurations came over \a link.
-    void onMessage(std::uint64_t link, const ConfigurationRequest &request);
-    void onMessage(std::uint64_t link, const ConfigurationOffer &offer);
-    void onMessage(std::uint64_t link, const ConfigurationChunkRequest &request);
-    void onMessage(std::uint64_t link, const ConfigurationChunkOffer &offer);
+    /// A message came over \a link; those that are not about configurations do nothing.
+    void onPeerMessage(std::uint64_t link, const PeerMessage &message);
 
     /// Returns the configuration in force; its version is 0 if there is none.
     const Configuration &current() const { return this->follower.current(); }
@@ -42,6 +33,10 @@
     bool isPlatformReachable() const { return this->platformReachable; }
 
 private:
+    void onPeerVersion(std::uint64_t link, std::uint64_t version);
+    void serveRoot(std::uint64_t link, const ConfigurationRequest &request);
+    void serveChunks(std::uint64_t link, const ConfigurationChunkRequest &request);
+    void onChunk(std::uint64_t link, const ConfigurationChunkOffer &offer);
     void watch();
     void fetchChunks();
     void askForChunks(std::uint64_t link);
@@ -58,6 +53,7 @@
     TimePoint chunksAskedAt;
     EventLoop::TimerHandle startTimer;
     EventLoop::TimerHandle watchTimer;
+    EventLoop::TimerHandle fetchTimer;
 };
 
 } // namespace dotterel
