--- a/src/entry_host/entry_host.cpp
+++ b/src/entry_host/entry_host.cpp
@@ -6,10 +6,9 @@
 
 namespace {
 
-constexpr Duration WatchWait = std::chrono::seconds(20);
-constexpr Duration WatchRetry = std::chrono::milliseconds(500);
 constexpr Duration FarewellTime = std::chrono::milliseconds(50);
 constexpr int SilentHeartbeats = 8;
+constexpr int StartHeartbeats = 3;
 constexpr Duration LedgerInterval = std::chrono::milliseconds(5);
 constexpr Duration LedgerGrace = std::chrono::seconds(10);
 constexpr Duration LoadPollInterval = std::chrono::seconds(1);
@@ -43,10 +42,9 @@
     , controller(limitsOf(settings), this->directory, this->placement, this->crashGuard, *this,
                  this->metrics, log)
     , ledger(this->identity, this->platform, *this, *this, this->random, log)
-    , follower(
-              [this](const Configuration &configuration) {
-                  this->applyConfiguration(configuration);
-              },
+    , configuration(
+              loop, this->platform, this->mesh,
+              [this](const Configuration &accepted) { this->applyConfiguration(accepted); },
               this->metrics, log)
     , membership(this->identity, settings.heartbeatInterval, this->metrics, log)
     , loadPoller(this->httpClient, settings.host,
@@ -69,7 +67,7 @@
                                          {"operators", this->operators().text()},
                                          {"peers", this->peers().text()}});
     this->loadTimer = loop.every(LoadPollInterval, [this] { this->pollLoads(); });
-    this->watchConfiguration();
+    this->configuration.start(settings.heartbeatInterval * StartHeartbeats);
 }
 
 EntryHost::~EntryHost()
@@ -274,15 +272,8 @@
 void EntryHost::onPeerMessage(std::uint64_t link, const PeerMessage &message)
 {
     this->agent.onPeerMessage(link, message);
-    if (const Heartbeat *heartbeat = std::get_if<Heartbeat>(&message)) {
-        const std::uint64_t known = this->follower.current().version;
-        if (heartbeat->sender.configurationVersion > known)
-            this->mesh.send(link, ConfigurationRequest{known});
-    } else if (const ConfigurationRequest *request = std::get_if<ConfigurationRequest>(&message)) {
-        if (this->follower.current().version > request->knownVersion)
-            this->mesh.send(link, ConfigurationOffer{this->follower.current().version,
-                                                     this->follower.currentText()});
-    } else if (const CrashNotice *notice = std::get_if<CrashNotice>(&message)) {
+    this->configuration.onPeerMessage(link, message);
+    if (const CrashNotice *notice = std::get_if<CrashNotice>(&message)) {
         // News goes on to peers that the sender is not linked to; what is known already stops here.
         if (this->controller.onCrashNotice(*notice, this->loop.now()))
             this->mesh.broadcast(*notice);
@@ -290,8 +281,6 @@
         this->placement.onNews(*news, this->loop.now());
     } else if (const LoadNews *loads = std::get_if<LoadNews>(&message)) {
         this->onLoadNews(*loads);
-    } else if (const ConfigurationOffer *offer = std::get_if<ConfigurationOffer>(&message)) {
-        this->follower.offer(offer->text);
     } else if (const OrderOutcomeOffer *outcome = std::get_if<OrderOutcomeOffer>(&message)) {
         const std::optional<OrderRecord> record = decodeOrderRecord(outcome->record);
         if (!record || record->state == OrderState::Claimed)
@@ -333,31 +322,12 @@
                     {{"version", static_cast<std::int64_t>(configuration.version)}});
 }
 
-void EntryHost::watchConfiguration()
-{
-    this->platform.watch(
-            ConfigurationKey, this->watchedVersion, WatchWait,
-            [this](const ObjectStore::ReadResult &result, TimePoint) {
-                const bool reachable = result || result.error() == StoreError::NotFound;
-                if (reachable != this->platformReachable)
-                    this->log.write(
-                            reachable ? Event::PlatformReachable : Event::PlatformUnavailable, {});
-                this->platformReachable = reachable;
-                if (result) {
-                    this->watchedVersion = result->version;
-                    this->follower.offer(result->value);
-                }
-                this->watchTimer = this->loop.after(result ? Duration::zero() : WatchRetry,
-                                                    [this] { this->watchConfiguration(); });
-            });
-}
-
 void EntryHost::pollLoads()
 {
     std::vector<HostId> live{this->identity.host};
     for (const MemberRecord &member : this->membership.live())
         live.push_back(member.identity.host);
-    this->loadPoller.poll(this->follower.current(), live);
+    this->loadPoller.poll(this->configuration.current(), live);
 }
 
 void EntryHost::onLoadReport(const ServerId &server, const LoadReport &report)
@@ -372,7 +342,7 @@
 void EntryHost::onLoadNews(const LoadNews &news)
 {
     for (const ServerLoad &load : news.loads) {
-        for (const auto &[id, server] : this->follower.current().servers) {
+        for (const auto &[id, server] : this->configuration.current().servers) {
             if (hash32(id) != load.server)
                 continue;
             LoadReport report;
@@ -412,21 +382,21 @@
 
 bool EntryHost::isReady() const
 {
-    return !this->shuttingDown && this->follower.current().version > 0;
+    return !this->shuttingDown && this->configuration.current().version > 0;
 }
 
 HostStatus EntryHost::status() const
 {
     HostStatus status;
     status.identity = this->identity;
-    status.configurationVersion = this->follower.current().version;
+    status.configurationVersion = this->configuration.current().version;
     status.shuttingDown = this->shuttingDown;
-    status.platformReachable = this->platformReachable;
+    status.platformReachable = this->configuration.isPlatformReachable();
     status.requestsInFlight = this->controller.inFlight();
     status.peerLinks = this->mesh.openLinks();
     for (const MemberRecord &member : this->membership.live())
         status.members.push_back({member.identity, member.configurationVersion, member.leaving});
-    for (const auto &[id, server] : this->follower.current().servers) {
+    for (const auto &[id, server] : this->configuration.current().servers) {
         const ServerState state = this->directory.state(id, this->loop.now());
         status.servers.push_back({id, server.pool, std::string(serverStateName(state))});
     }
--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "coordination/backend_directory.h"
-#include "coordination/configuration_follower.h"
 #include "coordination/membership.h"
 #include "coordination/order_object_ledger.h"
 #include "coordination/request_controller.h"
@@ -9,6 +8,7 @@
 #include "core/prometheus_metrics.h"
 #include "core/random_source.h"
 #include "entry_host/caller_api.h"
+#include "entry_host/configuration_feed.h"
 #include "entry_host/engine_memory_sweeper.h"
 #include "entry_host/http_backend_client.h"
 #include "entry_host/load_poller.h"
@@ -100,7 +100,6 @@
     void drain() override;
 
     void applyConfiguration(const Configuration &configuration);
-    void watchConfiguration();
     void armTimer();
     void runLedger();
     void startLedgerTimer();
@@ -123,7 +122,7 @@
     CrashGuard crashGuard;
     RequestController controller;
     OrderObjectLedger ledger;
-    ConfigurationFollower follower;
+    ConfigurationFeed configuration;
     Membership membership;
     LoadPoller loadPoller;
     HttpBackendClient backend;
@@ -136,9 +135,7 @@
     std::function<void()> drained;
     bool shuttingDown = false;
     bool destroying = false;
-    bool platformReachable = true;
-    std::uint64_t watchedVersion = 0; ///< Of the object that holds the configuration.
-    TimePoint quietSince;             ///< Since when a host that shuts down has nothing to do.
+    TimePoint quietSince; ///< Since when a host that shuts down has nothing to do.
     std::uint64_t drainedBytes = 0;
     std::function<void()> shutdownFinished;
     EventLoop::TimerHandle deadlineTimer;
@@ -147,7 +144,6 @@
     EventLoop::TimerHandle loadTimer;
     EventLoop::TimerHandle newsTimer;
     bool newsArmed = false;
-    EventLoop::TimerHandle watchTimer;
     EventLoop::TimerHandle graceTimer;
     EventLoop::TimerHandle drainTimer;
 };
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -20,6 +20,8 @@
 constexpr const char *LoadType = "l";
 constexpr const char *DigestType = "g";
 constexpr const char *UpdateType = "u";
+constexpr const char *ChunkRequestType = "k";
+constexpr const char *ChunkType = "b";
 constexpr const char *CrashType = "c";
 constexpr const char *NewsType = "n";
 
@@ -189,6 +191,16 @@
     return {{TypeKey, OfferType}, {"v", offer.version}, {"c", offer.text}};
 }
 
+nlohmann::json encode(const ConfigurationChunkRequest &request)
+{
+    return {{TypeKey, ChunkRequestType}, {"n", request.names}};
+}
+
+nlohmann::json encode(const ConfigurationChunkOffer &offer)
+{
+    return {{TypeKey, ChunkType}, {"n", offer.name}, {"c", offer.text}};
+}
+
 nlohmann::json encode(const OrderOutcomeOffer &offer)
 {
     const std::vector<std::uint8_t> record(offer.record.begin(), offer.record.end());
@@ -356,6 +368,11 @@
         if (type == OfferType)
             return ConfigurationOffer{checkedNumber<std::uint64_t>(json.at("v")),
                                       json.at("c").get<std::string>()};
+        if (type == ChunkRequestType)
+            return ConfigurationChunkRequest{json.at("n").get<std::vector<std::string>>()};
+        if (type == ChunkType)
+            return ConfigurationChunkOffer{json.at("n").get<std::string>(),
+                                           json.at("c").get<std::string>()};
         if (type == OutcomeType)
             return decodeOutcome(json);
         if (type == CrashType)
