--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -13,6 +13,7 @@
 
 constexpr double UsageWindowSeconds = 30;
 constexpr double MostChargedSeconds = 10; ///< A longer prompt counts as this much.
+constexpr double FairTolerance = 0.2;     ///< Overload that all share alike is nobody's excess.
 constexpr double OverSeconds = 15;        ///< Beyond the fair part; one long prompt is no excess.
 constexpr double ExhaustedSeconds = 30;
 constexpr double ForgottenSeconds = 0.001; ///< Of usage that is not worth keeping.
@@ -53,7 +54,8 @@
 void Admission::onDispatched(WorkspaceHash workspace, double seconds, TimePoint now)
 {
     Usage &usage = this->usages[workspace];
-    usage.seconds = usage.at(now) + std::min(seconds, MostChargedSeconds);
+    const double charge = std::clamp(seconds, -MostChargedSeconds, MostChargedSeconds);
+    usage.seconds = std::max(0.0, usage.at(now) + charge);
     usage.updatedAt = now;
 }
 
@@ -66,7 +68,8 @@
     const auto usage = this->usages.find(workspace);
     if (usage == this->usages.end())
         return ShareState::Within;
-    const double excess = usage->second.at(now) - this->level * this->shareOf(workspace);
+    const double fair = this->level * this->shareOf(workspace);
+    const double excess = usage->second.at(now) - fair * (1 + FairTolerance);
     if (excess > ExhaustedSeconds)
         return ShareState::Exhausted;
     return excess > OverSeconds ? ShareState::Over : ShareState::Within;
--- a/src/coordination/load_estimate.cpp
+++ b/src/coordination/load_estimate.cpp
@@ -7,10 +7,13 @@
 
 namespace {
 
+constexpr double LeastSeconds = 0.001; ///< Of work without a prompt.
 constexpr double RateWindowSeconds = 10;
 constexpr double SlowestFactor = 20;
+constexpr double FastestFactor = 0.02;
 constexpr double LearningExponent = 0.3;
 constexpr double LearningThreshold = 1.5;
+constexpr double FastThreshold = 0.4;
 constexpr double OverdueToleranceShare = 0.25; ///< Of the time that was expected.
 constexpr double SlownessHalfLifeSeconds = 60;
 constexpr double FirstTokenToleranceSeconds = 0.03;
@@ -24,6 +27,9 @@
 constexpr std::array<double, LengthBandCount> TypicalTokens = {2'200,  8'600,   34'000,
                                                                80'000, 165'000, 530'000};
 
+/// Length that queued tokens are taken for where a report gives no lengths.
+constexpr std::uint64_t UnknownPromptTokens = 16'000;
+
 std::size_t bandIndex(std::uint64_t tokens)
 {
     return static_cast<std::size_t>(lengthBand(tokens));
@@ -43,6 +49,7 @@
     entry.work = work;
     entry.remaining = work.seconds;
     entry.dispatched = now;
+    entry.metIdleServer = this->idle();
     const auto place = std::upper_bound(this->entries.begin(), this->entries.end(), work.priority,
                                         [](std::int64_t priority, const Entry &other) {
                                             return priority < other.work.priority;
@@ -87,8 +94,10 @@
 void LoadEstimate::report(const LoadReport &report, TimePoint now)
 {
     this->advance(now);
-    if (report.queuedByBand.size() != LengthBandCount)
+    if (report.queuedByBand.size() != LengthBandCount) {
+        this->reportTotal(static_cast<double>(report.queuedPromptTokens));
         return;
+    }
     std::array<double, LengthBandCount> known{};
     for (const Entry &entry : this->entries) {
         if (!entry.prefilled)
@@ -101,6 +110,16 @@
     }
 }
 
+void LoadEstimate::reportTotal(double queuedTokens)
+{
+    double known = 0;
+    for (const Entry &entry : this->entries)
+        known += entry.prefilled ? 0 : entry.remaining;
+    this->unknownSeconds = {};
+    this->unknownSeconds[bandIndex(UnknownPromptTokens)] =
+            std::max(0.0, this->settings.prefill.seconds(queuedTokens) - known);
+}
+
 double LoadEstimate::waitSeconds(std::uint64_t tokens, std::int64_t priority, TimePoint now)
 {
     this->advance(now);
@@ -136,7 +155,7 @@
         if (entry.prefilled || entry.work.priority <= priority)
             continue;
         behind.count += 1;
-        behind.inverseSeconds += 1 / entry.work.seconds;
+        behind.inverseSeconds += 1 / std::max(LeastSeconds, entry.work.seconds);
     }
     for (std::size_t band = bandIndex(tokens) + 1; band < LengthBandCount; ++band) {
         const double typical = this->settings.prefill.seconds(TypicalTokens[band]);
@@ -163,6 +182,14 @@
     return seconds * this->decay(now) / RateWindowSeconds;
 }
 
+bool LoadEstimate::idle() const
+{
+    const auto waits = [](const Entry &entry) { return !entry.prefilled; };
+    const auto unknown = [](double seconds) { return seconds > 0; };
+    return std::none_of(this->entries.begin(), this->entries.end(), waits)
+           && std::none_of(this->unknownSeconds.begin(), this->unknownSeconds.end(), unknown);
+}
+
 bool LoadEstimate::stuck(TimePoint now)
 {
     this->advance(now);
@@ -180,7 +207,9 @@
         if (entry.remaining <= 0 && entry.expected == TimePoint{})
             entry.expected = now;
     }
-    this->slow = 1 + (this->slow - 1) * std::exp2(-elapsed / SlownessHalfLifeSeconds);
+    // A server that was slow gets another chance; one that was fast stays known as such.
+    if (this->slow > 1)
+        this->slow = 1 + (this->slow - 1) * std::exp2(-elapsed / SlownessHalfLifeSeconds);
     this->dropExpired(now);
 }
 
@@ -215,7 +244,11 @@
     const double ratio = elapsed / (expected + FirstTokenToleranceSeconds);
     if (ratio < LearningThreshold && ratio > 1 / LearningThreshold)
         return;
-    this->slow = std::clamp(this->slow * std::pow(ratio, LearningExponent), 1.0, SlowestFactor);
+    // Only work that met an idle server tells that the server is faster than usual; elsewhere the
+    // prediction may have been too high, and half of a prompt may have been cached.
+    const bool faster = entry.metIdleServer && elapsed < expected * FastThreshold;
+    const double least = faster ? FastestFactor : std::min(1.0, this->slow);
+    this->slow = std::clamp(this->slow * std::pow(ratio, LearningExponent), least, SlowestFactor);
 }
 
 void LoadEstimate::noteLost(const Entry &entry, TimePoint now)
@@ -234,7 +267,7 @@
     for (const Entry &entry : this->entries) {
         if (entry.prefilled)
             continue;
-        const double done = 1 - entry.remaining / entry.work.seconds;
+        const double done = 1 - entry.remaining / std::max(LeastSeconds, entry.work.seconds);
         context = done * static_cast<double>(entry.work.tokens)
                   + static_cast<double>(entry.work.context);
         break;
@@ -268,7 +301,11 @@
         if (isLong)
             used += otherLong ? held : 0;
         else
-            used += otherLong ? held * (1 - entry.remaining / entry.work.seconds) : held;
+            used += otherLong ? held
+                                        * (1
+                                           - entry.remaining
+                                                     / std::max(LeastSeconds, entry.work.seconds))
+                              : held;
     }
     const auto memory = static_cast<double>(this->settings.memoryTokens);
     return used <= (isLong ? memory * this->settings.longMemoryShare : memory);
