--- a/src/bench/bench_host.h
+++ b/src/bench/bench_host.h
@@ -49,12 +49,12 @@
     // RequestEffects
     void sendAttempt(const AttemptOrder &order) override;
     void cancelAttempt(const AttemptId &attempt) override;
+    void pauseAttempt(const AttemptId & /*attempt*/, bool /*paused*/) override {}
     void claimOrder(const OrderClaim & /*claim*/) override {}
     void recordOrderAnswer(const OrderClaim & /*claim*/, const ServiceAnswer & /*answer*/) override
     {}
     void releaseOrder(const OrderClaim & /*claim*/) override {}
     void announceCrash(const CrashNotice & /*notice*/) override {}
-    void pauseAttempt(const AttemptId & /*attempt*/, bool /*paused*/) override {}
     void deliverText(const RequestId & /*request*/, const std::string & /*text*/) override {}
     void finishAnswer(const RequestId &request, std::uint64_t tokens) override;
     void deliverServiceAnswer(const RequestId & /*request*/,
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -15,13 +15,6 @@
 /// Returns the hash of the workspace called \a name.
 WorkspaceHash workspaceHash(const std::string &name);
 
-/// How a workspace stands to its share.
-enum class ShareState {
-    Within,
-    Over,      ///< Its work runs behind that of others.
-    Exhausted, ///< Its work is refused.
-};
-
 /// Refuses requests whose deadline cannot be met, and holds back workspaces that use more of the
 /// fleet than their share while others need theirs. Pure.
 class Admission
@@ -36,15 +29,16 @@
     /// takes back work that did not run.
     void onDispatched(WorkspaceHash workspace, double seconds, TimePoint now);
 
-    /// Returns how \a workspace stands; the fleet does \a capacity seconds of prefill a second.
-    ShareState shareState(WorkspaceHash workspace, double capacity, TimePoint now);
+    /// Returns true if \a workspace used more than its share, so that its work is refused; the
+    /// fleet does \a capacity seconds of prefill a second.
+    bool isOverShare(WorkspaceHash workspace, double capacity, TimePoint now);
 
     /// Returns why a request is refused, if it is. \a allowedWait bounds the predicted time to
     /// the first token, in seconds.
     std::optional<Failure> check(const PlacementQuery &query, double predictedSeconds,
                                  double allowedWait, TimePoint now) const;
 
-    /// The refusal of a request whose workspace is Exhausted.
+    /// The refusal of a request whose workspace is over its share.
     static Failure overShare();
 
 private:
--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -85,13 +85,13 @@
     void onPeerLinked(std::uint64_t link) override;
     void onPeerMessage(std::uint64_t link, const PeerMessage &message) override;
 
+    // OrderOutcomePeers
+    void offerOutcome(const OrderOutcome &outcome) override;
+
     // PeerAgentListener
     void onHostList(const std::vector<ListedHost> &hosts) override;
     void onServerNotice(const ServerNotice &notice) override;
     void beforeHeartbeat() override;
-    // OrderOutcomePeers
-    void offerOutcome(const OrderOutcome &outcome) override;
-
     // HostLiveness
     bool believedAlive(const HostId &host, Incarnation incarnation) const override;
     // OperatorTarget
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -16,10 +16,10 @@
 constexpr const char *HeartbeatType = "h";
 constexpr const char *RequestType = "r";
 constexpr const char *OfferType = "o";
-constexpr const char *DigestType = "g";
-constexpr const char *UpdateType = "m";
-constexpr const char *OutcomeType = "u";
+constexpr const char *OutcomeType = "q";
 constexpr const char *LoadType = "l";
+constexpr const char *DigestType = "g";
+constexpr const char *UpdateType = "u";
 constexpr const char *CrashType = "c";
 constexpr const char *NewsType = "n";
 
