--- a/tests/coordination/test_backend_directory.cpp
+++ b/tests/coordination/test_backend_directory.cpp
@@ -22,13 +22,19 @@
     return configuration;
 }
 
-/// Asks every host often for \a time and returns what engine \a index started meanwhile.
+/// Asks every host \a rounds times and returns what engine \a index started meanwhile. Each prompt
+/// is another, so that no server is preferred for a prefix that it has cached.
 std::uint64_t startedDuring(Fleet &fleet, std::size_t index, int rounds)
 {
+    static int prompts = 0;
     const std::uint64_t before = fleet.engine(index).started();
     for (int round = 0; round < rounds; ++round) {
         for (std::size_t host = 0; host < fleet.hostCount(); ++host)
-            CHECK(fleet.ask(host, 100)->status == 200);
+            CHECK(fleet.call(host, "POST", "/v1/completions",
+                             {{"X-Workspace", "harinal"}, {"X-Request-Class", "question"}},
+                             completionBody(1'000, std::to_string(++prompts) + " "))
+                          ->status
+                  == 200);
     }
     return fleet.engine(index).started() - before;
 }
@@ -109,31 +115,40 @@
     REQUIRE(fleet.runUntil([&fleet] {
         return nlohmann::json::parse(fleet.status(0)).at("members").size() == fleet.hostCount();
     }));
+    // The engine that gets the questions while all are idle is the one that leaves.
+    std::size_t index = 0;
+    while (startedDuring(fleet, index, 5) == 0)
+        index = (index + 1) % 3;
+    const std::string name = "engine-" + std::to_string(index);
     fakes::EngineBehaviour leaving;
     leaving.draining = true;
 
-    SECTION("when it says so itself to one host, with the platform down; and it returns")
+    SECTION("when it says so itself, with the platform down; and it returns")
     {
-        fleet.platform().setFaults({true});
-        fleet.engine(0).setBehaviour(leaving);
-        while (!allHostsSee(fleet, "engine-0", "draining")) {
-            CHECK(fleet.ask(0, 100)->status == 200);
-            REQUIRE(fleet.engine(0).started() < 1'000);
-        }
-        CHECK(startedDuring(fleet, 0, 10) == 0);
-        fleet.engine(0).setBehaviour({});
-        CHECK(fleet.runUntil([&fleet] { return allHostsSee(fleet, "engine-0", "up"); }));
-        CHECK(startedDuring(fleet, 0, 20) > 0);
+        fakes::PlatformFaults faults;
+        faults.down = true;
+        fleet.platform().setFaults(faults);
+        fleet.engine(index).setBehaviour(leaving);
+        CHECK(fleet.ask(0, 100)->status == 200);
+        REQUIRE(fleet.runUntil([&] { return allHostsSee(fleet, name, "draining"); },
+                               std::chrono::seconds(3)));
+        CHECK(startedDuring(fleet, index, 10) == 0);
+        fleet.engine(index).setBehaviour({});
     }
     SECTION("when only the platform's list says so; and the mark goes away")
     {
-        fleet.platform().setHosts(R"([{"id":"engine-1","role":"backend","state":"leaving",
-                                         "failure_domain":"centro-b","address":"127.0.0.1"}])");
-        REQUIRE(fleet.runUntil([&fleet] { return allHostsSee(fleet, "engine-1", "draining"); },
+        fleet.platform().setHosts(R"([{"id":")" + name + R"(","role":"backend","state":"leaving",
+                                  "failure_domain":"centro-b","address":"127.0.0.1"}])");
+        REQUIRE(fleet.runUntil([&] { return allHostsSee(fleet, name, "draining"); },
                                std::chrono::seconds(3)));
-        CHECK(startedDuring(fleet, 1, 10) == 0);
+        CHECK(startedDuring(fleet, index, 10) == 0);
         fleet.publishHosts();
-        CHECK(fleet.runUntil([&fleet] { return allHostsSee(fleet, "engine-1", "up"); }));
-        CHECK(startedDuring(fleet, 1, 20) > 0);
     }
+    CHECK(fleet.runUntil([&] { return allHostsSee(fleet, name, "up"); }));
+    // It serves when nobody else does.
+    for (std::size_t other = 0; other < 3; ++other) {
+        if (other != index)
+            fleet.engine(other).setBehaviour(leaving);
+    }
+    CHECK(startedDuring(fleet, index, 2) == 6);
 }
--- /dev/null
+++ b/tests/entry_host/test_peer_mesh.cpp
@@ -0,0 +1,136 @@
+#include "entry_host/peer_mesh.h"
+
+#include "support/raw_connection.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dotterel;
+using support::RawConnection;
+
+namespace {
+
+constexpr unsigned char BinaryFrame = 0x82;
+constexpr Duration Silence = std::chrono::milliseconds(200);
+
+class FrameMetrics : public NullMetrics
+{
+public:
+    void count(Counter counter, std::uint64_t amount) override
+    {
+        if (counter == Counter::PeerFramesRejected)
+            this->rejected += amount;
+    }
+
+    std::uint64_t rejected = 0;
+};
+
+/// A mesh on a loop, and what its peers sent.
+class MeshUnderTest : private PeerListener
+{
+public:
+    explicit MeshUnderTest(const HostId &host)
+        : mesh(this->loop, Endpoint{}, host, Silence, *this, this->random, this->metrics, this->log)
+    {}
+
+    bool runUntil(const std::function<bool()> &condition)
+    {
+        bool expired = false;
+        const EventLoop::TimerHandle limit =
+                this->loop.after(std::chrono::seconds(4), [&expired] { expired = true; });
+        const EventLoop::TimerHandle maintain =
+                this->loop.every(std::chrono::milliseconds(5),
+                                 [this] { this->mesh.maintain(this->targets, Heartbeat{}); });
+        while (!expired && !condition())
+            this->loop.runOnce(true);
+        return condition();
+    }
+
+    EventLoop loop;
+    SeededRandom random{1};
+    FrameMetrics metrics;
+    NullEventLog log;
+    std::vector<MemberRecord> targets;
+    std::size_t received = 0;
+    PeerMesh mesh;
+
+private:
+    void onPeerLinked(std::uint64_t /*link*/) override {}
+    void onPeerMessage(std::uint64_t /*link*/, const PeerMessage & /*message*/) override
+    {
+        ++this->received;
+    }
+};
+
+std::string goodFrame()
+{
+    Heartbeat heartbeat;
+    heartbeat.sender.identity = {"b", 1, "centro-a"};
+    heartbeat.sender.peers = {"127.0.0.1", 1};
+    return RawConnection::frame(BinaryFrame, encodePeerMessage(heartbeat));
+}
+
+} // namespace
+
+TEST_CASE("A mesh keeps only links that work", "[EntryHost][PeerMesh]")
+{
+    MeshUnderTest host("a");
+
+    SECTION("a frame that is no message closes its link and is counted, and others go on")
+    {
+        RawConnection good(host.mesh.endpoint());
+        RawConnection bad(host.mesh.endpoint());
+        good.write(RawConnection::upgradeRequest());
+        bad.write(RawConnection::upgradeRequest());
+        REQUIRE(host.runUntil([&host] { return host.mesh.openLinks() == 2; }));
+        bad.write(RawConnection::frame(BinaryFrame, "\x81\x81\x81 no message"));
+        CHECK(host.runUntil([&host] { return host.mesh.openLinks() == 1; }));
+        CHECK(host.metrics.rejected == 1);
+        good.write(goodFrame());
+        CHECK(host.runUntil([&host] { return host.received == 1; }));
+    }
+    SECTION("a peer that is frozen with its connection open is given up")
+    {
+        RawConnection frozen(host.mesh.endpoint());
+        frozen.write(RawConnection::upgradeRequest());
+        REQUIRE(host.runUntil([&host] { return host.mesh.openLinks() == 1; }));
+        CHECK(host.runUntil([&host] { return host.mesh.openLinks() == 0; }));
+    }
+    SECTION("links beyond the limit are not accepted")
+    {
+        std::vector<std::unique_ptr<RawConnection>> many;
+        for (int i = 0; i < 80; ++i) {
+            many.push_back(std::make_unique<RawConnection>(host.mesh.endpoint()));
+            many.back()->write(RawConnection::upgradeRequest());
+        }
+        std::size_t most = 0;
+        static_cast<void>(host.runUntil([&] {
+            most = std::max(most, host.mesh.openLinks());
+            return most >= 64;
+        }));
+        CHECK(most == 64);
+        CHECK(host.runUntil([&host] { return host.mesh.openLinks() == 0; }));
+    }
+    SECTION("a peer that comes up late is reached by trying again")
+    {
+        Endpoint later;
+        {
+            const MeshUnderTest gone("b");
+            later = gone.mesh.endpoint();
+        }
+        MemberRecord target;
+        target.identity = {"b", 1, "centro-a"};
+        target.peers = later;
+        host.targets = {target};
+        bool tried = false;
+        const EventLoop::TimerHandle wait =
+                host.loop.after(std::chrono::milliseconds(50), [&tried] { tried = true; });
+        REQUIRE(host.runUntil([&tried] { return tried; }));
+        CHECK(host.mesh.openLinks() == 0);
+        std::vector<std::unique_ptr<WebsocketLink>> accepted;
+        const WebsocketListener listener(host.loop, later, LinkLimits{},
+                                         [&accepted](std::unique_ptr<WebsocketLink> link) {
+                                             accepted.push_back(std::move(link));
+                                         });
+        CHECK(host.runUntil([&host] { return host.mesh.openLinks() == 1; }));
+    }
+}
