--- a/src/core/structured_log.cpp
+++ b/src/core/structured_log.cpp
@@ -5,7 +5,7 @@
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
-#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/channel_logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 #include <chrono>
@@ -17,6 +17,7 @@
 namespace {
 
 using Backend = boost::log::sinks::text_ostream_backend;
+using Logger = boost::log::sources::channel_logger<std::string>;
 using Frontend = boost::log::sinks::synchronous_sink<Backend>;
 
 const EventInfo &infoOf(Event event)
@@ -39,7 +40,7 @@
 struct StructuredLog::Sink
 {
     boost::shared_ptr<Frontend> frontend;
-    boost::log::sources::logger logger;
+    Logger logger;
 };
 
 StructuredLog::StructuredLog(HostId host, Severity threshold)
@@ -51,6 +52,11 @@
     backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
     backend->auto_flush(true);
     this->sink->frontend = boost::make_shared<Frontend>(backend);
+    // All loggers of a process share one core; the channel keeps this log's lines in its own sink.
+    const std::string channel = std::to_string(reinterpret_cast<std::uintptr_t>(this));
+    this->sink->logger = Logger(boost::log::keywords::channel = channel);
+    this->sink->frontend->set_filter(boost::log::expressions::attr<std::string>("Channel")
+                                     == channel);
     this->sink->frontend->set_formatter(boost::log::expressions::stream
                                         << boost::log::expressions::smessage);
     boost::log::core::get()->add_sink(this->sink->frontend);
--- a/src/state/yaml_reader.cpp
+++ b/src/state/yaml_reader.cpp
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <cstdlib>
 #include <set>
+#include <sstream>
+#include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/yaml.h>
 
 namespace dotterel {
@@ -21,6 +23,59 @@
     return text;
 }
 
+/// Counts the events of a document and throws when there are more than its bytes can mean: for some
+/// input with an open bracket yaml-cpp makes events without end.
+class EventLimit : public YAML::EventHandler
+{
+public:
+    explicit EventLimit(std::size_t limit)
+        : left(limit)
+    {}
+
+    void OnDocumentStart(const YAML::Mark &mark) override { this->count(mark); }
+    void OnDocumentEnd() override {}
+    void OnNull(const YAML::Mark &mark, YAML::anchor_t /*anchor*/) override { this->count(mark); }
+    void OnAlias(const YAML::Mark &mark, YAML::anchor_t /*anchor*/) override { this->count(mark); }
+    void OnScalar(const YAML::Mark &mark, const std::string & /*tag*/, YAML::anchor_t /*anchor*/,
+                  const std::string & /*value*/) override
+    {
+        this->count(mark);
+    }
+    void OnSequenceStart(const YAML::Mark &mark, const std::string & /*tag*/,
+                         YAML::anchor_t /*anchor*/, YAML::EmitterStyle::value /*style*/) override
+    {
+        this->count(mark);
+    }
+    void OnSequenceEnd() override {}
+    void OnMapStart(const YAML::Mark &mark, const std::string & /*tag*/, YAML::anchor_t /*anchor*/,
+                    YAML::EmitterStyle::value /*style*/) override
+    {
+        this->count(mark);
+    }
+    void OnMapEnd() override {}
+
+private:
+    void count(const YAML::Mark &mark)
+    {
+        if (this->left == 0)
+            throw YAML::ParserException(mark, "a bracket is not closed");
+        --this->left;
+    }
+
+    std::size_t left;
+};
+
+void checkEventCount(const std::string &text)
+{
+    constexpr std::size_t EventsPerByte = 4;
+    constexpr std::size_t EventsOfNothing = 16;
+    EventLimit limit(text.size() * EventsPerByte + EventsOfNothing);
+    std::istringstream stream(text);
+    YAML::Parser parser(stream);
+    while (parser.HandleNextDocument(limit)) {
+    }
+}
+
 std::string joined(const std::vector<std::string> &names)
 {
     std::string text;
@@ -45,6 +100,7 @@
         return {};
     }
     try {
+        checkEventCount(text);
         const std::vector<YAML::Node> documents = YAML::LoadAll(text);
         if (documents.size() == 1)
             return documents.front();
