--- a/src/bench/bench_host.h
+++ b/src/bench/bench_host.h
@@ -54,12 +54,12 @@
     void recordOrderAnswer(const OrderClaim & /*claim*/, const ServiceAnswer & /*answer*/) override
     {}
     void releaseOrder(const OrderClaim & /*claim*/) override {}
+    void announceCrash(const CrashNotice & /*notice*/) override {}
     void deliverText(const RequestId & /*request*/, const std::string & /*text*/) override {}
     void finishAnswer(const RequestId &request, std::uint64_t tokens) override;
     void deliverServiceAnswer(const RequestId & /*request*/,
                               const ServiceAnswer & /*answer*/) override
     {}
-    void announceCrash(const CrashNotice & /*notice*/) override {}
     void refuse(const RequestId &request, const Failure &failure) override;
 
     std::size_t number;
--- a/src/entry_host/entry_host.cpp
+++ b/src/entry_host/entry_host.cpp
@@ -1,15 +1,22 @@
 #include "entry_host/entry_host.h"
 
+#include "core/hashing.h"
+
 namespace dotterel {
 
 namespace {
 
 constexpr Duration WatchWait = std::chrono::seconds(20);
 constexpr Duration WatchRetry = std::chrono::milliseconds(500);
-constexpr Duration HostsInterval = std::chrono::seconds(1);
+constexpr Duration FarewellTime = std::chrono::milliseconds(50);
+constexpr int SilentHeartbeats = 8;
 constexpr Duration LedgerInterval = std::chrono::milliseconds(5);
 constexpr Duration LedgerGrace = std::chrono::seconds(10);
+constexpr Duration LoadPollInterval = std::chrono::seconds(1);
+constexpr Duration NewsInterval = std::chrono::milliseconds(10);
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(50);
+constexpr Duration QuietTime = std::chrono::milliseconds(500);
+constexpr Duration LateRequestLimit = std::chrono::seconds(10);
 
 RequestLimits limitsOf(const Settings &settings)
 {
@@ -30,20 +37,29 @@
     , httpClient(loop)
     , platform(loop, this->httpClient, settings.platform, settings.platformTimeout, this->metrics)
     , directory(log, this->metrics)
-    , placement(this->directory, this->random)
+    , placement(this->directory, this->random, PlacementSettings{}, this->identity,
+                loop.wallTime() - loop.now().time_since_epoch().count() / 1'000)
     , crashGuard(CrashLimits{}, this->metrics, log)
     , controller(limitsOf(settings), this->directory, this->placement, this->crashGuard, *this,
                  this->metrics, log)
-    , ledger(this->identity, this->platform, *this, this->random, log)
+    , ledger(this->identity, this->platform, *this, *this, this->random, log)
     , follower(
               [this](const Configuration &configuration) {
                   this->applyConfiguration(configuration);
               },
               this->metrics, log)
     , membership(this->identity, settings.heartbeatInterval, this->metrics, log)
+    , loadPoller(this->httpClient, settings.host,
+                 [this](const ServerId &server, const LoadReport &report) {
+                     this->onLoadReport(server, report);
+                 })
     , backend(loop, this->httpClient, this->identity, *this)
     , callerApi(loop, settings, this->identity, *this)
-    , mesh(loop, settings.peers, settings.host, *this, this->metrics, log)
+    , mesh(loop, settings.peers, settings.host, settings.heartbeatInterval * SilentHeartbeats,
+           *this, this->random, this->metrics, log)
+    , agent(loop, settings.heartbeatInterval, this->membership, this->mesh, this->platform, *this)
+    , returnProber(loop, this->httpClient, this->identity, this->directory)
+    , memorySweeper(loop, this->httpClient, this->membership, this->directory, this->metrics, log)
     , operatorApi(loop, settings.operators, *this, this->metrics)
     , drained(std::move(drained))
 {
@@ -52,9 +68,7 @@
                                          {"callers", this->callers().text()},
                                          {"operators", this->operators().text()},
                                          {"peers", this->peers().text()}});
-    this->heartbeatTimer = loop.every(settings.heartbeatInterval, [this] { this->heartbeat(); });
-    this->hostsTimer = loop.every(HostsInterval, [this] { this->readHosts(); });
-    this->readHosts();
+    this->loadTimer = loop.every(LoadPollInterval, [this] { this->pollLoads(); });
     this->watchConfiguration();
 }
 
@@ -72,30 +86,43 @@
     this->shutdownFinished = std::move(finished);
     this->membership.beginLeaving();
     this->log.write(Event::ShutdownBegan, {});
+    this->callerApi.closeAfterReplies();
     // The balancer needs a moment to see that the host is not ready; until then it sends requests,
     // which are served.
     this->graceTimer = this->loop.after(this->settings.shutdownGrace, [this] {
-        this->controller.beginShutdown();
         this->callerApi.stopListening();
+        this->quietSince = this->loop.now();
         this->drainTimer =
                 this->loop.every(DrainCheckInterval, [this] { this->finishShutdownIfIdle(); });
+        // What still arrives on open connections is served, but not for ever.
+        this->graceTimer =
+                this->loop.after(LateRequestLimit, [this] { this->controller.beginShutdown(); });
     });
 }
 
 void EntryHost::finishShutdownIfIdle()
 {
-    if (this->controller.inFlight() > 0)
+    const TimePoint now = this->loop.now();
+    // A request that is still being read is not in flight yet, but its bytes come in.
+    const std::uint64_t received = this->callerApi.receivedBytes();
+    const bool busy = this->controller.inFlight() > 0 || !this->callerApi.idle();
+    if (busy || received != this->drainedBytes)
+        this->quietSince = now;
+    this->drainedBytes = received;
+    if (now - this->quietSince < QuietTime)
         return;
     // Outcomes are recorded first, but a store that stays away does not keep the host for ever.
-    const TimePoint now = this->loop.now();
     if (!this->ledgerGraceEnds)
         this->ledgerGraceEnds = now + LedgerGrace;
     if (this->ledger.pending() > 0 && now < *this->ledgerGraceEnds)
         return;
     this->drainTimer.reset();
     this->log.write(Event::ShutdownDone, {});
-    if (this->shutdownFinished)
-        this->shutdownFinished();
+    this->agent.sayFarewell();
+    this->drainTimer = this->loop.after(FarewellTime, [this] {
+        if (this->shutdownFinished)
+            this->shutdownFinished();
+    });
 }
 
 void EntryHost::sendAttempt(const AttemptOrder &order)
@@ -125,10 +152,21 @@
         this->controller.onClaimSettled(request, outcome, now);
         this->armTimer();
     });
+    this->startLedgerTimer();
+}
+
+void EntryHost::startLedgerTimer()
+{
     if (!this->ledgerTimer)
         this->ledgerTimer = this->loop.every(LedgerInterval, [this] { this->runLedger(); });
 }
 
+void EntryHost::offerOutcome(const OrderOutcome &outcome)
+{
+    this->mesh.broadcast(
+            OrderOutcomeOffer{outcome.name, outcome.version, encodeOrderRecord(outcome.record)});
+}
+
 void EntryHost::runLedger()
 {
     const TimePoint now = this->loop.now();
@@ -180,6 +218,7 @@
 void EntryHost::onToken(const AttemptId &attempt, const AnswerToken &token)
 {
     this->controller.onToken(attempt, token, this->loop.now());
+    this->armNews();
 }
 
 void EntryHost::onAnswerEnd(const AttemptId &attempt, const AnswerEnd &end)
@@ -221,6 +260,11 @@
     this->armTimer();
 }
 
+void EntryHost::onPeerLinked(std::uint64_t link)
+{
+    this->agent.onPeerLinked(link);
+}
+
 void EntryHost::onCallerBlocked(const RequestId &request, bool blocked)
 {
     this->controller.onCallerBlocked(request, blocked, this->loop.now());
@@ -229,14 +273,10 @@
 
 void EntryHost::onPeerMessage(std::uint64_t link, const PeerMessage &message)
 {
+    this->agent.onPeerMessage(link, message);
     if (const Heartbeat *heartbeat = std::get_if<Heartbeat>(&message)) {
-        this->membership.onHeartbeat(*heartbeat, this->loop.now());
-        for (const ServerId &server : heartbeat->draining)
-            this->directory.markDraining(server);
         const std::uint64_t known = this->follower.current().version;
-        const bool peerHasNewer = !heartbeat->members.empty()
-                                  && heartbeat->members.front().configurationVersion > known;
-        if (peerHasNewer)
+        if (heartbeat->sender.configurationVersion > known)
             this->mesh.send(link, ConfigurationRequest{known});
     } else if (const ConfigurationRequest *request = std::get_if<ConfigurationRequest>(&message)) {
         if (this->follower.current().version > request->knownVersion)
@@ -246,15 +286,49 @@
         // News goes on to peers that the sender is not linked to; what is known already stops here.
         if (this->controller.onCrashNotice(*notice, this->loop.now()))
             this->mesh.broadcast(*notice);
+    } else if (const DispatchNews *news = std::get_if<DispatchNews>(&message)) {
+        this->placement.onNews(*news, this->loop.now());
+    } else if (const LoadNews *loads = std::get_if<LoadNews>(&message)) {
+        this->onLoadNews(*loads);
     } else if (const ConfigurationOffer *offer = std::get_if<ConfigurationOffer>(&message)) {
         this->follower.offer(offer->text);
+    } else if (const OrderOutcomeOffer *outcome = std::get_if<OrderOutcomeOffer>(&message)) {
+        const std::optional<OrderRecord> record = decodeOrderRecord(outcome->record);
+        if (!record || record->state == OrderState::Claimed)
+            return;
+        this->ledger.adopt({outcome->name, outcome->version, *record}, this->loop.now());
+        this->startLedgerTimer();
     }
 }
 
+void EntryHost::onHostList(const std::vector<ListedHost> &hosts)
+{
+    std::set<ServerId> leaving;
+    for (const ListedHost &host : hosts) {
+        if (host.role == "backend" && host.leaving)
+            leaving.insert(host.id);
+    }
+    this->directory.applyList(leaving, this->loop.now());
+}
+
+void EntryHost::onServerNotice(const ServerNotice &notice)
+{
+    this->directory.applyNotice(notice, this->loop.now());
+}
+
+void EntryHost::beforeHeartbeat()
+{
+    for (const ServerNotice &notice : this->directory.takeNotices())
+        this->membership.publish(notice);
+    this->returnProber.maintain(this->directory.drainingByOwnWord(), this->membership.live());
+}
+
 void EntryHost::applyConfiguration(const Configuration &configuration)
 {
+    this->agent.announceConfiguration(configuration.version);
     this->directory.applyConfiguration(configuration);
     this->controller.applyConfiguration(configuration);
+    this->placement.applyConfiguration(configuration);
     this->log.write(Event::HostReady,
                     {{"version", static_cast<std::int64_t>(configuration.version)}});
 }
@@ -278,30 +352,53 @@
             });
 }
 
-void EntryHost::readHosts()
+void EntryHost::pollLoads()
 {
-    this->platform.hosts([this](const HostList::Result &result, TimePoint) {
-        if (!result)
-            return;
-        this->mesh.applyHosts(*result);
-        for (const ListedHost &host : *result) {
-            if (host.role == "backend" && host.leaving)
-                this->directory.markDraining(host.id);
-        }
-    });
+    std::vector<HostId> live{this->identity.host};
+    for (const MemberRecord &member : this->membership.live())
+        live.push_back(member.identity.host);
+    this->loadPoller.poll(this->follower.current(), live);
 }
 
-void EntryHost::heartbeat()
+void EntryHost::onLoadReport(const ServerId &server, const LoadReport &report)
 {
-    this->membership.onTimer(this->loop.now());
+    this->placement.onLoadReport(server, report, this->loop.now());
+    if (report.draining)
+        this->directory.markDraining(server);
     this->mesh.broadcast(
-            this->membership.beat(this->follower.current().version, this->directory.draining()));
+            LoadNews{{{hash32(server), report.queuedPromptTokens, report.queuedByBand}}});
+}
+
+void EntryHost::onLoadNews(const LoadNews &news)
+{
+    for (const ServerLoad &load : news.loads) {
+        for (const auto &[id, server] : this->follower.current().servers) {
+            if (hash32(id) != load.server)
+                continue;
+            LoadReport report;
+            report.queuedPromptTokens = load.queuedTokens;
+            report.queuedByBand = load.queuedByBand;
+            this->placement.onLoadReport(id, report, this->loop.now());
+        }
+    }
+}
+
+void EntryHost::armNews()
+{
+    if (this->newsArmed || !this->placement.hasNews())
+        return;
+    this->newsArmed = true;
+    this->newsTimer = this->loop.after(NewsInterval, [this] {
+        this->newsArmed = false;
+        this->mesh.broadcast(this->placement.takeNews());
+    });
 }
 
 void EntryHost::armTimer()
 {
     if (this->destroying)
         return;
+    this->armNews();
     const std::optional<TimePoint> next = this->controller.nextTimer();
     if (!next) {
         this->deadlineTimer.reset();
--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -5,13 +5,17 @@
 #include "coordination/membership.h"
 #include "coordination/order_object_ledger.h"
 #include "coordination/request_controller.h"
-#include "coordination/two_choices_placement.h"
+#include "coordination/work_ahead_placement.h"
 #include "core/prometheus_metrics.h"
 #include "core/random_source.h"
 #include "entry_host/caller_api.h"
+#include "entry_host/engine_memory_sweeper.h"
 #include "entry_host/http_backend_client.h"
+#include "entry_host/load_poller.h"
 #include "entry_host/operator_api.h"
+#include "entry_host/peer_agent.h"
 #include "entry_host/peer_mesh.h"
+#include "entry_host/server_return_prober.h"
 #include "state/http_object_store.h"
 #include "state/settings.h"
 #include "transport/http_client.h"
@@ -28,7 +32,9 @@
     , private AttemptListener
     , private CallerListener
     , private PeerListener
+    , private PeerAgentListener
     , private HostLiveness
+    , private OrderOutcomePeers
     , private OperatorTarget
 {
 public:
@@ -76,8 +82,16 @@
     void onCallerBlocked(const RequestId &request, bool blocked) override;
 
     // PeerListener
+    void onPeerLinked(std::uint64_t link) override;
     void onPeerMessage(std::uint64_t link, const PeerMessage &message) override;
 
+    // OrderOutcomePeers
+    void offerOutcome(const OrderOutcome &outcome) override;
+
+    // PeerAgentListener
+    void onHostList(const std::vector<ListedHost> &hosts) override;
+    void onServerNotice(const ServerNotice &notice) override;
+    void beforeHeartbeat() override;
     // HostLiveness
     bool believedAlive(const HostId &host, Incarnation incarnation) const override;
     // OperatorTarget
@@ -87,10 +101,13 @@
 
     void applyConfiguration(const Configuration &configuration);
     void watchConfiguration();
-    void readHosts();
-    void heartbeat();
     void armTimer();
     void runLedger();
+    void startLedgerTimer();
+    void armNews();
+    void pollLoads();
+    void onLoadReport(const ServerId &server, const LoadReport &report);
+    void onLoadNews(const LoadNews &news);
     void finishShutdownIfIdle();
 
     EventLoop &loop;
@@ -102,27 +119,34 @@
     HttpClient httpClient;
     HttpObjectStore platform;
     BackendDirectory directory;
-    TwoChoicesPlacement placement;
+    WorkAheadPlacement placement;
     CrashGuard crashGuard;
     RequestController controller;
     OrderObjectLedger ledger;
     ConfigurationFollower follower;
     Membership membership;
+    LoadPoller loadPoller;
     HttpBackendClient backend;
     CallerApi callerApi;
     PeerMesh mesh;
+    PeerAgent agent;
+    ServerReturnProber returnProber;
+    EngineMemorySweeper memorySweeper;
     OperatorApi operatorApi;
     std::function<void()> drained;
     bool shuttingDown = false;
     bool destroying = false;
     bool platformReachable = true;
     std::uint64_t watchedVersion = 0; ///< Of the object that holds the configuration.
+    TimePoint quietSince;             ///< Since when a host that shuts down has nothing to do.
+    std::uint64_t drainedBytes = 0;
     std::function<void()> shutdownFinished;
     EventLoop::TimerHandle deadlineTimer;
     EventLoop::TimerHandle ledgerTimer; ///< Runs from the first order on.
     std::optional<TimePoint> ledgerGraceEnds;
-    EventLoop::TimerHandle heartbeatTimer;
-    EventLoop::TimerHandle hostsTimer;
+    EventLoop::TimerHandle loadTimer;
+    EventLoop::TimerHandle newsTimer;
+    bool newsArmed = false;
     EventLoop::TimerHandle watchTimer;
     EventLoop::TimerHandle graceTimer;
     EventLoop::TimerHandle drainTimer;
--- /dev/null
+++ b/src/entry_host/load_poller.cpp
@@ -0,0 +1,54 @@
+#include "entry_host/load_poller.h"
+
+#include "coordination/load_poll_plan.h"
+#include "coordination/load_report_codec.h"
+
+namespace dotterel {
+
+namespace {
+
+constexpr Duration PollTimeout = std::chrono::seconds(2);
+constexpr int StatusOk = 200;
+
+} // namespace
+
+LoadPoller::LoadPoller(HttpClient &client, HostId self, Callback callback)
+    : client(client)
+    , self(std::move(self))
+    , callback(std::move(callback))
+{}
+
+void LoadPoller::poll(const Configuration &configuration, const std::vector<HostId> &live)
+{
+    this->finished.clear();
+    for (const auto &[id, server] : configuration.servers) {
+        const auto pool = configuration.pools.find(server.pool);
+        const bool model =
+                pool != configuration.pools.end() && pool->second.kind == PoolKind::Model;
+        if (model && this->fetches.count(id) == 0 && pollsServer(id, this->self, live))
+            this->ask(server);
+    }
+}
+
+void LoadPoller::ask(const BackendServer &server)
+{
+    HttpRequest request;
+    request.endpoint = server.endpoint;
+    request.target = "/v1/load";
+    request.timeout = PollTimeout;
+    const ServerId id = server.id;
+    this->fetches[id] = std::make_unique<HttpFetch>(
+            this->client, request,
+            [this, id](const std::optional<HttpResponse> &response, const HttpFailure &) {
+                // The fetch may not be destroyed while it calls back.
+                this->finished[id] = std::move(this->fetches[id]);
+                this->fetches.erase(id);
+                if (!response || response->status != StatusOk)
+                    return;
+                const auto report = parseLoadReport(response->body);
+                if (report)
+                    this->callback(id, *report);
+            });
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/tests/entry_host/test_load_sharing.cpp
@@ -0,0 +1,69 @@
+#include "support/fleet.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace dotterel;
+using namespace dotterel::support;
+
+TEST_CASE("Entry hosts share what they know of load", "[EntryHost][LoadSharing]")
+{
+    Fleet fleet(FleetShape{});
+
+    SECTION("hosts that were not asked send work away from a busy server")
+    {
+        fakes::EngineBehaviour slow;
+        slow.prefillTokensPerSecond = 40'000;
+        for (std::size_t i = 0; i < 3; ++i)
+            fleet.engine(i).setBehaviour(slow);
+        const auto linked = [&fleet] {
+            for (std::size_t i = 0; i < fleet.hostCount(); ++i) {
+                if (nlohmann::json::parse(fleet.status(i)).at("peer_links") == 0)
+                    return false;
+            }
+            return true;
+        };
+        REQUIRE(fleet.runUntil(linked));
+        // A long prompt runs through host 0 while short ones go through the others.
+        bool longEnded = false;
+        HttpRequest request;
+        request.endpoint = fleet.host(0).callers();
+        request.method = "POST";
+        request.target = "/v1/completions";
+        request.headers = {{"X-Workspace", "harinal"}, {"X-Request-Class", "review"}};
+        request.body = std::make_shared<const std::string>(completionBody(80'000));
+        const HttpFetch fetch(fleet.httpClient(), request,
+                              [&longEnded](const std::optional<HttpResponse> &,
+                                           const HttpFailure &) { longEnded = true; });
+        const auto busyEngine = [&fleet] {
+            for (std::size_t i = 0; i < 3; ++i) {
+                if (fleet.engine(i).running() > 0)
+                    return i;
+            }
+            return std::size_t{3};
+        };
+        REQUIRE(fleet.runUntil([&busyEngine] { return busyEngine() < 3; }));
+        fleet.runFor(std::chrono::milliseconds(50));
+        const std::size_t busy = busyEngine();
+        const std::uint64_t before = fleet.engine(busy).started();
+        for (std::size_t i = 0; i < 6; ++i)
+            REQUIRE(fleet.ask(1 + i % 2, 1'000)->status == 200);
+        CHECK_FALSE(longEnded);
+        CHECK(fleet.engine(busy).started() == before);
+        CHECK(fleet.runUntil([&longEnded] { return longEnded; }));
+    }
+    SECTION("a server that says it drains in its load report gets no new work")
+    {
+        fakes::EngineBehaviour draining;
+        draining.draining = true;
+        fleet.engine(1).setBehaviour(draining);
+        const auto known = [&fleet] {
+            for (std::size_t i = 0; i < fleet.hostCount(); ++i) {
+                if (fleet.status(i).find("draining") == std::string::npos)
+                    return false;
+            }
+            return true;
+        };
+        CHECK(fleet.runUntil(known));
+    }
+}
