--- a/tests/bench/test_measurements_page.cpp
+++ b/tests/bench/test_measurements_page.cpp
@@ -51,12 +51,15 @@
             {"variants", TableKind::Policies}, {"reports", TableKind::Policies},
             {"chunks", TableKind::Policies},   {"weights", TableKind::Policies},
             {"faults", TableKind::Faults},     {"greed", TableKind::Faults},
-            {"storm", TableKind::Faults}};
+            {"storm", TableKind::Faults},      {"peers", TableKind::Policies}};
     const std::map<std::string, Lines> blocks = blocksOfPage();
     for (const std::string workload : {"harinal", "almacenes"}) {
         for (const auto &[name, kind] : kinds) {
             INFO(workload << " " << name);
-            const auto block = blocks.find(workload + "-" + name);
+            std::string blockName = workload;
+            blockName += "-";
+            blockName += name;
+            const auto block = blocks.find(blockName);
             REQUIRE(block != blocks.end());
             const Lines &lines = block->second;
             const Lines header = linesOf(reportTable(kind, {}));
