--- a/src/bench/bench_host.h
+++ b/src/bench/bench_host.h
@@ -55,7 +55,6 @@
     {}
     void releaseOrder(const OrderClaim & /*claim*/) override {}
     void announceCrash(const CrashNotice & /*notice*/) override {}
-    void pauseAttempt(const AttemptId & /*attempt*/, bool /*paused*/) override {}
     void deliverText(const RequestId & /*request*/, const std::string & /*text*/) override {}
     void finishAnswer(const RequestId &request, std::uint64_t tokens) override;
     void deliverServiceAnswer(const RequestId & /*request*/,
