Count requests of the retry test as sizes

Cause: clang-tidy found a multiplication of ints that is widened to unsigned long. Ruled out: a cast at the place; the constant is a count.

--- a/tests/coordination/test_request_timing.cpp
+++ b/tests/coordination/test_request_timing.cpp
@@ -125,11 +125,11 @@
     RequestLimits limits;
     limits.retryReserve = 5'000;
     ControllerBench bench(3, limits);
-    constexpr int Requests = 1'000;
+    constexpr std::size_t Requests = 1'000;
 
     SECTION("a storm of broken answers is refused by the budget, and counted")
     {
-        for (int i = 0; i < Requests; ++i) {
+        for (std::size_t i = 0; i < Requests; ++i) {
             const RequestId id = "r" + std::to_string(i);
             bench.submit(id);
             while (bench.callers[id].ends == 0)
@@ -143,7 +143,7 @@
     }
     SECTION("silent servers are waited for once the budget is spent")
     {
-        for (int i = 0; i < Requests; ++i)
+        for (std::size_t i = 0; i < Requests; ++i)
             bench.submit("r" + std::to_string(i));
         bench.pass(10s);
         CHECK(bench.sent.size() <= Requests + Requests / 10 + 5);
@@ -152,7 +152,7 @@
     }
     SECTION("attempts that did not run cost nothing")
     {
-        for (int i = 0; i < Requests; ++i) {
+        for (std::size_t i = 0; i < Requests; ++i) {
             const RequestId id = "r" + std::to_string(i);
             bench.submit(id);
             bench.fail(bench.last(id).attempt, Verdict::NotRun, Reason::BackendRefused);
