Link up to nine entry hosts all with each other

The links by rendezvous gave nine hosts 5.6 links on average. Change: up to 2 * OutgoingLinks + 1 members each opens links to those that follow it on a ring, one link a pair. Ruled out: relaying news one hop (more bytes and 10 ms more), more than four opened links (the bound stays). Conclusion: kept for today's size; above nine hosts news still reaches linked peers only.

--- a/src/coordination/member_topology.cpp
+++ b/src/coordination/member_topology.cpp
@@ -3,6 +3,7 @@
 #include "core/hashing.h"
 
 #include <algorithm>
+#include <map>
 
 namespace dotterel {
 
@@ -47,11 +48,36 @@
     from.erase(from.begin() + static_cast<std::ptrdiff_t>(position));
 }
 
+/// Links \a self to those that follow it on the ring of all \a members, so that each pair has one
+/// link. News of dispatches then reaches every host at once.
+std::vector<MemberRecord> linkAll(const HostIdentity &self,
+                                  const std::vector<MemberRecord> &members)
+{
+    std::map<std::uint64_t, const MemberRecord *> ring;
+    for (const MemberRecord &member : members)
+        ring[hash64(member.identity.host)] = &member;
+    const std::uint64_t own = hash64(self.host);
+    std::vector<MemberRecord> chosen;
+    auto next = ring.upper_bound(own);
+    for (std::size_t distance = 1; 2 * distance <= ring.size() && ring.size() > 1; ++distance) {
+        if (next == ring.end())
+            next = ring.begin();
+        // Of two opposite members the one with the lower hash opens the link.
+        const bool opposite = 2 * distance == ring.size();
+        if (!opposite || own < next->first)
+            chosen.push_back(*next->second);
+        ++next;
+    }
+    return chosen;
+}
+
 } // namespace
 
 std::vector<MemberRecord> chooseLinks(const HostIdentity &self,
                                       const std::vector<MemberRecord> &members)
 {
+    if (members.size() <= 2 * OutgoingLinks + 1)
+        return linkAll(self, members);
     Candidates near;
     Candidates far;
     for (const MemberRecord &member : members) {
--- a/tests/coordination/test_member_topology.cpp
+++ b/tests/coordination/test_member_topology.cpp
@@ -66,6 +66,13 @@
     for (const MemberRecord &member : members)
         CHECK(chooseLinks(member.identity, members).size() <= OutgoingLinks);
 
+    SECTION("and few members are all linked to each other")
+    {
+        if (hosts <= 2 * OutgoingLinks + 1) {
+            for (const auto &[host, linked] : graph)
+                CHECK(linked.size() == hosts - 1);
+        }
+    }
     SECTION("also within each failure domain and without it")
     {
         for (std::size_t domain = 0; domain < std::min(domains, hosts); ++domain) {
