Run prompts that are larger than one engine's memory on several engines

Cause: the placement named several servers, but the whole prompt went to the first; MemoryGroup was called by nothing. Change: GroupBackendClient carries out MemoryGroup's steps over HTTP beneath the request control: reserve all or none, process the parts in turn with export and import, generate on the last, release. The stand-in engine refuses a prompt above its memory and checks that a part's context was imported. Ruled out: a further phase in RequestController; cancel, deadline and retry hold for a group as for any attempt. After a caller that leaves, a killed host and frozen engines, all engines' accounting is back at zero within the 8 s that the test allows.

--- a/src/coordination/request.h
+++ b/src/coordination/request.h
@@ -43,8 +43,10 @@
     AttemptId attempt;
     PoolKind kind = PoolKind::Model;
     BackendServer server;
-    std::int64_t priority = 0;  ///< A lower number runs first.
-    std::uint64_t resumeAt = 0; ///< Index of the first token that is still missing.
+    std::vector<BackendServer> others; ///< That share a prompt too long for one engine's memory.
+    std::string allocation;            ///< Memory prepared for the prompt; empty if there is none.
+    std::int64_t priority = 0;         ///< A lower number runs first.
+    std::uint64_t resumeAt = 0;        ///< Index of the first token that is still missing.
     TimePoint deadline;
     const Request *request = nullptr; ///< Valid during the call only.
 };
--- a/src/coordination/request_dispatch.cpp
+++ b/src/coordination/request_dispatch.cpp
@@ -91,6 +91,8 @@
     order.attempt = entry.attempt;
     order.kind = entry.kind;
     order.server = *this->directory.find(choice.server);
+    for (const ServerId &other : choice.others)
+        order.others.push_back(*this->directory.find(other));
     order.priority = choice.priority;
     order.resumeAt = entry.nextIndex;
     order.deadline = entry.deadline;
--- a/src/entry_host/entry_host.h
+++ b/src/entry_host/entry_host.h
@@ -10,7 +10,7 @@
 #include "entry_host/caller_api.h"
 #include "entry_host/configuration_feed.h"
 #include "entry_host/engine_memory_sweeper.h"
-#include "entry_host/http_backend_client.h"
+#include "entry_host/group_backend_client.h"
 #include "entry_host/load_poller.h"
 #include "entry_host/operator_api.h"
 #include "entry_host/peer_agent.h"
@@ -125,7 +125,7 @@
     ConfigurationFeed configuration;
     Membership membership;
     LoadPoller loadPoller;
-    HttpBackendClient backend;
+    GroupBackendClient backend;
     CallerApi callerApi;
     PeerMesh mesh;
     PeerAgent agent;
--- /dev/null
+++ b/src/entry_host/group_backend_client.cpp
@@ -0,0 +1,284 @@
+#include "entry_host/group_backend_client.h"
+
+#include "protocol/engine_memory.h"
+
+#include <algorithm>
+
+namespace dotterel {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr Duration ReleasePause = std::chrono::milliseconds(200);
+constexpr Duration ReserveTimeout = std::chrono::seconds(2);
+constexpr Duration ReleaseTimeout = std::chrono::milliseconds(1'500);
+constexpr int MostReleaseTries = 5; ///< After that the sweeper of the engine releases the part.
+constexpr Duration RetryAfterMemory = std::chrono::seconds(2);
+const std::string AllocationsPath = "/v1/allocations/";
+
+/// Returns the candidates of \a order, each for an equal part of the prompt, or less if it has
+/// less memory.
+std::vector<GroupCandidate> candidatesOf(const AttemptOrder &order)
+{
+    std::vector<BackendServer> servers = order.others;
+    servers.push_back(order.server);
+    const std::uint64_t equal = (order.request->promptTokens + servers.size() - 1) / servers.size();
+    std::vector<GroupCandidate> candidates;
+    candidates.reserve(servers.size());
+    for (const BackendServer &server : servers)
+        candidates.push_back({server.id, std::min(equal, server.memoryTokens)});
+    return candidates;
+}
+
+} // namespace
+
+/// One attempt on several engines.
+struct GroupBackendClient::Group
+{
+    AttemptOrder order;
+    Request request;
+    std::optional<MemoryGroup> memory; ///< None if the servers cannot hold the prompt.
+    std::map<ServerId, BackendServer> servers;
+    std::unique_ptr<HttpFetch> fetch;
+    EventLoop::TimerHandle timer;
+    bool ended = false; ///< The listener needs to hear no more.
+    int releaseTries = 0;
+
+    const BackendServer &serverOf(const GroupPart &part) const
+    {
+        return this->servers.at(part.server);
+    }
+};
+
+GroupBackendClient::GroupBackendClient(EventLoop &loop, HttpClient &client,
+                                       const HostIdentity &identity, AttemptListener &listener)
+    : loop(loop)
+    , client(client)
+    , identity(identity)
+    , listener(listener)
+    , single(loop, client, identity, *this)
+{}
+
+GroupBackendClient::~GroupBackendClient() = default;
+
+void GroupBackendClient::send(const AttemptOrder &order)
+{
+    if (order.others.empty() || order.kind != PoolKind::Model) {
+        this->single.send(order);
+        return;
+    }
+    std::unique_ptr<Group> &group = this->groups[order.attempt];
+    group = std::make_unique<Group>();
+    group->order = order;
+    group->request = *order.request;
+    group->memory =
+            MemoryGroup::form(order.attempt, order.request->promptTokens, candidatesOf(order));
+    group->servers[order.server.id] = order.server;
+    for (const BackendServer &other : order.others)
+        group->servers[other.id] = other;
+    // The listener must not hear of a failure inside its own call.
+    this->later(*group, Duration::zero());
+}
+
+void GroupBackendClient::pause(const AttemptId &attempt, bool paused)
+{
+    this->single.pause(attempt, paused);
+}
+
+void GroupBackendClient::cancel(const AttemptId &attempt)
+{
+    this->single.cancel(attempt);
+    const auto found = this->groups.find(attempt);
+    if (found == this->groups.end())
+        return;
+    Group &group = *found->second;
+    group.ended = true;
+    group.fetch.reset();
+    if (group.memory)
+        group.memory->abandon();
+    this->later(group, Duration::zero());
+}
+
+void GroupBackendClient::onToken(const AttemptId &attempt, const AnswerToken &token)
+{
+    this->listener.onToken(attempt, token);
+}
+
+void GroupBackendClient::onAnswerEnd(const AttemptId &attempt, const AnswerEnd &end)
+{
+    const auto found = this->groups.find(attempt);
+    if (found != this->groups.end() && end.attempt == attempt) {
+        found->second->ended = true;
+        found->second->memory->onDone();
+        this->later(*found->second, Duration::zero());
+    }
+    this->listener.onAnswerEnd(attempt, end);
+}
+
+void GroupBackendClient::onServiceAnswer(const AttemptId &attempt, const ServiceAnswer &answer)
+{
+    this->listener.onServiceAnswer(attempt, answer);
+}
+
+void GroupBackendClient::onAttemptFailed(const AttemptId &attempt, const AttemptFailure &failure)
+{
+    const auto found = this->groups.find(attempt);
+    if (found != this->groups.end()) {
+        found->second->ended = true;
+        found->second->memory->onFailed(false);
+        this->later(*found->second, Duration::zero());
+    }
+    this->listener.onAttemptFailed(attempt, failure);
+}
+
+void GroupBackendClient::later(Group &group, Duration delay)
+{
+    group.timer = this->loop.after(
+            delay, [this, attempt = group.order.attempt] { this->advance(attempt); });
+}
+
+void GroupBackendClient::advance(const AttemptId &attempt)
+{
+    const auto found = this->groups.find(attempt);
+    if (found == this->groups.end())
+        return;
+    Group &group = *found->second;
+    if (!group.memory) {
+        this->report(group);
+        this->groups.erase(attempt);
+        return;
+    }
+    const std::optional<GroupAction> action = group.memory->next();
+    if (!action || group.releaseTries >= MostReleaseTries) {
+        this->groups.erase(found);
+        return;
+    }
+    const GroupPart &part = group.memory->parts()[action->part];
+    switch (action->kind) {
+    case GroupActionKind::Reserve:
+        this->reserve(group, part);
+        return;
+    case GroupActionKind::Prefill:
+        this->prefill(group, action->part);
+        return;
+    case GroupActionKind::Generate:
+        this->generate(group);
+        return;
+    case GroupActionKind::Release:
+        this->release(group, part);
+        return;
+    }
+}
+
+void GroupBackendClient::reserve(Group &group, const GroupPart &part)
+{
+    HttpRequest request = this->requestFor(group, part, "PUT");
+    const Duration timeToLive = request.timeout;
+    request.timeout = std::min(timeToLive, ReserveTimeout);
+    EngineAllocation allocation;
+    allocation.id = part.allocation;
+    allocation.host = this->identity.host;
+    allocation.incarnation = this->identity.incarnation;
+    allocation.request = group.request.id;
+    allocation.tokens = part.tokens;
+    allocation.timeToLive = timeToLive;
+    request.body = std::make_shared<const std::string>(encodeReservation(allocation));
+    this->call(group, request);
+}
+
+void GroupBackendClient::prefill(Group &group, std::size_t position)
+{
+    const GroupPart &part = group.memory->parts()[position];
+    HttpRequest request = this->requestFor(group, part, "POST");
+    request.target += "/prefill";
+    request.headers = {{"Content-Type", "application/json"},
+                       {"X-Priority", std::to_string(group.order.priority)},
+                       {"X-First-Token", std::to_string(part.firstToken)},
+                       {"X-Tokens", std::to_string(part.tokens)}};
+    if (position > 0) {
+        const GroupPart &previous = group.memory->parts()[position - 1];
+        request.headers.emplace_back("X-Import-From", group.serverOf(previous).endpoint.text() + "/"
+                                                              + previous.allocation);
+    }
+    request.body = group.request.body;
+    this->call(group, request);
+}
+
+void GroupBackendClient::generate(Group &group)
+{
+    const GroupPart &last = group.memory->parts().back();
+    AttemptOrder order = group.order;
+    order.server = group.serverOf(last);
+    order.allocation = last.allocation;
+    order.request = &group.request;
+    this->single.send(order);
+}
+
+void GroupBackendClient::release(Group &group, const GroupPart &part)
+{
+    HttpRequest request = this->requestFor(group, part, "DELETE");
+    request.timeout = ReleaseTimeout;
+    this->call(group, request);
+}
+
+void GroupBackendClient::call(Group &group, const HttpRequest &request)
+{
+    group.fetch = std::make_unique<HttpFetch>(
+            this->client, request,
+            [this, attempt = group.order.attempt](const std::optional<HttpResponse> &response,
+                                                  const HttpFailure &failure) {
+                const bool done = response && response->status == StatusOk;
+                const bool refused = response ? response->header("X-Not-Run") == "true"
+                                              : failure.verdict == Verdict::NotRun;
+                this->onCalled(attempt, done, refused);
+            });
+}
+
+void GroupBackendClient::onCalled(const AttemptId &attempt, bool done, bool refused)
+{
+    const auto found = this->groups.find(attempt);
+    if (found == this->groups.end())
+        return;
+    Group &group = *found->second;
+    const bool releasing = group.memory->outcome() != GroupOutcome::Pending;
+    if (done)
+        group.memory->onDone();
+    else
+        group.memory->onFailed(refused);
+    if (releasing && !done)
+        ++group.releaseTries;
+    // The fetch that is calling must not be replaced inside its own callback.
+    this->later(group, releasing && !done ? ReleasePause : Duration::zero());
+    if (!done)
+        this->report(group);
+}
+
+void GroupBackendClient::report(Group &group)
+{
+    if (group.ended)
+        return;
+    group.ended = true;
+    const bool unavailable =
+            !group.memory || group.memory->outcome() == GroupOutcome::MemoryUnavailable;
+    // No token was generated in either case; prefill alone changes nothing outside the engine.
+    AttemptFailure failure;
+    failure.failure = {Verdict::NotRun,
+                       unavailable ? Reason::MemoryUnavailable : Reason::BackendFailed,
+                       unavailable ? "the engines have too little free memory for the prompt"
+                                   : "an engine failed while the prompt was processed in parts",
+                       RetryAfterMemory};
+    this->listener.onAttemptFailed(group.order.attempt, failure);
+}
+
+HttpRequest GroupBackendClient::requestFor(const Group &group, const GroupPart &part,
+                                           const std::string &method) const
+{
+    HttpRequest request;
+    request.endpoint = group.serverOf(part).endpoint;
+    request.method = method;
+    request.target = AllocationsPath + part.allocation;
+    request.timeout = std::max<Duration>(group.order.deadline - this->loop.now(), Duration(1'000));
+    return request;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/entry_host/group_backend_client.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "coordination/memory_group.h"
+#include "entry_host/http_backend_client.h"
+
+#include <map>
+#include <memory>
+
+namespace dotterel {
+
+/// Runs attempts at prompts that are larger than one engine's memory on several engines, and passes
+/// all other attempts on. MemoryGroup decides each step:
+///
+/// - `PUT /v1/allocations/ID` reserves a part's memory; 409 with `X-Not-Run` refuses it.
+/// - `POST /v1/allocations/ID/prefill` with the prompt, `X-First-Token`, `X-Tokens` and, from the
+///   second part on, `X-Import-From` (address:port/ID of the part before, which exports its KV
+///   cache): 200 when the part has been processed.
+/// - the completion goes to the last part's server, with `X-Allocation`.
+/// - `DELETE /v1/allocations/ID` releases a part, as often as needed.
+class GroupBackendClient
+    : public BackendClient
+    , private AttemptListener
+{
+public:
+    GroupBackendClient(EventLoop &loop, HttpClient &client, const HostIdentity &identity,
+                       AttemptListener &listener);
+    ~GroupBackendClient() override;
+
+    void send(const AttemptOrder &order) override;
+    void pause(const AttemptId &attempt, bool paused) override;
+    void cancel(const AttemptId &attempt) override;
+
+private:
+    struct Group;
+
+    // AttemptListener, of the attempts that generate.
+    void onToken(const AttemptId &attempt, const AnswerToken &token) override;
+    void onAnswerEnd(const AttemptId &attempt, const AnswerEnd &end) override;
+    void onServiceAnswer(const AttemptId &attempt, const ServiceAnswer &answer) override;
+    void onAttemptFailed(const AttemptId &attempt, const AttemptFailure &failure) override;
+
+    void later(Group &group, Duration delay);
+    void advance(const AttemptId &attempt);
+    void generate(Group &group);
+    void reserve(Group &group, const GroupPart &part);
+    void prefill(Group &group, std::size_t position);
+    void release(Group &group, const GroupPart &part);
+    void call(Group &group, const HttpRequest &request);
+    void onCalled(const AttemptId &attempt, bool done, bool refused);
+    void report(Group &group);
+    HttpRequest requestFor(const Group &group, const GroupPart &part,
+                           const std::string &method) const;
+
+    EventLoop &loop;
+    HttpClient &client;
+    HostIdentity identity;
+    AttemptListener &listener;
+    HttpBackendClient single;
+    std::map<AttemptId, std::unique_ptr<Group>> groups;
+};
+
+} // namespace dotterel
--- a/src/entry_host/http_backend_client.cpp
+++ b/src/entry_host/http_backend_client.cpp
@@ -188,6 +188,10 @@
         request.headers.emplace_back("Accept", "text/event-stream");
         request.headers.emplace_back("X-Priority", std::to_string(order.priority));
         request.headers.emplace_back("X-Resume-At", std::to_string(order.resumeAt));
+        request.headers.emplace_back("X-Prompt-Tokens",
+                                     std::to_string(order.request->promptTokens));
+        if (!order.allocation.empty())
+            request.headers.emplace_back("X-Allocation", order.allocation);
         request.headers.emplace_back("X-Host", this->identity.host);
         request.headers.emplace_back("X-Incarnation", std::to_string(this->identity.incarnation));
     } else {
--- /dev/null
+++ b/tests/entry_host/test_group_backend_client.cpp
@@ -0,0 +1,149 @@
+#include "support/fleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dotterel;
+using namespace dotterel::support;
+
+namespace {
+
+constexpr std::uint64_t HugePrompt = 900'000; ///< Over twice one engine's memory.
+constexpr std::size_t Engines = 6;
+constexpr double ReviewDeadlineSeconds = 30; ///< Of the class in Fleet.
+
+FleetShape shapeOf(std::size_t engines)
+{
+    FleetShape shape;
+    shape.engines = engines;
+    return shape;
+}
+
+std::uint64_t memoryHeld(Fleet &fleet, std::size_t engines)
+{
+    std::uint64_t tokens = 0;
+    for (std::size_t i = 0; i < engines; ++i)
+        tokens += fleet.engine(i).memoryHeld();
+    return tokens;
+}
+
+void setSpeed(Fleet &fleet, std::size_t engines, double tokensPerSecond)
+{
+    fakes::EngineBehaviour behaviour;
+    behaviour.prefillTokensPerSecond = tokensPerSecond;
+    for (std::size_t i = 0; i < engines; ++i)
+        fleet.engine(i).setBehaviour(behaviour);
+}
+
+/// A huge prompt that is under way.
+struct PendingPrompt
+{
+    std::optional<HttpResponse> answer;
+    bool done = false;
+    std::unique_ptr<HttpFetch> fetch;
+};
+
+std::unique_ptr<PendingPrompt> begin(Fleet &fleet, std::size_t host)
+{
+    HttpRequest request;
+    request.endpoint = fleet.host(host).callers();
+    request.method = "POST";
+    request.target = "/v1/completions";
+    request.headers = {{"X-Workspace", "harinal"}, {"X-Request-Class", "review"}};
+    request.body = std::make_shared<const std::string>(completionBody(HugePrompt));
+    auto pending = std::make_unique<PendingPrompt>();
+    PendingPrompt *const raw = pending.get();
+    pending->fetch = std::make_unique<HttpFetch>(
+            fleet.httpClient(), request,
+            [raw](const std::optional<HttpResponse> &response, const HttpFailure &) {
+                raw->answer = response;
+                raw->done = true;
+            });
+    return pending;
+}
+
+bool isWhole(const std::optional<HttpResponse> &answer)
+{
+    return answer && answer->status == 200
+           && answer->body.find("data: [DONE]") != std::string::npos;
+}
+
+bool memoryReturns(Fleet &fleet, std::size_t engines)
+{
+    return fleet.runUntil([&] { return memoryHeld(fleet, engines) == 0; }, std::chrono::seconds(8));
+}
+
+} // namespace
+
+TEST_CASE("A prompt larger than one engine runs on several", "[EntryHost][GroupBackendClient]")
+{
+    Fleet fleet(shapeOf(Engines));
+    setSpeed(fleet, Engines, 4'000'000);
+
+    SECTION("and its caller gets the whole answer, and all memory comes back")
+    {
+        CHECK(isWhole(fleet.ask(0, HugePrompt, "review")));
+        CHECK(memoryReturns(fleet, Engines));
+    }
+    SECTION("two at once through different hosts never wait for each other for ever")
+    {
+        const std::unique_ptr<PendingPrompt> first = begin(fleet, 0);
+        const std::unique_ptr<PendingPrompt> second = begin(fleet, 1);
+        REQUIRE(fleet.runUntil([&] { return first->done && second->done; },
+                               std::chrono::seconds(30)));
+        CHECK((isWhole(first->answer) || isWhole(second->answer)));
+        for (const PendingPrompt *prompt : {first.get(), second.get()}) {
+            REQUIRE(prompt->answer);
+            if (!isWhole(prompt->answer))
+                CHECK(prompt->answer->body.find("\"verdict\":\"not_run\"") != std::string::npos);
+        }
+        CHECK(memoryReturns(fleet, Engines));
+    }
+    SECTION("a short question is answered while a group works")
+    {
+        setSpeed(fleet, Engines, 400'000);
+        const std::unique_ptr<PendingPrompt> huge = begin(fleet, 0);
+        REQUIRE(fleet.runUntil([&] { return memoryHeld(fleet, Engines) > 0; }));
+        CHECK(isWhole(fleet.ask(1, 1'000)));
+        CHECK_FALSE(huge->done);
+    }
+    SECTION("while its parts are processed")
+    {
+        setSpeed(fleet, Engines, 400'000);
+        std::unique_ptr<PendingPrompt> huge = begin(fleet, 0);
+        REQUIRE(fleet.runUntil([&] { return memoryHeld(fleet, Engines) >= HugePrompt; }));
+
+        SECTION("the caller leaves, and all memory comes back")
+        {
+            huge.reset();
+            CHECK(memoryReturns(fleet, Engines));
+        }
+        SECTION("its host dies, and another one sweeps the memory")
+        {
+            fleet.killHost(0);
+            CHECK(memoryReturns(fleet, Engines));
+        }
+        SECTION("two engines freeze, and the request ends by its deadline")
+        {
+            fakes::EngineBehaviour frozen;
+            frozen.frozen = true;
+            for (std::size_t i = 0; i < 2; ++i)
+                fleet.engine(i).setBehaviour(frozen);
+            REQUIRE(fleet.runUntil([&] { return huge->done; },
+                                   fromSeconds(ReviewDeadlineSeconds + 1)));
+            setSpeed(fleet, Engines, 400'000);
+            CHECK(memoryReturns(fleet, Engines));
+        }
+    }
+}
+
+TEST_CASE("A prompt that the engines cannot hold is refused at once",
+          "[EntryHost][GroupBackendClient]")
+{
+    Fleet fleet(shapeOf(2));
+    const std::optional<HttpResponse> answer = fleet.ask(0, HugePrompt, "review");
+    REQUIRE(answer);
+    CHECK(answer->status == 503);
+    CHECK(answer->header("Retry-After") != "");
+    CHECK(answer->body.find("\"verdict\":\"not_run\"") != std::string::npos);
+    CHECK(memoryHeld(fleet, 2) == 0);
+}
--- a/tests/fakes/fake_engine.cpp
+++ b/tests/fakes/fake_engine.cpp
@@ -16,6 +16,7 @@
 
 FakeEngine::FakeEngine(EventLoop &loop, const Endpoint &endpoint, const EngineBehaviour &behaviour)
     : loop(loop)
+    , client(loop)
     , behaviour(behaviour)
     , server(loop, endpoint, MostBodyBytes,
              [this](const HttpExchangePointer &exchange) { this->handle(exchange); })
@@ -67,10 +68,16 @@
         return;
     }
     const std::string id = exchange->header("X-Attempt-Id");
+    const std::string prepared = exchange->header("X-Allocation");
+    const std::uint64_t tokens =
+            std::strtoull(exchange->header("X-Prompt-Tokens").c_str(), nullptr, 10);
+    if (!this->admitMemory(exchange, prepared, tokens))
+        return;
     Attempt attempt;
     attempt.exchange = exchange;
     attempt.priority = std::atoll(exchange->header("X-Priority").c_str());
-    attempt.promptTokens = std::max<std::uint64_t>(1, body.size() / BytesPerToken);
+    attempt.promptTokens =
+            prepared.empty() ? std::max<std::uint64_t>(1, body.size() / BytesPerToken) : 1;
     attempt.nextIndex = std::strtoull(exchange->header("X-Resume-At").c_str(), nullptr, 10);
     // Only the work stops with the connection; the memory waits for the attempt to be resumed.
     exchange->onClosed([this, id] { this->cancel(id); });
@@ -80,7 +87,8 @@
             id,
             attempt.promptTokens,
             std::strtoull(exchange->header("X-Time-To-Live-Ms").c_str(), nullptr, 10),
-            this->loop.now()};
+            this->loop.now(),
+            0};
     this->attempts[id] = std::move(attempt);
     this->queue.push_back(id);
     ++this->startedCount;
@@ -156,9 +164,80 @@
     return tokens;
 }
 
-void FakeEngine::handleMemory(const HttpExchangePointer &exchange, const std::string &id)
+bool FakeEngine::admitMemory(const HttpExchangePointer &exchange, const std::string &allocation,
+                             std::uint64_t promptTokens)
+{
+    const auto prepared = this->allocations.find(allocation);
+    const bool whole = allocation.empty()
+                               ? promptTokens <= this->behaviour.memoryTokens
+                               : prepared != this->allocations.end()
+                                         && prepared->second.contextTokens == promptTokens;
+    if (!whole)
+        exchange->reply(409, {{"X-Not-Run", "true"}}, "");
+    return whole;
+}
+
+void FakeEngine::prefillPart(const HttpExchangePointer &exchange, const std::string &id)
+{
+    const std::string source = exchange->header("X-Import-From");
+    if (source.empty()) {
+        this->finishPart(exchange, id, 0);
+        return;
+    }
+    const std::size_t colon = source.find(':');
+    const std::size_t slash = source.find('/');
+    HttpRequest request;
+    request.endpoint.address = source.substr(0, colon);
+    request.endpoint.port = static_cast<std::uint16_t>(std::stoul(source.substr(colon + 1)));
+    request.target = MemoryPath + source.substr(slash) + "/export";
+    request.timeout = std::chrono::seconds(5);
+    const auto place = this->imports.emplace(this->imports.end());
+    *place = std::make_unique<HttpFetch>(
+            this->client, request,
+            [this, place, exchange, id](const std::optional<HttpResponse> &response,
+                                        const HttpFailure &) {
+                this->loop.disposeLater(std::shared_ptr<HttpFetch>(std::move(*place)));
+                this->imports.erase(place);
+                if (response && response->status == 200)
+                    this->finishPart(exchange, id, std::stoull(response->body));
+                else
+                    exchange->reply(502, {}, "");
+            });
+}
+
+void FakeEngine::finishPart(const HttpExchangePointer &exchange, const std::string &id,
+                            std::uint64_t importedTokens)
+{
+    const std::uint64_t first =
+            std::strtoull(exchange->header("X-First-Token").c_str(), nullptr, 10);
+    const std::uint64_t tokens = std::strtoull(exchange->header("X-Tokens").c_str(), nullptr, 10);
+    const auto found = this->allocations.find(id);
+    if (found == this->allocations.end() || found->second.tokens < tokens
+        || first != importedTokens) {
+        exchange->reply(409, {{"X-Not-Run", "true"}}, "");
+        return;
+    }
+    const double seconds = static_cast<double>(tokens) / this->behaviour.prefillTokensPerSecond;
+    const auto place = this->partTimers.emplace(this->partTimers.end());
+    *place = this->loop.after(fromSeconds(seconds), [this, exchange, id, first, tokens, place] {
+        const auto allocation = this->allocations.find(id);
+        if (allocation != this->allocations.end())
+            allocation->second.contextTokens = first + tokens;
+        exchange->reply(allocation == this->allocations.end() ? 409 : 200, {}, "");
+        this->partTimers.erase(place);
+    });
+}
+
+void FakeEngine::handleMemory(const HttpExchangePointer &exchange, const std::string &rest)
 {
-    if (exchange->method() == "GET") {
+    const std::string id = rest.substr(0, rest.find('/'));
+    const std::string verb = rest.size() > id.size() ? rest.substr(id.size() + 1) : "";
+    const auto exported = this->allocations.find(id);
+    if (verb == "prefill") {
+        this->prefillPart(exchange, id);
+    } else if (verb == "export" && exported != this->allocations.end()) {
+        exchange->reply(200, {}, std::to_string(exported->second.contextTokens));
+    } else if (exchange->method() == "GET") {
         exchange->reply(200, {{"Content-Type", "application/json"}}, this->listAllocations());
     } else if (exchange->method() == "PUT") {
         this->reserve(exchange, id);
@@ -184,7 +263,8 @@
                              json.at("request").get<std::string>(),
                              tokens,
                              json.at("time_to_live_ms").get<std::uint64_t>(),
-                             this->loop.now()};
+                             this->loop.now(),
+                             0};
     exchange->reply(200, {}, "");
 }
 
--- a/tests/fakes/fake_engine.h
+++ b/tests/fakes/fake_engine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/engine_stream.h"
+#include "transport/http_client.h"
 #include "transport/http_server.h"
 
 #include <list>
@@ -19,7 +20,7 @@
     std::uint64_t cutAfterTokens = 0;     ///< Breaks each stream there; 0 never does.
     bool draining = false;                ///< Refuses new work, promising that it did not run.
     bool frozen = false;                  ///< Accepts connections and answers nothing.
-    std::uint64_t memoryTokens = 400'000; ///< KV memory of reservations and attempts together.
+    std::uint64_t memoryTokens = 400'000; ///< KV memory; a longer prompt alone is refused.
     std::string crashMarker;              ///< A body that contains it stops the engine.
 };
 
@@ -55,6 +56,7 @@
         std::uint64_t tokens = 0;
         std::uint64_t timeToLiveMilliseconds = 0;
         TimePoint since;
+        std::uint64_t contextTokens = 0; ///< Leading tokens of the prompt that are processed.
     };
     struct Attempt
     {
@@ -68,14 +70,22 @@
     void handle(const HttpExchangePointer &exchange);
     void complete(const HttpExchangePointer &exchange);
     void cancel(const std::string &attempt);
-    void handleMemory(const HttpExchangePointer &exchange, const std::string &id);
+    void handleMemory(const HttpExchangePointer &exchange, const std::string &rest);
     void reserve(const HttpExchangePointer &exchange, const std::string &id);
+    void prefillPart(const HttpExchangePointer &exchange, const std::string &id);
+    void finishPart(const HttpExchangePointer &exchange, const std::string &id,
+                    std::uint64_t importedTokens);
+    bool admitMemory(const HttpExchangePointer &exchange, const std::string &allocation,
+                     std::uint64_t promptTokens);
     std::string listAllocations() const;
     void startNextPrefill();
     void sendToken(const std::string &attempt);
     std::uint64_t queuedTokens() const;
 
     EventLoop &loop;
+    HttpClient client; ///< Fetches KV cache that other engines export.
+    std::list<std::unique_ptr<HttpFetch>> imports;
+    std::list<EventLoop::TimerHandle> partTimers;
     EngineBehaviour behaviour;
     std::map<std::string, Attempt> attempts;
     std::map<std::string, Allocation> allocations; ///< By unique id; of an attempt, the attempt's.
