--- a/tests/entry_host/test_group_backend_client.cpp
+++ b/tests/entry_host/test_group_backend_client.cpp
@@ -143,7 +143,7 @@
     const std::optional<HttpResponse> answer = fleet.ask(0, HugePrompt, "review");
     REQUIRE(answer);
     CHECK(answer->status == 503);
-    CHECK(answer->header("Retry-After") != "");
+    CHECK_FALSE(answer->header("Retry-After").empty());
     CHECK(answer->body.find("\"verdict\":\"not_run\"") != std::string::npos);
     CHECK(memoryHeld(fleet, 2) == 0);
 }
