Leave an engine without free memory out of a group's next try

One engine held a prompt of 250,000 tokens; each of the four attempts asked it again, since the attempt's first server was excluded in place of the one that refused. With that mended the next try was refused as deadline_unreachable: parts that had ended before their first token still counted as arriving work of shorter prompts. Ruled out: a leak of reservations (the accounting was zero after each try), more attempts, a pause before the next one. Change: an AttemptFailure names the server of a group that failed; work that ends before its first token is taken out of the rate of arriving work.

--- a/src/coordination/load_estimate.cpp
+++ b/src/coordination/load_estimate.cpp
@@ -88,6 +88,11 @@
     if (found == this->entries.end())
         return;
     this->noteLost(*found, now);
+    // Work that ended before its first token does not tell what the server will be asked for.
+    if (!found->prefilled) {
+        double &arriving = this->arrivingSeconds[bandIndex(found->work.tokens)];
+        arriving = std::max(0.0, arriving - found->work.seconds);
+    }
     this->entries.erase(found);
 }
 
--- a/src/coordination/request.h
+++ b/src/coordination/request.h
@@ -91,6 +91,7 @@
 {
     Failure failure;
     ServerFault fault = ServerFault::None;
+    ServerId server{}; ///< Of a group, the one that failed; empty for the attempt's own.
 };
 
 } // namespace dotterel
--- a/src/coordination/request_controller.cpp
+++ b/src/coordination/request_controller.cpp
@@ -187,7 +187,7 @@
                      {"reason", std::string(reasonInfo(failure.failure.reason).name)},
                      {"verdict", std::string(verdictName(failure.failure.verdict))}});
     this->noteFault(*entry, failure, now);
-    entry->excluded.push_back(entry->server);
+    entry->excluded.push_back(failure.server.empty() ? entry->server : failure.server);
     entry->verdict = std::max(entry->verdict, failure.failure.verdict);
     this->endAttempt(*entry, now);
     this->retryOrRefuse(*entry, failure, now);
--- a/src/entry_host/group_backend_client.cpp
+++ b/src/entry_host/group_backend_client.cpp
@@ -41,6 +41,7 @@
     std::map<ServerId, BackendServer> servers;
     std::unique_ptr<HttpFetch> fetch;
     EventLoop::TimerHandle timer;
+    ServerId failed;    ///< Server of the step that failed.
     bool ended = false; ///< The listener needs to hear no more.
     int releaseTries = 0;
 
@@ -241,6 +242,9 @@
         return;
     Group &group = *found->second;
     const bool releasing = group.memory->outcome() != GroupOutcome::Pending;
+    const std::optional<GroupAction> action = group.memory->next();
+    if (!done && !releasing && action)
+        group.failed = group.memory->parts()[action->part].server;
     if (done)
         group.memory->onDone();
     else
@@ -267,6 +271,7 @@
                        unavailable ? "the engines have too little free memory for the prompt"
                                    : "an engine failed while the prompt was processed in parts",
                        RetryAfterMemory};
+    failure.server = group.failed;
     this->listener.onAttemptFailed(group.order.attempt, failure);
 }
 
--- a/tests/entry_host/test_group_backend_client.cpp
+++ b/tests/entry_host/test_group_backend_client.cpp
@@ -84,6 +84,19 @@
         CHECK(isWhole(fleet.ask(0, HugePrompt, "review")));
         CHECK(memoryReturns(fleet, Engines));
     }
+    SECTION("and an engine with too little free memory is left out of the next try")
+    {
+        fakes::EngineBehaviour small;
+        small.memoryTokens = 100'000;
+        for (std::size_t i = 0; i < Engines; ++i) {
+            setSpeed(fleet, Engines, 4'000'000);
+            fleet.engine(i).setBehaviour(small);
+            const std::optional<HttpResponse> answer =
+                    fleet.ask(i % fleet.hostCount(), HugePrompt, "review");
+            CAPTURE(i, answer->body);
+            CHECK(isWhole(answer));
+        }
+    }
     SECTION("two at once through different hosts never wait for each other for ever")
     {
         const std::unique_ptr<PendingPrompt> first = begin(fleet, 0);
