--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -46,6 +46,8 @@
             {Reason::TooManyRequests, "too_many_requests", 429, true},
             {Reason::RetryBudgetExhausted, "retry_budget_exhausted", 503, true},
             {Reason::CallerTooSlow, "caller_too_slow", 408, false},
+            {Reason::UnknownRoute, "unknown_route", 404, false},
+            {Reason::UnknownKey, "unknown_key", 401, false},
     };
     return table;
 }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -45,6 +45,8 @@
     TooManyRequests,
     RetryBudgetExhausted,
     CallerTooSlow,
+    UnknownRoute,
+    UnknownKey,
 };
 
 /// Static properties of a Reason.
--- /dev/null
+++ b/src/entry_host/collection_feed.cpp
@@ -0,0 +1,99 @@
+#include "entry_host/collection_feed.h"
+
+namespace dotterel {
+
+namespace {
+
+/// Longest wait of a watch. A connection that falls silent is found by probes, so that this only
+/// bounds what a lost answer costs; each watch is a counted call.
+constexpr Duration WatchWait = std::chrono::seconds(20);
+/// Removals this soon after the store came back may be entries that lapsed meanwhile.
+constexpr Duration LapseWindow = std::chrono::seconds(2);
+
+} // namespace
+
+CollectionFeed::CollectionFeed(EventLoop &loop, CollectionStore &store, Collection collection,
+                               RandomSource &random, Listener listener, Announcer announcer,
+                               EventLog &log)
+    : loop(loop)
+    , store(store)
+    , follower(collection, random, log)
+    , shared(collection)
+    , listener(std::move(listener))
+    , announcer(std::move(announcer))
+{}
+
+CollectionFeed::~CollectionFeed()
+{
+    *this->alive = false;
+}
+
+void CollectionFeed::start()
+{
+    this->step();
+}
+
+void CollectionFeed::step()
+{
+    const FollowStep next = this->follower.next();
+    if (next.after <= Duration::zero())
+        return this->call(next);
+    this->timer = this->loop.after(next.after, [this, next] { this->call(next); });
+}
+
+void CollectionFeed::call(const FollowStep &step)
+{
+    const auto callback = [this, kind = step.kind,
+                           alive = this->alive](const CollectionStore::PageResult &page) {
+        if (*alive)
+            this->onPage(kind, page);
+    };
+    if (step.kind == FollowStep::Kind::List)
+        this->store.list(this->shared.collection(), ListFreshness::Current, callback);
+    else
+        this->store.watch(this->shared.collection(), step.revision, WatchWait, callback);
+}
+
+void CollectionFeed::onPage(FollowStep::Kind kind, const CollectionStore::PageResult &page)
+{
+    const TimePoint now = this->loop.now();
+    if (!page) {
+        this->follower.onFailed(page.error(), now);
+    } else if (kind == FollowStep::Kind::List) {
+        this->follower.onListed(page->revision, now);
+        this->pass(this->shared.onListed(*page));
+    } else {
+        this->follower.onWatched(page->revision, now);
+        this->pass(this->shared.onChanged(page->objects));
+    }
+    this->step();
+}
+
+void CollectionFeed::pass(const std::vector<CollectedObject> &news)
+{
+    if (news.empty())
+        return;
+    this->announcer(this->shared.announcement(news));
+    this->listener(news, this->follower.cameBackWithin(LapseWindow, this->loop.now()));
+}
+
+void CollectionFeed::onAnnounced(std::uint64_t link, const ObjectAnnouncement &announcement)
+{
+    this->pass(this->shared.onAnnounced(link, announcement, this->loop.now()));
+}
+
+void CollectionFeed::onOffered(const ObjectOffer &offer)
+{
+    std::vector<CollectedObject> objects;
+    objects.reserve(offer.objects.size());
+    for (const OfferedObject &object : offer.objects)
+        objects.push_back({object.name, object.revision, object.removed, object.text});
+    this->pass(this->shared.onChanged(objects));
+}
+
+std::vector<std::pair<std::uint64_t, ObjectRequest>> CollectionFeed::takeWanted()
+{
+    return this->shared.takeWanted(this->loop.now());
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/entry_host/daemon_command_line.cpp
@@ -0,0 +1,92 @@
+#include "entry_host/daemon_command_line.h"
+
+#include "state/text_file.h"
+
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+#include <popt.h>
+#include <random>
+
+namespace dotterel {
+
+namespace {
+
+constexpr const char *ExitCodeHelp =
+        "Exit codes: 0 ended as asked, 2 bad command line, 3 bad settings, 4 cannot run\n";
+
+/// Returns an exit code if the process should end.
+std::optional<int> parseOptions(const char *name, int argc, const char **argv,
+                                const std::string &moreHelp, DaemonOptions &options)
+{
+    char *settingsPath = nullptr;
+    int checkOnly = 0;
+    const poptOption table[] = {
+            {"settings", 's', POPT_ARG_STRING, &settingsPath, 0, "YAML settings of this host",
+             "FILE"},
+            {"check", 'c', POPT_ARG_NONE, &checkOnly, 0, "check the settings and exit", nullptr},
+            POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context = poptGetContext(name, argc, argv, table, 0);
+    const std::string help = "[OPTION...]\n" + moreHelp + ExitCodeHelp;
+    poptSetOtherOptionHelp(context, help.c_str());
+    const int result = poptGetNextOpt(context);
+    const char *surplus = poptGetArg(context);
+    if (result < -1 || surplus != nullptr || settingsPath == nullptr) {
+        const char *what = result < -1          ? poptStrerror(result)
+                           : surplus != nullptr ? "takes no arguments"
+                                                : "--settings FILE is required";
+        std::cerr << name << ": " << what << "; see --help\n";
+        poptFreeContext(context);
+        return ExitBadUsage;
+    }
+    options.settingsPath = settingsPath;
+    options.checkOnly = checkOnly != 0;
+    std::free(settingsPath);
+    poptFreeContext(context);
+    return std::nullopt;
+}
+
+} // namespace
+
+tl::expected<Settings, std::vector<YamlFault>> loadSettings(const std::string &path)
+{
+    const auto text = readTextFile(path, MostSettingsBytes);
+    if (!text)
+        return tl::unexpected(std::vector<YamlFault>{{path, 0, "", text.error()}});
+    return settingsFromYaml(*text, path);
+}
+
+Incarnation drawIncarnation(const Clock &clock)
+{
+    std::random_device device;
+    constexpr unsigned RandomBits = 12;
+    return (static_cast<Incarnation>(clock.wallTime()) << RandomBits)
+           | (device() & ((1U << RandomBits) - 1));
+}
+
+int runDaemon(const char *name, int argc, const char **argv,
+              const std::function<int(const DaemonOptions &, const Settings &)> &run,
+              const std::string &moreHelp)
+{
+    DaemonOptions options;
+    if (const std::optional<int> early = parseOptions(name, argc, argv, moreHelp, options))
+        return *early;
+    const auto settings = loadSettings(options.settingsPath);
+    if (!settings) {
+        for (const YamlFault &fault : settings.error())
+            std::cerr << fault.text() << '\n';
+        return ExitBadSettings;
+    }
+    if (options.checkOnly) {
+        std::cout << options.settingsPath << ": ok\n";
+        return ExitOk;
+    }
+    try {
+        return run(options, *settings);
+    } catch (const std::exception &error) {
+        std::cerr << name << ": " << error.what() << '\n';
+        return ExitCannotRun;
+    }
+}
+
+} // namespace dotterel
--- a/src/entry_host/peer_mesh.cpp
+++ b/src/entry_host/peer_mesh.cpp
@@ -8,6 +8,14 @@
 
 constexpr std::size_t MostIncomingLinks = 64;
 
+LinkLimits limitsFor(std::size_t maxFrameBytes)
+{
+    LinkLimits limits;
+    limits.maxFrameBytes = maxFrameBytes;
+    limits.maxUnsentBytes = std::max(limits.maxUnsentBytes, 2 * maxFrameBytes);
+    return limits;
+}
+
 } // namespace
 
 /// One link and its place in the mesh.
@@ -39,7 +47,8 @@
 };
 
 PeerMesh::PeerMesh(EventLoop &loop, const Endpoint &endpoint, HostId self, Duration silence,
-                   PeerListener &listener, RandomSource &random, Metrics &metrics, EventLog &log)
+                   PeerListener &listener, RandomSource &random, Metrics &metrics, EventLog &log,
+                   std::size_t maxFrameBytes)
     : loop(loop)
     , self(std::move(self))
     , silence(silence)
@@ -47,7 +56,8 @@
     , metrics(metrics)
     , log(log)
     , backoff(random)
-    , websockets(loop, endpoint, LinkLimits{}, [this](std::unique_ptr<WebsocketLink> websocket) {
+    , limits(limitsFor(maxFrameBytes))
+    , websockets(loop, endpoint, this->limits, [this](std::unique_ptr<WebsocketLink> websocket) {
         this->accepted(std::move(websocket));
     })
 {}
@@ -108,7 +118,7 @@
     Link &link = *this->links.emplace(id, std::make_unique<Link>(*this, id)).first->second;
     link.peer = target.identity.host;
     this->outgoing[link.peer] = id;
-    link.websocket = connectWebsocket(this->loop, target.peers, LinkLimits{}, link);
+    link.websocket = connectWebsocket(this->loop, target.peers, this->limits, link);
 }
 
 bool PeerMesh::hasIncomingFrom(const HostId &host) const
--- a/src/entry_host/peer_mesh.h
+++ b/src/entry_host/peer_mesh.h
@@ -30,9 +30,10 @@
 class PeerMesh
 {
 public:
-    /// A link that is silent for \a silence is closed.
+    /// A link that is silent for \a silence is closed, and one with a frame over \a maxFrameBytes.
     PeerMesh(EventLoop &loop, const Endpoint &endpoint, HostId self, Duration silence,
-             PeerListener &listener, RandomSource &random, Metrics &metrics, EventLog &log);
+             PeerListener &listener, RandomSource &random, Metrics &metrics, EventLog &log,
+             std::size_t maxFrameBytes = LinkLimits{}.maxFrameBytes);
     ~PeerMesh();
 
     /// Opens links to \a targets and closes those that this host opened to others, after saying
@@ -72,6 +73,7 @@
     Metrics &metrics;
     EventLog &log;
     MemberBackoff backoff;
+    LinkLimits limits;
     std::uint64_t nextLink = 1;
     std::map<std::uint64_t, std::unique_ptr<Link>> links;
     std::map<HostId, std::uint64_t> outgoing;
--- /dev/null
+++ b/src/entry_host/prompt_news_channel.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "core/identity.h"
+#include "gateway/prompt_news.h"
+#include "protocol/peer_message.h"
+#include "transport/datagram_socket.h"
+
+#include <functional>
+#include <vector>
+
+namespace dotterel {
+
+/// Exchanges PromptNews with the other entry hosts by datagrams: a few items are gathered for a few
+/// milliseconds and sent to every host.
+class PromptNewsChannel
+{
+public:
+    using Listener = std::function<void(const PromptNews &)>;
+
+    /// Binds \a endpoint for datagrams. Throws std::runtime_error if it cannot.
+    PromptNewsChannel(EventLoop &loop, const Endpoint &endpoint, std::uint32_t sender,
+                      Listener listener);
+
+    /// Sets the hosts to which news goes, this one left out.
+    void setPeers(std::vector<Endpoint> endpoints) { this->peers = std::move(endpoints); }
+
+    /// Sends \a item with the next datagrams.
+    void tell(const PromptNewsItem &item);
+
+private:
+    void flush();
+    void onDatagram(std::string_view bytes);
+
+    EventLoop &loop;
+    Listener listener;
+    DatagramSocket socket;
+    PromptNews pending;
+    std::vector<Endpoint> peers;
+    EventLoop::TimerHandle timer;
+    bool armed = false;
+};
+
+} // namespace dotterel
--- /dev/null
+++ b/src/gateway/collection_follower.cpp
@@ -0,0 +1,85 @@
+#include "gateway/collection_follower.h"
+
+#include <algorithm>
+
+namespace dotterel {
+
+namespace {
+
+/// First wait after a failure, and the longest one: a store that is back must be noticed well
+/// within the time in which a configuration has to be in force, and calls are counted.
+constexpr Duration FirstBackoff = std::chrono::milliseconds(100);
+constexpr Duration LongestBackoff = std::chrono::milliseconds(800);
+constexpr int MostDoublings = 3;
+
+} // namespace
+
+CollectionFollower::CollectionFollower(Collection collection, RandomSource &random, EventLog &log)
+    : collection(collection)
+    , random(random)
+    , log(log)
+{}
+
+FollowStep CollectionFollower::next()
+{
+    FollowStep step;
+    if (this->revision) {
+        step.kind = FollowStep::Kind::Watch;
+        step.revision = *this->revision;
+    }
+    if (this->failures > 0) {
+        const int doublings = std::min(this->failures - 1, MostDoublings);
+        const Duration longest = std::min(LongestBackoff, FirstBackoff * (1 << doublings));
+        // Hosts that lost the store together must not come back together.
+        step.after = fromSeconds(toSeconds(longest) * (0.5 + 0.5 * this->random.unit()));
+    }
+    return step;
+}
+
+void CollectionFollower::onListed(std::uint64_t newRevision, TimePoint now)
+{
+    this->revision = newRevision;
+    this->onAnswered(now);
+}
+
+void CollectionFollower::onWatched(std::uint64_t newRevision, TimePoint now)
+{
+    if (this->revision && newRevision > *this->revision)
+        this->revision = newRevision;
+    this->onAnswered(now);
+}
+
+void CollectionFollower::onFailed(StoreError error, TimePoint now)
+{
+    if (error == StoreError::NotFound) {
+        this->log.write(Event::PlatformHistoryLost,
+                        {{"collection", std::string(collectionName(this->collection))}});
+        this->revision.reset();
+        // What was missed is listed at once; entries may have lapsed in the gap.
+        this->backSince = now;
+        return;
+    }
+    if (this->failures == 0)
+        this->log.write(Event::PlatformUnavailable,
+                        {{"collection", std::string(collectionName(this->collection))},
+                         {"error", std::string(storeErrorName(error))}});
+    ++this->failures;
+}
+
+void CollectionFollower::onAnswered(TimePoint now)
+{
+    if (this->failures > 0) {
+        this->log.write(Event::PlatformReachable,
+                        {{"collection", std::string(collectionName(this->collection))},
+                         {"failures", static_cast<std::int64_t>(this->failures)}});
+        this->backSince = now;
+    }
+    this->failures = 0;
+}
+
+bool CollectionFollower::cameBackWithin(Duration span, TimePoint now) const
+{
+    return this->backSince && now - *this->backSince < span;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/gateway/forward_dispatch.cpp
@@ -0,0 +1,245 @@
+#include "gateway/forward_controller.h"
+
+#include "core/hashing.h"
+
+#include <algorithm>
+
+namespace dotterel {
+
+namespace {
+
+/// Less time than this is not worth an attempt.
+constexpr Duration LeastAttemptTime = std::chrono::milliseconds(20);
+/// A connection inside a deployment takes a few milliseconds; a lost packet costs one second.
+constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
+/// Further attempts that never reached a server, for one request.
+constexpr std::size_t MostUnreached = 4;
+constexpr Duration NoServerRetryAfter = std::chrono::milliseconds(500);
+/// Callers leave a stream after a gap of the longest of these: a fixed time, goals, pauses.
+constexpr Duration LeastStreamPatience = std::chrono::seconds(2);
+constexpr int GoalsOfPatience = 4;
+constexpr int PausesOfPatience = 8;
+/// An attempt that is silent for this many goals, or predicted times, is given up if another server
+/// may try. It stays below what callers bear.
+constexpr int GoalsOfSilence = 2;
+constexpr int PredictionsOfSilence = 3;
+constexpr int PausesOfSilence = 4;
+constexpr Duration LeastSilence = std::chrono::milliseconds(600);
+constexpr Duration LeastStreamSilence = std::chrono::milliseconds(1'000);
+
+Duration streamPatience(const Route &route)
+{
+    return std::max({LeastStreamPatience, route.goal * GoalsOfPatience,
+                     route.pauseGoal * PausesOfPatience});
+}
+
+} // namespace
+
+void ForwardController::dispatch(ForwardCall &call, TimePoint now)
+{
+    if (call.deadline - now < LeastAttemptTime)
+        return this->refuse(call, Reason::DeadlineExceeded, std::nullopt, now);
+    if (!this->crashes.empty() && this->crashes.refuses(this->fingerprintOf(call), now))
+        return this->refuse(call, Reason::CrashesBackendServers, std::nullopt, now,
+                            call.fingerprint);
+    // Further attempts stay in the pool of the first one.
+    if (call.pool.empty()) {
+        call.pool = this->choosePool(call);
+        this->retries.onRequest(call.pool, now);
+    }
+    const auto pool = call.configuration->pools.find(call.pool);
+    if (pool == call.configuration->pools.end())
+        return this->refuse(call, Reason::NoBackendServer, NoServerRetryAfter, now, call.pool);
+    if (pool->second.engine && call.facts.promptTokens > 0)
+        this->dispatchPrompt(call, pool->second, now);
+    else
+        this->dispatchService(call, pool->second, now);
+}
+
+std::string ForwardController::choosePool(const ForwardCall &call)
+{
+    const std::vector<RouteTarget> &targets = call.route->targets;
+    if (targets.empty())
+        return {};
+    std::uint64_t sum = 0;
+    for (const RouteTarget &target : targets)
+        sum += target.weight;
+    if (sum == 0)
+        return targets.front().pool;
+    std::uint64_t draw = this->random.below(sum);
+    for (const RouteTarget &target : targets) {
+        if (draw < target.weight)
+            return target.pool;
+        draw -= target.weight;
+    }
+    return targets.back().pool;
+}
+
+PromptDemand ForwardController::demandOf(const ForwardCall &call, TimePoint now) const
+{
+    const Route &route = *call.route;
+    PromptDemand demand;
+    demand.promptTokens = call.facts.promptTokens;
+    demand.outputTokens = call.facts.outputTokens;
+    demand.goal = route.goal;
+    demand.pauseGoal = route.pauseGoal;
+    // A caller that returns has spent part of the time that a first attempt has.
+    const Duration patience = call.facts.patience.value_or(route.timeout);
+    const Duration before = std::max(Duration::zero(), route.timeout - patience);
+    demand.waited = before + (now - call.arrived);
+    demand.patience = std::min(call.deadline - now, streamPatience(route) - (now - call.arrived));
+    demand.value = promptValue(this->prompts.weights().values, demand.promptTokens,
+                               demand.outputTokens, route.pauseGoal);
+    return demand;
+}
+
+void ForwardController::dispatchPrompt(ForwardCall &call, const Pool &pool, TimePoint now)
+{
+    call.demand = this->demandOf(call, now);
+    const PromptDecision decision = this->prompts.place(pool, call.demand, call.tried, now);
+    if (!decision.plan) {
+        const Reason reason =
+                decision.anyServer ? Reason::DeadlineUnreachable : Reason::NoBackendServer;
+        const Duration wait = decision.anyServer ? decision.retryAfter : NoServerRetryAfter;
+        // Callers that are refused together must not return together.
+        const Duration spread = fromSeconds(toSeconds(wait) * 0.25 * this->random.unit());
+        return this->refuse(call, reason, wait + spread, now,
+                            "loss " + std::to_string(decision.bestLoss) + " of "
+                                    + std::to_string(call.demand.value));
+    }
+    const GatewayServer *server = this->fleet.find(decision.plan->server);
+    call.attempt = ForwardAttempt();
+    call.attempt->isPrompt = true;
+    call.attempt->predicted = decision.plan->untilFirst;
+    this->sendTo(call, *server, decision.plan->helpers, false, now);
+    this->noteDispatch(call, pool, now);
+}
+
+void ForwardController::dispatchService(ForwardCall &call, const Pool &pool, TimePoint now)
+{
+    const std::optional<ServerId> chosen = this->services.place(pool.name, call.tried, now);
+    if (!chosen)
+        return this->refuse(call, Reason::NoBackendServer, NoServerRetryAfter, now, pool.name);
+    call.attempt = ForwardAttempt();
+    call.attempt->predicted = call.route->goal;
+    this->services.onDispatched(*chosen);
+    // A connection that the server closes meanwhile would leave the outcome of a request that must
+    // not run twice unknown for no reason.
+    this->sendTo(call, *this->fleet.find(*chosen), {}, !call.route->repeatable(), now);
+}
+
+void ForwardController::sendTo(ForwardCall &call, const GatewayServer &server,
+                               const std::vector<ServerId> &helpers, bool fresh, TimePoint now)
+{
+    ForwardAttempt &attempt = *call.attempt;
+    attempt.id = this->nextAttempt++;
+    attempt.server = server.id;
+    attempt.helpers = helpers;
+    attempt.sent = now;
+    attempt.heard = now;
+    this->attempts.emplace(attempt.id, call.id);
+    ++call.sends;
+    call.tried.insert(server.id);
+    DispatchFacts facts;
+    facts.timeLeft = call.deadline - now;
+    facts.expectedServer = server.id;
+    facts.workspace = call.workspace;
+    for (const ServerId &helper : helpers) {
+        if (const GatewayServer *known = this->fleet.find(helper))
+            facts.helpers.push_back(known->endpoint);
+    }
+    facts.resumeAfter = call.lastEvent ? call.lastEvent : call.facts.resumeAfter;
+    HttpRequest request;
+    request.endpoint = server.endpoint;
+    request.method = call.head.method;
+    request.target = call.head.target;
+    request.headers = this->protocol.dispatchHeaders(call.head.headers, facts);
+    request.body = call.body;
+    request.timeout = facts.timeLeft;
+    request.connectTimeout = ConnectTimeout;
+    request.freshConnection = fresh;
+    request.echo = this->protocol.echo(call.facts);
+    this->log.write(
+            Event::AttemptStarted,
+            {{"request", call.facts.requestId},
+             {"route", call.route->name},
+             {"server", server.id},
+             {"helpers", static_cast<std::int64_t>(helpers.size())},
+             {"prompt_tokens", static_cast<std::int64_t>(call.facts.promptTokens)},
+             {"predicted_ms", static_cast<std::int64_t>(attempt.predicted.count() / 1'000)},
+             {"prompts_there", static_cast<std::int64_t>(this->prompts.promptsOn(server.id))},
+             {"time_left_ms", static_cast<std::int64_t>(facts.timeLeft.count() / 1'000)},
+             {"configuration", static_cast<std::int64_t>(call.configuration->version)}});
+    this->effects.sendAttempt(attempt.id, request);
+    this->schedule(call);
+}
+
+void ForwardController::noteDispatch(ForwardCall &call, const Pool &pool, TimePoint now)
+{
+    const ForwardAttempt &attempt = *call.attempt;
+    EnginePrompt prompt;
+    prompt.key = {this->sender, attempt.id};
+    prompt.demand = call.demand;
+    prompt.parts = attempt.helpers.size() + 1;
+    prompt.dispatched = now;
+    this->prompts.onDispatched(attempt.server, *pool.engine, prompt, now);
+    PromptNewsItem item;
+    item.step = PromptStep::Dispatched;
+    item.sequence = attempt.id;
+    item.server = hash32(attempt.server);
+    item.demand = call.demand;
+    prompt.isHelper = true;
+    for (const ServerId &helper : attempt.helpers) {
+        this->prompts.onDispatched(helper, *pool.engine, prompt, now);
+        item.helpers.push_back(hash32(helper));
+    }
+    this->effects.tellPrompt(item);
+}
+
+TimePoint ForwardController::attemptLimit(const ForwardCall &call) const
+{
+    const ForwardAttempt &attempt = *call.attempt;
+    const Route &route = *call.route;
+    if (!route.repeatable())
+        return call.deadline;
+    if (route.kind == RouteKind::Stream && attempt.firstEvent)
+        return attempt.heard + std::max(LeastStreamSilence, route.pauseGoal * PausesOfSilence);
+    const Duration silence = std::max(
+            {LeastSilence, route.goal * GoalsOfSilence, attempt.predicted * PredictionsOfSilence});
+    return attempt.sent + silence;
+}
+
+bool ForwardController::mayRepeat(const ForwardCall &call, Verdict verdict, TimePoint now) const
+{
+    if (verdict != Verdict::NotRun && !call.route->repeatable())
+        return false;
+    if (call.deadline - now < LeastAttemptTime)
+        return false;
+    return call.sends < call.route->maxAttempts && call.unreached < MostUnreached;
+}
+
+void ForwardController::attemptLost(ForwardCall &call, const AttemptLoss &loss, TimePoint now)
+{
+    const bool reached = loss.reason != RetryReason::ConnectFailed;
+    if (!reached || loss.stale) {
+        // The server saw nothing of it, so that it does not count among the servers tried.
+        --call.sends;
+        ++call.unreached;
+    }
+    if (loss.verdict != Verdict::NotRun)
+        call.mayHaveRun = true;
+    if (!this->mayRepeat(call, loss.verdict, now)) {
+        Reason reason = reached ? Reason::BackendRefused : Reason::NoBackendServer;
+        if (call.mayHaveRun)
+            reason = Reason::BackendFailed;
+        return this->refuse(call, reason, NoServerRetryAfter, now);
+    }
+    if (reached && !loss.paid && !this->retries.withdraw(call.pool, now)) {
+        this->metrics.count(Counter::RetriesWithheld, 1);
+        return this->refuse(call, Reason::RetryBudgetExhausted, NoServerRetryAfter, now);
+    }
+    this->metrics.countRetry(loss.reason);
+    this->dispatch(call, now);
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/gateway/host_entries.cpp
@@ -0,0 +1,62 @@
+#include "gateway/host_entries.h"
+
+#include <nlohmann/json.hpp>
+
+namespace dotterel {
+
+namespace {
+
+constexpr const char *EntryRole = "entry";
+
+} // namespace
+
+std::string encodeHostEntry(const ListedHost &host)
+{
+    const nlohmann::json json = {{"failure_domain", host.failureDomain},
+                                 {"address", host.address},
+                                 {"peer_port", host.peerPort},
+                                 {"leaving", host.leaving}};
+    return json.dump();
+}
+
+std::optional<ListedHost> decodeHostEntry(const std::string &name, const std::string &text)
+{
+    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    try {
+        ListedHost host;
+        host.id = name;
+        host.role = EntryRole;
+        host.failureDomain = json.at("failure_domain").get<std::string>();
+        host.address = json.at("address").get<std::string>();
+        host.peerPort = json.at("peer_port").get<std::uint16_t>();
+        host.leaving = json.value("leaving", false);
+        return host;
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
+CollectionHostList::CollectionHostList(CollectionStore &store, const Clock &clock)
+    : store(store)
+    , clock(clock)
+{}
+
+void CollectionHostList::hosts(Callback callback)
+{
+    const Clock &time = this->clock;
+    this->store.list(Collection::Hosts, ListFreshness::MayBeStale,
+                     [callback = std::move(callback), &time](const auto &page) {
+                         if (!page) {
+                             callback(tl::unexpected(page.error()), time.now());
+                             return;
+                         }
+                         std::vector<ListedHost> hosts;
+                         for (const CollectedObject &object : page->objects) {
+                             if (const auto host = decodeHostEntry(object.name, object.text))
+                                 hosts.push_back(*host);
+                         }
+                         callback(hosts, time.now());
+                     });
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/gateway/prompt_news.cpp
@@ -0,0 +1,93 @@
+#include "gateway/prompt_news.h"
+
+#include <nlohmann/json.hpp>
+
+namespace dotterel {
+
+namespace {
+
+constexpr std::int64_t MicrosecondsPerMs = 1'000;
+constexpr double ValueScale = 1'000.0;
+constexpr std::size_t MostItems = 1'000;
+
+std::int64_t toMs(Duration duration)
+{
+    return duration.count() / MicrosecondsPerMs;
+}
+
+Duration msFrom(const nlohmann::json &json)
+{
+    return std::chrono::milliseconds(json.get<std::int64_t>());
+}
+
+nlohmann::json encodeItem(const PromptNewsItem &item)
+{
+    nlohmann::json row = {static_cast<int>(item.step), item.sequence};
+    if (item.step != PromptStep::Dispatched)
+        return row;
+    const PromptDemand &demand = item.demand;
+    row.insert(row.end(), {item.server, demand.promptTokens, demand.outputTokens,
+                           toMs(demand.goal), toMs(demand.pauseGoal), toMs(demand.waited),
+                           toMs(demand.patience),
+                           static_cast<std::int64_t>(demand.value * ValueScale)});
+    for (const std::uint32_t helper : item.helpers)
+        row.push_back(helper);
+    return row;
+}
+
+PromptNewsItem decodeItem(const nlohmann::json &row)
+{
+    PromptNewsItem item;
+    const int step = row.at(0).get<int>();
+    if (step < 0 || step > static_cast<int>(PromptStep::Ended))
+        throw nlohmann::json::other_error::create(501, "unknown step", &row);
+    item.step = static_cast<PromptStep>(step);
+    item.sequence = row.at(1).get<std::uint64_t>();
+    if (item.step != PromptStep::Dispatched)
+        return item;
+    std::size_t next = 2;
+    item.server = row.at(next++).get<std::uint32_t>();
+    item.demand.promptTokens = row.at(next++).get<std::uint64_t>();
+    item.demand.outputTokens = row.at(next++).get<std::uint64_t>();
+    item.demand.goal = msFrom(row.at(next++));
+    item.demand.pauseGoal = msFrom(row.at(next++));
+    item.demand.waited = msFrom(row.at(next++));
+    item.demand.patience = msFrom(row.at(next++));
+    item.demand.value = row.at(next++).get<double>() / ValueScale;
+    for (; next < row.size(); ++next)
+        item.helpers.push_back(row.at(next).get<std::uint32_t>());
+    return item;
+}
+
+} // namespace
+
+std::string encodePromptNews(const PromptNews &news)
+{
+    nlohmann::json items = nlohmann::json::array();
+    for (const PromptNewsItem &item : news.items)
+        items.push_back(encodeItem(item));
+    const nlohmann::json json = {news.sender, std::move(items)};
+    std::string bytes;
+    nlohmann::json::to_cbor(json, bytes);
+    return bytes;
+}
+
+tl::expected<PromptNews, std::string> decodePromptNews(std::string_view bytes)
+{
+    const nlohmann::json json = nlohmann::json::from_cbor(bytes, true, false);
+    if (!json.is_array())
+        return tl::unexpected(std::string("the datagram is not a CBOR array"));
+    try {
+        PromptNews news;
+        news.sender = json.at(0).get<std::uint32_t>();
+        if (json.at(1).size() > MostItems)
+            return tl::unexpected(std::string("too many items"));
+        for (const nlohmann::json &row : json.at(1))
+            news.items.push_back(decodeItem(row));
+        return news;
+    } catch (const nlohmann::json::exception &error) {
+        return tl::unexpected(std::string(error.what()));
+    }
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/gateway/prompt_placement.cpp
@@ -0,0 +1,215 @@
+#include "gateway/prompt_placement.h"
+
+#include <algorithm>
+
+namespace dotterel {
+
+namespace {
+
+/// Loss of a place that does not fit, larger than any real one.
+constexpr double Impossible = 1e6;
+/// What a prompt loses for each prompt ahead of it in the queue for a place, as a share of its value.
+constexpr double QueuedPlaceCost = 0.25;
+/// Shortest and longest time after which a refused caller is asked to return.
+constexpr Duration ShortestReturn = std::chrono::milliseconds(200);
+constexpr Duration LongestReturn = std::chrono::seconds(4);
+
+} // namespace
+
+PromptPlacement::PromptPlacement(const PromptPlacementSettings &settings,
+                                 std::string failureDomain, const ServerFleet &fleet)
+    : settings(settings)
+    , failureDomain(std::move(failureDomain))
+    , fleet(fleet)
+{}
+
+PromptDecision PromptPlacement::place(const Pool &pool, const PromptDemand &demand,
+                                      const std::set<ServerId> &excluded, TimePoint now)
+{
+    PromptDecision decision;
+    const std::vector<Candidate> places = this->candidates(pool, demand, excluded, now);
+    decision.anyServer = !places.empty();
+    if (places.empty())
+        return decision;
+    std::optional<PromptPlan> best;
+    for (const Candidate &candidate : places) {
+        const PromptPlan plan = this->alone(pool, demand, candidate, now);
+        if (!best || plan.loss < best->loss)
+            best = plan;
+    }
+    const Duration reading = readingTime(*pool.engine, demand.promptTokens, 1);
+    if (pool.engine->canShareReading && reading >= this->settings.leastDividedReading) {
+        const std::size_t most = std::min(this->settings.mostParts, places.size());
+        for (std::size_t parts = 2; parts <= most; ++parts) {
+            const auto plan = this->divided(pool, demand, places, parts, now);
+            if (plan && plan->loss < best->loss)
+                best = plan;
+        }
+    }
+    decision.bestLoss = best->loss;
+    if (best->loss <= this->settings.mostLoss * demand.value) {
+        decision.plan = best;
+        return decision;
+    }
+    // The engine that is free first decides when the caller may return.
+    Duration soonest = LongestReturn;
+    for (const Candidate &candidate : places)
+        soonest = std::min(soonest, candidate.load->readingAhead());
+    decision.retryAfter = std::clamp(soonest, ShortestReturn, LongestReturn);
+    return decision;
+}
+
+std::vector<PromptPlacement::Candidate>
+PromptPlacement::candidates(const Pool &pool, const PromptDemand &demand,
+                            const std::set<ServerId> &excluded, TimePoint now)
+{
+    const bool isShort = readingTime(*pool.engine, demand.promptTokens, 1)
+                         < this->settings.shortReading;
+    const auto memory = static_cast<double>(pool.engine->memoryTokens);
+    std::vector<Candidate> result;
+    std::vector<Candidate> tried;
+    const std::vector<const GatewayServer *> servers = this->fleet.usable(pool.name, now);
+    double index = 0;
+    for (const GatewayServer *server : servers) {
+        Candidate candidate;
+        candidate.server = server;
+        candidate.load = &this->loads[server->id];
+        candidate.load->advance(*pool.engine, now);
+        const double place = index / static_cast<double>(servers.size());
+        index += 1;
+        candidate.tieCost = this->settings.orderWeight * (isShort ? place : 1.0 - place);
+        if (server->failureDomain != this->failureDomain)
+            candidate.tieCost += this->settings.otherDomainCost;
+        candidate.failureRate = this->fleet.failureRate(server->id, now);
+        const double claimed = static_cast<double>(candidate.load->memoryTokens()
+                                                   + demand.promptTokens + demand.outputTokens);
+        candidate.fits = memory <= 0 || claimed <= memory * this->settings.memoryShare;
+        (excluded.count(server->id) > 0 ? tried : result).push_back(candidate);
+    }
+    return result.empty() ? tried : result;
+}
+
+double PromptPlacement::placeCost(const Pool &pool, const PromptDemand &demand,
+                                  const Candidate &candidate) const
+{
+    const std::size_t slots = pool.engine->slots;
+    const std::size_t spare = std::min(this->settings.sparePlaces, slots - 1);
+    const std::size_t prompts = candidate.load->prompts();
+    double cost = candidate.tieCost + candidate.failureRate * demand.value;
+    if (prompts + spare >= slots)
+        cost += demand.value * QueuedPlaceCost * static_cast<double>(prompts + spare + 1 - slots);
+    return cost;
+}
+
+PromptPlan PromptPlacement::alone(const Pool &pool, const PromptDemand &demand,
+                                  const Candidate &candidate, TimePoint now) const
+{
+    const EngineProfile &engine = *pool.engine;
+    const double lateShare = this->settings.values.lateShare;
+    const Duration reading = readingTime(engine, demand.promptTokens, 1);
+    PromptPlan plan;
+    plan.server = candidate.server->id;
+    plan.untilFirst = candidate.load->untilFirstEvent(engine, reading, false);
+    plan.loss = latenessLoss(demand, plan.untilFirst, lateShare)
+                + candidate.load->interference(engine, reading, false, lateShare, now)
+                + this->placeCost(pool, demand, candidate);
+    if (!candidate.fits)
+        plan.loss += Impossible;
+    return plan;
+}
+
+std::optional<PromptPlan> PromptPlacement::divided(const Pool &pool, const PromptDemand &demand,
+                                                   const std::vector<Candidate> &candidates,
+                                                   std::size_t parts, TimePoint now) const
+{
+    const EngineProfile &engine = *pool.engine;
+    const double lateShare = this->settings.values.lateShare;
+    const Duration part = readingTime(engine, demand.promptTokens, parts);
+    struct Option
+    {
+        const Candidate *candidate;
+        Duration until;
+        double cost;
+    };
+    std::vector<Option> helpers;
+    const Candidate *first = nullptr;
+    double firstCost = Impossible;
+    Duration firstUntil = Duration::zero();
+    for (const Candidate &candidate : candidates) {
+        const Duration until = candidate.load->untilFirstEvent(engine, part, false);
+        const double cost = latenessLoss(demand, until, lateShare)
+                            + candidate.load->interference(engine, part, false, lateShare, now)
+                            + this->placeCost(pool, demand, candidate);
+        if (candidate.fits && cost < firstCost) {
+            firstCost = cost;
+            first = &candidate;
+            firstUntil = until;
+        }
+        const double failing = candidate.failureRate * demand.value;
+        helpers.push_back(
+                {&candidate, candidate.load->untilFirstEvent(engine, part, true),
+                 candidate.load->interference(engine, part, true, lateShare, now)
+                         + candidate.tieCost + failing});
+    }
+    if (first == nullptr)
+        return std::nullopt;
+    // Of helpers that cost alike, the one with the least reading ahead is asked.
+    std::sort(helpers.begin(), helpers.end(), [](const Option &left, const Option &right) {
+        return left.cost + toSeconds(left.candidate->load->readingAhead())
+               < right.cost + toSeconds(right.candidate->load->readingAhead());
+    });
+    PromptPlan plan;
+    plan.server = first->server->id;
+    plan.untilFirst = firstUntil;
+    double cost = firstCost - latenessLoss(demand, firstUntil, lateShare);
+    for (const Option &option : helpers) {
+        if (plan.helpers.size() + 1 == parts)
+            break;
+        if (option.candidate == first)
+            continue;
+        plan.helpers.push_back(option.candidate->server->id);
+        plan.untilFirst = std::max(plan.untilFirst, option.until);
+        cost += option.cost + this->settings.partCost * demand.value;
+    }
+    if (plan.helpers.size() + 1 < parts)
+        return std::nullopt;
+    plan.loss = cost + latenessLoss(demand, plan.untilFirst, lateShare);
+    return plan;
+}
+
+void PromptPlacement::onDispatched(const ServerId &server, const EngineProfile &engine,
+                                   const EnginePrompt &prompt, TimePoint now)
+{
+    this->loads[server].add(engine, prompt, now);
+}
+
+void PromptPlacement::onFirstEvent(const PromptKey &key, TimePoint now)
+{
+    for (auto &[server, load] : this->loads)
+        load.onFirstEvent(key, now);
+}
+
+void PromptPlacement::onEnded(const PromptKey &key, TimePoint now)
+{
+    for (auto &[server, load] : this->loads)
+        load.remove(key, now);
+}
+
+void PromptPlacement::onSenderGone(std::uint32_t sender)
+{
+    for (auto &[server, load] : this->loads)
+        load.removeSender(sender);
+}
+
+void PromptPlacement::onServerReset(const ServerId &server)
+{
+    this->loads.erase(server);
+}
+
+std::size_t PromptPlacement::promptsOn(const ServerId &server) const
+{
+    const auto found = this->loads.find(server);
+    return found == this->loads.end() ? 0 : found->second.prompts();
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/gateway/route_table.cpp
@@ -0,0 +1,50 @@
+#include "gateway/route_table.h"
+
+namespace dotterel {
+
+namespace {
+
+constexpr char Separator = '\n'; // In no host name.
+
+std::string rowKey(std::string_view host, std::string_view prefix)
+{
+    std::string key(host);
+    key += Separator;
+    key += prefix;
+    return key;
+}
+
+} // namespace
+
+RouteTable::RouteTable(std::shared_ptr<const GatewayConfiguration> configuration)
+    : current(std::move(configuration))
+{
+    this->byHostAndPrefix.reserve(this->current->routes.size());
+    for (const Route &route : this->current->routes)
+        this->byHostAndPrefix.emplace(rowKey(route.host, route.pathPrefix), &route);
+}
+
+const Route *RouteTable::find(std::string_view host, std::string_view target) const
+{
+    std::string_view path = target.substr(0, target.find('?'));
+    while (true) {
+        const std::size_t slash = path.rfind('/');
+        if (slash == std::string_view::npos)
+            return nullptr;
+        path = path.substr(0, slash + 1);
+        const auto found = this->byHostAndPrefix.find(rowKey(host, path));
+        if (found != this->byHostAndPrefix.end())
+            return found->second;
+        path = path.substr(0, slash);
+    }
+}
+
+const GatewayWorkspace *RouteTable::workspace(const std::string &key) const
+{
+    if (!this->current)
+        return nullptr;
+    const auto found = this->current->workspacesByKey.find(key);
+    return found == this->current->workspacesByKey.end() ? nullptr : &found->second;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/gateway/server_fleet.cpp
@@ -0,0 +1,197 @@
+#include "gateway/server_fleet.h"
+
+#include "core/enum_names.h"
+#include "core/hashing.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace dotterel {
+
+namespace {
+
+constexpr std::array<EnumName<ServerEvidence>, 5> ServerEvidenceNames = {{
+        {ServerEvidence::Answered, "answered"},
+        {ServerEvidence::Failed, "failed"},
+        {ServerEvidence::Refused, "refused"},
+        {ServerEvidence::Unreachable, "unreachable"},
+        {ServerEvidence::Leaving, "leaving"},
+}};
+
+/// Answers that a server without any is given credit for, so that one failure does not condemn it.
+constexpr double PriorAnswers = 3.0;
+constexpr double PriorFailures = 0.05;
+/// A refusal says little about the next attempt.
+constexpr double RefusalWeight = 0.5;
+constexpr int MostDoublings = 4;
+constexpr double HashRange = 18446744073709551616.0; // 2^64
+
+} // namespace
+
+std::string_view serverEvidenceName(ServerEvidence evidence)
+{
+    return enumName(ServerEvidenceNames, evidence);
+}
+
+ServerFleet::ServerFleet(const FleetTimes &times, EventLog &log)
+    : times(times)
+    , log(log)
+{}
+
+bool ServerFleet::put(const GatewayServer &server, TimePoint now)
+{
+    const auto found = this->records.find(server.id);
+    if (found != this->records.end() && !found->second.goneAt
+        && found->second.server.incarnation == server.incarnation) {
+        Record &record = found->second;
+        if (!record.server.draining && server.draining)
+            this->log.write(Event::ServerDraining, {{"server", server.id}, {"source", "entry"}});
+        record.server = server;
+        return false;
+    }
+    const bool restarted = found != this->records.end()
+                           && found->second.server.incarnation != server.incarnation;
+    if (found != this->records.end() && !restarted) {
+        // The entry lapsed and is back; what is known of the server still holds.
+        found->second.goneAt.reset();
+        found->second.server = server;
+        return false;
+    }
+    Record record;
+    record.server = server;
+    record.rank = static_cast<double>(hash64(server.id)) / HashRange;
+    record.weighed = now;
+    this->records[server.id] = record;
+    this->log.write(Event::ServerUp, {{"server", server.id},
+                                      {"pool", server.pool},
+                                      {"endpoint", server.endpoint.text()},
+                                      {"restarted", restarted}});
+    return restarted;
+}
+
+void ServerFleet::remove(const ServerId &server, bool mayHaveLapsed, TimePoint now)
+{
+    const auto found = this->records.find(server);
+    if (found == this->records.end())
+        return;
+    const bool lapsed = mayHaveLapsed && !found->second.server.draining && !found->second.leaving;
+    this->log.write(Event::ServerDown,
+                    {{"server", server}, {"source", "entry"}, {"may_have_lapsed", lapsed}});
+    if (lapsed)
+        found->second.goneAt = now + this->times.lapsedGrace;
+    else
+        this->records.erase(found);
+}
+
+void ServerFleet::onEvidence(const ServerId &server, ServerEvidence evidence, TimePoint now)
+{
+    const auto found = this->records.find(server);
+    if (found == this->records.end())
+        return;
+    Record &record = found->second;
+    this->age(record, now);
+    switch (evidence) {
+    case ServerEvidence::Answered:
+        record.answers += 1;
+        record.unreachable = 0;
+        record.suspectUntil = TimePoint();
+        break;
+    case ServerEvidence::Failed:
+        record.failures += 1;
+        break;
+    case ServerEvidence::Refused:
+        record.failures += RefusalWeight;
+        record.unreachable = 0;
+        break;
+    case ServerEvidence::Unreachable: {
+        record.failures += 1;
+        const int doublings = std::min(record.unreachable, MostDoublings);
+        ++record.unreachable;
+        const Duration suspicion = std::min(this->times.longestSuspicion,
+                                            this->times.firstSuspicion * (1 << doublings));
+        record.suspectUntil = now + suspicion;
+        this->log.write(Event::ServerDown,
+                        {{"server", server},
+                         {"source", "attempt"},
+                         {"suspected_ms", static_cast<std::int64_t>(suspicion.count() / 1'000)}});
+        break;
+    }
+    case ServerEvidence::Leaving:
+        if (!record.leaving)
+            this->log.write(Event::ServerDraining, {{"server", server}, {"source", "answer"}});
+        record.leaving = true;
+        break;
+    }
+}
+
+const GatewayServer *ServerFleet::find(const ServerId &server) const
+{
+    const auto found = this->records.find(server);
+    return found == this->records.end() ? nullptr : &found->second.server;
+}
+
+std::vector<const GatewayServer *> ServerFleet::usable(const std::string &pool,
+                                                       TimePoint now) const
+{
+    std::vector<const Record *> chosen;
+    std::vector<const Record *> suspected;
+    for (const auto &[id, record] : this->records) {
+        if (record.server.pool != pool || !this->mayWork(record, now))
+            continue;
+        (record.suspectUntil > now ? suspected : chosen).push_back(&record);
+    }
+    if (chosen.empty())
+        chosen = suspected;
+    std::sort(chosen.begin(), chosen.end(),
+              [](const Record *left, const Record *right) { return left->rank < right->rank; });
+    std::vector<const GatewayServer *> servers;
+    servers.reserve(chosen.size());
+    for (const Record *record : chosen)
+        servers.push_back(&record->server);
+    return servers;
+}
+
+double ServerFleet::failureRate(const ServerId &server, TimePoint now) const
+{
+    const auto found = this->records.find(server);
+    if (found == this->records.end())
+        return 1.0;
+    Record record = found->second;
+    this->age(record, now);
+    return (record.failures + PriorFailures)
+           / (record.failures + record.answers + PriorAnswers + PriorFailures);
+}
+
+double ServerFleet::rank(const ServerId &server) const
+{
+    const auto found = this->records.find(server);
+    return found == this->records.end() ? 1.0 : found->second.rank;
+}
+
+std::vector<const GatewayServer *> ServerFleet::all() const
+{
+    std::vector<const GatewayServer *> servers;
+    servers.reserve(this->records.size());
+    for (const auto &[id, record] : this->records)
+        servers.push_back(&record.server);
+    return servers;
+}
+
+void ServerFleet::age(Record &record, TimePoint now) const
+{
+    const double halves = toSeconds(now - record.weighed) / toSeconds(this->times.trustHalfLife);
+    const double kept = std::exp2(-std::max(0.0, halves));
+    record.failures *= kept;
+    record.answers *= kept;
+    record.weighed = now;
+}
+
+bool ServerFleet::mayWork(const Record &record, TimePoint now) const
+{
+    if (record.server.draining || record.leaving)
+        return false;
+    return !record.goneAt || *record.goneAt > now;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/gateway/shared_objects.cpp
@@ -0,0 +1,141 @@
+#include "gateway/shared_objects.h"
+
+#include <algorithm>
+
+namespace dotterel {
+
+namespace {
+
+/// The store tells a change to all hosts within a few tens of milliseconds; a host asks a peer only
+/// if it has not heard by then.
+constexpr Duration AskDelay = std::chrono::milliseconds(250);
+/// Between two requests for the same object.
+constexpr Duration AskAgain = std::chrono::seconds(1);
+
+} // namespace
+
+SharedObjects::SharedObjects(Collection collection)
+    : which(collection)
+{}
+
+bool SharedObjects::isNews(const CollectedObject &object) const
+{
+    const auto found = this->objects.find(object.name);
+    if (found == this->objects.end() || found->second.revision < object.revision)
+        return true;
+    // The revision of a removal is only known to lie between its neighbours.
+    return found->second.revision == object.revision && found->second.removed && !object.removed;
+}
+
+std::vector<CollectedObject> SharedObjects::onListed(const CollectedPage &page)
+{
+    std::set<std::string> present;
+    for (const CollectedObject &object : page.objects)
+        present.insert(object.name);
+    std::vector<CollectedObject> changes = page.objects;
+    for (const auto &[name, object] : this->objects) {
+        // What peers told of a later revision than the list is not undone by it.
+        if (!object.removed && present.count(name) == 0 && object.revision < page.revision)
+            changes.push_back({name, page.revision, true, ""});
+    }
+    return this->onChanged(changes);
+}
+
+std::vector<CollectedObject>
+SharedObjects::onChanged(const std::vector<CollectedObject> &changes)
+{
+    std::vector<CollectedObject> news;
+    for (const CollectedObject &object : changes) {
+        if (!this->isNews(object))
+            continue;
+        this->objects[object.name] = object;
+        const auto asked = this->wanted.find(object.name);
+        if (asked != this->wanted.end() && asked->second.revision <= object.revision)
+            this->wanted.erase(asked);
+        news.push_back(object);
+    }
+    return news;
+}
+
+std::vector<CollectedObject> SharedObjects::onAnnounced(std::uint64_t link,
+                                                        const ObjectAnnouncement &announcement,
+                                                        TimePoint now)
+{
+    std::vector<CollectedObject> removals;
+    for (const AnnouncedObject &announced : announcement.objects) {
+        const CollectedObject object{announced.name, announced.revision, announced.removed, ""};
+        if (!this->isNews(object))
+            continue;
+        if (object.removed) {
+            removals.push_back(object);
+            continue;
+        }
+        Wanted &entry = this->wanted[announced.name];
+        if (entry.revision > announced.revision)
+            continue;
+        if (entry.revision == announced.revision) {
+            // The peer that was asked first may be gone.
+            entry.link = link;
+            continue;
+        }
+        entry = {announced.revision, link, now + AskDelay};
+    }
+    return this->onChanged(removals);
+}
+
+std::vector<std::pair<std::uint64_t, ObjectRequest>> SharedObjects::takeWanted(TimePoint now)
+{
+    std::map<std::uint64_t, ObjectRequest> byLink;
+    for (auto &[name, entry] : this->wanted) {
+        if (entry.due > now)
+            continue;
+        ObjectRequest &request = byLink[entry.link];
+        request.collection = static_cast<std::uint8_t>(this->which);
+        request.names.push_back(name);
+        entry.due = now + AskAgain;
+    }
+    return {byLink.begin(), byLink.end()};
+}
+
+std::optional<TimePoint> SharedObjects::nextWanted() const
+{
+    std::optional<TimePoint> next;
+    for (const auto &[name, entry] : this->wanted) {
+        if (!next || entry.due < *next)
+            next = entry.due;
+    }
+    return next;
+}
+
+ObjectAnnouncement
+SharedObjects::announcement(const std::vector<CollectedObject> &changed) const
+{
+    ObjectAnnouncement result;
+    result.collection = static_cast<std::uint8_t>(this->which);
+    for (const CollectedObject &object : changed)
+        result.objects.push_back({object.name, object.revision, object.removed});
+    return result;
+}
+
+ObjectAnnouncement SharedObjects::announceAll() const
+{
+    std::vector<CollectedObject> all;
+    for (const auto &[name, object] : this->objects)
+        all.push_back({name, object.revision, object.removed, ""});
+    return this->announcement(all);
+}
+
+ObjectOffer SharedObjects::offer(const ObjectRequest &request) const
+{
+    ObjectOffer result;
+    result.collection = static_cast<std::uint8_t>(this->which);
+    for (const std::string &name : request.names) {
+        const auto found = this->objects.find(name);
+        if (found != this->objects.end())
+            result.objects.push_back({found->second.name, found->second.revision,
+                                      found->second.removed, found->second.text});
+    }
+    return result;
+}
+
+} // namespace dotterel
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -24,6 +24,9 @@
 constexpr const char *ChunkType = "b";
 constexpr const char *CrashType = "c";
 constexpr const char *NewsType = "n";
+constexpr const char *AnnouncementType = "a";
+constexpr const char *ObjectRequestType = "w";
+constexpr const char *ObjectOfferType = "f";
 
 constexpr std::size_t MostFingerprintBytes = 64;
 constexpr std::size_t MostCrashes = 8;
@@ -284,6 +287,50 @@
     return news;
 }
 
+nlohmann::json encode(const ObjectAnnouncement &announcement)
+{
+    nlohmann::json rows = nlohmann::json::array();
+    for (const AnnouncedObject &object : announcement.objects)
+        rows.push_back(nlohmann::json::array({object.name, object.revision, object.removed}));
+    return {{TypeKey, AnnouncementType}, {"k", announcement.collection}, {"o", rows}};
+}
+
+nlohmann::json encode(const ObjectRequest &request)
+{
+    return {{TypeKey, ObjectRequestType}, {"k", request.collection}, {"n", request.names}};
+}
+
+nlohmann::json encode(const ObjectOffer &offer)
+{
+    nlohmann::json rows = nlohmann::json::array();
+    for (const OfferedObject &object : offer.objects)
+        rows.push_back(nlohmann::json::array(
+                {object.name, object.revision, object.removed, object.text}));
+    return {{TypeKey, ObjectOfferType}, {"k", offer.collection}, {"o", rows}};
+}
+
+ObjectAnnouncement decodeAnnouncement(const nlohmann::json &json)
+{
+    ObjectAnnouncement announcement;
+    announcement.collection = json.at("k").get<std::uint8_t>();
+    for (const nlohmann::json &row : json.at("o"))
+        announcement.objects.push_back({row.at(0).get<std::string>(),
+                                        checkedNumber<std::uint64_t>(row.at(1)),
+                                        row.at(2).get<bool>()});
+    return announcement;
+}
+
+ObjectOffer decodeObjectOffer(const nlohmann::json &json)
+{
+    ObjectOffer offer;
+    offer.collection = json.at("k").get<std::uint8_t>();
+    for (const nlohmann::json &row : json.at("o"))
+        offer.objects.push_back({row.at(0).get<std::string>(),
+                                 checkedNumber<std::uint64_t>(row.at(1)), row.at(2).get<bool>(),
+                                 row.at(3).get<std::string>()});
+    return offer;
+}
+
 DispatchNews decodeNews(const nlohmann::json &json)
 {
     DispatchNews news;
@@ -381,6 +428,13 @@
             return decodeNews(json);
         if (type == LoadType)
             return decodeLoadNews(json);
+        if (type == AnnouncementType)
+            return decodeAnnouncement(json);
+        if (type == ObjectRequestType)
+            return ObjectRequest{json.at("k").get<std::uint8_t>(),
+                                 json.at("n").get<std::vector<std::string>>()};
+        if (type == ObjectOfferType)
+            return decodeObjectOffer(json);
         return tl::unexpected(std::string("unknown message type"));
     } catch (const nlohmann::json::exception &error) {
         return tl::unexpected(std::string(error.what()));
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -142,10 +142,49 @@
     std::vector<ServerLoad> loads;
 };
 
+/// Says which revision of an object the sender knows.
+struct AnnouncedObject
+{
+    std::string name;
+    std::uint64_t revision = 0;
+    bool removed = false;
+};
+
+/// Tells what the sender knows of a collection of the platform.
+struct ObjectAnnouncement
+{
+    std::uint8_t collection = 0;
+    std::vector<AnnouncedObject> objects;
+};
+
+/// Asks a peer for objects of a collection.
+struct ObjectRequest
+{
+    std::uint8_t collection = 0;
+    std::vector<std::string> names;
+};
+
+/// One object of a collection, as the store keeps it.
+struct OfferedObject
+{
+    std::string name;
+    std::uint64_t revision = 0;
+    bool removed = false;
+    std::string text;
+};
+
+/// Answers an ObjectRequest.
+struct ObjectOffer
+{
+    std::uint8_t collection = 0;
+    std::vector<OfferedObject> objects;
+};
+
 using PeerMessage =
         std::variant<Heartbeat, MemberDigest, MemberUpdate, ConfigurationRequest,
                      ConfigurationOffer, CrashNotice, DispatchNews, LoadNews, OrderOutcomeOffer,
-                     ConfigurationChunkRequest, ConfigurationChunkOffer>;
+                     ConfigurationChunkRequest, ConfigurationChunkOffer, ObjectAnnouncement,
+                     ObjectRequest, ObjectOffer>;
 
 /// Returns \a message as CBOR.
 std::string encodePeerMessage(const PeerMessage &message);
--- a/src/state/settings.cpp
+++ b/src/state/settings.cpp
@@ -1,6 +1,7 @@
 #include "state/settings.h"
 
 #include <array>
+#include <sstream>
 #include <yaml-cpp/yaml.h>
 
 namespace dotterel {
@@ -8,10 +9,18 @@
 namespace {
 
 constexpr std::uint64_t LargestPort = 65'535;
+constexpr std::size_t MostPortDigits = 5;
 constexpr std::uint64_t LargestBodyBytes = 256UL * 1024 * 1024;
 constexpr std::uint64_t MostRequestsInFlight = 1'000'000;
 constexpr std::uint64_t LongestMilliseconds = 600'000;
+constexpr std::uint64_t LongestSeconds = 600;
 constexpr std::uint64_t LongestNameBytes = 64;
+constexpr std::uint64_t FewestOpenFiles = 256;
+constexpr std::uint64_t MostOpenFiles = 1'000'000;
+constexpr std::uint64_t LeastMemoryMb = 32;
+constexpr std::uint64_t MostMemoryMb = 1'000'000;
+constexpr std::uint64_t MostSharedHosts = 10'000;
+constexpr std::uint64_t MostRetrySlack = 1'000'000;
 constexpr const char *NameCharacters =
         "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
 constexpr std::array<Severity, 4> Severities = {Severity::Debug, Severity::Info, Severity::Warning,
@@ -54,6 +63,10 @@
     {
         return rangeText(setting);
     }
+    std::string operator()(double Settings::* /*member*/) const
+    {
+        return "number, " + rangeText(setting);
+    }
     std::string operator()(Duration Settings::* /*member*/) const
     {
         return rangeText(setting) + " milliseconds";
@@ -78,6 +91,12 @@
     {
         return std::to_string(settings.*member);
     }
+    std::string operator()(double Settings::*member) const
+    {
+        std::ostringstream text;
+        text << settings.*member;
+        return text.str();
+    }
     std::string operator()(Duration Settings::*member) const
     {
         return std::to_string(milliseconds(settings.*member));
@@ -119,12 +138,18 @@
     void readMember(const SettingInfo &setting, Endpoint Settings::*member)
     {
         const std::string key(setting.key);
+        if (!this->reader.has(key) && !setting.required)
+            return;
         if (!this->reader.has(key)) {
             this->reader.fault(key, "is missing; it must be a " + settingAllowed(setting));
             this->reader.readMap(key);
             return;
         }
         Endpoint &endpoint = this->settings.*member;
+        if (this->reader.isScalar(key)) {
+            this->readEndpointText(setting, endpoint);
+            return;
+        }
         const YAML::Node node = this->reader.readMap(key);
         YamlMapReader map(node, this->file, key, this->faults);
         std::uint64_t port = 0;
@@ -136,12 +161,37 @@
         endpoint.port = static_cast<std::uint16_t>(port);
     }
 
+    void readEndpointText(const SettingInfo &setting, Endpoint &endpoint)
+    {
+        const std::string key(setting.key);
+        std::string text;
+        this->reader.readString(key, text, setting.required);
+        const std::size_t colon = text.rfind(':');
+        const std::string digits = colon == text.npos ? "" : text.substr(colon + 1);
+        const bool isNumber = !digits.empty() && digits.size() <= MostPortDigits
+                              && digits.find_first_not_of("0123456789") == digits.npos;
+        const std::uint64_t port = isNumber ? std::strtoull(digits.c_str(), nullptr, 10) : 0;
+        endpoint.address = text.substr(0, colon);
+        if (!isNumber || port < setting.least || port > setting.most
+            || !isIpNumber(endpoint.address))
+            this->reader.fault(key, "must be an IP number and a port, such as 10.0.0.1:80, not \""
+                                            + text + "\"");
+        endpoint.port = static_cast<std::uint16_t>(port);
+    }
+
     void readMember(const SettingInfo &setting, std::uint64_t Settings::*member)
     {
         this->reader.readInteger(std::string(setting.key), this->settings.*member, setting.least,
                                  setting.most, setting.required);
     }
 
+    void readMember(const SettingInfo &setting, double Settings::*member)
+    {
+        this->reader.readNumber(std::string(setting.key), this->settings.*member,
+                                static_cast<double>(setting.least),
+                                static_cast<double>(setting.most));
+    }
+
     void readMember(const SettingInfo &setting, Duration Settings::*member)
     {
         std::uint64_t value = milliseconds(this->settings.*member);
@@ -224,6 +274,22 @@
              "Time from not ready to the end of listening in a graceful shutdown."},
             {"log-threshold", &Settings::logThreshold, false, 0, 0,
              "Events below this severity are not logged."},
+            {"readiness", &Settings::readiness, false, 0, LargestPort,
+             "Gateway: where a balancer asks whether to send callers here."},
+            {"max-open-files", &Settings::maxOpenFiles, false, FewestOpenFiles, MostOpenFiles,
+             "Gateway: descriptors that the process may have."},
+            {"memory-mb", &Settings::memoryMb, false, LeastMemoryMb, MostMemoryMb,
+             "Gateway: memory that the process may use, in megabytes."},
+            {"shared-hosts", &Settings::sharedHosts, false, 1, MostSharedHosts,
+             "Gateway: entry hosts that share the retries until others are heard of."},
+            {"retry-ratio", &Settings::retryRatio, false, 0, 1,
+             "Gateway: further attempts for each request, for all entry hosts together."},
+            {"retry-slack", &Settings::retrySlack, false, 0, MostRetrySlack,
+             "Gateway: further attempts in a window besides, for all entry hosts together."},
+            {"retry-window-seconds", &Settings::retryWindowSeconds, false, 1, LongestSeconds,
+             "Gateway: the window of `retry-slack`."},
+            {"shutdown-limit-seconds", &Settings::shutdownLimitSeconds, false, 1, LongestSeconds,
+             "Gateway: time from the signal to end until the process is ended by force."},
     };
     return table;
 }
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -32,12 +32,22 @@
     Duration heartbeatInterval = std::chrono::milliseconds(250);
     Duration shutdownGrace = std::chrono::seconds(2);
     Severity logThreshold = Severity::Info;
+
+    // Of the gateway; the daemon without one does not use them.
+    Endpoint readiness;                ///< Where a balancer asks whether to send callers here.
+    std::uint64_t maxOpenFiles = 4'096; ///< Descriptors that the process may have.
+    std::uint64_t memoryMb = 256;       ///< Memory that the process may use.
+    std::uint64_t sharedHosts = 9;      ///< Entry hosts expected before any other is heard of.
+    double retryRatio = 0.2;            ///< Of the requests for a pool, for all hosts together.
+    double retrySlack = 100;            ///< Further attempts in a window besides the ratio.
+    double retryWindowSeconds = 10;
+    double shutdownLimitSeconds = 8; ///< From the signal to the forced end.
 };
 
 /// The member that a setting is read into; its type says how the setting is written.
 using SettingMember =
         std::variant<std::string Settings::*, Endpoint Settings::*, std::uint64_t Settings::*,
-                     Duration Settings::*, Severity Settings::*>;
+                     double Settings::*, Duration Settings::*, Severity Settings::*>;
 
 /// One key of the settings. A new setting needs a member and a row; nothing else.
 struct SettingInfo
--- a/src/state/yaml_reader.cpp
+++ b/src/state/yaml_reader.cpp
@@ -140,6 +140,11 @@
     return this->node.IsMap() && this->node[key].IsDefined();
 }
 
+bool YamlMapReader::isScalar(const std::string &key) const
+{
+    return this->has(key) && this->node[key].IsScalar();
+}
+
 void YamlMapReader::readString(const std::string &key, std::string &value, bool required)
 {
     std::string text;
--- a/src/state/yaml_reader.h
+++ b/src/state/yaml_reader.h
@@ -41,6 +41,9 @@
     /// Returns true if \a key is present.
     bool has(const std::string &key) const;
 
+    /// Returns true if \a key is present and neither a map nor a list.
+    bool isScalar(const std::string &key) const;
+
     /// Reads a string; it must not be empty. Keeps \a value if the key is absent.
     void readString(const std::string &key, std::string &value, bool required = false);
 
--- /dev/null
+++ b/src/transport/datagram_socket.cpp
@@ -0,0 +1,65 @@
+#include "transport/datagram_socket.h"
+
+#include "transport/socket_options.h"
+
+#include <array>
+#include <event2/event.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace dotterel {
+
+namespace {
+
+constexpr std::size_t LargestDatagram = 64UL * 1024;
+/// Read in one turn of the loop, so that a flood does not keep it from other work.
+constexpr int MostAtOnce = 64;
+
+} // namespace
+
+DatagramSocket::DatagramSocket(EventLoop &loop, const Endpoint &endpoint, Handler handler)
+    : handler(std::move(handler))
+    , descriptor(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
+{
+    const sockaddr_in address = socketAddress(endpoint);
+    if (this->descriptor < 0
+        || bind(this->descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address))
+                   != 0) {
+        if (this->descriptor >= 0)
+            close(this->descriptor);
+        throw std::runtime_error("cannot bind " + endpoint.text() + " for datagrams");
+    }
+    this->boundEndpoint = boundAddress(this->descriptor);
+    this->readEvent = event_new(loop.base(), this->descriptor, EV_READ | EV_PERSIST,
+                                &DatagramSocket::readable, this);
+    event_add(this->readEvent, nullptr);
+}
+
+DatagramSocket::~DatagramSocket()
+{
+    event_free(this->readEvent);
+    close(this->descriptor);
+}
+
+bool DatagramSocket::send(const Endpoint &endpoint, std::string_view bytes)
+{
+    const sockaddr_in address = socketAddress(endpoint);
+    return sendto(this->descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT,
+                  reinterpret_cast<const sockaddr *>(&address), sizeof(address))
+           == static_cast<ssize_t>(bytes.size());
+}
+
+void DatagramSocket::readable(int /*descriptor*/, short /*what*/, void *self)
+{
+    DatagramSocket &socket = *static_cast<DatagramSocket *>(self);
+    static std::array<char, LargestDatagram> buffer;
+    for (int count = 0; count < MostAtOnce; ++count) {
+        const ssize_t length = recv(socket.descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (length < 0)
+            return;
+        socket.handler({buffer.data(), static_cast<std::size_t>(length)});
+    }
+}
+
+} // namespace dotterel
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -263,7 +263,7 @@
     return "";
 }
 
-HttpFetch::HttpFetch(HttpClient &client, const HttpRequest &request, Callback callback)
+HttpFetch::HttpFetch(HttpSender &client, const HttpRequest &request, Callback callback)
     : callback(std::move(callback))
 {
     this->call = client.send(request, *this);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -21,6 +21,12 @@
     HttpHeaders headers;
     std::shared_ptr<const std::string> body;     ///< Shared, never copied; may be null.
     Duration timeout = std::chrono::seconds(30); ///< From the connect to the end of the answer.
+    /// Longest wait for a connection; the whole timeout if it is zero.
+    Duration connectTimeout = Duration::zero();
+    bool freshConnection = true; ///< Never sent on a connection that has been idle.
+    /// Header and value that the answer echoes; an answer with another value is dropped. Only for
+    /// kept connections; empty if the peer echoes nothing.
+    std::pair<std::string, std::string> echo;
 };
 
 /// Where an HTTP call failed.
@@ -37,6 +43,7 @@
 {
     HttpFailureKind kind = HttpFailureKind::ConnectFailed;
     Verdict verdict = Verdict::NotRun; ///< Follows from whether bytes left the process.
+    bool keptConnection = false;       ///< The connection had been idle before the request.
 };
 
 /// Gets the answer to one call. No call is made after onComplete() or onFailed().
@@ -51,8 +58,8 @@
     /// Part of the body arrived.
     virtual void onData(std::string_view bytes) = 0;
 
-    /// The body arrived whole. A body that only the end of the connection delimits cannot be told
-    /// from a cut one and ends in onFailed().
+    /// The body arrived whole. HttpClient cannot tell a body that only the end of the connection
+    /// delimits from a cut one and ends in onFailed().
     virtual void onComplete() = 0;
 
     /// The call failed.
@@ -69,15 +76,24 @@
     virtual void pause(bool paused) = 0;
 };
 
+/// Sends HTTP/1.1 requests.
+class HttpSender
+{
+public:
+    virtual ~HttpSender() = default;
+
+    /// Sends \a request. \a listener must outlive the returned call.
+    virtual std::unique_ptr<HttpCall> send(const HttpRequest &request, HttpListener &listener) = 0;
+};
+
 /// Sends HTTP/1.1 requests, each on a fresh connection: a connection that the other side may
 /// close while it is idle would leave the outcome of an order unknown for no reason.
-class HttpClient
+class HttpClient : public HttpSender
 {
 public:
     explicit HttpClient(EventLoop &loop);
 
-    /// Sends \a request. \a listener must outlive the returned call.
-    std::unique_ptr<HttpCall> send(const HttpRequest &request, HttpListener &listener);
+    std::unique_ptr<HttpCall> send(const HttpRequest &request, HttpListener &listener) override;
 
 private:
     EventLoop &loop;
@@ -102,7 +118,7 @@
 
     /// Sends \a request and calls \a callback with the answer, or with none and the failure.
     /// The callback may destroy the fetch.
-    HttpFetch(HttpClient &client, const HttpRequest &request, Callback callback);
+    HttpFetch(HttpSender &client, const HttpRequest &request, Callback callback);
 
 private:
     void onHead(int status, const HttpHeaders &headers) override;
--- /dev/null
+++ b/src/transport/http_message_parser.cpp
@@ -0,0 +1,207 @@
+#include "transport/http_message_parser.h"
+
+#include <http_parser.h>
+#include <strings.h>
+
+namespace dotterel {
+
+namespace {
+
+constexpr std::uint64_t NoContentLength = UINT64_MAX;
+constexpr int SkipNothing = 0;
+
+} // namespace
+
+bool isBodiless(int status)
+{
+    constexpr int FirstFinal = 200;
+    constexpr int NoContent = 204;
+    constexpr int NotModified = 304;
+    return status < FirstFinal || status == NoContent || status == NotModified;
+}
+
+/// The parser of the library and the message that it is in.
+struct HttpMessageParser::State
+{
+    State(HttpSide side, std::size_t maxHeadBytes, HttpMessageListener &listener)
+        : side(side)
+        , maxHeadBytes(maxHeadBytes)
+        , listener(listener)
+    {
+        http_parser_init(&this->parser,
+                         side == HttpSide::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
+        this->parser.data = this;
+        http_parser_settings_init(&this->callbacks);
+        this->callbacks.on_message_begin = &State::onBegin;
+        this->callbacks.on_url = &State::onUrl;
+        this->callbacks.on_header_field = &State::onField;
+        this->callbacks.on_header_value = &State::onValue;
+        this->callbacks.on_headers_complete = &State::onHeadersComplete;
+        this->callbacks.on_body = &State::onBody;
+        this->callbacks.on_message_complete = &State::onComplete;
+    }
+
+    static State &of(http_parser *parser) { return *static_cast<State *>(parser->data); }
+
+    static int onBegin(http_parser *parser)
+    {
+        State &self = of(parser);
+        self.head = HttpHead();
+        self.headBytes = 0;
+        self.inHead = true;
+        self.inMessage = true;
+        self.lastWasValue = true;
+        return 0;
+    }
+
+    bool countHeadBytes(std::size_t length)
+    {
+        this->headBytes += length;
+        this->tooLarge = this->headBytes > this->maxHeadBytes;
+        return !this->tooLarge;
+    }
+
+    static int onUrl(http_parser *parser, const char *bytes, std::size_t length)
+    {
+        State &self = of(parser);
+        self.head.target.append(bytes, length);
+        return self.countHeadBytes(length) ? 0 : 1;
+    }
+
+    static int onField(http_parser *parser, const char *bytes, std::size_t length)
+    {
+        State &self = of(parser);
+        if (!self.inHead) // A trailer; no peer of ours uses them.
+            return 0;
+        if (self.lastWasValue)
+            self.head.headers.emplace_back();
+        self.lastWasValue = false;
+        self.head.headers.back().first.append(bytes, length);
+        return self.countHeadBytes(length) ? 0 : 1;
+    }
+
+    static int onValue(http_parser *parser, const char *bytes, std::size_t length)
+    {
+        State &self = of(parser);
+        if (!self.inHead)
+            return 0;
+        self.lastWasValue = true;
+        self.head.headers.back().second.append(bytes, length);
+        return self.countHeadBytes(length) ? 0 : 1;
+    }
+
+    static int onHeadersComplete(http_parser *parser)
+    {
+        State &self = of(parser);
+        self.inHead = false;
+        HttpHead &head = self.head;
+        if (self.side == HttpSide::Requests)
+            head.method = http_method_str(static_cast<http_method>(parser->method));
+        else
+            head.status = parser->status_code;
+        const bool chunked = (parser->flags & F_CHUNKED) != 0;
+        if (parser->content_length != NoContentLength && !chunked)
+            head.contentLength = parser->content_length;
+        head.keepAlive = http_should_keep_alive(parser) != 0;
+        head.delimited = self.side == HttpSide::Requests || chunked || head.contentLength
+                         || isBodiless(head.status);
+        self.listener.onMessageHead(std::move(head));
+        return SkipNothing;
+    }
+
+    static int onBody(http_parser *parser, const char *bytes, std::size_t length)
+    {
+        of(parser).listener.onMessageData({bytes, length});
+        return 0;
+    }
+
+    static int onComplete(http_parser *parser)
+    {
+        State &self = of(parser);
+        self.inMessage = false;
+        self.ended = true;
+        // What follows belongs to another message and is looked at separately.
+        http_parser_pause(parser, 1);
+        return 0;
+    }
+
+    HttpSide side;
+    std::size_t maxHeadBytes;
+    HttpMessageListener &listener;
+    http_parser parser{};
+    http_parser_settings callbacks{};
+    HttpHead head;
+    std::size_t headBytes = 0;
+    bool inHead = false;
+    bool lastWasValue = true;
+    bool inMessage = false;
+    bool ended = false;
+    bool tooLarge = false;
+};
+
+const std::string *findHeader(const HttpHeaders &headers, std::string_view name)
+{
+    for (const auto &[key, value] : headers) {
+        if (sameHeaderName(key, name))
+            return &value;
+    }
+    return nullptr;
+}
+
+bool sameHeaderName(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+HttpMessageParser::HttpMessageParser(HttpSide side, std::size_t maxHeadBytes,
+                                     HttpMessageListener &listener)
+    : state(std::make_unique<State>(side, maxHeadBytes, listener))
+{}
+
+HttpMessageParser::~HttpMessageParser() = default;
+
+HttpParseResult HttpMessageParser::feed(std::string_view &bytes)
+{
+    State &self = *this->state;
+    self.ended = false;
+    const std::size_t consumed =
+            http_parser_execute(&self.parser, &self.callbacks, bytes.data(), bytes.size());
+    if (self.ended) {
+        http_parser_pause(&self.parser, 0);
+        bytes.remove_prefix(consumed);
+        // The library stops at the last byte of a body but one past the end of a bare head.
+        if (self.parser.upgrade != 0)
+            return HttpParseResult::Malformed;
+        self.ended = false;
+        // The message must not carry its state into the next one.
+        http_parser_init(&self.parser,
+                         self.side == HttpSide::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
+        self.parser.data = &self;
+        return HttpParseResult::MessageEnded;
+    }
+    if (self.tooLarge)
+        return HttpParseResult::HeadTooLarge;
+    if (HTTP_PARSER_ERRNO(&self.parser) != HPE_OK)
+        return HTTP_PARSER_ERRNO(&self.parser) == HPE_HEADER_OVERFLOW
+                       ? HttpParseResult::HeadTooLarge
+                       : HttpParseResult::Malformed;
+    bytes.remove_prefix(bytes.size());
+    return HttpParseResult::NeedsMore;
+}
+
+bool HttpMessageParser::finish()
+{
+    State &self = *this->state;
+    if (!self.inMessage)
+        return false;
+    self.ended = false;
+    http_parser_execute(&self.parser, &self.callbacks, nullptr, 0);
+    return self.ended;
+}
+
+bool HttpMessageParser::inMessage() const
+{
+    return this->state->inMessage;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/transport/kept_http_client.cpp
@@ -0,0 +1,465 @@
+#include "transport/kept_http_client.h"
+
+#include "transport/socket_options.h"
+
+#include <algorithm>
+#include <charconv>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <optional>
+#include <sys/socket.h>
+
+namespace dotterel {
+
+namespace {
+
+constexpr std::size_t MaxHeadBytes = 64UL * 1024;
+constexpr int FirstFinalStatus = 200;
+/// How often idle connections are checked; small against any idle time.
+constexpr Duration SweepInterval = std::chrono::milliseconds(500);
+
+/// Returns the idle time that an answer states, if it does.
+std::optional<Duration> statedIdleTime(const HttpHeaders &headers)
+{
+    const std::string *value = findHeader(headers, "Keep-Alive");
+    if (value == nullptr)
+        return std::nullopt;
+    constexpr std::string_view Key = "timeout=";
+    const std::size_t begin = value->find(Key);
+    unsigned seconds = 0;
+    if (begin == std::string::npos
+        || std::from_chars(value->data() + begin + Key.size(), value->data() + value->size(),
+                           seconds)
+                           .ec
+                   != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+std::string requestHead(const HttpRequest &request)
+{
+    std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
+    bool namesHost = false;
+    for (const auto &[name, value] : request.headers) {
+        namesHost = namesHost || sameHeaderName(name, "Host");
+        head.append(name).append(": ").append(value).append("\r\n");
+    }
+    if (!namesHost)
+        head += "Host: " + request.endpoint.text() + "\r\n";
+    const bool bodyless = request.method == "GET" || request.method == "HEAD";
+    const std::size_t length = request.body ? request.body->size() : 0;
+    if (length > 0 || !bodyless)
+        head += "Content-Length: " + std::to_string(length) + "\r\n";
+    head += "\r\n";
+    return head;
+}
+
+void releaseBody(const void * /*bytes*/, std::size_t /*length*/, void *holder)
+{
+    delete static_cast<std::shared_ptr<const std::string> *>(holder);
+}
+
+} // namespace
+
+/// One connection and the call on it.
+class KeptHttpClient::Connection
+    : public HttpMessageListener
+    , public std::enable_shared_from_this<KeptHttpClient::Connection>
+{
+public:
+    Connection(KeptHttpClient &owner, const Endpoint &endpoint)
+        : owner(owner)
+        , peer(endpoint)
+        , stream(bufferevent_socket_new(owner.loop.base(), -1, BEV_OPT_CLOSE_ON_FREE))
+        , parser(std::make_unique<HttpMessageParser>(HttpSide::Answers, MaxHeadBytes, *this))
+    {
+        bufferevent_setcb(this->stream, &Connection::readable, nullptr, &Connection::event, this);
+        evbuffer_add_cb(bufferevent_get_output(this->stream), &Connection::outputChanged, this);
+    }
+    ~Connection() override { bufferevent_free(this->stream); }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    const Endpoint &endpoint() const { return this->peer; }
+
+    /// Begins to connect; false if that fails at once.
+    bool connect()
+    {
+        const sockaddr_in address = socketAddress(this->peer);
+        if (bufferevent_socket_connect(this->stream,
+                                       reinterpret_cast<const sockaddr *>(&address),
+                                       sizeof(address))
+            != 0)
+            return false;
+        setConnectionOptions(bufferevent_getfd(this->stream));
+        bufferevent_enable(this->stream, EV_READ | EV_WRITE);
+        return true;
+    }
+
+    void start(const HttpRequest &request, HttpListener &newListener, bool wasIdle)
+    {
+        this->listener = &newListener;
+        ++this->callNumber;
+        this->echo = request.echo;
+        this->kept = wasIdle;
+        this->sentBytes = false;
+        this->headSeen = false;
+        this->skipping = false;
+        this->idleTime.reset();
+        const std::string head = requestHead(request);
+        bufferevent_write(this->stream, head.data(), head.size());
+        if (request.body && !request.body->empty()) {
+            auto *holder = new std::shared_ptr<const std::string>(request.body);
+            evbuffer_add_reference(bufferevent_get_output(this->stream), request.body->data(),
+                                   request.body->size(), &releaseBody, holder);
+        }
+        if (!this->connected && request.connectTimeout > Duration::zero())
+            this->connectTimer = this->owner.loop.after(request.connectTimeout, [this] {
+                this->fail(HttpFailureKind::ConnectFailed);
+            });
+        this->timer = this->owner.loop.after(request.timeout,
+                                             [this] { this->fail(HttpFailureKind::Timeout); });
+    }
+
+    void pause(bool paused)
+    {
+        if (paused)
+            bufferevent_disable(this->stream, EV_READ);
+        else
+            bufferevent_enable(this->stream, EV_READ);
+    }
+
+    /// Ends the call without telling its listener, unless it is over.
+    void cancelIfBusy()
+    {
+        if (this->listener == nullptr)
+            return;
+        this->listener = nullptr;
+        this->owner.discard(this);
+    }
+
+    /// Reports from the loop that there is no connection.
+    void failSoon()
+    {
+        this->connectTimer = this->owner.loop.after(Duration::zero(), [this] {
+            this->fail(HttpFailureKind::ConnectFailed);
+        });
+    }
+
+    /// Stops all callbacks; the connection is freed later.
+    void detach()
+    {
+        this->listener = nullptr;
+        this->timer.reset();
+        this->connectTimer.reset();
+        bufferevent_setcb(this->stream, nullptr, nullptr, nullptr, nullptr);
+        bufferevent_disable(this->stream, EV_READ | EV_WRITE);
+        // Closing at once tells the peer to drop the work.
+        const evutil_socket_t descriptor = bufferevent_getfd(this->stream);
+        if (descriptor >= 0)
+            shutdown(descriptor, SHUT_RDWR);
+    }
+
+    TimePoint idleUntil;
+    std::uint64_t callNumber = 0; ///< Of the present or last call.
+
+private:
+    static void readable(bufferevent * /*stream*/, void *self)
+    {
+        const std::shared_ptr<Connection> alive =
+                static_cast<Connection *>(self)->shared_from_this();
+        alive->read();
+    }
+
+    static void event(bufferevent * /*stream*/, short what, void *self)
+    {
+        const std::shared_ptr<Connection> alive =
+                static_cast<Connection *>(self)->shared_from_this();
+        if ((what & BEV_EVENT_CONNECTED) != 0) {
+            alive->connected = true;
+            alive->connectTimer.reset();
+            return;
+        }
+        alive->ended((what & BEV_EVENT_EOF) != 0);
+    }
+
+    static void outputChanged(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *self)
+    {
+        if (info->n_deleted > 0)
+            static_cast<Connection *>(self)->sentBytes = true;
+    }
+
+    void read()
+    {
+        evbuffer *input = bufferevent_get_input(this->stream);
+        if (this->listener == nullptr) {
+            // No request is waiting, so that these bytes belong to none.
+            this->owner.discard(this);
+            return;
+        }
+        evbuffer_iovec piece{};
+        while (this->listener != nullptr && evbuffer_peek(input, -1, nullptr, &piece, 1) >= 1
+               && piece.iov_len > 0) {
+            std::string_view bytes(static_cast<const char *>(piece.iov_base), piece.iov_len);
+            const HttpParseResult result = this->parser->feed(bytes);
+            evbuffer_drain(input, piece.iov_len - bytes.size());
+            if (this->listener == nullptr)
+                return;
+            if (result == HttpParseResult::Malformed || result == HttpParseResult::HeadTooLarge)
+                return this->fail(this->headSeen ? HttpFailureKind::AnswerCut
+                                                 : HttpFailureKind::Malformed);
+            if (result == HttpParseResult::MessageEnded && this->messageEnded())
+                return;
+        }
+    }
+
+    /// Returns true if the call is over.
+    bool messageEnded()
+    {
+        if (this->skipping) {
+            this->skipping = false;
+            return false;
+        }
+        this->complete();
+        return true;
+    }
+
+    void complete()
+    {
+        HttpListener *ended = this->listener;
+        this->listener = nullptr;
+        this->timer.reset();
+        evbuffer *input = bufferevent_get_input(this->stream);
+        const bool clean = evbuffer_get_length(input) == 0
+                           && evbuffer_get_length(bufferevent_get_output(this->stream)) == 0;
+        const KeptHttpClientLimits &limits = this->owner.limits;
+        const Duration stated = this->idleTime.value_or(limits.defaultIdleTime);
+        const Duration usable = fromSeconds(toSeconds(stated) * limits.usedShareOfIdleTime);
+        if (clean && this->reusable && usable > Duration::zero())
+            this->owner.keep(this->shared_from_this(), usable);
+        else
+            this->owner.discard(this);
+        ended->onComplete();
+    }
+
+    void ended(bool orderly)
+    {
+        if (this->listener == nullptr) {
+            this->owner.discard(this);
+            return;
+        }
+        if (orderly && this->headSeen && !this->skipping && this->parser->finish()) {
+            this->reusable = false;
+            this->complete();
+            return;
+        }
+        if (!this->connected)
+            return this->fail(HttpFailureKind::ConnectFailed);
+        this->fail(this->headSeen ? HttpFailureKind::AnswerCut : HttpFailureKind::ConnectionLost);
+    }
+
+    void fail(HttpFailureKind kind)
+    {
+        const std::shared_ptr<Connection> alive = this->shared_from_this();
+        HttpListener *ended = this->listener;
+        this->listener = nullptr;
+        const HttpFailure failure{kind, this->sentBytes ? Verdict::MayHaveRun : Verdict::NotRun,
+                                  this->kept};
+        this->owner.discard(this);
+        if (ended != nullptr)
+            ended->onFailed(failure);
+    }
+
+    void onMessageHead(HttpHead &&head) override
+    {
+        const std::string *echoed =
+                this->echo.first.empty() ? nullptr : findHeader(head.headers, this->echo.first);
+        const bool foreign = echoed != nullptr && *echoed != this->echo.second;
+        const bool interim = head.status < FirstFinalStatus;
+        this->skipping = foreign || interim;
+        if (foreign)
+            ++this->owner.count.foreignAnswers;
+        if (this->skipping)
+            return;
+        this->headSeen = true;
+        this->reusable = head.keepAlive && head.delimited;
+        this->idleTime = statedIdleTime(head.headers);
+        if (this->listener != nullptr)
+            this->listener->onHead(head.status, head.headers);
+    }
+
+    void onMessageData(std::string_view bytes) override
+    {
+        if (!this->skipping && this->listener != nullptr)
+            this->listener->onData(bytes);
+    }
+
+    void onMessageEnd() override {}
+
+    KeptHttpClient &owner;
+    Endpoint peer;
+    bufferevent *stream;
+    std::unique_ptr<HttpMessageParser> parser;
+    HttpListener *listener = nullptr;
+    std::pair<std::string, std::string> echo;
+    EventLoop::TimerHandle timer;
+    EventLoop::TimerHandle connectTimer;
+    std::optional<Duration> idleTime;
+    bool connected = false;
+    bool kept = false;
+    bool sentBytes = false; ///< Of the present request.
+    bool headSeen = false;
+    bool skipping = false; ///< The present message is not the awaited answer.
+    bool reusable = false;
+};
+
+/// A call in the hands of the caller.
+class KeptHttpClient::Call : public HttpCall
+{
+public:
+    explicit Call(const ConnectionPointer &connection, std::uint64_t number)
+        : connection(connection)
+        , number(number)
+    {}
+    ~Call() override
+    {
+        if (const ConnectionPointer alive = this->connection.lock())
+            if (alive->callNumber == this->number)
+                alive->cancelIfBusy();
+    }
+    Call(const Call &) = delete;
+    Call &operator=(const Call &) = delete;
+
+    void pause(bool paused) override
+    {
+        if (const ConnectionPointer alive = this->connection.lock())
+            if (alive->callNumber == this->number)
+                alive->pause(paused);
+    }
+
+private:
+    std::weak_ptr<Connection> connection;
+    std::uint64_t number;
+};
+
+KeptHttpClient::KeptHttpClient(EventLoop &loop, const KeptHttpClientLimits &limits)
+    : loop(loop)
+    , limits(limits)
+    , sweepTimer(loop.every(SweepInterval, [this] { this->sweep(); }))
+{}
+
+KeptHttpClient::~KeptHttpClient()
+{
+    for (const auto &[endpoint, connections] : this->idle) {
+        for (const ConnectionPointer &connection : connections)
+            connection->detach();
+    }
+    for (const auto &[key, connection] : this->busy)
+        connection->detach();
+}
+
+std::unique_ptr<HttpCall> KeptHttpClient::send(const HttpRequest &request, HttpListener &listener)
+{
+    ConnectionPointer connection =
+            request.freshConnection ? nullptr : this->takeIdle(request.endpoint);
+    const bool wasIdle = connection != nullptr;
+    if (wasIdle) {
+        ++this->count.connectionsReused;
+    } else {
+        ++this->count.connectionsOpened;
+        connection = std::make_shared<Connection>(*this, request.endpoint);
+    }
+    this->busy.emplace(connection.get(), connection);
+    connection->start(request, listener, wasIdle);
+    // A failure at once is told from the loop: the caller does not have its call yet.
+    if (!wasIdle && !connection->connect())
+        connection->failSoon();
+    return std::make_unique<Call>(connection, connection->callNumber);
+}
+
+void KeptHttpClient::dropIdle(const Endpoint &endpoint)
+{
+    const auto found = this->idle.find(endpoint);
+    if (found == this->idle.end())
+        return;
+    const std::list<ConnectionPointer> doomed = std::move(found->second);
+    this->idle.erase(found);
+    for (const ConnectionPointer &connection : doomed) {
+        connection->detach();
+        this->loop.disposeLater(connection);
+    }
+}
+
+std::size_t KeptHttpClient::connectionsTo(const Endpoint &endpoint) const
+{
+    const auto found = this->idle.find(endpoint);
+    const std::size_t resting = found == this->idle.end() ? 0 : found->second.size();
+    return resting
+           + static_cast<std::size_t>(std::count_if(
+                   this->busy.begin(), this->busy.end(),
+                   [&endpoint](const auto &row) { return row.first->endpoint() == endpoint; }));
+}
+
+KeptHttpClient::ConnectionPointer KeptHttpClient::takeIdle(const Endpoint &endpoint)
+{
+    const auto found = this->idle.find(endpoint);
+    if (found == this->idle.end())
+        return nullptr;
+    const TimePoint now = this->loop.now();
+    while (!found->second.empty()) {
+        const ConnectionPointer connection = found->second.back();
+        found->second.pop_back();
+        if (connection->idleUntil > now)
+            return connection;
+        connection->detach();
+        this->loop.disposeLater(connection);
+    }
+    this->idle.erase(found);
+    return nullptr;
+}
+
+void KeptHttpClient::keep(const ConnectionPointer &connection, Duration idleTime)
+{
+    connection->idleUntil = this->loop.now() + idleTime;
+    this->busy.erase(connection.get());
+    std::list<ConnectionPointer> &resting = this->idle[connection->endpoint()];
+    resting.push_back(connection);
+    if (resting.size() > this->limits.maxIdlePerEndpoint) {
+        const ConnectionPointer oldest = resting.front();
+        resting.pop_front();
+        oldest->detach();
+        this->loop.disposeLater(oldest);
+    }
+}
+
+void KeptHttpClient::discard(Connection *connection)
+{
+    const ConnectionPointer alive = connection->shared_from_this();
+    connection->detach();
+    this->busy.erase(connection);
+    const auto found = this->idle.find(connection->endpoint());
+    if (found != this->idle.end()) {
+        found->second.remove(alive);
+        if (found->second.empty())
+            this->idle.erase(found);
+    }
+    // A connection must not be freed inside one of its own callbacks.
+    this->loop.disposeLater(alive);
+}
+
+void KeptHttpClient::sweep()
+{
+    const TimePoint now = this->loop.now();
+    std::vector<ConnectionPointer> expired;
+    for (const auto &[endpoint, connections] : this->idle) {
+        for (const ConnectionPointer &connection : connections) {
+            if (connection->idleUntil <= now)
+                expired.push_back(connection);
+        }
+    }
+    for (const ConnectionPointer &connection : expired)
+        this->discard(connection.get());
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/transport/socket_options.cpp
@@ -0,0 +1,58 @@
+#include "transport/socket_options.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <stdexcept>
+#include <sys/socket.h>
+
+namespace dotterel {
+
+namespace {
+
+/// Seconds of silence before the first probe, and between probes; the least that TCP allows.
+constexpr int ProbeSeconds = 1;
+/// Lost probes after which the connection counts as dead.
+constexpr int MostProbes = 2;
+/// Milliseconds that sent bytes may stay unacknowledged: several retransmissions on any link here.
+constexpr unsigned UnacknowledgedMilliseconds = 2'000;
+
+template <typename Value>
+void setOption(int descriptor, int level, int option, Value value)
+{
+    // A connection without the option works too, so that a failure is not an error.
+    setsockopt(descriptor, level, option, &value, sizeof(value));
+}
+
+} // namespace
+
+void setConnectionOptions(int descriptor)
+{
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, ProbeSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, ProbeSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, MostProbes);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedMilliseconds);
+}
+
+sockaddr_in socketAddress(const Endpoint &endpoint)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    if (inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr) != 1)
+        throw std::runtime_error("not an IPv4 number: " + endpoint.address);
+    return address;
+}
+
+Endpoint boundAddress(int descriptor)
+{
+    sockaddr_in address{};
+    socklen_t length = sizeof(address);
+    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length);
+    char text[INET_ADDRSTRLEN] = "";
+    inet_ntop(AF_INET, &address.sin_addr, text, sizeof(text));
+    return {text, ntohs(address.sin_port)};
+}
+
+} // namespace dotterel
