--- a/src/coordination/crash_guard.cpp
+++ b/src/coordination/crash_guard.cpp
@@ -117,7 +117,7 @@
 
 bool CrashGuard::addCrash(Record &record, const Crash &crash)
 {
-    if (record.cleared && crash.time <= *record.cleared)
+    if (record.cleared && crash.time <= *record.cleared + this->limits.reportDelay)
         return false;
     const auto same = [this, &crash](const Crash &known) {
         const Duration apart = std::chrono::abs(known.time - crash.time);
--- a/src/coordination/crash_guard.h
+++ b/src/coordination/crash_guard.h
@@ -17,6 +17,9 @@
     std::size_t mostRecords = 4'096;              ///< The oldest is dropped for a new one.
     Duration maxAge = std::chrono::hours(1);      ///< After which a record is forgotten.
     Duration sameCrash = std::chrono::seconds(5); ///< Reports of one death of a server.
+    /// A report ages by its way from host to host, so that a crash may seem to follow a clearance
+    /// that it preceded; without this, two reports could chase each other for ever.
+    Duration reportDelay = std::chrono::seconds(1);
 };
 
 /// Finds the requests that crash the backend servers they run on. Every request that was running on
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -128,7 +128,7 @@
             this->attemptLost(call, {Verdict::MayHaveRun, RetryReason::FirstTokenTimeout}, now);
             continue;
         }
-        this->schedule(call);
+        this->schedule(call, now);
     }
 }
 
@@ -139,10 +139,11 @@
     return this->timers.begin()->first;
 }
 
-void ForwardController::schedule(const ForwardCall &call)
+void ForwardController::schedule(const ForwardCall &call, TimePoint now)
 {
     TimePoint due = call.deadline;
-    if (call.attempt)
+    // A limit that has passed without a further attempt does not count any more.
+    if (call.attempt && this->attemptLimit(call) > now)
         due = std::min(due, this->attemptLimit(call));
     this->timers.emplace(due, call.id);
 }
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -91,7 +91,7 @@
     const std::string &fingerprintOf(ForwardCall &call);
     void noteCrash(ForwardCall &call, const ServerId &server, TimePoint now);
     TimePoint attemptLimit(const ForwardCall &call) const;
-    void schedule(const ForwardCall &call);
+    void schedule(const ForwardCall &call, TimePoint now);
     ForwardCall *callOf(ForwardAttemptId attempt);
     void logAttempt(const ForwardCall &call, const char *outcome, Verdict verdict, TimePoint now);
 
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -14,8 +14,12 @@
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 /// Further attempts that never reached a server, for one request.
 constexpr std::size_t MostUnreached = 4;
+constexpr Duration TransportMargin = std::chrono::seconds(1);
 constexpr Duration NoServerRetryAfter = std::chrono::milliseconds(500);
 /// Callers leave a stream after a gap of the longest of these: a fixed time, goals, pauses.
+/// Of a route's timeout: the least and the mean patience of callers that ask for the first time.
+constexpr double LeastFirstPatience = 0.84;
+constexpr double MeanFirstPatience = 0.92;
 constexpr Duration LeastStreamPatience = std::chrono::seconds(2);
 constexpr int GoalsOfPatience = 4;
 constexpr int PausesOfPatience = 8;
@@ -33,6 +37,17 @@
                      route.pauseGoal * PausesOfPatience});
 }
 
+/// Returns how long the caller has waited before this request, if it shows: one that returns has
+/// spent part of the time that first attempts have, which differ by a sixth.
+Duration timeBefore(const ForwardCall &call)
+{
+    const Duration whole = call.route->timeout;
+    const Duration patience = call.facts.patience.value_or(whole);
+    if (toSeconds(patience) >= toSeconds(whole) * LeastFirstPatience)
+        return Duration::zero();
+    return fromSeconds(toSeconds(whole) * MeanFirstPatience) - patience;
+}
+
 } // namespace
 
 void ForwardController::dispatch(ForwardCall &call, TimePoint now)
@@ -83,10 +98,7 @@
     demand.outputTokens = call.facts.outputTokens;
     demand.goal = route.goal;
     demand.pauseGoal = route.pauseGoal;
-    // A caller that returns has spent part of the time that a first attempt has.
-    const Duration patience = call.facts.patience.value_or(route.timeout);
-    const Duration before = std::max(Duration::zero(), route.timeout - patience);
-    demand.waited = before + (now - call.arrived);
+    demand.waited = timeBefore(call) + (now - call.arrived);
     demand.patience = std::min(call.deadline - now, streamPatience(route) - (now - call.arrived));
     demand.value = promptValue(this->prompts.weights().values, demand.promptTokens,
                                demand.outputTokens, route.pauseGoal);
@@ -155,7 +167,8 @@
     request.target = call.head.target;
     request.headers = this->protocol.dispatchHeaders(call.head.headers, facts);
     request.body = call.body;
-    request.timeout = facts.timeLeft;
+    // The call ends at its deadline by itself; this bounds one that nobody ends.
+    request.timeout = facts.timeLeft + TransportMargin;
     request.connectTimeout = ConnectTimeout;
     request.freshConnection = fresh;
     request.echo = this->protocol.echo(call.facts);
@@ -171,7 +184,7 @@
              {"time_left_ms", static_cast<std::int64_t>(facts.timeLeft.count() / 1'000)},
              {"configuration", static_cast<std::int64_t>(call.configuration->version)}});
     this->effects.sendAttempt(attempt.id, request);
-    this->schedule(call);
+    this->schedule(call, now);
 }
 
 void ForwardController::noteDispatch(ForwardCall &call, const Pool &pool, TimePoint now)
