Bound the pass that a read makes at the length of the new prompt

Cause: the time of a chunk was taken at the longest prompt already on the engine, so that a huge prompt beside two middle ones seemed to make short passes, and interrupted them for two seconds.

--- a/src/gateway/engine_load.cpp
+++ b/src/gateway/engine_load.cpp
@@ -141,16 +141,22 @@
                        [](const Entry &entry) { return entry.writes; });
 }
 
-Duration EngineLoad::passTime(const EngineProfile &engine, Duration reading) const
+std::uint64_t EngineLoad::longestUnread() const
 {
-    const auto steps = static_cast<double>(engine.stepsPerPass);
-    // Reading in one pass is bounded by its steps; the time of a chunk grows with the prompt, so
-    // that the bound is taken at the length of the longest one.
     std::uint64_t longest = 0;
     for (const Entry &entry : this->entries) {
         if (!entry.writes)
             longest = std::max(longest, entry.prompt.demand.promptTokens);
     }
+    return longest;
+}
+
+Duration EngineLoad::passTime(const EngineProfile &engine, Duration reading,
+                              std::uint64_t longest) const
+{
+    const auto steps = static_cast<double>(engine.stepsPerPass);
+    // Reading in one pass is bounded by its steps; the time of a chunk grows with the prompt, so
+    // that the bound is taken at the length of the longest one.
     const auto chunk = static_cast<double>(engine.chunkTokens);
     const double chunkMs = chunk / engine.readTokensPerMs
                            + chunk * static_cast<double>(longest) / Million
@@ -185,21 +191,24 @@
                                      bool first) const
 {
     const Duration ahead = first ? Duration::zero() : this->readingAhead();
-    Duration until = ahead + ownReading + this->passTime(engine, Duration::zero());
+    Duration until = ahead + ownReading + this->passTime(engine, Duration::zero(), 0);
     if (this->anyWrites()) {
-        const Duration running = this->passTime(engine, ahead);
+        const Duration running = this->passTime(engine, ahead, this->longestUnread());
         until += Duration(static_cast<Duration::rep>(static_cast<double>(running.count())
                                                      * PassWaitShare));
     }
     return until + this->overdue(this->current);
 }
 
-double EngineLoad::interference(const EngineProfile &engine, Duration reading, bool first,
-                                double lateShare, TimePoint now) const
+double EngineLoad::interference(const EngineProfile &engine, Duration reading,
+                                std::uint64_t tokens, bool first, double lateShare,
+                                TimePoint now) const
 {
     const Duration ahead = this->readingAhead();
-    const double pass = toMs(this->passTime(engine, ahead + reading));
-    const double before = toMs(this->passTime(engine, ahead));
+    const std::uint64_t longest = this->longestUnread();
+    const double pass =
+            toMs(this->passTime(engine, ahead + reading, std::max(longest, tokens)));
+    const double before = toMs(this->passTime(engine, ahead, longest));
     double loss = 0;
     Duration until = Duration::zero();
     for (const Entry &entry : this->entries) {
--- a/src/gateway/engine_load.h
+++ b/src/gateway/engine_load.h
@@ -62,9 +62,10 @@
     /// written its first event. A part of a shared prompt goes \a first.
     Duration untilFirstEvent(const EngineProfile &engine, Duration ownReading, bool first) const;
 
-    /// Value that the prompts here lose if \a reading is added; \a first before all waiting ones.
-    double interference(const EngineProfile &engine, Duration reading, bool first,
-                        double lateShare, TimePoint now) const;
+    /// Value that the prompts here lose if \a reading of a prompt of \a tokens is added; \a first
+    /// before all waiting ones.
+    double interference(const EngineProfile &engine, Duration reading, std::uint64_t tokens,
+                        bool first, double lateShare, TimePoint now) const;
 
     /// Tokens of context that the prompts here hold or will hold.
     std::uint64_t memoryTokens() const;
@@ -88,7 +89,8 @@
 
     double stepMs(const EngineProfile &engine) const;
     bool anyWrites() const;
-    Duration passTime(const EngineProfile &engine, Duration reading) const;
+    Duration passTime(const EngineProfile &engine, Duration reading, std::uint64_t longest) const;
+    std::uint64_t longestUnread() const;
     Duration overdue(TimePoint now) const;
     bool nearlyWritten(const EngineProfile &engine, const Entry &entry, TimePoint now) const;
 
--- a/src/gateway/forward_answers.cpp
+++ b/src/gateway/forward_answers.cpp
@@ -1,6 +1,6 @@
 #include "gateway/forward_controller.h"
 
-#include "core/hashing.h"
+#include <algorithm>
 
 namespace dotterel {
 
@@ -106,6 +106,11 @@
             continue;
         if (event.id)
             call.lastEvent = event.id;
+        if (call.firstEvent == Duration::zero())
+            call.firstEvent = now - call.arrived;
+        else
+            call.longestPause = std::max(call.longestPause, now - call.eventPassed);
+        call.eventPassed = now;
         this->beginAnswer(call);
         this->passPart(call, event.bytes);
     }
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -51,6 +51,9 @@
     std::set<ServerId> tried;
     std::optional<ForwardAttempt> attempt;
     bool answerBegun = false;
+    Duration firstEvent = Duration::zero();   ///< From the arrival; 0 until it came.
+    Duration longestPause = Duration::zero(); ///< Between two events that were passed on.
+    TimePoint eventPassed;                    ///< When the last one was.
     std::optional<std::uint64_t> lastEvent; ///< Id of the last event that was passed on.
     bool paused = false;                    ///< The caller does not take what was sent.
 };
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -13,6 +13,11 @@
 constexpr int StatusBadGateway = 502;
 constexpr int StatusGatewayTimeout = 504;
 
+std::int64_t toMs(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 /// Returns the status of a refusal. 503 promises that the request has not run and never will.
 int refusalStatus(const ReasonInfo &info, bool mayHaveRun)
 {
@@ -91,7 +96,7 @@
     ForwardCall &call = found->second;
     this->log.write(Event::CallerLeft,
                     {{"request", call.facts.requestId},
-                     {"waited_ms", static_cast<std::int64_t>((now - call.arrived).count() / 1'000)},
+                     {"waited_ms", toMs(now - call.arrived)},
                      {"had_server", call.attempt ? call.attempt->server : ServerId()}});
     this->dropAttempt(call, now);
     this->forget(call);
@@ -165,9 +170,9 @@
              {"verdict", std::string(verdictName(verdict))},
              {"attempts", static_cast<std::int64_t>(call.sends)},
              {"answer_begun", call.answerBegun},
-             {"waited_ms", static_cast<std::int64_t>((now - call.arrived).count() / 1'000)},
+             {"waited_ms", toMs(now - call.arrived)},
              {"retry_after_ms",
-              retryAfter ? static_cast<std::int64_t>(retryAfter->count() / 1'000) : -1},
+              retryAfter ? toMs(*retryAfter) : -1},
              {"configuration", call.configuration
                                        ? static_cast<std::int64_t>(call.configuration->version)
                                        : 0},
@@ -191,7 +196,11 @@
                      {"status", status},
                      {"server", call.attempt ? call.attempt->server : ServerId()},
                      {"attempts", static_cast<std::int64_t>(call.sends)},
-                     {"took_ms", static_cast<std::int64_t>((now - call.arrived).count() / 1'000)}});
+                     {"prompt_tokens", static_cast<std::int64_t>(call.facts.promptTokens)},
+                     {"predicted_ms", call.attempt ? toMs(call.attempt->predicted) : 0},
+                     {"first_event_ms", toMs(call.firstEvent)},
+                     {"longest_pause_ms", toMs(call.longestPause)},
+                     {"took_ms", toMs(now - call.arrived)}});
     if (!this->crashes.empty()) {
         const std::string &fingerprint = this->fingerprintOf(call);
         if (this->crashes.crashes(fingerprint, now) > 0)
@@ -240,8 +249,8 @@
              {"outcome", std::string(outcome)},
              {"status", attempt.status},
              {"verdict", std::string(verdictName(verdict))},
-             {"predicted_ms", static_cast<std::int64_t>(attempt.predicted.count() / 1'000)},
-             {"took_ms", static_cast<std::int64_t>((now - attempt.sent).count() / 1'000)},
+             {"predicted_ms", toMs(attempt.predicted)},
+             {"took_ms", toMs(now - attempt.sent)},
              {"events_passed", call.lastEvent ? static_cast<std::int64_t>(*call.lastEvent) : -1}});
 }
 
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -111,7 +111,8 @@
     plan.server = candidate.server->id;
     plan.untilFirst = candidate.load->untilFirstEvent(engine, reading, false);
     plan.loss = latenessLoss(demand, plan.untilFirst, lateShare)
-                + candidate.load->interference(engine, reading, false, lateShare, now)
+                + candidate.load->interference(engine, reading, demand.promptTokens, false,
+                                               lateShare, now)
                 + this->placeCost(pool, demand, candidate);
     if (!candidate.fits)
         plan.loss += Impossible;
@@ -138,7 +139,8 @@
     for (const Candidate &candidate : candidates) {
         const Duration until = candidate.load->untilFirstEvent(engine, part, false);
         const double cost = latenessLoss(demand, until, lateShare)
-                            + candidate.load->interference(engine, part, false, lateShare, now)
+                            + candidate.load->interference(engine, part, demand.promptTokens,
+                                                           false, lateShare, now)
                             + this->placeCost(pool, demand, candidate);
         if (candidate.fits && cost < firstCost) {
             firstCost = cost;
@@ -148,7 +150,8 @@
         const double failing = candidate.failureRate * demand.value;
         helpers.push_back(
                 {&candidate, candidate.load->untilFirstEvent(engine, part, true),
-                 candidate.load->interference(engine, part, true, lateShare, now)
+                 candidate.load->interference(engine, part, demand.promptTokens, true,
+                                                      lateShare, now)
                          + candidate.tieCost + failing});
     }
     if (first == nullptr)
