Judge a returning caller by what it can still get

Cause: a caller that comes back has most often passed its goal, so that at least three quarters of its value count as lost wherever it goes; above a bound of 0.6 it was always refused, also by empty servers after a restart. Ruled out: missing servers or configuration after the restart (the refusals said that the deadline was the reason).

--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -37,6 +37,14 @@
                      route.pauseGoal * PausesOfPatience});
 }
 
+std::string joined(const std::vector<ServerId> &servers)
+{
+    std::string text;
+    for (const ServerId &server : servers)
+        text += (text.empty() ? "" : ",") + server;
+    return text;
+}
+
 /// Returns how long the caller has waited before this request, if it shows: one that returns has
 /// spent part of the time that first attempts have, which differ by a sixth.
 Duration timeBefore(const ForwardCall &call)
@@ -98,7 +106,9 @@
     demand.outputTokens = call.facts.outputTokens;
     demand.goal = route.goal;
     demand.pauseGoal = route.pauseGoal;
-    demand.waited = timeBefore(call) + (now - call.arrived);
+    const Duration before = timeBefore(call);
+    demand.returns = before > Duration::zero();
+    demand.waited = before + (now - call.arrived);
     demand.patience = std::min(call.deadline - now, streamPatience(route) - (now - call.arrived));
     demand.value = promptValue(this->prompts.weights().values, demand.promptTokens,
                                demand.outputTokens, route.pauseGoal);
@@ -177,7 +187,7 @@
             {{"request", call.facts.requestId},
              {"route", call.route->name},
              {"server", server.id},
-             {"helpers", static_cast<std::int64_t>(helpers.size())},
+             {"helpers", joined(helpers)},
              {"prompt_tokens", static_cast<std::int64_t>(call.facts.promptTokens)},
              {"predicted_ms", static_cast<std::int64_t>(attempt.predicted.count() / 1'000)},
              {"prompts_there", static_cast<std::int64_t>(this->prompts.promptsOn(server.id))},
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -47,7 +47,7 @@
         }
     }
     decision.bestLoss = best->loss;
-    if (best->loss <= this->settings.mostLoss * demand.value) {
+    if (best->loss <= this->acceptableLoss(demand)) {
         decision.plan = best;
         return decision;
     }
@@ -89,6 +89,16 @@
     return result.empty() ? tried : result;
 }
 
+double PromptPlacement::acceptableLoss(const PromptDemand &demand) const
+{
+    // What is lost already, such as the goal of a caller that returns late, is no reason to refuse.
+    const double unavoidable =
+            latenessLoss(demand, Duration::zero(), this->settings.values.lateShare);
+    const double left = std::max(0.0, demand.value - unavoidable);
+    const double returning = demand.returns ? this->settings.returningLoss * demand.value : 0.0;
+    return unavoidable + this->settings.mostLoss * left + returning;
+}
+
 double PromptPlacement::placeCost(const Pool &pool, const PromptDemand &demand,
                                   const Candidate &candidate) const
 {
--- a/src/gateway/prompt_placement.h
+++ b/src/gateway/prompt_placement.h
@@ -19,6 +19,9 @@
     /// A prompt is refused if serving it loses more than this share of its value, counted over all
     /// prompts: the time of an engine is then worth more to others.
     double mostLoss = 0.6;
+    /// Added for a caller that returns: turned away once more it is most often lost, and so is the
+    /// time that it waited.
+    double returningLoss = 0.3;
     /// Engines that read one prompt together, at the most.
     std::size_t mostParts = 4;
     /// Reading shorter than this is not divided: another engine's pass costs as much.
@@ -109,6 +112,7 @@
     std::optional<PromptPlan> divided(const Pool &pool, const PromptDemand &demand,
                                       const std::vector<Candidate> &candidates, std::size_t parts,
                                       TimePoint now) const;
+    double acceptableLoss(const PromptDemand &demand) const;
     double placeCost(const Pool &pool, const PromptDemand &demand,
                      const Candidate &candidate) const;
 
