--- a/src/gateway/engine_load.cpp
+++ b/src/gateway/engine_load.cpp
@@ -54,10 +54,8 @@
         this->entries.push_back(entry);
         return;
     }
-    // Parts of shared prompts are read before all others.
-    const auto place = std::find_if(this->entries.begin(), this->entries.end(),
-                                    [](const Entry &other) { return !other.prompt.isHelper; });
-    this->entries.insert(place, entry);
+    // An engine reads the newest part of a shared prompt before all else, earlier parts included.
+    this->entries.insert(this->entries.begin(), entry);
 }
 
 void EngineLoad::onFirstEvent(const PromptKey &key, TimePoint now)
@@ -212,11 +210,9 @@
     double loss = 0;
     Duration until = Duration::zero();
     for (const Entry &entry : this->entries) {
-        if (entry.prompt.isHelper)
-            continue;
         const PromptDemand &demand = entry.prompt.demand;
         const double limit = toMs(demand.pauseGoal) * SafePauseShare;
-        const bool breaks = pass > limit && before <= limit;
+        const bool breaks = pass > limit && before <= limit && !entry.prompt.isHelper;
         if (breaks && !this->nearlyWritten(engine, entry, now))
             loss += demand.value * (1.0 - lateShare);
         if (entry.writes)
