--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -417,18 +417,46 @@
     prompt.demand = item.demand;
     prompt.parts = item.helpers.size() + 1;
     prompt.dispatched = this->loop.now();
-    std::vector<std::uint32_t> hashes = item.helpers;
-    hashes.insert(hashes.begin(), item.server);
-    for (const std::uint32_t hash : hashes) {
-        const auto id = this->serversByHash.find(hash);
-        if (id != this->serversByHash.end()) {
-            if (const EngineProfile *engine = this->engineOf(id->second))
-                this->prompts.onDispatched(id->second, *engine, prompt, this->loop.now());
-        }
-        prompt.isHelper = true;
+    prompt.memoryTokens = item.demand.promptTokens + item.demand.outputTokens;
+    for (const std::uint64_t held : item.helperMemory)
+        prompt.memoryTokens -= std::min(prompt.memoryTokens, held);
+    this->addPrompt(item.server, prompt);
+    prompt.isHelper = true;
+    for (std::size_t index = 0; index < item.helpers.size(); ++index) {
+        prompt.memoryTokens = item.helperMemory[index];
+        this->addPrompt(item.helpers[index], prompt);
     }
 }
 
+void GatewayHost::addPrompt(std::uint32_t server, const EnginePrompt &prompt)
+{
+    const auto id = this->serversByHash.find(server);
+    if (id == this->serversByHash.end())
+        return;
+    if (const EngineProfile *engine = this->engineOf(id->second))
+        this->prompts.onDispatched(id->second, *engine, prompt, this->loop.now());
+}
+
+void GatewayHost::orderMemory(const MemoryOrder &order)
+{
+    const std::uint64_t id = this->nextMemoryCall++;
+    const bool reserves = order.tokens > 0;
+    this->memoryCalls[id] = std::make_unique<HttpFetch>(
+            this->client, this->protocol.memoryRequest(order),
+            [this, id, reserves, ticket = order.ticket](const std::optional<HttpResponse> &answer,
+                                                        const HttpFailure & /*failure*/) {
+                // The fetch calls from inside itself.
+                const std::shared_ptr<HttpFetch> ended = std::move(this->memoryCalls[id]);
+                this->memoryCalls.erase(id);
+                this->loop.disposeLater(ended);
+                if (!reserves)
+                    return;
+                this->controller.onMemoryAnswered(ticket, answer && answer->status == StatusOk,
+                                                  this->loop.now());
+                this->armTimer();
+            });
+}
+
 void GatewayHost::armTimer()
 {
     const std::optional<TimePoint> next = this->controller.nextTimer();
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -62,6 +62,7 @@
     void sendAttempt(ForwardAttemptId attempt, const HttpRequest &request) override;
     void cancelAttempt(ForwardAttemptId attempt) override;
     void pauseAttempt(ForwardAttemptId attempt, bool paused) override;
+    void orderMemory(const MemoryOrder &order) override;
     void answer(HttpCallId call, int status, const HttpHeaders &headers,
                 std::string_view body) override;
     void startAnswer(HttpCallId call, int status, const HttpHeaders &headers,
@@ -91,6 +92,7 @@
     void onServers(const std::vector<CollectedObject> &news, bool mayHaveLapsed);
     void onPromptNews(const PromptNews &news);
     void dispatchedElsewhere(const PromptNews &news, const PromptNewsItem &item);
+    void addPrompt(std::uint32_t server, const EnginePrompt &prompt);
     const EngineProfile *engineOf(const ServerId &server) const;
     void registerSelf();
     void armTimer();
@@ -127,6 +129,8 @@
     OperatorApi operatorApi;
     std::unordered_map<std::uint32_t, ServerId> serversByHash;
     std::set<std::uint32_t> senders; ///< Hosts whose prompts are known, by hash.
+    std::uint64_t nextMemoryCall = 1;
+    std::map<std::uint64_t, std::unique_ptr<HttpFetch>> memoryCalls;
     bool shuttingDown = false;
     bool registered = false;
     std::function<void()> shutdownFinished;
--- a/src/gateway/engine_load.cpp
+++ b/src/gateway/engine_load.cpp
@@ -68,10 +68,11 @@
             entry.writingSince = now;
         entry.writes = !entry.prompt.isHelper;
     }
-    // A helper has nothing left to do.
+    // A helper that holds nothing has nothing left to do.
     this->entries.erase(std::remove_if(this->entries.begin(), this->entries.end(),
                                        [&key](const Entry &entry) {
-                                           return entry.prompt.isHelper && entry.prompt.key == key;
+                                           return entry.prompt.isHelper && entry.prompt.key == key
+                                                  && entry.prompt.memoryTokens == 0;
                                        }),
                         this->entries.end());
 }
@@ -114,6 +115,7 @@
                                        [now](const Entry &entry) {
                                            const bool partRead =
                                                    entry.prompt.isHelper
+                                                   && entry.prompt.memoryTokens == 0
                                                    && entry.readingLeft <= Duration::zero();
                                            return partRead || entry.expires < now;
                                        }),
@@ -143,7 +145,7 @@
 {
     std::uint64_t longest = 0;
     for (const Entry &entry : this->entries) {
-        if (!entry.writes)
+        if (!entry.writes && entry.readingLeft > Duration::zero())
             longest = std::max(longest, entry.prompt.demand.promptTokens);
     }
     return longest;
@@ -233,10 +235,8 @@
 std::uint64_t EngineLoad::memoryTokens() const
 {
     std::uint64_t sum = 0;
-    for (const Entry &entry : this->entries) {
-        if (!entry.prompt.isHelper)
-            sum += entry.prompt.demand.promptTokens + entry.prompt.demand.outputTokens;
-    }
+    for (const Entry &entry : this->entries)
+        sum += entry.prompt.memoryTokens;
     return sum;
 }
 
--- a/src/gateway/engine_load.h
+++ b/src/gateway/engine_load.h
@@ -27,6 +27,7 @@
     PromptDemand demand;          ///< As of its dispatch.
     std::size_t parts = 1;        ///< Engines that read it, each an even part.
     bool isHelper = false;        ///< Only reads a part here.
+    std::uint64_t memoryTokens = 0; ///< Context that it holds here until it ends.
     TimePoint dispatched;
 };
 
--- a/src/gateway/forward_answers.cpp
+++ b/src/gateway/forward_answers.cpp
@@ -98,7 +98,7 @@
             attempt.firstEvent = true;
             if (attempt.isPrompt) {
                 this->prompts.onFirstEvent({this->sender, attempt.id}, now);
-                this->effects.tellPrompt({PromptStep::FirstEvent, attempt.id, 0, {}, {}});
+                this->effects.tellPrompt({PromptStep::FirstEvent, attempt.id, 0, {}, {}, {}});
             }
         }
         // A run that goes on begins after the last event; one that does not is no continuation.
@@ -226,7 +226,8 @@
     this->fleet.onEvidence(attempt.server, evidence, now);
     if (attempt.isPrompt) {
         this->prompts.onEnded({this->sender, attempt.id}, now);
-        this->effects.tellPrompt({PromptStep::Ended, attempt.id, 0, {}, {}});
+        this->effects.tellPrompt({PromptStep::Ended, attempt.id, 0, {}, {}, {}});
+        this->releaseMemory(call);
     } else {
         this->services.onEnded(attempt.server);
     }
@@ -244,7 +245,8 @@
     const ForwardAttempt attempt = *call.attempt;
     if (attempt.isPrompt) {
         this->prompts.onEnded({this->sender, attempt.id}, now);
-        this->effects.tellPrompt({PromptStep::Ended, attempt.id, 0, {}, {}});
+        this->effects.tellPrompt({PromptStep::Ended, attempt.id, 0, {}, {}, {}});
+        this->releaseMemory(call);
     } else {
         this->services.onEnded(attempt.server);
     }
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -2,7 +2,7 @@
 
 #include "gateway/event_stream_splitter.h"
 #include "gateway/forward_effects.h"
-#include "gateway/prompt_demand.h"
+#include "gateway/prompt_placement.h"
 #include "gateway/route_table.h"
 
 #include <memory>
@@ -12,12 +12,21 @@
 
 namespace dotterel {
 
+/// Memory of an engine that is reserved for a prompt.
+struct MemoryTicket
+{
+    std::string id;
+    ServerId server;
+    std::uint64_t tokens = 0;
+    bool granted = false;
+};
+
 /// One attempt at a backend server.
 struct ForwardAttempt
 {
     ForwardAttemptId id = 0;
     ServerId server;
-    std::vector<ServerId> helpers;
+    std::vector<PromptHelper> helpers;
     bool isPrompt = false;
     TimePoint sent;
     Duration predicted = Duration::zero(); ///< Until its first event.
@@ -50,6 +59,9 @@
     std::size_t unreached = 0;   ///< Attempts that found no connection.
     std::set<ServerId> tried;
     std::optional<ForwardAttempt> attempt;
+    std::optional<PromptPlan> reserving; ///< Waits for memory on its helpers.
+    std::vector<MemoryTicket> tickets;
+    TimePoint ticketsDue; ///< When they are renewed, or given up while they are asked for.
     bool answerBegun = false;
     Duration firstEvent = Duration::zero();   ///< From the arrival; 0 until it came.
     Duration longestPause = Duration::zero(); ///< Between two events that were passed on.
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -125,6 +125,8 @@
             this->refuse(call, Reason::DeadlineExceeded, std::nullopt, now);
             continue;
         }
+        if (!call.tickets.empty() && now >= call.ticketsDue && !this->onTicketsDue(call, now))
+            continue;
         if (call.attempt && now >= this->attemptLimit(call)
             && this->mayRepeat(call, Verdict::MayHaveRun, now)) {
             this->logAttempt(call, "silent", Verdict::MayHaveRun, now);
@@ -147,6 +149,8 @@
 void ForwardController::schedule(const ForwardCall &call, TimePoint now)
 {
     TimePoint due = call.deadline;
+    if (!call.tickets.empty())
+        due = std::min(due, call.ticketsDue);
     // A limit that has passed without a further attempt does not count any more.
     if (call.attempt && this->attemptLimit(call) > now)
         due = std::min(due, this->attemptLimit(call));
@@ -214,6 +218,7 @@
 {
     if (call.attempt)
         this->attempts.erase(call.attempt->id);
+    this->releaseMemory(call);
     this->calls.erase(call.id);
 }
 
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -42,6 +42,9 @@
     void onAttemptComplete(ForwardAttemptId attempt, TimePoint now);
     void onAttemptFailed(ForwardAttemptId attempt, const HttpFailure &failure, TimePoint now);
 
+    /// An engine has answered the order for \a ticket.
+    void onMemoryAnswered(const std::string &ticket, bool granted, TimePoint now);
+
     /// Ends calls and attempts whose time is up.
     void onTimer(TimePoint now);
 
@@ -56,11 +59,19 @@
     void dispatch(ForwardCall &call, TimePoint now);
     void dispatchPrompt(ForwardCall &call, const Pool &pool, TimePoint now);
     void dispatchService(ForwardCall &call, const Pool &pool, TimePoint now);
+    void sendPrompt(ForwardCall &call, const PromptPlan &plan, TimePoint now);
     void sendTo(ForwardCall &call, const GatewayServer &server,
-                const std::vector<ServerId> &helpers, bool fresh, TimePoint now);
+                const std::vector<PromptHelper> &helpers, bool fresh, TimePoint now);
+
+    void reserveMemory(ForwardCall &call, const PromptPlan &plan, TimePoint now);
+    void orderTicket(const MemoryTicket &ticket);
+    void memoryRefused(ForwardCall &call, TimePoint now);
+    void releaseMemory(ForwardCall &call);
+    bool onTicketsDue(ForwardCall &call, TimePoint now);
     std::string choosePool(const ForwardCall &call);
     PromptDemand demandOf(const ForwardCall &call, TimePoint now) const;
-    void noteDispatch(ForwardCall &call, const Pool &pool, TimePoint now);
+    void noteDispatch(ForwardCall &call, const Pool &pool, std::uint64_t memoryTokens,
+                      TimePoint now);
 
     void passEvents(ForwardCall &call, std::string_view bytes, TimePoint now);
     void passPart(ForwardCall &call, std::string_view bytes);
@@ -110,6 +121,8 @@
     ForwardAttemptId nextAttempt = 1;
     std::map<HttpCallId, ForwardCall> calls;
     std::map<ForwardAttemptId, HttpCallId> attempts;
+    std::uint64_t nextTicket = 1;
+    std::map<std::string, HttpCallId> tickets;
     std::set<std::pair<TimePoint, HttpCallId>> timers;
 };
 
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -37,11 +37,11 @@
                      route.pauseGoal * PausesOfPatience});
 }
 
-std::string joined(const std::vector<ServerId> &servers)
+std::string joined(const std::vector<PromptHelper> &helpers)
 {
     std::string text;
-    for (const ServerId &server : servers)
-        text += (text.empty() ? "" : ",") + server;
+    for (const PromptHelper &helper : helpers)
+        text += (text.empty() ? "" : ",") + helper.server;
     return text;
 }
 
@@ -129,12 +129,26 @@
                             "loss " + std::to_string(decision.bestLoss) + " of "
                                     + std::to_string(call.demand.value));
     }
-    const GatewayServer *server = this->fleet.find(decision.plan->server);
+    const bool needsMemory = std::any_of(
+            decision.plan->helpers.begin(), decision.plan->helpers.end(),
+            [](const PromptHelper &helper) { return helper.memoryTokens > 0; });
+    if (needsMemory)
+        this->reserveMemory(call, *decision.plan, now);
+    else
+        this->sendPrompt(call, *decision.plan, now);
+}
+
+void ForwardController::sendPrompt(ForwardCall &call, const PromptPlan &plan, TimePoint now)
+{
+    const GatewayServer *server = this->fleet.find(plan.server);
+    const auto pool = call.configuration->pools.find(call.pool);
+    if (server == nullptr)
+        return this->refuse(call, Reason::NoBackendServer, NoServerRetryAfter, now, plan.server);
     call.attempt = ForwardAttempt();
     call.attempt->isPrompt = true;
-    call.attempt->predicted = decision.plan->untilFirst;
-    this->sendTo(call, *server, decision.plan->helpers, false, now);
-    this->noteDispatch(call, pool, now);
+    call.attempt->predicted = plan.untilFirst;
+    this->sendTo(call, *server, plan.helpers, false, now);
+    this->noteDispatch(call, pool->second, plan.memoryTokens, now);
 }
 
 void ForwardController::dispatchService(ForwardCall &call, const Pool &pool, TimePoint now)
@@ -151,7 +165,8 @@
 }
 
 void ForwardController::sendTo(ForwardCall &call, const GatewayServer &server,
-                               const std::vector<ServerId> &helpers, bool fresh, TimePoint now)
+                               const std::vector<PromptHelper> &helpers, bool fresh,
+                               TimePoint now)
 {
     ForwardAttempt &attempt = *call.attempt;
     attempt.id = this->nextAttempt++;
@@ -166,9 +181,15 @@
     facts.timeLeft = call.deadline - now;
     facts.expectedServer = server.id;
     facts.workspace = call.workspace;
-    for (const ServerId &helper : helpers) {
-        if (const GatewayServer *known = this->fleet.find(helper))
-            facts.helpers.push_back(known->endpoint);
+    for (const PromptHelper &helper : helpers) {
+        const GatewayServer *known = this->fleet.find(helper.server);
+        if (known == nullptr)
+            continue;
+        const auto ticket = std::find_if(
+                call.tickets.begin(), call.tickets.end(),
+                [&helper](const MemoryTicket &other) { return other.server == helper.server; });
+        facts.helpers.push_back(
+                {known->endpoint, ticket == call.tickets.end() ? std::string() : ticket->id});
     }
     facts.resumeAfter = call.lastEvent ? call.lastEvent : call.facts.resumeAfter;
     HttpRequest request;
@@ -197,7 +218,8 @@
     this->schedule(call, now);
 }
 
-void ForwardController::noteDispatch(ForwardCall &call, const Pool &pool, TimePoint now)
+void ForwardController::noteDispatch(ForwardCall &call, const Pool &pool,
+                                     std::uint64_t memoryTokens, TimePoint now)
 {
     const ForwardAttempt &attempt = *call.attempt;
     EnginePrompt prompt;
@@ -205,6 +227,7 @@
     prompt.demand = call.demand;
     prompt.parts = attempt.helpers.size() + 1;
     prompt.dispatched = now;
+    prompt.memoryTokens = memoryTokens;
     this->prompts.onDispatched(attempt.server, *pool.engine, prompt, now);
     PromptNewsItem item;
     item.step = PromptStep::Dispatched;
@@ -212,9 +235,11 @@
     item.server = hash32(attempt.server);
     item.demand = call.demand;
     prompt.isHelper = true;
-    for (const ServerId &helper : attempt.helpers) {
-        this->prompts.onDispatched(helper, *pool.engine, prompt, now);
-        item.helpers.push_back(hash32(helper));
+    for (const PromptHelper &helper : attempt.helpers) {
+        prompt.memoryTokens = helper.memoryTokens;
+        this->prompts.onDispatched(helper.server, *pool.engine, prompt, now);
+        item.helpers.push_back(hash32(helper.server));
+        item.helperMemory.push_back(helper.memoryTokens);
     }
     this->effects.tellPrompt(item);
 }
--- a/src/gateway/forward_effects.h
+++ b/src/gateway/forward_effects.h
@@ -29,6 +29,10 @@
     /// Stops reading the answer of \a attempt, or goes on.
     virtual void pauseAttempt(ForwardAttemptId attempt, bool paused) = 0;
 
+    /// Sends \a order to an engine and reports whether it was granted; what is given back is not
+    /// reported.
+    virtual void orderMemory(const MemoryOrder &order) = 0;
+
     /// Sends a whole answer to a caller.
     virtual void answer(HttpCallId call, int status, const HttpHeaders &headers,
                         std::string_view body) = 0;
--- a/src/gateway/gateway_protocol.h
+++ b/src/gateway/gateway_protocol.h
@@ -2,6 +2,7 @@
 
 #include "gateway/gateway_configuration.h"
 #include "gateway/service_placement.h"
+#include "transport/http_client.h"
 #include "transport/http_message_parser.h"
 
 #include <optional>
@@ -23,13 +24,30 @@
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last event that the caller has.
 };
 
+/// An engine that reads a part of a prompt.
+struct DispatchHelper
+{
+    Endpoint endpoint;
+    std::string ticket; ///< Of the memory that is reserved there; empty if there is none.
+};
+
+/// Asks an engine to reserve memory, or to give it back.
+struct MemoryOrder
+{
+    std::string ticket; ///< Names the reservation; the same one again renews it.
+    ServerId server;
+    Endpoint endpoint;
+    std::uint64_t tokens = 0; ///< 0 gives the memory back.
+    Duration hold = Duration::zero(); ///< How long, from the arrival of the order.
+};
+
 /// What is told to a backend server besides the caller's own headers.
 struct DispatchFacts
 {
     Duration timeLeft = Duration::zero();
     ServerId expectedServer; ///< Another server at that address refuses the request.
     std::string workspace;   ///< Empty on open routes.
-    std::vector<Endpoint> helpers;            ///< Engines that read parts of the prompt.
+    std::vector<DispatchHelper> helpers; ///< Engines that read parts of the prompt.
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last event that was passed on.
 };
 
@@ -61,6 +79,9 @@
     /// Header and value that a server echoes in the answer to \a facts.
     virtual std::pair<std::string, std::string> echo(const CallerFacts &facts) const = 0;
 
+    /// Returns the call that carries \a order.
+    virtual HttpRequest memoryRequest(const MemoryOrder &order) const = 0;
+
     /// Reads the head of a server's answer.
     virtual AnswerFacts readAnswer(int status, const HttpHeaders &headers) const = 0;
 
--- a/src/gateway/prompt_news.cpp
+++ b/src/gateway/prompt_news.cpp
@@ -30,8 +30,10 @@
                            toMs(demand.goal), toMs(demand.pauseGoal), toMs(demand.waited),
                            toMs(demand.patience),
                            static_cast<std::int64_t>(demand.value * ValueScale)});
-    for (const std::uint32_t helper : item.helpers)
-        row.push_back(helper);
+    for (std::size_t index = 0; index < item.helpers.size(); ++index) {
+        row.push_back(item.helpers[index]);
+        row.push_back(item.helperMemory.at(index));
+    }
     return row;
 }
 
@@ -54,8 +56,10 @@
     item.demand.waited = msFrom(row.at(next++));
     item.demand.patience = msFrom(row.at(next++));
     item.demand.value = row.at(next++).get<double>() / ValueScale;
-    for (; next < row.size(); ++next)
-        item.helpers.push_back(row.at(next).get<std::uint32_t>());
+    while (next < row.size()) {
+        item.helpers.push_back(row.at(next++).get<std::uint32_t>());
+        item.helperMemory.push_back(row.at(next++).get<std::uint64_t>());
+    }
     return item;
 }
 
--- a/src/gateway/prompt_news.h
+++ b/src/gateway/prompt_news.h
@@ -23,6 +23,7 @@
     std::uint64_t sequence = 0;
     std::uint32_t server = 0;           ///< Hash of its id.
     std::vector<std::uint32_t> helpers; ///< Hashes of the ids of those that read parts.
+    std::vector<std::uint64_t> helperMemory; ///< Tokens that each of them holds until the end.
     PromptDemand demand;
 };
 
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -39,7 +39,10 @@
     }
     const Duration reading = readingTime(*pool.engine, demand.promptTokens, 1);
     if (pool.engine->canShareReading && reading >= this->settings.leastDividedReading) {
-        const std::size_t most = std::min(this->settings.mostParts, places.size());
+        const bool giant = best->loss >= Impossible;
+        const std::size_t limit =
+                giant ? this->settings.mostPartsOfGiant : this->settings.mostParts;
+        const std::size_t most = std::min(limit, places.size());
         for (std::size_t parts = 2; parts <= most; ++parts) {
             const auto plan = this->divided(pool, demand, places, parts, now);
             if (plan && plan->loss < best->loss)
@@ -84,6 +87,10 @@
         const double claimed = static_cast<double>(candidate.load->memoryTokens()
                                                    + demand.promptTokens + demand.outputTokens);
         candidate.fits = memory <= 0 || claimed <= memory * this->settings.memoryShare;
+        const double left = memory * this->settings.memoryShare
+                            - static_cast<double>(candidate.load->memoryTokens());
+        candidate.freeTokens = static_cast<std::uint64_t>(
+                std::max(0.0, left * this->settings.reservableShare));
         (excluded.count(server->id) > 0 ? tried : result).push_back(candidate);
     }
     return result.empty() ? tried : result;
@@ -119,6 +126,7 @@
     const Duration reading = readingTime(engine, demand.promptTokens, 1);
     PromptPlan plan;
     plan.server = candidate.server->id;
+    plan.memoryTokens = demand.promptTokens + demand.outputTokens;
     plan.untilFirst = candidate.load->untilFirstEvent(engine, reading, false);
     plan.loss = latenessLoss(demand, plan.untilFirst, lateShare)
                 + candidate.load->interference(engine, reading, demand.promptTokens, false,
@@ -152,7 +160,7 @@
                             + candidate.load->interference(engine, part, demand.promptTokens,
                                                            false, lateShare, now)
                             + this->placeCost(pool, demand, candidate);
-        if (candidate.fits && cost < firstCost) {
+        if (cost < firstCost && (candidate.fits || candidate.freeTokens > 0)) {
             firstCost = cost;
             first = &candidate;
             firstUntil = until;
@@ -180,16 +188,46 @@
             break;
         if (option.candidate == first)
             continue;
-        plan.helpers.push_back(option.candidate->server->id);
+        plan.helpers.push_back({option.candidate->server->id, 0});
         plan.untilFirst = std::max(plan.untilFirst, option.until);
         cost += option.cost + this->settings.partCost * demand.value;
     }
-    if (plan.helpers.size() + 1 < parts)
+    if (plan.helpers.size() + 1 < parts || !this->spreadMemory(demand, candidates, plan))
         return std::nullopt;
     plan.loss = cost + latenessLoss(demand, plan.untilFirst, lateShare);
     return plan;
 }
 
+bool PromptPlacement::spreadMemory(const PromptDemand &demand,
+                                   const std::vector<Candidate> &candidates,
+                                   PromptPlan &plan) const
+{
+    const auto freeOf = [&candidates](const ServerId &server) -> const Candidate * {
+        for (const Candidate &candidate : candidates) {
+            if (candidate.server->id == server)
+                return &candidate;
+        }
+        return nullptr;
+    };
+    const Candidate *first = freeOf(plan.server);
+    const std::uint64_t needed = demand.promptTokens + demand.outputTokens;
+    if (first == nullptr)
+        return false;
+    if (first->fits) {
+        plan.memoryTokens = needed;
+        return true;
+    }
+    plan.memoryTokens = std::min(needed, first->freeTokens);
+    std::uint64_t rest = needed - plan.memoryTokens;
+    for (PromptHelper &helper : plan.helpers) {
+        const Candidate *candidate = freeOf(helper.server);
+        helper.memoryTokens = std::min(rest, candidate == nullptr ? 0 : candidate->freeTokens);
+        // A sliver is not worth a reservation of its own.
+        rest -= helper.memoryTokens;
+    }
+    return rest == 0;
+}
+
 void PromptPlacement::onDispatched(const ServerId &server, const EngineProfile &engine,
                                    const EnginePrompt &prompt, TimePoint now)
 {
--- a/src/gateway/prompt_placement.h
+++ b/src/gateway/prompt_placement.h
@@ -24,6 +24,10 @@
     double returningLoss = 0.3;
     /// Engines that read one prompt together, at the most.
     std::size_t mostParts = 4;
+    /// The same for prompts that are larger than the memory of one engine.
+    std::size_t mostPartsOfGiant = 8;
+    /// Of the memory that seems free on an engine, what may be reserved for a giant.
+    double reservableShare = 0.9;
     /// Reading shorter than this is not divided: another engine's pass costs as much.
     Duration leastDividedReading = std::chrono::milliseconds(600);
     /// Weight of the place in the shared order, by which short prompts gather at one end of it and
@@ -41,11 +45,19 @@
     std::size_t sparePlaces = 2;
 };
 
+/// An engine that reads a part of a prompt for another one.
+struct PromptHelper
+{
+    ServerId server;
+    std::uint64_t memoryTokens = 0; ///< To be reserved there, for a prompt larger than one memory.
+};
+
 /// Where a prompt goes.
 struct PromptPlan
 {
     ServerId server;
-    std::vector<ServerId> helpers; ///< Engines that read parts of it.
+    std::uint64_t memoryTokens = 0; ///< That it holds there; the helpers hold the rest.
+    std::vector<PromptHelper> helpers;
     Duration untilFirst = Duration::zero();
     double loss = 0; ///< Expected, of this prompt and of those on the engines.
 };
@@ -103,6 +115,7 @@
         double tieCost = 0;
         double failureRate = 0;
         bool fits = true;
+        std::uint64_t freeTokens = 0;
     };
 
     std::vector<Candidate> candidates(const Pool &pool, const PromptDemand &demand,
@@ -112,6 +125,8 @@
     std::optional<PromptPlan> divided(const Pool &pool, const PromptDemand &demand,
                                       const std::vector<Candidate> &candidates, std::size_t parts,
                                       TimePoint now) const;
+    bool spreadMemory(const PromptDemand &demand, const std::vector<Candidate> &candidates,
+                      PromptPlan &plan) const;
     double acceptableLoss(const PromptDemand &demand) const;
     double placeCost(const Pool &pool, const PromptDemand &demand,
                      const Candidate &candidate) const;
