Let a few hosts of each failure domain follow the store

Change: from 17 hosts on, four of each domain follow; the others hear announcements over the mesh and ask the peer that announced. A host without links follows itself.

--- a/src/entry_host/collection_feed.cpp
+++ b/src/entry_host/collection_feed.cpp
@@ -7,6 +7,9 @@
 /// Longest wait of a watch. A connection that falls silent is found by probes, so that this only
 /// bounds what a lost answer costs; each watch is a counted call.
 constexpr Duration WatchWait = std::chrono::seconds(20);
+/// The store tells a change to all that follow it within a few tens of milliseconds; such a host
+/// asks a peer only if it has not heard by then.
+constexpr Duration AskDelayOfFollower = std::chrono::milliseconds(250);
 /// Removals this soon after the store came back may be entries that lapsed meanwhile.
 constexpr Duration LapseWindow = std::chrono::seconds(2);
 
@@ -33,8 +36,22 @@
     this->step();
 }
 
+void CollectionFeed::setFollowing(bool follows)
+{
+    const bool begins = follows && !this->following;
+    this->following = follows;
+    this->shared.setAskDelay(follows ? AskDelayOfFollower : Duration::zero());
+    if (begins && !this->calling)
+        this->step();
+}
+
 void CollectionFeed::step()
 {
+    this->calling = false;
+    // A host that does not follow still needs a first list, in case that no peer has one.
+    if (!this->following && !this->shared.empty())
+        return;
+    this->calling = true;
     const FollowStep next = this->follower.next();
     if (next.after <= Duration::zero())
         return this->call(next);
--- a/src/entry_host/collection_feed.h
+++ b/src/entry_host/collection_feed.h
@@ -24,9 +24,12 @@
                    RandomSource &random, Listener listener, Announcer announcer, EventLog &log);
     ~CollectionFeed();
 
-    /// Begins to follow the store.
+    /// Lists the collection once and goes on as setFollowing() says.
     void start();
 
+    /// Sets whether this host follows the store, or hears of changes from peers that do.
+    void setFollowing(bool follows);
+
     /// Takes over what a peer announced on \a link.
     void onAnnounced(std::uint64_t link, const ObjectAnnouncement &announcement);
 
@@ -36,6 +39,9 @@
     /// Returns requests to peers that are due, by link.
     std::vector<std::pair<std::uint64_t, ObjectRequest>> takeWanted();
 
+    /// When takeWanted() is due next, if ever.
+    std::optional<TimePoint> nextWanted() const { return this->shared.nextWanted(); }
+
     /// What this host knows.
     const SharedObjects &objects() const { return this->shared; }
 
@@ -55,6 +61,8 @@
     Listener listener;
     Announcer announcer;
     EventLoop::TimerHandle timer;
+    bool following = true;
+    bool calling = false; ///< A call to the store is open or due.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Seen by calls that end late.
 };
 
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -1,5 +1,6 @@
 #include "entry_host/gateway_host.h"
 
+#include "coordination/member_topology.h"
 #include "core/hashing.h"
 
 #include <algorithm>
@@ -24,6 +25,12 @@
 /// What is left of the shutdown limit for the last bytes and the end of the process.
 constexpr Duration ExitMargin = std::chrono::milliseconds(400);
 constexpr Duration RegisterAgain = std::chrono::seconds(1);
+/// Hosts of a failure domain that follow the store and tell the others. Several may be lost at once
+/// before membership notices; each costs a counted call for every change.
+constexpr std::size_t FollowersPerDomain = 4;
+constexpr const char *FollowDuty = "follow";
+/// Up to so many hosts, all follow the store: the calls are few.
+constexpr std::size_t MostHostsThatAllFollow = 16;
 constexpr std::size_t MostIncomingFrame = 2UL * 1024 * 1024;
 
 RetryBound retryBoundOf(const Settings &settings)
@@ -281,6 +288,7 @@
     } else if (const auto *announcement = std::get_if<ObjectAnnouncement>(&message)) {
         if (CollectionFeed *feed = this->feedOf(announcement->collection))
             feed->onAnnounced(link, *announcement);
+        this->askPeers();
     } else if (const auto *request = std::get_if<ObjectRequest>(&message)) {
         if (const CollectionFeed *feed = this->feedOf(request->collection))
             this->mesh.send(link, feed->objects().offer(*request));
@@ -305,10 +313,6 @@
 
 void GatewayHost::beforeHeartbeat()
 {
-    for (CollectionFeed *feed : {&this->configurationFeed, &this->serverFeed}) {
-        for (const auto &[link, request] : feed->takeWanted())
-            this->mesh.send(link, request);
-    }
     std::vector<Endpoint> peers;
     std::set<std::uint32_t> present;
     const std::vector<MemberRecord> live = this->membership.live();
@@ -317,6 +321,8 @@
         if (member.identity.host != this->identity.host)
             peers.push_back(member.peers);
     }
+    this->chooseFollowers(live);
+    this->askPeers();
     for (const std::uint32_t sender : this->senders) {
         if (present.count(sender) == 0)
             this->prompts.onSenderGone(sender);
@@ -326,6 +332,31 @@
     this->retries.setHosts(std::max<std::size_t>(live.size(), this->settings.sharedHosts));
 }
 
+void GatewayHost::chooseFollowers(const std::vector<MemberRecord> &live)
+{
+    // Without links nobody tells this host anything. Few hosts follow the store themselves anyway.
+    const bool follows = this->mesh.openLinks() == 0 || live.size() <= MostHostsThatAllFollow
+                         || hasDuty(this->identity, live, FollowDuty, FollowersPerDomain);
+    this->configurationFeed.setFollowing(follows);
+    this->serverFeed.setFollowing(follows);
+}
+
+void GatewayHost::askPeers()
+{
+    std::optional<TimePoint> next;
+    for (CollectionFeed *feed : {&this->configurationFeed, &this->serverFeed}) {
+        for (const auto &[link, request] : feed->takeWanted())
+            this->mesh.send(link, request);
+        const std::optional<TimePoint> due = feed->nextWanted();
+        if (due && (!next || *due < *next))
+            next = due;
+    }
+    this->askTimer.reset();
+    if (next)
+        this->askTimer =
+                this->loop.after(*next - this->loop.now(), [this] { this->askPeers(); });
+}
+
 void GatewayHost::onConfiguration(const std::vector<CollectedObject> &objects)
 {
     for (const CollectedObject &object : objects) {
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -95,6 +95,8 @@
     void addPrompt(std::uint32_t server, const EnginePrompt &prompt);
     const EngineProfile *engineOf(const ServerId &server) const;
     void registerSelf();
+    void askPeers();
+    void chooseFollowers(const std::vector<MemberRecord> &live);
     void armTimer();
     void finishShutdownIfIdle();
     HttpServerLimits serverLimits() const;
@@ -138,6 +140,7 @@
     std::optional<TimePoint> armedFor;
     EventLoop::TimerHandle callTimer;
     EventLoop::TimerHandle registerTimer;
+    EventLoop::TimerHandle askTimer;
     EventLoop::TimerHandle drainTimer;
 };
 
--- a/src/gateway/shared_objects.cpp
+++ b/src/gateway/shared_objects.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// The store tells a change to all hosts within a few tens of milliseconds; a host asks a peer only
-/// if it has not heard by then.
-constexpr Duration AskDelay = std::chrono::milliseconds(250);
 /// Between two requests for the same object.
 constexpr Duration AskAgain = std::chrono::seconds(1);
 
@@ -78,7 +75,7 @@
             entry.link = link;
             continue;
         }
-        entry = {announced.revision, link, now + AskDelay};
+        entry = {announced.revision, link, now + this->askDelay};
     }
     return this->onChanged(removals);
 }
--- a/src/gateway/shared_objects.h
+++ b/src/gateway/shared_objects.h
@@ -31,6 +31,9 @@
                                              const ObjectAnnouncement &announcement,
                                              TimePoint now);
 
+    /// Sets how long the store has to bring what a peer announced before the peer is asked.
+    void setAskDelay(Duration delay) { this->askDelay = delay; }
+
     /// Returns requests that are due, by link.
     std::vector<std::pair<std::uint64_t, ObjectRequest>> takeWanted(TimePoint now);
 
@@ -63,6 +66,7 @@
     bool isNews(const CollectedObject &object) const;
 
     Collection which;
+    Duration askDelay = std::chrono::milliseconds(250);
     std::map<std::string, CollectedObject> objects; ///< Removed ones stay with their revision.
     std::map<std::string, Wanted> wanted;
 };
