Test the gateway, and name its pools apart

Cause: two types of one name, Pool, with different members: the linker kept one copy of their containers, and the sanitizer found it in the first test of the controller. Renamed to ServerPool.

--- a/src/core/structured_log.cpp
+++ b/src/core/structured_log.cpp
@@ -1,5 +1,6 @@
 #include "core/structured_log.h"
 
+#include <algorithm>
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -35,6 +36,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
 }
 
+std::int64_t monotonicMicroseconds()
+{
+    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(sinceStart).count();
+}
+
 } // namespace
 
 struct StructuredLog::Sink
@@ -43,13 +50,17 @@
     Logger logger;
 };
 
-StructuredLog::StructuredLog(HostId host, Severity threshold)
+StructuredLog::StructuredLog(HostId host, Severity threshold, const LogRate &rate)
     : host(std::move(host))
     , threshold(threshold)
+    , rate(rate)
+    , allowance(rate.burst)
+    , clock(monotonicMicroseconds)
+    , filledAt(this->clock())
     , sink(std::make_unique<Sink>())
 {
     const boost::shared_ptr<Backend> backend = boost::make_shared<Backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
     backend->auto_flush(true);
     this->sink->frontend = boost::make_shared<Frontend>(backend);
     // All loggers of a process share one core; the channel keeps this log's lines in its own sink.
@@ -69,9 +80,37 @@
 
 void StructuredLog::write(Event event, const std::vector<LogField> &fields)
 {
-    const EventInfo &info = infoOf(event);
-    if (info.severity < this->threshold)
+    if (infoOf(event).severity < this->threshold)
         return;
+    if (!this->admit()) {
+        ++this->suppressed;
+        return;
+    }
+    if (this->suppressed > 0) {
+        const std::int64_t lines = this->suppressed;
+        this->suppressed = 0;
+        this->writeLine(Event::LinesSuppressed, {{"lines", lines}});
+    }
+    this->writeLine(event, fields);
+}
+
+bool StructuredLog::admit()
+{
+    constexpr double MicrosecondsPerSecond = 1e6;
+    const std::int64_t now = this->clock();
+    const double seconds = static_cast<double>(std::max<std::int64_t>(0, now - this->filledAt)) / MicrosecondsPerSecond;
+    this->allowance =
+            std::min(this->rate.burst, this->allowance + seconds * this->rate.linesPerSecond);
+    this->filledAt = now;
+    if (this->allowance < 1)
+        return false;
+    this->allowance -= 1;
+    return true;
+}
+
+void StructuredLog::writeLine(Event event, const std::vector<LogField> &fields)
+{
+    const EventInfo &info = infoOf(event);
     nlohmann::ordered_json line;
     line["time_ms"] = wallMilliseconds();
     line["host"] = this->host;
@@ -84,6 +123,11 @@
     }
     BOOST_LOG(this->sink->logger) << line.dump(-1, ' ', false,
                                                nlohmann::ordered_json::error_handler_t::replace);
+    // A reader that is too slow costs lines, not time; the next line is tried again.
+    if (!std::cout) {
+        std::cout.clear();
+        ++this->suppressed;
+    }
 }
 
 } // namespace dotterel
--- a/src/entry_host/daemon_command_line.cpp
+++ b/src/entry_host/daemon_command_line.cpp
@@ -3,10 +3,13 @@
 #include "state/text_file.h"
 
 #include <cstdlib>
+#include <fcntl.h>
 #include <iostream>
 #include <optional>
 #include <popt.h>
 #include <random>
+#include <sys/stat.h>
+#include <unistd.h>
 
 namespace dotterel {
 
@@ -46,6 +49,14 @@
     return std::nullopt;
 }
 
+/// Keeps a full pipe behind the log from blocking the loop.
+void neverBlockOnOutput()
+{
+    struct stat status{};
+    if (fstat(STDOUT_FILENO, &status) == 0 && S_ISFIFO(status.st_mode))
+        fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+}
+
 } // namespace
 
 tl::expected<Settings, std::vector<YamlFault>> loadSettings(const std::string &path)
@@ -81,6 +92,7 @@
         std::cout << options.settingsPath << ": ok\n";
         return ExitOk;
     }
+    neverBlockOnOutput();
     try {
         return run(options, *settings);
     } catch (const std::exception &error) {
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -57,8 +57,8 @@
 private:
     bool admit(ForwardCall &call, TimePoint now);
     void dispatch(ForwardCall &call, TimePoint now);
-    void dispatchPrompt(ForwardCall &call, const Pool &pool, TimePoint now);
-    void dispatchService(ForwardCall &call, const Pool &pool, TimePoint now);
+    void dispatchPrompt(ForwardCall &call, const ServerPool &pool, TimePoint now);
+    void dispatchService(ForwardCall &call, const ServerPool &pool, TimePoint now);
     void sendPrompt(ForwardCall &call, const PromptPlan &plan, TimePoint now);
     void sendTo(ForwardCall &call, const GatewayServer &server,
                 const std::vector<PromptHelper> &helpers, bool fresh, TimePoint now);
@@ -70,7 +70,7 @@
     bool onTicketsDue(ForwardCall &call, TimePoint now);
     std::string choosePool(const ForwardCall &call);
     PromptDemand demandOf(const ForwardCall &call, TimePoint now) const;
-    void noteDispatch(ForwardCall &call, const Pool &pool, std::uint64_t memoryTokens,
+    void noteDispatch(ForwardCall &call, const ServerPool &pool, std::uint64_t memoryTokens,
                       TimePoint now);
 
     void passEvents(ForwardCall &call, std::string_view bytes, TimePoint now);
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -115,7 +115,7 @@
     return demand;
 }
 
-void ForwardController::dispatchPrompt(ForwardCall &call, const Pool &pool, TimePoint now)
+void ForwardController::dispatchPrompt(ForwardCall &call, const ServerPool &pool, TimePoint now)
 {
     call.demand = this->demandOf(call, now);
     const PromptDecision decision = this->prompts.place(pool, call.demand, call.tried, now);
@@ -151,7 +151,7 @@
     this->noteDispatch(call, pool->second, plan.memoryTokens, now);
 }
 
-void ForwardController::dispatchService(ForwardCall &call, const Pool &pool, TimePoint now)
+void ForwardController::dispatchService(ForwardCall &call, const ServerPool &pool, TimePoint now)
 {
     const std::optional<ServerId> chosen = this->services.place(pool.name, call.tried, now);
     if (!chosen)
@@ -218,7 +218,7 @@
     this->schedule(call, now);
 }
 
-void ForwardController::noteDispatch(ForwardCall &call, const Pool &pool,
+void ForwardController::noteDispatch(ForwardCall &call, const ServerPool &pool,
                                      std::uint64_t memoryTokens, TimePoint now)
 {
     const ForwardAttempt &attempt = *call.attempt;
--- a/src/gateway/gateway_configuration.h
+++ b/src/gateway/gateway_configuration.h
@@ -69,7 +69,7 @@
 };
 
 /// Servers that do the same.
-struct Pool
+struct ServerPool
 {
     std::string name;
     std::size_t maxConnections = 0; ///< Of one server, from all hosts; 0 if unlimited.
@@ -97,7 +97,7 @@
 {
     std::uint64_t version = 0;
     std::vector<Route> routes;
-    std::map<std::string, Pool> pools;
+    std::map<std::string, ServerPool> pools;
     std::map<std::string, GatewayWorkspace> workspacesByKey;
     bool needsKeys = false; ///< Callers of routes that are not open need a key.
     CallerLimits limits;
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -23,7 +23,7 @@
     , fleet(fleet)
 {}
 
-PromptDecision PromptPlacement::place(const Pool &pool, const PromptDemand &demand,
+PromptDecision PromptPlacement::place(const ServerPool &pool, const PromptDemand &demand,
                                       const std::set<ServerId> &excluded, TimePoint now)
 {
     PromptDecision decision;
@@ -63,7 +63,7 @@
 }
 
 std::vector<PromptPlacement::Candidate>
-PromptPlacement::candidates(const Pool &pool, const PromptDemand &demand,
+PromptPlacement::candidates(const ServerPool &pool, const PromptDemand &demand,
                             const std::set<ServerId> &excluded, TimePoint now)
 {
     const bool isShort = readingTime(*pool.engine, demand.promptTokens, 1)
@@ -106,7 +106,7 @@
     return unavoidable + this->settings.mostLoss * left + returning;
 }
 
-double PromptPlacement::placeCost(const Pool &pool, const PromptDemand &demand,
+double PromptPlacement::placeCost(const ServerPool &pool, const PromptDemand &demand,
                                   const Candidate &candidate) const
 {
     const std::size_t slots = pool.engine->slots;
@@ -118,7 +118,7 @@
     return cost;
 }
 
-PromptPlan PromptPlacement::alone(const Pool &pool, const PromptDemand &demand,
+PromptPlan PromptPlacement::alone(const ServerPool &pool, const PromptDemand &demand,
                                   const Candidate &candidate, TimePoint now) const
 {
     const EngineProfile &engine = *pool.engine;
@@ -137,7 +137,7 @@
     return plan;
 }
 
-std::optional<PromptPlan> PromptPlacement::divided(const Pool &pool, const PromptDemand &demand,
+std::optional<PromptPlan> PromptPlacement::divided(const ServerPool &pool, const PromptDemand &demand,
                                                    const std::vector<Candidate> &candidates,
                                                    std::size_t parts, TimePoint now) const
 {
--- a/src/gateway/prompt_placement.h
+++ b/src/gateway/prompt_placement.h
@@ -82,7 +82,7 @@
                     const ServerFleet &fleet);
 
     /// Chooses servers of \a pool for \a demand; those in \a excluded only if there is no other.
-    PromptDecision place(const Pool &pool, const PromptDemand &demand,
+    PromptDecision place(const ServerPool &pool, const PromptDemand &demand,
                          const std::set<ServerId> &excluded, TimePoint now);
 
     /// A prompt was sent to \a server, by this host or another one.
@@ -118,17 +118,17 @@
         std::uint64_t freeTokens = 0;
     };
 
-    std::vector<Candidate> candidates(const Pool &pool, const PromptDemand &demand,
+    std::vector<Candidate> candidates(const ServerPool &pool, const PromptDemand &demand,
                                       const std::set<ServerId> &excluded, TimePoint now);
-    PromptPlan alone(const Pool &pool, const PromptDemand &demand, const Candidate &candidate,
+    PromptPlan alone(const ServerPool &pool, const PromptDemand &demand, const Candidate &candidate,
                      TimePoint now) const;
-    std::optional<PromptPlan> divided(const Pool &pool, const PromptDemand &demand,
+    std::optional<PromptPlan> divided(const ServerPool &pool, const PromptDemand &demand,
                                       const std::vector<Candidate> &candidates, std::size_t parts,
                                       TimePoint now) const;
     bool spreadMemory(const PromptDemand &demand, const std::vector<Candidate> &candidates,
                       PromptPlan &plan) const;
     double acceptableLoss(const PromptDemand &demand) const;
-    double placeCost(const Pool &pool, const PromptDemand &demand,
+    double placeCost(const ServerPool &pool, const PromptDemand &demand,
                      const Candidate &candidate) const;
 
     PromptPlacementSettings settings;
--- a/src/operator_tools/reference_pages.cpp
+++ b/src/operator_tools/reference_pages.cpp
@@ -110,7 +110,7 @@
             {"METRICS.md", "print-metrics", metricsPage},
             {"SETTINGS.md", "print-settings", settingsPage},
             {"SHEET.md", "print-sheet", sheetPage},
-            {"OPERATING.md", "print-commands", commandsPage},
+            {"OPERATIONS.md", "print-commands", commandsPage},
     };
     return pages;
 }
--- a/src/state/settings.cpp
+++ b/src/state/settings.cpp
@@ -174,7 +174,8 @@
         endpoint.address = text.substr(0, colon);
         if (!isNumber || port < setting.least || port > setting.most
             || !isIpNumber(endpoint.address))
-            this->reader.fault(key, "must be an IP number and a port, such as 10.0.0.1:80, not \""
+            this->reader.fault(key, "must be a map of keys and values, or an IP number and a port "
+                                    "such as 10.0.0.1:80, not \""
                                             + text + "\"");
         endpoint.port = static_cast<std::uint16_t>(port);
     }
--- /dev/null
+++ b/tests/gateway/test_prompt_placement.cpp
@@ -0,0 +1,235 @@
+#include "gateway/prompt_placement.h"
+
+#include "support/forward_bench.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+
+using namespace dotterel;
+using namespace dotterel::support;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Places prompts on a pool of equal engines in virtual time and plays the engines' published pace:
+/// what PromptPlacement believes is also what happens.
+struct Fleet
+{
+    explicit Fleet(std::size_t servers)
+        : fleet(FleetTimes{}, this->log)
+        , placement(PromptPlacementSettings{}, "centro-a", this->fleet)
+    {
+        for (std::size_t index = 0; index < servers; ++index) {
+            GatewayServer server;
+            server.id = "engine-" + std::to_string(index);
+            server.pool = "engines";
+            server.failureDomain = "centro-a";
+            this->fleet.put(server, this->now);
+        }
+    }
+
+    static PromptDemand demand(std::uint64_t tokens, int goalMs, int pauseMs)
+    {
+        PromptDemand result;
+        result.promptTokens = tokens;
+        result.outputTokens = 1'000;
+        result.goal = milliseconds(goalMs);
+        result.pauseGoal = milliseconds(pauseMs);
+        result.patience = std::chrono::seconds(10);
+        result.value = promptValue(PromptValues{}, tokens, 1'000, result.pauseGoal);
+        return result;
+    }
+    static PromptDemand shortPrompt() { return demand(5'000, 300, 250); }
+    static PromptDemand hugePrompt(std::uint64_t tokens) { return demand(tokens, 4'000, 1'000); }
+
+    /// Places and sends a prompt; returns its plan, or none if it is refused.
+    std::optional<PromptPlan> send(const PromptDemand &demand)
+    {
+        const PromptDecision decision = this->placement.place(this->pool, demand, {}, this->now);
+        if (!decision.plan)
+            return std::nullopt;
+        EnginePrompt prompt;
+        prompt.key = {1, ++this->sequence};
+        prompt.demand = demand;
+        prompt.parts = decision.plan->helpers.size() + 1;
+        prompt.dispatched = this->now;
+        prompt.memoryTokens = decision.plan->memoryTokens;
+        this->placement.onDispatched(decision.plan->server, *this->pool.engine, prompt, this->now);
+        prompt.isHelper = true;
+        for (const PromptHelper &helper : decision.plan->helpers) {
+            prompt.memoryTokens = helper.memoryTokens;
+            this->placement.onDispatched(helper.server, *this->pool.engine, prompt, this->now);
+        }
+        this->events.push_back({this->now + decision.plan->untilFirst, prompt.key, false});
+        const Duration writing = fromSeconds(1.31e-3 * static_cast<double>(demand.outputTokens));
+        this->events.push_back(
+                {this->now + decision.plan->untilFirst + writing, prompt.key, true});
+        return decision.plan;
+    }
+
+    void pass(Duration time)
+    {
+        this->now += time;
+        for (auto event = this->events.begin(); event != this->events.end();) {
+            if (event->at > this->now) {
+                ++event;
+                continue;
+            }
+            if (event->ends)
+                this->placement.onEnded(event->key, this->now);
+            else
+                this->placement.onFirstEvent(event->key, this->now);
+            event = this->events.erase(event);
+        }
+    }
+
+    struct Event
+    {
+        TimePoint at;
+        PromptKey key;
+        bool ends;
+    };
+
+    TimePoint now{std::chrono::seconds(100)};
+    NullEventLog log;
+    ServerPool pool{"engines", 374, sheetEngine()};
+    ServerFleet fleet;
+    PromptPlacement placement;
+    std::uint64_t sequence = 0;
+    std::deque<Event> events;
+};
+
+} // namespace
+
+TEST_CASE("Short writers and huge readers do not share an engine", "[Gateway][PromptPlacement]")
+{
+    Fleet fleet(14);
+    const auto first = fleet.send(Fleet::shortPrompt());
+    REQUIRE(first);
+    fleet.pass(milliseconds(150));
+
+    SECTION("a huge prompt goes elsewhere while the short one writes")
+    {
+        const auto huge = fleet.send(Fleet::hugePrompt(180'000));
+        REQUIRE(huge);
+        CHECK(huge->server != first->server);
+        for (const PromptHelper &helper : huge->helpers)
+            CHECK(helper.server != first->server);
+        SECTION("and short ones keep away from it")
+        {
+            for (int count = 0; count < 20; ++count) {
+                const auto next = fleet.send(Fleet::shortPrompt());
+                REQUIRE(next);
+                CHECK(next->server != huge->server);
+                fleet.pass(milliseconds(20));
+            }
+        }
+    }
+    SECTION("short ones gather on few engines, so that the others stay free")
+    {
+        std::set<ServerId> used;
+        for (int count = 0; count < 40; ++count) {
+            used.insert(fleet.send(Fleet::shortPrompt())->server);
+            fleet.pass(milliseconds(100));
+        }
+        CHECK(used.size() <= 5);
+    }
+}
+
+TEST_CASE("Load at its worst: many huge prompts, then many short ones", "[Gateway][PromptPlacement]")
+{
+    // The phases of the users' days: 2 huge prompts a second beside 9 short ones, then 67 short
+    // ones a second, for 9.5 s each.
+    Fleet fleet(14);
+    SeededRandom random(11);
+    std::size_t shorts = 0;
+    std::size_t shortsInTime = 0;
+    std::size_t huge = 0;
+    std::size_t hugeInTime = 0;
+    const auto runPhase = [&](double shortRate, double hugeRate) {
+        for (int step = 0; step < 950; ++step) {
+            if (random.unit() < shortRate * 0.01) {
+                ++shorts;
+                const auto plan = fleet.send(Fleet::shortPrompt());
+                shortsInTime += plan && plan->untilFirst < milliseconds(300) ? 1 : 0;
+            }
+            if (random.unit() < hugeRate * 0.01) {
+                ++huge;
+                const auto plan = fleet.send(Fleet::hugePrompt(100'000 + random.below(160'000)));
+                hugeInTime += plan && plan->untilFirst < milliseconds(4'000) ? 1 : 0;
+            }
+            fleet.pass(milliseconds(10));
+        }
+    };
+    runPhase(9, 2.0);
+    runPhase(67, 0.04);
+    runPhase(9, 2.0);
+    CHECK(static_cast<double>(shortsInTime) >= 0.97 * static_cast<double>(shorts));
+    CHECK(static_cast<double>(hugeInTime) >= 0.80 * static_cast<double>(huge));
+}
+
+TEST_CASE("A huge prompt is divided when one engine would be late", "[Gateway][PromptPlacement]")
+{
+    Fleet fleet(14);
+    SECTION("200,000 tokens take 4.6 s on one engine and are read by several")
+    {
+        const auto plan = fleet.send(Fleet::hugePrompt(200'000));
+        REQUIRE(plan);
+        CHECK_FALSE(plan->helpers.empty());
+        CHECK(plan->untilFirst < milliseconds(3'500));
+    }
+    SECTION("a prompt larger than one memory holds the rest on its helpers")
+    {
+        const auto plan = fleet.send(Fleet::hugePrompt(500'000));
+        REQUIRE(plan);
+        std::uint64_t held = plan->memoryTokens;
+        for (const PromptHelper &helper : plan->helpers)
+            held += helper.memoryTokens;
+        CHECK(held == 501'000);
+        CHECK(plan->memoryTokens <= 405'000);
+    }
+    SECTION("the newest part delays the reads that wait, so that helpers are chosen elsewhere")
+    {
+        const auto first = fleet.send(Fleet::hugePrompt(250'000));
+        const auto second = fleet.send(Fleet::hugePrompt(250'000));
+        REQUIRE(first);
+        REQUIRE(second);
+        std::set<ServerId> used = {first->server};
+        for (const PromptHelper &helper : first->helpers)
+            used.insert(helper.server);
+        CHECK(used.count(second->server) == 0);
+        for (const PromptHelper &helper : second->helpers)
+            CHECK(used.count(helper.server) == 0);
+    }
+}
+
+TEST_CASE("What cannot be in time is refused at once", "[Gateway][PromptPlacement]")
+{
+    Fleet fleet(2);
+    // Both engines read for long.
+    for (int count = 0; count < 4; ++count) {
+        PromptDemand patient = Fleet::hugePrompt(180'000);
+        patient.goal = std::chrono::seconds(60);
+        patient.patience = std::chrono::seconds(60);
+        fleet.send(patient);
+    }
+    const PromptDecision refused =
+            fleet.placement.place(fleet.pool, Fleet::shortPrompt(), {}, fleet.now);
+    CHECK_FALSE(refused.plan);
+    CHECK(refused.anyServer);
+    CHECK(refused.retryAfter >= milliseconds(200));
+
+    SECTION("but a caller that returns late is judged by what it can still get")
+    {
+        Fleet idle(2);
+        PromptDemand late = Fleet::shortPrompt();
+        late.waited = std::chrono::seconds(2);
+        late.returns = true;
+        CHECK(idle.send(late));
+    }
+    SECTION("and a pool without servers says so")
+    {
+        Fleet none(0);
+        CHECK_FALSE(none.placement.place(none.pool, Fleet::shortPrompt(), {}, none.now).anyServer);
+    }
+}
--- /dev/null
+++ b/tests/gateway/test_server_fleet.cpp
@@ -0,0 +1,160 @@
+#include "gateway/retry_allowance.h"
+#include "gateway/service_placement.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dotterel;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+GatewayServer server(const ServerId &id, std::uint64_t incarnation = 1)
+{
+    GatewayServer result;
+    result.id = id;
+    result.pool = "app";
+    result.failureDomain = "centro-a";
+    result.slots = 6;
+    result.incarnation = incarnation;
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("Servers get work while they may", "[Gateway][ServerFleet]")
+{
+    NullEventLog log;
+    ServerFleet fleet(FleetTimes{}, log);
+    TimePoint now{seconds(100)};
+    fleet.put(server("s1"), now);
+    fleet.put(server("s2"), now);
+    REQUIRE(fleet.usable("app", now).size() == 2);
+
+    SECTION("not when their entry says that they drain")
+    {
+        GatewayServer draining = server("s1");
+        draining.draining = true;
+        fleet.put(draining, now);
+        CHECK(fleet.usable("app", now).size() == 1);
+    }
+    SECTION("not when they said so themselves, whatever the entry says")
+    {
+        fleet.onEvidence("s1", ServerEvidence::Leaving, now);
+        fleet.put(server("s1"), now);
+        CHECK(fleet.usable("app", now).size() == 1);
+        SECTION("until they start again")
+        {
+            CHECK(fleet.put(server("s1", 2), now));
+            CHECK(fleet.usable("app", now).size() == 2);
+        }
+    }
+    SECTION("not for a while when they cannot be reached, longer each time")
+    {
+        fleet.onEvidence("s1", ServerEvidence::Unreachable, now);
+        CHECK(fleet.usable("app", now).size() == 1);
+        now += milliseconds(450);
+        CHECK(fleet.usable("app", now).size() == 2);
+        fleet.onEvidence("s1", ServerEvidence::Unreachable, now);
+        now += milliseconds(450);
+        CHECK(fleet.usable("app", now).size() == 1);
+        SECTION("but rather they than none")
+        {
+            fleet.onEvidence("s2", ServerEvidence::Unreachable, now);
+            CHECK(fleet.usable("app", now).size() == 2);
+        }
+    }
+    SECTION("not when their entry is removed")
+    {
+        fleet.remove("s1", false, now);
+        CHECK(fleet.usable("app", now).size() == 1);
+    }
+    SECTION("a little longer when the entry may have lapsed with the store")
+    {
+        fleet.remove("s1", true, now);
+        CHECK(fleet.usable("app", now).size() == 2);
+        SECTION("and on if it comes back")
+        {
+            fleet.put(server("s1"), now + seconds(1));
+            CHECK(fleet.usable("app", now + seconds(9)).size() == 2);
+        }
+        SECTION("and no longer if it does not")
+        {
+            CHECK(fleet.usable("app", now + milliseconds(2'001)).size() == 1);
+        }
+    }
+    SECTION("a server that drained has not lapsed")
+    {
+        GatewayServer draining = server("s1");
+        draining.draining = true;
+        fleet.put(draining, now);
+        fleet.remove("s1", true, now);
+        CHECK(fleet.find("s1") == nullptr);
+    }
+}
+
+TEST_CASE("A service that fails gets less work while its health is good",
+          "[Gateway][ServicePlacement]")
+{
+    NullEventLog log;
+    ServerFleet fleet(FleetTimes{}, log);
+    SeededRandom random(3);
+    ServicePlacement placement("centro-a", fleet, random);
+    TimePoint now{seconds(100)};
+    for (const char *id : {"s1", "s2", "s3"})
+        fleet.put(server(id), now);
+
+    // One of three fails four in ten of its calls.
+    std::size_t atGrey = 0;
+    for (int call = 0; call < 300; ++call) {
+        const ServerId chosen = *placement.place("app", {}, now);
+        const bool fails = chosen == "s1" && random.unit() < 0.4;
+        atGrey += chosen == "s1" && call >= 100 ? 1 : 0;
+        fleet.onEvidence(chosen, fails ? ServerEvidence::Failed : ServerEvidence::Answered, now);
+        now += milliseconds(30);
+    }
+    CHECK(atGrey < 40);
+
+    SECTION("a full server is passed over")
+    {
+        placement.onReported("s2", {6, 4, 6}, now);
+        for (int call = 0; call < 20; ++call)
+            CHECK(*placement.place("app", {"s1"}, now) == "s3");
+    }
+    SECTION("a server that was tried is chosen only if there is no other")
+    {
+        CHECK(*placement.place("app", {"s1", "s2"}, now) == "s3");
+        CHECK(placement.place("app", {"s1", "s2", "s3"}, now));
+        CHECK_FALSE(placement.place("none", {}, now));
+    }
+}
+
+TEST_CASE("All hosts together keep the bound on further attempts", "[Gateway][RetryAllowance]")
+{
+    const RetryBound bound{0.2, 106, seconds(10)};
+    constexpr std::size_t Hosts = 9;
+    std::vector<RetryAllowance> hosts(Hosts, RetryAllowance(bound));
+    for (RetryAllowance &host : hosts)
+        host.setHosts(Hosts);
+    // Every answer fails: each request asks for one further attempt, 30 requests a second.
+    std::size_t requests = 0;
+    std::size_t repeats = 0;
+    std::vector<std::pair<TimePoint, bool>> arrivals;
+    TimePoint now{seconds(100)};
+    for (int step = 0; step < 1'200; ++step) {
+        RetryAllowance &host = hosts[static_cast<std::size_t>(step) % Hosts];
+        host.onRequest("app", now);
+        ++requests;
+        const bool repeated = host.withdraw("app", now);
+        repeats += repeated ? 1 : 0;
+        arrivals.emplace_back(now, repeated);
+        now += milliseconds(33);
+    }
+    CHECK(repeats > 50);
+    for (std::size_t begin = 0; begin + 303 < arrivals.size(); begin += 10) {
+        std::size_t inWindow = 0;
+        for (std::size_t index = begin; index < begin + 303; ++index)
+            inWindow += arrivals[index].second ? 1 : 0;
+        CHECK(static_cast<double>(inWindow) <= 0.2 * 303 + 106);
+    }
+}
--- /dev/null
+++ b/tests/gateway/test_shared_objects.cpp
@@ -0,0 +1,118 @@
+#include "gateway/collection_follower.h"
+#include "gateway/shared_objects.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dotterel;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+CollectedObject object(const std::string &name, std::uint64_t revision)
+{
+    return {name, revision, false, name + "@" + std::to_string(revision)};
+}
+
+} // namespace
+
+TEST_CASE("The highest revision of an object wins, from wherever it comes",
+          "[Gateway][SharedObjects]")
+{
+    SharedObjects objects(Collection::Servers);
+    const TimePoint now{seconds(100)};
+    REQUIRE(objects.onListed({{object("a", 3), object("b", 5)}, 7}).size() == 2);
+
+    SECTION("an older one changes nothing")
+    {
+        CHECK(objects.onChanged({object("a", 2)}).empty());
+        CHECK(objects.onListed({{object("a", 3), object("b", 5)}, 7}).empty());
+    }
+    SECTION("what a later list lacks is gone")
+    {
+        const auto news = objects.onListed({{object("a", 3)}, 9});
+        REQUIRE(news.size() == 1);
+        CHECK(news[0].name == "b");
+        CHECK(news[0].removed);
+    }
+    SECTION("what a peer told since is not undone by an older list")
+    {
+        objects.onChanged({object("c", 12)});
+        CHECK(objects.onListed({{object("a", 3), object("b", 5)}, 9}).empty());
+    }
+    SECTION("an object that comes back right after its removal is news")
+    {
+        CHECK(objects.onChanged({{"a", 4, true, ""}}).size() == 1);
+        CHECK(objects.onChanged({object("a", 4)}).size() == 1);
+    }
+    SECTION("a peer's removal counts at once, its later text is asked for")
+    {
+        ObjectAnnouncement announcement;
+        announcement.objects = {{"a", 8, true}, {"b", 9, false}, {"c", 1, false}};
+        const auto news = objects.onAnnounced(1, announcement, now);
+        REQUIRE(news.size() == 1);
+        CHECK(news[0].name == "a");
+        CHECK(objects.takeWanted(now).empty());
+        const auto wanted = objects.takeWanted(now + milliseconds(250));
+        REQUIRE(wanted.size() == 1);
+        CHECK(wanted[0].first == 1);
+        CHECK(wanted[0].second.names == std::vector<std::string>{"b", "c"});
+        SECTION("and not asked for again at once, nor when it has come")
+        {
+            CHECK(objects.takeWanted(now + milliseconds(300)).empty());
+            objects.onChanged({object("b", 9), object("c", 1)});
+            CHECK_FALSE(objects.nextWanted());
+        }
+    }
+    SECTION("a host that knows something answers one that lacks it")
+    {
+        SharedObjects other(Collection::Servers);
+        other.setAskDelay(Duration::zero());
+        other.onAnnounced(4, objects.announceAll(), now);
+        const auto wanted = other.takeWanted(now);
+        REQUIRE(wanted.size() == 1);
+        const ObjectOffer offer = objects.offer(wanted[0].second);
+        REQUIRE(offer.objects.size() == 2);
+        CHECK(offer.objects[0].text == "a@3");
+    }
+}
+
+TEST_CASE("A collection is followed through every trouble of the store",
+          "[Gateway][CollectionFollower]")
+{
+    NullEventLog log;
+    SeededRandom random(5);
+    CollectionFollower follower(Collection::Configuration, random, log);
+    TimePoint now{seconds(100)};
+    CHECK(follower.next().kind == FollowStep::Kind::List);
+    follower.onListed(40, now);
+    CHECK(follower.next().kind == FollowStep::Kind::Watch);
+    CHECK(follower.next().revision == 40);
+
+    SECTION("it watches on from where the store was")
+    {
+        follower.onWatched(44, now);
+        CHECK(follower.next().revision == 44);
+        CHECK(follower.next().after == Duration::zero());
+    }
+    SECTION("it lists again at once when the history is lost, and entries may have lapsed")
+    {
+        follower.onFailed(StoreError::NotFound, now);
+        CHECK(follower.next().kind == FollowStep::Kind::List);
+        CHECK(follower.next().after == Duration::zero());
+        CHECK(follower.cameBackWithin(seconds(2), now));
+    }
+    SECTION("it backs off, but never longer than a configuration may take")
+    {
+        for (int failure = 0; failure < 20; ++failure) {
+            follower.onFailed(StoreError::Unavailable, now);
+            CHECK(follower.next().after >= milliseconds(50));
+            CHECK(follower.next().after <= milliseconds(800));
+        }
+        CHECK(follower.isAway());
+        follower.onWatched(41, now);
+        CHECK_FALSE(follower.isAway());
+        CHECK(follower.cameBackWithin(seconds(2), now + seconds(1)));
+        CHECK_FALSE(follower.cameBackWithin(seconds(2), now + seconds(3)));
+    }
+}
--- /dev/null
+++ b/tests/support/forward_bench.cpp
@@ -0,0 +1,196 @@
+#include "support/forward_bench.h"
+
+namespace dotterel::support {
+
+namespace {
+
+Route route(const std::string &prefix, RouteKind kind, const std::string &pool, Duration goal)
+{
+    Route result;
+    result.name = prefix;
+    result.host = "shop";
+    result.pathPrefix = prefix;
+    result.kind = kind;
+    result.targets = {{pool, 1}};
+    result.goal = goal;
+    result.timeout = std::chrono::seconds(2);
+    result.maxAttempts = kind == RouteKind::AtMostOnce ? 1 : 2;
+    return result;
+}
+
+} // namespace
+
+EngineProfile sheetEngine()
+{
+    EngineProfile engine;
+    engine.slots = 16;
+    engine.memoryTokens = 405'000;
+    engine.stepMs = 1.31;
+    engine.stepMsPerPrompt = 0.000917;
+    engine.stepMsPerThousandTokens = 0.00213;
+    engine.readTokensPerMs = 154;
+    engine.readMsPerMillionPairs = 0.162;
+    engine.chunkTokens = 2'048;
+    engine.stepsPerPass = 34;
+    engine.canShareReading = true;
+    return engine;
+}
+
+std::string SentAttempt::header(const char *name) const
+{
+    const std::string *value = findHeader(this->request.headers, name);
+    return value == nullptr ? std::string() : *value;
+}
+
+ForwardBench::ForwardBench()
+    : fleet(FleetTimes{}, this->log)
+    , prompts(PromptPlacementSettings{}, "centro-a", this->fleet)
+    , services("centro-a", this->fleet, this->random)
+    , retries(RetryBound{})
+    , crashes(CrashLimits{}, this->metrics, this->log)
+    , controller(this->protocol, this->fleet, this->prompts, this->services, this->retries,
+                 this->crashes, *this, this->random, 1, this->metrics, this->log)
+{
+    using std::chrono::milliseconds;
+    this->configuration.version = 1;
+    this->configuration.routes = {
+            route("/orders/", RouteKind::AtMostOnce, "app", milliseconds(150)),
+            route("/lookups/", RouteKind::Idempotent, "app", milliseconds(150)),
+            route("/questions/", RouteKind::Stream, "engines", milliseconds(300)),
+            route("/archives/", RouteKind::Stream, "engines", milliseconds(4'000))};
+    for (Route &stream : this->configuration.routes) {
+        if (stream.kind != RouteKind::Stream)
+            continue;
+        stream.resumable = true;
+        stream.timeout = std::chrono::seconds(15);
+        stream.pauseGoal = milliseconds(stream.name == "/archives/" ? 1'000 : 250);
+    }
+    this->configuration.pools["app"] = {"app", 100, std::nullopt};
+    this->configuration.pools["engines"] = {"engines", 100, sheetEngine()};
+    this->configuration.needsKeys = true;
+    this->configuration.workspacesByKey["key"] = {"cakes", std::nullopt};
+    this->applyConfiguration();
+}
+
+void ForwardBench::applyConfiguration()
+{
+    this->controller.setRoutes(std::make_shared<RouteTable>(
+            std::make_shared<const GatewayConfiguration>(this->configuration)));
+}
+
+void ForwardBench::addServer(const ServerId &id, const std::string &pool)
+{
+    GatewayServer server;
+    server.id = id;
+    server.pool = pool;
+    server.failureDomain = "centro-a";
+    server.endpoint = {"127.0.0.1", 80};
+    server.slots = 6;
+    this->fleet.put(server, this->now);
+}
+
+HttpCallId ForwardBench::request(const std::string &target, const HttpHeaders &headers,
+                                 const std::string &body)
+{
+    HttpHead head;
+    head.method = "POST";
+    head.target = target;
+    head.headers = {{"Host", "shop"}, {"Id", "r" + std::to_string(this->nextCall)}};
+    if (findHeader(headers, "Key") == nullptr)
+        head.headers.emplace_back("Key", "key");
+    head.headers.insert(head.headers.end(), headers.begin(), headers.end());
+    const HttpCallId call = this->nextCall++;
+    this->controller.onRequest(call, std::move(head), std::make_shared<const std::string>(body),
+                               this->now);
+    return call;
+}
+
+void ForwardBench::serverAnswers(std::size_t index, int status,
+                                 const HttpHeaders &headers, const std::string &body)
+{
+    const ForwardAttemptId id = this->sent.at(index).id;
+    this->controller.onAttemptHead(id, status, headers, this->now);
+    if (!body.empty())
+        this->controller.onAttemptData(id, body, this->now);
+    this->controller.onAttemptComplete(id, this->now);
+}
+
+void ForwardBench::fail(std::size_t index, HttpFailureKind kind, Verdict verdict, bool kept)
+{
+    this->controller.onAttemptFailed(this->sent.at(index).id, {kind, verdict, kept}, this->now);
+}
+
+void ForwardBench::pass(Duration time)
+{
+    const TimePoint end = this->now + time;
+    std::size_t steps = 0;
+    constexpr std::size_t MostSteps = 10'000; // A timer that is always due would never end.
+    while (this->controller.nextTimer() && *this->controller.nextTimer() <= end
+           && ++steps < MostSteps) {
+        this->now = std::max(this->now, *this->controller.nextTimer());
+        this->controller.onTimer(this->now);
+    }
+    this->now = end;
+}
+
+void ForwardBench::sendAttempt(ForwardAttemptId attempt, const HttpRequest &request)
+{
+    this->sent.push_back({attempt, request, false});
+}
+
+void ForwardBench::cancelAttempt(ForwardAttemptId attempt)
+{
+    for (SentAttempt &other : this->sent)
+        other.cancelled = other.cancelled || other.id == attempt;
+}
+
+void ForwardBench::pauseAttempt(ForwardAttemptId /*attempt*/, bool paused)
+{
+    this->pauses.push_back(paused);
+}
+
+void ForwardBench::orderMemory(const MemoryOrder &order)
+{
+    this->memoryOrders.push_back(order);
+}
+
+void ForwardBench::answer(HttpCallId call, int status, const HttpHeaders &headers,
+                          std::string_view body)
+{
+    this->outcomes[call] = {status, headers, std::string(body), true, false};
+}
+
+void ForwardBench::startAnswer(HttpCallId call, int status, const HttpHeaders &headers,
+                               std::optional<std::uint64_t> /*length*/)
+{
+    this->outcomes[call].status = status;
+    this->outcomes[call].headers = headers;
+}
+
+std::size_t ForwardBench::sendPart(HttpCallId call, std::string_view bytes)
+{
+    this->outcomes[call].body.append(bytes);
+    return this->unsent;
+}
+
+void ForwardBench::endAnswer(HttpCallId call)
+{
+    this->outcomes[call].ended = true;
+}
+
+void ForwardBench::abortAnswer(HttpCallId call)
+{
+    this->outcomes[call].aborted = true;
+}
+
+void ForwardBench::tellPrompt(const PromptNewsItem &item)
+{
+    this->news.push_back(item);
+}
+
+void ForwardBench::tellCrash(const CrashNotice &notice)
+{
+    this->crashNotices.push_back(notice);
+}
+
+} // namespace dotterel::support
--- /dev/null
+++ b/tests/support/plain_gateway_protocol.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "gateway/gateway_protocol.h"
+
+namespace dotterel::support {
+
+/// A GatewayProtocol with header names of its own and bare numbers, for tests of the gateway.
+///
+/// Callers send Id, Patience-Ms, Key, Tokens ("P,A") and After; servers answer with Signed, Not-Run
+/// and Load. A configuration or a server is read from a table that the test fills.
+class PlainGatewayProtocol : public GatewayProtocol
+{
+public:
+    CallerFacts readCaller(const HttpHeaders &headers) const override;
+    HttpHeaders dispatchHeaders(const HttpHeaders &callers,
+                                const DispatchFacts &facts) const override;
+    std::pair<std::string, std::string> echo(const CallerFacts &facts) const override;
+    HttpRequest memoryRequest(const MemoryOrder &order) const override;
+    AnswerFacts readAnswer(int status, const HttpHeaders &headers) const override;
+    HttpHeaders answerHeaders(const HttpHeaders &headers) const override { return headers; }
+    HttpHeaders refusalHeaders(const CallerFacts &facts,
+                               std::optional<Duration> retryAfter) const override;
+    tl::expected<GatewayConfiguration, std::string>
+    readConfiguration(const std::string &text) const override;
+    tl::expected<GatewayServer, std::string> readServer(const std::string &name,
+                                                        const std::string &text) const override;
+
+    std::map<std::string, GatewayConfiguration> configurations; ///< By text.
+    std::map<std::string, GatewayServer> servers;               ///< By text.
+};
+
+} // namespace dotterel::support
