--- /dev/null
+++ b/tests/platform/test_platform_protocol.cpp
@@ -0,0 +1,195 @@
+#include "platform_protocol.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dotterel;
+using dotterel::platform::PlatformProtocol;
+using std::chrono::milliseconds;
+
+namespace {
+
+std::string valueOf(const HttpHeaders &headers, const char *name)
+{
+    const std::string *value = findHeader(headers, name);
+    return value == nullptr ? std::string("(none)") : *value;
+}
+
+const char *const Configuration = R"({
+  "version": 7, "unknown": {"future": [1, 2]},
+  "routes": [
+    {"name": "r1", "host": "a.example", "path_prefix": "/q/", "kind": "stream",
+     "timeout_ms": 10000, "goal_ms": 300, "priority": 1, "max_attempts": 2, "no_auth": false,
+     "sticky": true, "resumable": true, "gap_target_ms": 250,
+     "backends": [{"service": "llm", "weight": 90}, {"service": "app", "weight": 10}]},
+    {"name": "r2", "host": "a.example", "path_prefix": "/o/", "kind": "non_idempotent",
+     "timeout_ms": 1200, "goal_ms": 150, "priority": 2, "max_attempts": 1, "no_auth": true,
+     "service": "app"},
+    {"name": "r3", "host": "a.example", "path_prefix": "/n/", "kind": "of another age",
+     "timeout_ms": 1200, "service": "app"}],
+  "services": [
+    {"name": "llm", "max_conns": 374,
+     "engine": {"slots": 16, "kv_tokens": 405000, "stride": 34, "step_ms": 1.31,
+       "per_seq_ms": 0.000917, "context_per_k": 0.00213, "read_per_s": 154000.0,
+       "pairs_per_m": 0.162, "chunk": 2048, "hop_ms": 0.1}},
+    {"name": "app", "max_conns": 110}],
+  "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
+    "idle_timeout_ms": 15000},
+  "tenants": [{"name": "cakes", "api_keys": ["k1", "k2"], "priority": 1}]})";
+
+} // namespace
+
+TEST_CASE("Callers' headers become facts", "[Platform][PlatformProtocol]")
+{
+    const PlatformProtocol protocol;
+    const CallerFacts facts = protocol.readCaller({{"Host", "A.example:80"},
+                                                   {"x-request-id", "9c41"},
+                                                   {"X-Deadline-Ms", "10000"},
+                                                   {"Api-Key", "k1"},
+                                                   {"X-Token-Counts", "1460,80"},
+                                                   {"Last-Event-Id", "12"}});
+    CHECK(facts.host == "a.example");
+    CHECK(facts.requestId == "9c41");
+    CHECK(facts.patience == milliseconds(10'000));
+    CHECK(facts.key == "k1");
+    CHECK(facts.promptTokens == 1'460);
+    CHECK(facts.outputTokens == 80);
+    CHECK(facts.resumeAfter == 12U);
+
+    SECTION("what cannot be read counts as absent")
+    {
+        const CallerFacts none = protocol.readCaller({{"X-Deadline-Ms", "soon"},
+                                                      {"X-Token-Counts", "many"},
+                                                      {"Last-Event-Id", "-1"}});
+        CHECK_FALSE(none.patience);
+        CHECK_FALSE(none.resumeAfter);
+        CHECK(none.promptTokens == 0);
+        CHECK(none.host.empty());
+    }
+}
+
+TEST_CASE("A server gets the caller's headers and what the system sets",
+          "[Platform][PlatformProtocol]")
+{
+    const PlatformProtocol protocol;
+    DispatchFacts facts;
+    facts.timeLeft = milliseconds(9'876);
+    facts.expectedServer = "i-1";
+    facts.workspace = "cakes";
+    facts.helpers = {{{"10.0.0.1", 80}, "t1"}, {{"10.0.0.2", 80}, ""}};
+    const HttpHeaders headers = protocol.dispatchHeaders({{"Host", "a.example"},
+                                                          {"X-Request-Id", "9c41"},
+                                                          {"X-Prompt-Prefix", "5c:800"},
+                                                          {"Connection", "keep-alive, X-Hop"},
+                                                          {"X-Hop", "1"},
+                                                          {"Transfer-Encoding", "chunked"},
+                                                          {"Api-Key", "k1"},
+                                                          {"X-Tenant", "forged"},
+                                                          {"X-Helpers", "forged"},
+                                                          {"X-Request-Priority", "0"},
+                                                          {"X-Expect-Instance", "forged"},
+                                                          {"X-Deadline-Ms", "99999"}},
+                                                         facts);
+    CHECK(valueOf(headers, "Host") == "a.example");
+    CHECK(valueOf(headers, "X-Request-Id") == "9c41");
+    CHECK(valueOf(headers, "X-Prompt-Prefix") == "5c:800");
+    CHECK(valueOf(headers, "X-Deadline-Ms") == "9876");
+    CHECK(valueOf(headers, "X-Expect-Instance") == "i-1");
+    CHECK(valueOf(headers, "X-Tenant") == "cakes");
+    CHECK(valueOf(headers, "X-Helpers") == "10.0.0.1:80/t1,10.0.0.2:80");
+    for (const char *absent : {"Api-Key", "Connection", "X-Hop", "Transfer-Encoding",
+                               "X-Request-Priority", "Last-Event-Id"})
+        CHECK(valueOf(headers, absent) == "(none)");
+}
+
+TEST_CASE("The head of an answer says what it is worth", "[Platform][PlatformProtocol]")
+{
+    const PlatformProtocol protocol;
+    const AnswerFacts good = protocol.readAnswer(
+            200, {{"X-Server-Seal", "s"}, {"X-Server-Load", "3,0,8"}});
+    CHECK(good.isSigned);
+    CHECK_FALSE(good.notRun);
+    REQUIRE(good.load);
+    CHECK(good.load->running == 3);
+    CHECK(good.load->slots == 8);
+    CHECK(protocol.readAnswer(503, {{"X-Not-Executed", "1"}}).notRun);
+    CHECK_FALSE(protocol.readAnswer(503, {}).notRun);
+    CHECK(protocol.readAnswer(421, {}).wrongServer);
+    CHECK(protocol.readAnswer(421, {}).notRun);
+    CHECK(protocol.readAnswer(200, {{"Content-Encoding", "gzip"}}).isEncoded);
+    CHECK_FALSE(protocol.readAnswer(200, {{"X-Server-Load", "3,8"}}).load);
+    CHECK(valueOf(protocol.refusalHeaders({}, milliseconds(1'250)), "Retry-After") == "1.250");
+}
+
+TEST_CASE("Objects of the store are read once, into types", "[Platform][PlatformProtocol]")
+{
+    const PlatformProtocol protocol;
+    SECTION("a configuration, with fields that are not known yet")
+    {
+        const auto read = protocol.readConfiguration(Configuration);
+        REQUIRE(read);
+        CHECK(read->version == 7);
+        REQUIRE(read->routes.size() == 3);
+        CHECK(read->routes[0].kind == RouteKind::Stream);
+        CHECK(read->routes[0].resumable);
+        CHECK(read->routes[0].targets.size() == 2);
+        CHECK(read->routes[0].pauseGoal == milliseconds(250));
+        CHECK(read->routes[1].kind == RouteKind::AtMostOnce);
+        CHECK(read->routes[1].isOpen);
+        // What this version does not know must not run twice.
+        CHECK(read->routes[2].kind == RouteKind::AtMostOnce);
+        CHECK(read->pools.at("llm").engine->memoryTokens == 405'000);
+        CHECK(read->pools.at("llm").engine->readTokensPerMs == Approx(154.0));
+        CHECK(read->pools.at("llm").engine->canShareReading);
+        CHECK_FALSE(read->pools.at("app").engine);
+        CHECK(read->needsKeys);
+        CHECK(read->workspacesByKey.at("k2").name == "cakes");
+        CHECK(read->limits.idleTimeout == milliseconds(15'000));
+    }
+    SECTION("a server, with its start")
+    {
+        const auto read = protocol.readServer(
+                "i-1", R"({"service":"llm","address":"10.0.0.1:80","zone":"z","version":"v1",
+                "slots":16,"state":"ready","cold_left_ms":0,"seq":4,"born":1769006097000})");
+        REQUIRE(read);
+        CHECK(read->id == "i-1");
+        CHECK(read->endpoint.text() == "10.0.0.1:80");
+        CHECK(read->incarnation == 1'769'006'097'000);
+        CHECK_FALSE(read->draining);
+    }
+    SECTION("an entry of another writer names no server, and says why")
+    {
+        for (const char *text :
+             {"", "{", "[]", "null", R"({"service":"llm"})",
+              R"({"service":7,"address":"10.0.0.1:80","zone":"z","slots":1,"state":"ready"})",
+              R"({"service":"a","address":"nowhere:80","zone":"z","slots":1,"state":"ready"})",
+              R"({"service":"a","address":"10.0.0.1:0","zone":"z","slots":1,"state":"ready"})",
+              R"({"service":"a","address":"10.0.0.1:x","zone":"z","slots":1,"state":"ready"})",
+              R"({"service":"a","address":"10.0.0.1:80","zone":"z","slots":"1","state":"ready"})",
+              R"({"service":"a","address":"10.0.0.1:80","zone":"z","slots":1,"state":"lost"})"}) {
+            INFO(text);
+            const auto read = protocol.readServer("i-1", text);
+            REQUIRE_FALSE(read);
+            CHECK_FALSE(read.error().empty());
+        }
+    }
+    SECTION("a broken configuration is refused, and says why")
+    {
+        for (const char *text : {"", "{}", R"({"version":"7"})", R"({"version":7,"routes":[{}]})"}) {
+            INFO(text);
+            CHECK_FALSE(protocol.readConfiguration(text));
+        }
+    }
+}
+
+TEST_CASE("Memory is ordered in the engine's words", "[Platform][PlatformProtocol]")
+{
+    const PlatformProtocol protocol;
+    const HttpRequest reserve = protocol.memoryRequest(
+            {"t1", "i-1", {"10.0.0.1", 80}, 60'000, milliseconds(3'000)});
+    CHECK(reserve.target == "/-/order");
+    CHECK(valueOf(reserve.headers, "X-Expect-Instance") == "i-1");
+    CHECK(*reserve.body == R"({"hold_ms":3000,"id":"t1","op":"reserve","tokens":60000})");
+    const HttpRequest release =
+            protocol.memoryRequest({"t1", "i-1", {"10.0.0.1", 80}, 0, Duration::zero()});
+    CHECK(*release.body == R"({"id":"t1","op":"release"})");
+}
