--- a/programs/dotterelfieldd.cpp
+++ b/programs/dotterelfieldd.cpp
@@ -28,7 +28,8 @@
 {
     dotterel::EventLoop loop;
     dotterel::StructuredLog log(settings.host, settings.logThreshold);
-    dotterel::EntryHost host(loop, settings, dotterel::drawIncarnation(loop), log, [&loop] { loop.stop(); });
+    dotterel::EntryHost host(loop, settings, dotterel::drawIncarnation(loop), log,
+                             [&loop] { loop.stop(); });
     const auto shutDown = [&host, &loop] { host.beginShutdown([&loop] { loop.stop(); }); };
     const dotterel::EventLoop::TimerHandle onTerminate = loop.onSignal(SIGTERM, shutDown);
     const dotterel::EventLoop::TimerHandle onInterrupt = loop.onSignal(SIGINT, shutDown);
--- a/src/core/structured_log.cpp
+++ b/src/core/structured_log.cpp
@@ -98,7 +98,8 @@
 {
     constexpr double MicrosecondsPerSecond = 1e6;
     const std::int64_t now = this->clock();
-    const double seconds = static_cast<double>(std::max<std::int64_t>(0, now - this->filledAt)) / MicrosecondsPerSecond;
+    const double seconds = static_cast<double>(std::max<std::int64_t>(0, now - this->filledAt))
+                           / MicrosecondsPerSecond;
     this->allowance =
             std::min(this->rate.burst, this->allowance + seconds * this->rate.linesPerSecond);
     this->filledAt = now;
--- a/src/core/structured_log.h
+++ b/src/core/structured_log.h
@@ -15,8 +15,8 @@
     double burst = 2'000;        ///< A change of every server and member at once.
 };
 
-/// Writes each event as one line of JSON to standard output, through Boost.Log. Lines beyond the rate
-/// are left out and counted in a line of their own.
+/// Writes each event as one line of JSON to standard output, through Boost.Log. Lines beyond the
+/// rate are left out and counted in a line of their own.
 class StructuredLog : public EventLog
 {
 public:
--- a/src/entry_host/daemon_command_line.cpp
+++ b/src/entry_host/daemon_command_line.cpp
@@ -52,7 +52,8 @@
 /// Keeps a full pipe behind the log from blocking the loop.
 void neverBlockOnOutput()
 {
-    struct stat status{};
+    struct stat status
+    {};
     if (fstat(STDOUT_FILENO, &status) == 0 && S_ISFIFO(status.st_mode))
         fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
 }
--- a/src/entry_host/gateway_attempts.cpp
+++ b/src/entry_host/gateway_attempts.cpp
@@ -43,8 +43,8 @@
     ForwardAttemptId id;
 };
 
-GatewayAttempts::GatewayAttempts(EventLoop &loop, HttpSender &client,
-                                 ForwardController &controller, std::function<void()> settled)
+GatewayAttempts::GatewayAttempts(EventLoop &loop, HttpSender &client, ForwardController &controller,
+                                 std::function<void()> settled)
     : loop(loop)
     , client(client)
     , controller(controller)
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -65,9 +65,8 @@
     , services(settings.failureDomain, this->fleet, this->random)
     , retries(retryBoundOf(settings))
     , crashes(CrashLimits{}, this->metrics, log)
-    , controller(protocol, this->fleet, this->prompts, this->services, this->retries,
-                 this->crashes, *this, this->random, senderHash(this->identity), this->metrics,
-                 log)
+    , controller(protocol, this->fleet, this->prompts, this->services, this->retries, this->crashes,
+                 *this, this->random, senderHash(this->identity), this->metrics, log)
     , client(loop, KeptHttpClientLimits{})
     , attempts(loop, this->client, this->controller, [this] { this->armTimer(); })
     , server(loop, settings.callers, this->serverLimits(), *this)
@@ -355,8 +354,7 @@
     }
     this->askTimer.reset();
     if (next)
-        this->askTimer =
-                this->loop.after(*next - this->loop.now(), [this] { this->askPeers(); });
+        this->askTimer = this->loop.after(*next - this->loop.now(), [this] { this->askPeers(); });
 }
 
 void GatewayHost::onConfiguration(const std::vector<CollectedObject> &objects)
@@ -375,8 +373,8 @@
         const auto &current = this->routes->configuration();
         if (current && read->version <= current->version)
             continue;
-        this->routes = std::make_shared<RouteTable>(
-                std::make_shared<const GatewayConfiguration>(*read));
+        this->routes =
+                std::make_shared<RouteTable>(std::make_shared<const GatewayConfiguration>(*read));
         this->controller.setRoutes(this->routes);
         this->server.setLimits(this->serverLimits());
         this->agent.announceConfiguration(read->version);
--- a/src/entry_host/peer_mesh.cpp
+++ b/src/entry_host/peer_mesh.cpp
@@ -174,13 +174,16 @@
 
 void PeerMesh::closed(std::uint64_t link, LinkEnd end)
 {
-    this->log.write(Event::PeerLinkClosed, {{"link", static_cast<std::int64_t>(link)},
-                                            {"end", std::string(linkEndName(end))}});
     if (end == LinkEnd::FrameTooLarge || end == LinkEnd::ProtocolError)
         this->metrics.count(Counter::PeerFramesRejected, 1);
     const auto found = this->links.find(link);
     if (found == this->links.end())
         return;
+    this->log.write(Event::PeerLinkClosed, {{"link", static_cast<std::int64_t>(link)},
+                                            {"peer", found->second->peer},
+                                            {"incoming", found->second->incoming},
+                                            {"was_open", found->second->open},
+                                            {"end", std::string(linkEndName(end))}});
     const std::unique_ptr<Link> ended = std::move(found->second);
     this->links.erase(found);
     if (ended->incoming)
--- a/src/gateway/engine_load.cpp
+++ b/src/gateway/engine_load.cpp
@@ -38,8 +38,10 @@
     const double pairs = count * count / 2.0 / Million;
     const double whole = count / engine.readTokensPerMs + pairs * engine.readMsPerMillionPairs;
     // Each chunk is a step of its own.
-    const double steps = count / static_cast<double>(std::max<std::uint64_t>(1, engine.chunkTokens));
-    return fromMs((whole + steps * engine.stepMs) / static_cast<double>(std::max<std::size_t>(1, parts)));
+    const double steps =
+            count / static_cast<double>(std::max<std::uint64_t>(1, engine.chunkTokens));
+    return fromMs((whole + steps * engine.stepMs)
+                  / static_cast<double>(std::max<std::size_t>(1, parts)));
 }
 
 void EngineLoad::add(const EngineProfile &engine, const EnginePrompt &prompt, TimePoint now)
@@ -158,9 +160,9 @@
     // Reading in one pass is bounded by its steps; the time of a chunk grows with the prompt, so
     // that the bound is taken at the length of the longest one.
     const auto chunk = static_cast<double>(engine.chunkTokens);
-    const double chunkMs = chunk / engine.readTokensPerMs
-                           + chunk * static_cast<double>(longest) / Million
-                                     * engine.readMsPerMillionPairs;
+    const double chunkMs =
+            chunk / engine.readTokensPerMs
+            + chunk * static_cast<double>(longest) / Million * engine.readMsPerMillionPairs;
     const double readMs = std::min(toMs(reading), steps * chunkMs);
     return fromMs(steps * this->stepMs(engine) + readMs);
 }
@@ -176,8 +178,7 @@
     return worst;
 }
 
-bool EngineLoad::nearlyWritten(const EngineProfile &engine, const Entry &entry,
-                               TimePoint now) const
+bool EngineLoad::nearlyWritten(const EngineProfile &engine, const Entry &entry, TimePoint now) const
 {
     if (!entry.writes)
         return false;
@@ -194,20 +195,18 @@
     Duration until = ahead + ownReading + this->passTime(engine, Duration::zero(), 0);
     if (this->anyWrites()) {
         const Duration running = this->passTime(engine, ahead, this->longestUnread());
-        until += Duration(static_cast<Duration::rep>(static_cast<double>(running.count())
-                                                     * PassWaitShare));
+        until += Duration(
+                static_cast<Duration::rep>(static_cast<double>(running.count()) * PassWaitShare));
     }
     return until + this->overdue(this->current);
 }
 
-double EngineLoad::interference(const EngineProfile &engine, Duration reading,
-                                std::uint64_t tokens, bool first, double lateShare,
-                                TimePoint now) const
+double EngineLoad::interference(const EngineProfile &engine, Duration reading, std::uint64_t tokens,
+                                bool first, double lateShare, TimePoint now) const
 {
     const Duration ahead = this->readingAhead();
     const std::uint64_t longest = this->longestUnread();
-    const double pass =
-            toMs(this->passTime(engine, ahead + reading, std::max(longest, tokens)));
+    const double pass = toMs(this->passTime(engine, ahead + reading, std::max(longest, tokens)));
     const double before = toMs(this->passTime(engine, ahead, longest));
     double loss = 0;
     Duration until = Duration::zero();
--- a/src/gateway/engine_load.h
+++ b/src/gateway/engine_load.h
@@ -24,9 +24,9 @@
 struct EnginePrompt
 {
     PromptKey key;
-    PromptDemand demand;          ///< As of its dispatch.
-    std::size_t parts = 1;        ///< Engines that read it, each an even part.
-    bool isHelper = false;        ///< Only reads a part here.
+    PromptDemand demand;            ///< As of its dispatch.
+    std::size_t parts = 1;          ///< Engines that read it, each an even part.
+    bool isHelper = false;          ///< Only reads a part here.
     std::uint64_t memoryTokens = 0; ///< Context that it holds here until it ends.
     TimePoint dispatched;
 };
@@ -35,9 +35,9 @@
 Duration readingTime(const EngineProfile &engine, std::uint64_t tokens, std::size_t parts);
 
 /// What one engine has to do, from the dispatches that hosts tell each other. An engine reads
-/// prompts one after another in chunks and writes for all others meanwhile; while any writes, events
-/// leave only at the end of a pass of many steps. The state is corrected by each first event and
-/// end. Pure.
+/// prompts one after another in chunks and writes for all others meanwhile; while any writes,
+/// events leave only at the end of a pass of many steps. The state is corrected by each first event
+/// and end. Pure.
 class EngineLoad
 {
 public:
@@ -83,7 +83,7 @@
         EnginePrompt prompt;
         Duration readingLeft = Duration::zero();
         bool writes = false;
-        TimePoint readUntil;    ///< When reading ended by this model.
+        TimePoint readUntil; ///< When reading ended by this model.
         TimePoint writingSince;
         TimePoint expires;
     };
--- a/src/gateway/forward_answers.cpp
+++ b/src/gateway/forward_answers.cpp
@@ -11,7 +11,8 @@
 constexpr int FirstSuccess = 200;
 constexpr int FirstRedirect = 300;
 constexpr int FirstServerError = 500;
-/// Answers up to this size are passed on when they are whole, so that a spoiled one can be replaced.
+/// Answers up to this size are passed on when they are whole, so that a spoiled one can be
+/// replaced.
 constexpr std::size_t MostHeldBytes = 256UL * 1024;
 /// A server's answer is read no further while the caller leaves this much.
 constexpr std::size_t MostUnsentBytes = 256UL * 1024;
@@ -24,8 +25,7 @@
     constexpr int Misdirected = 421;
     constexpr int TooMany = 429;
     constexpr int Unavailable = 503;
-    return status == Timeout || status == Misdirected || status == TooMany
-           || status == Unavailable;
+    return status == Timeout || status == Misdirected || status == TooMany || status == Unavailable;
 }
 
 bool isSuccess(int status)
@@ -100,7 +100,8 @@
             attempt.firstEvent = true;
             if (attempt.isPrompt) {
                 this->prompts.onFirstEvent({this->sender, attempt.id}, now);
-                this->effects.tellPrompt({PromptStep::FirstEvent, attempt.id, hash32(attempt.server), {}, {}, {}});
+                this->effects.tellPrompt(
+                        {PromptStep::FirstEvent, attempt.id, hash32(attempt.server), {}, {}, {}});
             }
         }
         // A run that goes on begins after the last event; one that does not is no continuation.
@@ -126,14 +127,13 @@
     const ForwardAttempt &attempt = *call->attempt;
     if (attempt.facts.wrongServer || attempt.facts.notRun) {
         this->logAttempt(*call, "refused", Verdict::NotRun, now);
-        this->endAttempt(*call,
-                         attempt.facts.wrongServer ? ServerEvidence::Leaving
-                                                   : ServerEvidence::Refused,
-                         now);
+        this->endAttempt(
+                *call,
+                attempt.facts.wrongServer ? ServerEvidence::Leaving : ServerEvidence::Refused, now);
         return this->attemptLost(*call, {Verdict::NotRun, RetryReason::Refused}, now);
     }
-    const bool spoiled = isSuccess(attempt.status)
-                         && (!attempt.facts.isSigned || attempt.facts.isEncoded);
+    const bool spoiled =
+            isSuccess(attempt.status) && (!attempt.facts.isSigned || attempt.facts.isEncoded);
     if (spoiled || attempt.status >= FirstServerError || promisesNotRun(attempt.status))
         return this->replaceOrPass(*call, spoiled, now);
     if (isSuccess(attempt.status) && call->route->kind == RouteKind::Stream)
@@ -150,8 +150,7 @@
             this->mayRepeat(call, Verdict::Ran, now) && this->retries.withdraw(call.pool, now);
     const bool passable = !spoiled && !promisesNotRun(status) && !call.answerBegun;
     if (!replace && passable) {
-        this->effects.answer(call.id, status,
-                             this->protocol.answerHeaders(call.attempt->headers),
+        this->effects.answer(call.id, status, this->protocol.answerHeaders(call.attempt->headers),
                              call.attempt->body);
         this->endAttempt(call, ServerEvidence::Failed, now);
         return this->finish(call, status, now);
@@ -180,8 +179,8 @@
     if (call.answerBegun)
         this->effects.endAnswer(call.id);
     else
-        this->effects.answer(call.id, attempt.status,
-                             this->protocol.answerHeaders(attempt.headers), attempt.body);
+        this->effects.answer(call.id, attempt.status, this->protocol.answerHeaders(attempt.headers),
+                             attempt.body);
     this->finish(call, attempt.status, now);
 }
 
@@ -197,7 +196,10 @@
     Verdict verdict = failure.verdict;
     if (call->attempt->status != 0 && call->attempt->facts.notRun)
         verdict = Verdict::NotRun;
-    this->logAttempt(*call, unreached ? "unreachable" : stale ? "stale_connection" : "broken",
+    this->logAttempt(*call,
+                     unreached ? "unreachable"
+                     : stale   ? "stale_connection"
+                               : "broken",
                      verdict, now);
     const ServerId server = call->attempt->server;
     const bool begunToRun = verdict != Verdict::NotRun && !stale;
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -54,9 +54,9 @@
     TimePoint arrived;
     TimePoint deadline;
     PromptDemand demand;
-    std::size_t sends = 0;       ///< Attempts whose servers saw something of them.
-    bool mayHaveRun = false;     ///< One of them may have run.
-    std::size_t unreached = 0;   ///< Attempts that found no connection.
+    std::size_t sends = 0;     ///< Attempts whose servers saw something of them.
+    bool mayHaveRun = false;   ///< One of them may have run.
+    std::size_t unreached = 0; ///< Attempts that found no connection.
     std::set<ServerId> tried;
     std::optional<ForwardAttempt> attempt;
     std::optional<PromptPlan> reserving; ///< Waits for memory on its helpers.
@@ -66,8 +66,8 @@
     Duration firstEvent = Duration::zero();   ///< From the arrival; 0 until it came.
     Duration longestPause = Duration::zero(); ///< Between two events that were passed on.
     TimePoint eventPassed;                    ///< When the last one was.
-    std::optional<std::uint64_t> lastEvent; ///< Id of the last event that was passed on.
-    bool paused = false;                    ///< The caller does not take what was sent.
+    std::optional<std::uint64_t> lastEvent;   ///< Id of the last event that was passed on.
+    bool paused = false;                      ///< The caller does not take what was sent.
 };
 
 } // namespace dotterel
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -135,8 +135,8 @@
             this->effects.cancelAttempt(call.attempt->id);
             const bool silent = call.attempt->status == 0;
             this->endAttempt(call, silent ? ServerEvidence::Silent : ServerEvidence::Failed, now);
-            this->attemptLost(call, {Verdict::MayHaveRun, RetryReason::FirstTokenTimeout, false, true},
-                              now);
+            this->attemptLost(
+                    call, {Verdict::MayHaveRun, RetryReason::FirstTokenTimeout, false, true}, now);
             continue;
         }
         this->schedule(call, now);
@@ -161,9 +161,8 @@
     this->timers.emplace(due, call.id);
 }
 
-void ForwardController::refuse(ForwardCall &call, Reason reason,
-                               std::optional<Duration> retryAfter, TimePoint now,
-                               const std::string &detail)
+void ForwardController::refuse(ForwardCall &call, Reason reason, std::optional<Duration> retryAfter,
+                               TimePoint now, const std::string &detail)
 {
     const ReasonInfo &info = reasonInfo(reason);
     const int status = refusalStatus(info, call.mayHaveRun);
@@ -179,11 +178,9 @@
              {"attempts", static_cast<std::int64_t>(call.sends)},
              {"answer_begun", call.answerBegun},
              {"waited_ms", toMs(now - call.arrived)},
-             {"retry_after_ms",
-              retryAfter ? toMs(*retryAfter) : -1},
-             {"configuration", call.configuration
-                                       ? static_cast<std::int64_t>(call.configuration->version)
-                                       : 0},
+             {"retry_after_ms", retryAfter ? toMs(*retryAfter) : -1},
+             {"configuration",
+              call.configuration ? static_cast<std::int64_t>(call.configuration->version) : 0},
              {"detail", detail}});
     if (call.answerBegun)
         this->effects.abortAnswer(call.id);
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -17,10 +17,10 @@
 class ForwardController
 {
 public:
-    ForwardController(const GatewayProtocol &protocol, ServerFleet &fleet,
-                      PromptPlacement &prompts, ServicePlacement &services,
-                      RetryAllowance &retries, CrashGuard &crashes, ForwardEffects &effects,
-                      RandomSource &random, std::uint32_t sender, Metrics &metrics, EventLog &log);
+    ForwardController(const GatewayProtocol &protocol, ServerFleet &fleet, PromptPlacement &prompts,
+                      ServicePlacement &services, RetryAllowance &retries, CrashGuard &crashes,
+                      ForwardEffects &effects, RandomSource &random, std::uint32_t sender,
+                      Metrics &metrics, EventLog &log);
 
     /// Puts \a table into force for requests that arrive from now on.
     void setRoutes(std::shared_ptr<const RouteTable> table) { this->routes = std::move(table); }
@@ -94,8 +94,8 @@
     void dropAttempt(ForwardCall &call, TimePoint now);
 
     /// Gives the final answer for a request that could not be served.
-    void refuse(ForwardCall &call, Reason reason, std::optional<Duration> retryAfter,
-                TimePoint now, const std::string &detail = "");
+    void refuse(ForwardCall &call, Reason reason, std::optional<Duration> retryAfter, TimePoint now,
+                const std::string &detail = "");
     void finish(ForwardCall &call, int status, TimePoint now);
     void forget(ForwardCall &call);
 
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -130,9 +130,9 @@
                             "loss " + std::to_string(decision.bestLoss) + " of "
                                     + std::to_string(call.demand.value));
     }
-    const bool needsMemory = std::any_of(
-            decision.plan->helpers.begin(), decision.plan->helpers.end(),
-            [](const PromptHelper &helper) { return helper.memoryTokens > 0; });
+    const bool needsMemory =
+            std::any_of(decision.plan->helpers.begin(), decision.plan->helpers.end(),
+                        [](const PromptHelper &helper) { return helper.memoryTokens > 0; });
     if (needsMemory)
         this->reserveMemory(call, *decision.plan, now);
     else
@@ -166,8 +166,7 @@
 }
 
 void ForwardController::sendTo(ForwardCall &call, const GatewayServer &server,
-                               const std::vector<PromptHelper> &helpers, bool fresh,
-                               TimePoint now)
+                               const std::vector<PromptHelper> &helpers, bool fresh, TimePoint now)
 {
     ForwardAttempt &attempt = *call.attempt;
     attempt.id = this->nextAttempt++;
--- a/src/gateway/forward_memory.cpp
+++ b/src/gateway/forward_memory.cpp
@@ -41,7 +41,8 @@
     const GatewayServer *server = this->fleet.find(ticket.server);
     if (server == nullptr)
         return;
-    this->effects.orderMemory({ticket.id, ticket.server, server->endpoint, ticket.tokens, HoldTime});
+    this->effects.orderMemory(
+            {ticket.id, ticket.server, server->endpoint, ticket.tokens, HoldTime});
 }
 
 void ForwardController::onMemoryAnswered(const std::string &id, bool granted, TimePoint now)
--- a/src/gateway/gateway_configuration.h
+++ b/src/gateway/gateway_configuration.h
@@ -56,10 +56,10 @@
 /// How the engines of a pool work, as their operators publish it.
 struct EngineProfile
 {
-    std::size_t slots = 1;               ///< Prompts in one batch.
-    std::uint64_t memoryTokens = 0;      ///< Context that fits into one engine.
-    double stepMs = 1.0;                 ///< One token for every prompt of the batch.
-    double stepMsPerPrompt = 0.0;        ///< Added for each prompt that writes.
+    std::size_t slots = 1;                ///< Prompts in one batch.
+    std::uint64_t memoryTokens = 0;       ///< Context that fits into one engine.
+    double stepMs = 1.0;                  ///< One token for every prompt of the batch.
+    double stepMsPerPrompt = 0.0;         ///< Added for each prompt that writes.
     double stepMsPerThousandTokens = 0.0; ///< Added for the context of each prompt that writes.
     double readTokensPerMs = 1.0;
     double readMsPerMillionPairs = 0.0; ///< Pairs of a token and any earlier one.
--- a/src/gateway/gateway_protocol.h
+++ b/src/gateway/gateway_protocol.h
@@ -15,8 +15,8 @@
 /// What the headers of a caller's request say.
 struct CallerFacts
 {
-    std::string requestId; ///< Each attempt of a caller has its own.
-    std::string host;      ///< Of the URL, without a port.
+    std::string requestId;            ///< Each attempt of a caller has its own.
+    std::string host;                 ///< Of the URL, without a port.
     std::optional<Duration> patience; ///< How long the caller waits.
     std::string key;                  ///< Names the workspace; empty if there is none.
     std::uint64_t promptTokens = 0;   ///< 0 if the request is no prompt.
@@ -37,7 +37,7 @@
     std::string ticket; ///< Names the reservation; the same one again renews it.
     ServerId server;
     Endpoint endpoint;
-    std::uint64_t tokens = 0; ///< 0 gives the memory back.
+    std::uint64_t tokens = 0;         ///< 0 gives the memory back.
     Duration hold = Duration::zero(); ///< How long, from the arrival of the order.
 };
 
@@ -45,8 +45,8 @@
 struct DispatchFacts
 {
     Duration timeLeft = Duration::zero();
-    ServerId expectedServer; ///< Another server at that address refuses the request.
-    std::string workspace;   ///< Empty on open routes.
+    ServerId expectedServer;             ///< Another server at that address refuses the request.
+    std::string workspace;               ///< Empty on open routes.
     std::vector<DispatchHelper> helpers; ///< Engines that read parts of the prompt.
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last event that was passed on.
 };
--- a/src/gateway/prompt_demand.cpp
+++ b/src/gateway/prompt_demand.cpp
@@ -29,8 +29,7 @@
 {
     const double size = static_cast<double>(promptTokens)
                         + values.outputTokenWeight * static_cast<double>(outputTokens);
-    return size
-           * (pauseGoal >= values.documentPause ? values.perDocumentToken : values.perToken);
+    return size * (pauseGoal >= values.documentPause ? values.perDocumentToken : values.perToken);
 }
 
 double latenessLoss(const PromptDemand &demand, Duration untilFirst, double lateShare)
--- a/src/gateway/prompt_demand.h
+++ b/src/gateway/prompt_demand.h
@@ -17,14 +17,14 @@
     Duration patience = Duration::zero();  ///< From now until the caller leaves without an event.
     bool begun = false;   ///< The caller has part of the answer; not told to other hosts.
     bool returns = false; ///< The caller was refused before; not told to other hosts.
-    double value = 1.0;                    ///< Of an answer in time, against other prompts.
+    double value = 1.0;   ///< Of an answer in time, against other prompts.
 };
 
 /// What prompts are worth, and which share of it is left when they are late.
 struct PromptValues
 {
-    /// By token of a prompt, from the users' sheets: 1.3 for 18,000 and 3.9 for 53,000 tokens, where
-    /// a token of the answer counts as much as ten of the prompt.
+    /// By token of a prompt, from the users' sheets: 1.3 for 18,000 and 3.9 for 53,000 tokens,
+    /// where a token of the answer counts as much as ten of the prompt.
     double perToken = 7.3e-5;
     /// For long documents: 24 for 188,000 tokens.
     double perDocumentToken = 1.27e-4;
--- a/src/gateway/prompt_news.cpp
+++ b/src/gateway/prompt_news.cpp
@@ -29,9 +29,8 @@
     if (item.step != PromptStep::Dispatched)
         return row;
     const PromptDemand &demand = item.demand;
-    row.insert(row.end(), {demand.promptTokens, demand.outputTokens,
-                           toMs(demand.goal), toMs(demand.pauseGoal), toMs(demand.waited),
-                           toMs(demand.patience),
+    row.insert(row.end(), {demand.promptTokens, demand.outputTokens, toMs(demand.goal),
+                           toMs(demand.pauseGoal), toMs(demand.waited), toMs(demand.patience),
                            static_cast<std::int64_t>(demand.value * ValueScale)});
     for (std::size_t index = 0; index < item.helpers.size(); ++index) {
         row.push_back(item.helpers[index]);
--- a/src/gateway/prompt_news.h
+++ b/src/gateway/prompt_news.h
@@ -23,14 +23,14 @@
 {
     PromptStep step = PromptStep::Ended;
     std::uint64_t sequence = 0;
-    std::uint32_t server = 0;           ///< Hash of its id.
-    std::vector<std::uint32_t> helpers; ///< Hashes of the ids of those that read parts.
+    std::uint32_t server = 0;                ///< Hash of its id.
+    std::vector<std::uint32_t> helpers;      ///< Hashes of the ids of those that read parts.
     std::vector<std::uint64_t> helperMemory; ///< Tokens that each of them holds until the end.
     PromptDemand demand;
 };
 
-/// What a host dispatched and finished since its last news. Sent as one datagram to each other host;
-/// a lost one is corrected when the prompts' expiry passes.
+/// What a host dispatched and finished since its last news. Sent as one datagram to each other
+/// host; a lost one is corrected when the prompts' expiry passes.
 struct PromptNews
 {
     std::uint32_t sender = 0; ///< Hash of the host's name and incarnation.
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -8,7 +8,8 @@
 
 /// Loss of a place that does not fit, larger than any real one.
 constexpr double Impossible = 1e6;
-/// What a prompt loses for each prompt ahead of it in the queue for a place, as a share of its value.
+/// What a prompt loses for each prompt ahead of it in the queue for a place, as a share of its
+/// value.
 constexpr double QueuedPlaceCost = 0.25;
 /// Shortest and longest time after which a refused caller is asked to return.
 constexpr Duration ShortestReturn = std::chrono::milliseconds(200);
@@ -16,8 +17,8 @@
 
 } // namespace
 
-PromptPlacement::PromptPlacement(const PromptPlacementSettings &settings,
-                                 std::string failureDomain, const ServerFleet &fleet)
+PromptPlacement::PromptPlacement(const PromptPlacementSettings &settings, std::string failureDomain,
+                                 const ServerFleet &fleet)
     : settings(settings)
     , failureDomain(std::move(failureDomain))
     , fleet(fleet)
@@ -66,8 +67,8 @@
 PromptPlacement::candidates(const ServerPool &pool, const PromptDemand &demand,
                             const std::set<ServerId> &excluded, TimePoint now)
 {
-    const bool isShort = readingTime(*pool.engine, demand.promptTokens, 1)
-                         < this->settings.shortReading;
+    const bool isShort =
+            readingTime(*pool.engine, demand.promptTokens, 1) < this->settings.shortReading;
     const auto memory = static_cast<double>(pool.engine->memoryTokens);
     std::vector<Candidate> result;
     std::vector<Candidate> tried;
@@ -89,8 +90,8 @@
         candidate.fits = memory <= 0 || claimed <= memory * this->settings.memoryShare;
         const double left = memory * this->settings.memoryShare
                             - static_cast<double>(candidate.load->memoryTokens());
-        candidate.freeTokens = static_cast<std::uint64_t>(
-                std::max(0.0, left * this->settings.reservableShare));
+        candidate.freeTokens =
+                static_cast<std::uint64_t>(std::max(0.0, left * this->settings.reservableShare));
         (excluded.count(server->id) > 0 ? tried : result).push_back(candidate);
     }
     return result.empty() ? tried : result;
@@ -140,7 +141,8 @@
     return plan;
 }
 
-std::optional<PromptPlan> PromptPlacement::divided(const ServerPool &pool, const PromptDemand &demand,
+std::optional<PromptPlan> PromptPlacement::divided(const ServerPool &pool,
+                                                   const PromptDemand &demand,
                                                    const std::vector<Candidate> &candidates,
                                                    std::size_t parts, TimePoint now) const
 {
@@ -160,8 +162,8 @@
     for (const Candidate &candidate : candidates) {
         const Duration until = candidate.load->untilFirstEvent(engine, part, false);
         const double cost = latenessLoss(demand, until, lateShare)
-                            + candidate.load->interference(engine, part, demand.promptTokens,
-                                                           false, lateShare, now)
+                            + candidate.load->interference(engine, part, demand.promptTokens, false,
+                                                           lateShare, now)
                             + this->placeCost(pool, demand, candidate);
         if (cost < firstCost && (candidate.fits || candidate.freeTokens > 0)) {
             firstCost = cost;
@@ -169,11 +171,10 @@
             firstUntil = until;
         }
         const double failing = candidate.failureRate * demand.value;
-        helpers.push_back(
-                {&candidate, candidate.load->untilFirstEvent(engine, part, true),
-                 candidate.load->interference(engine, part, demand.promptTokens, true,
-                                                      lateShare, now)
-                         + candidate.tieCost + failing});
+        helpers.push_back({&candidate, candidate.load->untilFirstEvent(engine, part, true),
+                           candidate.load->interference(engine, part, demand.promptTokens, true,
+                                                        lateShare, now)
+                                   + candidate.tieCost + failing});
     }
     if (first == nullptr)
         return std::nullopt;
@@ -202,8 +203,7 @@
 }
 
 bool PromptPlacement::spreadMemory(const PromptDemand &demand,
-                                   const std::vector<Candidate> &candidates,
-                                   PromptPlan &plan) const
+                                   const std::vector<Candidate> &candidates, PromptPlan &plan) const
 {
     const auto freeOf = [&candidates](const ServerId &server) -> const Candidate * {
         for (const Candidate &candidate : candidates) {
--- a/src/gateway/retry_allowance.cpp
+++ b/src/gateway/retry_allowance.cpp
@@ -22,8 +22,7 @@
 void RetryAllowance::onRequest(const std::string &pool, TimePoint now)
 {
     Bucket &bucket = this->fill(pool, now);
-    bucket.tokens = std::min(this->capacity(),
-                             bucket.tokens + this->bound.ratio * RatioShare);
+    bucket.tokens = std::min(this->capacity(), bucket.tokens + this->bound.ratio * RatioShare);
 }
 
 bool RetryAllowance::withdraw(const std::string &pool, TimePoint now)
@@ -45,8 +44,8 @@
     }
     const double perSecond = this->bound.slack * SteadyShare / static_cast<double>(this->hosts)
                              / toSeconds(this->bound.window);
-    bucket.tokens = std::min(this->capacity(),
-                             bucket.tokens + perSecond * toSeconds(now - bucket.filled));
+    bucket.tokens =
+            std::min(this->capacity(), bucket.tokens + perSecond * toSeconds(now - bucket.filled));
     bucket.filled = now;
     return bucket;
 }
--- a/src/gateway/retry_allowance.h
+++ b/src/gateway/retry_allowance.h
@@ -16,9 +16,9 @@
     Duration window = std::chrono::seconds(10); ///< Any window of this length counts.
 };
 
-/// The share of this host in a bound on further attempts that holds for all hosts together. Hosts do
-/// not ask each other: each spends its part of the slack and a ratio of its own requests, and leaves
-/// a margin for hosts that are counted wrongly. Pure.
+/// The share of this host in a bound on further attempts that holds for all hosts together. Hosts
+/// do not ask each other: each spends its part of the slack and a ratio of its own requests, and
+/// leaves a margin for hosts that are counted wrongly. Pure.
 class RetryAllowance
 {
 public:
--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -51,8 +51,8 @@
         record.server = server;
         return false;
     }
-    const bool restarted = found != this->records.end()
-                           && found->second.server.incarnation != server.incarnation;
+    const bool restarted =
+            found != this->records.end() && found->second.server.incarnation != server.incarnation;
     if (found != this->records.end() && !restarted) {
         // The entry lapsed and is back; what is known of the server still holds.
         found->second.goneAt.reset();
@@ -129,8 +129,8 @@
     record.troubleSince = now;
     const int doublings = std::min(record.unreachable, MostDoublings);
     ++record.unreachable;
-    const Duration suspicion = std::min(this->times.longestSuspicion,
-                                        this->times.firstSuspicion * (1 << doublings));
+    const Duration suspicion =
+            std::min(this->times.longestSuspicion, this->times.firstSuspicion * (1 << doublings));
     record.suspectUntil = now + suspicion;
     this->log.write(Event::ServerDown,
                     {{"server", record.server.id},
@@ -144,8 +144,7 @@
     return found == this->records.end() ? nullptr : &found->second.server;
 }
 
-std::vector<const GatewayServer *> ServerFleet::usable(const std::string &pool,
-                                                       TimePoint now) const
+std::vector<const GatewayServer *> ServerFleet::usable(const std::string &pool, TimePoint now) const
 {
     std::vector<const Record *> chosen;
     std::vector<const Record *> suspected;
--- a/src/gateway/server_fleet.h
+++ b/src/gateway/server_fleet.h
@@ -83,7 +83,7 @@
         TimePoint weighed; ///< When failures and answers were last aged.
         int unreachable = 0;
         std::optional<TimePoint> troubleSince; ///< The latest one that counted.
-        std::optional<TimePoint> answered; ///< When it last answered anyone.
+        std::optional<TimePoint> answered;     ///< When it last answered anyone.
         TimePoint suspectUntil;
         bool leaving = false; ///< By its own word.
         std::optional<TimePoint> goneAt;
--- a/src/gateway/service_placement.cpp
+++ b/src/gateway/service_placement.cpp
@@ -71,8 +71,7 @@
     if (record.reportedAt && now - *record.reportedAt < ReportLife) {
         const double since = static_cast<double>(record.own)
                              - static_cast<double>(std::min(record.own, record.ownAtReport));
-        load = std::max(load, static_cast<double>(record.reported.running
-                                                  + record.reported.waiting)
+        load = std::max(load, static_cast<double>(record.reported.running + record.reported.waiting)
                                       + since);
     }
     const double slots = static_cast<double>(std::max<std::size_t>(1, server.slots));
--- a/src/gateway/service_placement.h
+++ b/src/gateway/service_placement.h
@@ -19,8 +19,8 @@
 };
 
 /// Places the calls of plain services by what this host has sent and what answers told of the
-/// servers' load. The load it answers: many callers at once on few places, with servers that shed or
-/// fail while their health is good. Pure.
+/// servers' load. The load it answers: many callers at once on few places, with servers that shed
+/// or fail while their health is good. Pure.
 class ServicePlacement
 {
 public:
--- a/src/gateway/shared_objects.cpp
+++ b/src/gateway/shared_objects.cpp
@@ -38,8 +38,7 @@
     return this->onChanged(changes);
 }
 
-std::vector<CollectedObject>
-SharedObjects::onChanged(const std::vector<CollectedObject> &changes)
+std::vector<CollectedObject> SharedObjects::onChanged(const std::vector<CollectedObject> &changes)
 {
     std::vector<CollectedObject> news;
     for (const CollectedObject &object : changes) {
@@ -104,8 +103,7 @@
     return next;
 }
 
-ObjectAnnouncement
-SharedObjects::announcement(const std::vector<CollectedObject> &changed) const
+ObjectAnnouncement SharedObjects::announcement(const std::vector<CollectedObject> &changed) const
 {
     ObjectAnnouncement result;
     result.collection = static_cast<std::uint8_t>(this->which);
--- a/src/gateway/shared_objects.h
+++ b/src/gateway/shared_objects.h
@@ -28,8 +28,7 @@
     /// A peer told what it knows. Returns removals that are new here; what else is newer there is
     /// asked for by takeWanted() if the store does not bring it first.
     std::vector<CollectedObject> onAnnounced(std::uint64_t link,
-                                             const ObjectAnnouncement &announcement,
-                                             TimePoint now);
+                                             const ObjectAnnouncement &announcement, TimePoint now);
 
     /// Sets how long the store has to bring what a peer announced before the peer is asked.
     void setAskDelay(Duration delay) { this->askDelay = delay; }
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -304,8 +304,8 @@
 {
     nlohmann::json rows = nlohmann::json::array();
     for (const OfferedObject &object : offer.objects)
-        rows.push_back(nlohmann::json::array(
-                {object.name, object.revision, object.removed, object.text}));
+        rows.push_back(
+                nlohmann::json::array({object.name, object.revision, object.removed, object.text}));
     return {{TypeKey, ObjectOfferType}, {"k", offer.collection}, {"o", rows}};
 }
 
--- a/src/state/collection_store.h
+++ b/src/state/collection_store.h
@@ -55,8 +55,7 @@
     virtual ~CollectionStore() = default;
 
     /// Reads the whole of \a collection.
-    virtual void list(Collection collection, ListFreshness freshness,
-                      PageCallback callback) = 0;
+    virtual void list(Collection collection, ListFreshness freshness, PageCallback callback) = 0;
 
     /// Answers with the changes after \a revision as soon as there is one, or with none after
     /// \a wait. NotFound means that the store has dropped that much of its history.
@@ -68,8 +67,7 @@
                      WriteCallback callback) = 0;
 
     /// Removes the object \a name.
-    virtual void remove(Collection collection, const std::string &name,
-                        WriteCallback callback) = 0;
+    virtual void remove(Collection collection, const std::string &name, WriteCallback callback) = 0;
 };
 
 } // namespace dotterel
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -34,7 +34,7 @@
     Severity logThreshold = Severity::Info;
 
     // Of the gateway; the daemon without one does not use them.
-    Endpoint readiness;                ///< Where a balancer asks whether to send callers here.
+    Endpoint readiness;                 ///< Where a balancer asks whether to send callers here.
     std::uint64_t maxOpenFiles = 4'096; ///< Descriptors that the process may have.
     std::uint64_t memoryMb = 256;       ///< Memory that the process may use.
     std::uint64_t sharedHosts = 9;      ///< Entry hosts expected before any other is heard of.
--- a/src/transport/http_message_parser.cpp
+++ b/src/transport/http_message_parser.cpp
@@ -28,8 +28,7 @@
         , maxHeadBytes(maxHeadBytes)
         , listener(listener)
     {
-        http_parser_init(&this->parser,
-                         side == HttpSide::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
+        http_parser_init(&this->parser, side == HttpSide::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
         this->parser.data = this;
         http_parser_settings_init(&this->callbacks);
         this->callbacks.on_message_begin = &State::onBegin;
--- a/src/transport/kept_http_client.cpp
+++ b/src/transport/kept_http_client.cpp
@@ -87,8 +87,7 @@
     bool connect()
     {
         const sockaddr_in address = socketAddress(this->peer);
-        if (bufferevent_socket_connect(this->stream,
-                                       reinterpret_cast<const sockaddr *>(&address),
+        if (bufferevent_socket_connect(this->stream, reinterpret_cast<const sockaddr *>(&address),
                                        sizeof(address))
             != 0)
             return false;
@@ -115,9 +114,8 @@
                                    request.body->size(), &releaseBody, holder);
         }
         if (!this->connected && request.connectTimeout > Duration::zero())
-            this->connectTimer = this->owner.loop.after(request.connectTimeout, [this] {
-                this->fail(HttpFailureKind::ConnectFailed);
-            });
+            this->connectTimer = this->owner.loop.after(
+                    request.connectTimeout, [this] { this->fail(HttpFailureKind::ConnectFailed); });
         this->timer = this->owner.loop.after(request.timeout,
                                              [this] { this->fail(HttpFailureKind::Timeout); });
     }
@@ -142,9 +140,8 @@
     /// Reports from the loop that there is no connection.
     void failSoon()
     {
-        this->connectTimer = this->owner.loop.after(Duration::zero(), [this] {
-            this->fail(HttpFailureKind::ConnectFailed);
-        });
+        this->connectTimer = this->owner.loop.after(
+                Duration::zero(), [this] { this->fail(HttpFailureKind::ConnectFailed); });
     }
 
     /// Stops all callbacks; the connection is freed later.
@@ -408,7 +405,7 @@
         return nullptr;
     const TimePoint now = this->loop.now();
     while (!found->second.empty()) {
-        const ConnectionPointer connection = found->second.back();
+        ConnectionPointer connection = found->second.back();
         found->second.pop_back();
         if (connection->idleUntil > now)
             return connection;
--- a/src/transport/kept_http_server.cpp
+++ b/src/transport/kept_http_server.cpp
@@ -183,9 +183,8 @@
         if (this->lingering || this->finishing) {
             if (quiet > LingerTime && (this->lingering || quiet > limits.idleTimeout))
                 this->owner.closed(this->id);
-        } else if (this->phase == Phase::Head && quiet > limits.headTimeout) {
-            this->reject(StatusTimeout);
-        } else if (this->phase == Phase::Body && quiet > limits.idleTimeout) {
+        } else if ((this->phase == Phase::Head && quiet > limits.headTimeout)
+                   || (this->phase == Phase::Body && quiet > limits.idleTimeout)) {
             this->reject(StatusTimeout);
         } else if (this->phase == Phase::Idle && quiet > limits.idleTimeout) {
             this->owner.closed(this->id);
@@ -368,9 +367,9 @@
     bool chunked = false;
     bool headOnly = false;
     bool closeAtEnd = false;
-    bool finishing = false; ///< The last answer is written; the connection closes after it.
+    bool finishing = false;  ///< The last answer is written; the connection closes after it.
     bool closedIdle = false; ///< It was ended between two requests.
-    bool lingering = false; ///< This side is closed; the peer's end is awaited.
+    bool lingering = false;  ///< This side is closed; the peer's end is awaited.
 };
 
 KeptHttpServer::KeptHttpServer(EventLoop &loop, const Endpoint &endpoint,
--- a/src/transport/kept_http_server.h
+++ b/src/transport/kept_http_server.h
@@ -93,8 +93,8 @@
     /// Asks peers to close their connections with each answer from now on.
     void closeAfterReplies() { this->closing = true; }
 
-    /// Ends the connections that are idle. A request that crosses the end is not answered: its caller
-    /// sees that it was not read.
+    /// Ends the connections that are idle. A request that crosses the end is not answered: its
+    /// caller sees that it was not read.
     void closeIdle();
 
     /// Stops listening; open connections go on.
--- a/tests/core/test_structured_log.cpp
+++ b/tests/core/test_structured_log.cpp
@@ -76,8 +76,8 @@
         CHECK(std::count(text.begin(), text.end(), '\n') == 2);
         bounded.setClock([] { return std::int64_t{1'000'000}; });
         bounded.write(Event::ShutdownBegan, {});
-        CHECK_THAT(capture.text(), Catch::Contains("\"lines_suppressed\"")
-                                           && Catch::Contains("\"lines\":3"));
+        CHECK_THAT(capture.text(),
+                   Catch::Contains("\"lines_suppressed\"") && Catch::Contains("\"lines\":3"));
     }
     SECTION("a second log does not repeat the lines of the first")
     {
--- a/tests/entry_host/test_gateway_host.cpp
+++ b/tests/entry_host/test_gateway_host.cpp
@@ -168,7 +168,8 @@
     Incarnation incarnation = 0;
 };
 
-const char *const Answer = "HTTP/1.1 200 OK\r\nSigned: s\r\nId: r1\r\nConnection: close\r\nContent-Length: 4\r\n\r\ndone";
+const char *const Answer = "HTTP/1.1 200 OK\r\nSigned: s\r\nId: r1\r\nConnection: "
+                           "close\r\nContent-Length: 4\r\n\r\ndone";
 
 } // namespace
 
@@ -222,7 +223,8 @@
         bench.until([&] { return other->ready(); });
         bench.ask(*other, "/orders/1", "done");
     }
-    SECTION("at the end it is not ready at once, answers what is open and takes itself off the list")
+    SECTION("at the end it is not ready at once, answers what is open and takes itself off the "
+            "list")
     {
         bool finished = false;
         host->beginShutdown([&finished] { finished = true; });
--- a/tests/gateway/test_forward_controller.cpp
+++ b/tests/gateway/test_forward_controller.cpp
@@ -135,10 +135,22 @@
 
     SECTION("after a failure, a spoiled answer or a lost one")
     {
-        SECTION("it failed") { bench.serverAnswers(0, 500, Signed, ""); }
-        SECTION("it is not signed") { bench.serverAnswers(0, 200, {}, "forged"); }
-        SECTION("it is encoded") { bench.serverAnswers(0, 200, {{"Signed", "s"}, {"Content-Encoding", "br"}}, "x"); }
-        SECTION("it broke off") { bench.fail(0, HttpFailureKind::AnswerCut, Verdict::MayHaveRun); }
+        SECTION("it failed")
+        {
+            bench.serverAnswers(0, 500, Signed, "");
+        }
+        SECTION("it is not signed")
+        {
+            bench.serverAnswers(0, 200, {}, "forged");
+        }
+        SECTION("it is encoded")
+        {
+            bench.serverAnswers(0, 200, {{"Signed", "s"}, {"Content-Encoding", "br"}}, "x");
+        }
+        SECTION("it broke off")
+        {
+            bench.fail(0, HttpFailureKind::AnswerCut, Verdict::MayHaveRun);
+        }
         REQUIRE(bench.sent.size() == 2);
         CHECK(bench.sent[1].header("Server") != bench.sent[0].header("Server"));
         bench.serverAnswers(1, 200, Signed, "whole");
@@ -306,7 +318,7 @@
     for (const char *id : {"e-1", "e-2", "e-3", "e-4", "e-5", "e-6", "e-7", "e-8"})
         bench.addServer(id, "engines");
     const HttpCallId call = bench.request("/archives/", {{"Tokens", "450000,700"}});
-    REQUIRE(bench.memoryOrders.size() >= 1);
+    REQUIRE_FALSE(bench.memoryOrders.empty());
     CHECK(bench.sent.empty());
     const std::vector<MemoryOrder> asked = bench.memoryOrders;
 
--- a/tests/gateway/test_prompt_placement.cpp
+++ b/tests/gateway/test_prompt_placement.cpp
@@ -62,8 +62,7 @@
         }
         this->events.push_back({this->now + decision.plan->untilFirst, prompt.key, false});
         const Duration writing = fromSeconds(1.31e-3 * static_cast<double>(demand.outputTokens));
-        this->events.push_back(
-                {this->now + decision.plan->untilFirst + writing, prompt.key, true});
+        this->events.push_back({this->now + decision.plan->untilFirst + writing, prompt.key, true});
         return decision.plan;
     }
 
@@ -136,7 +135,8 @@
     }
 }
 
-TEST_CASE("Load at its worst: many huge prompts, then many short ones", "[Gateway][PromptPlacement]")
+TEST_CASE("Load at its worst: many huge prompts, then many short ones",
+          "[Gateway][PromptPlacement]")
 {
     // The phases of the users' days: 2 huge prompts a second beside 9 short ones, then 67 short
     // ones a second, for 9.5 s each.
--- a/tests/platform/test_platform_protocol.cpp
+++ b/tests/platform/test_platform_protocol.cpp
@@ -57,9 +57,8 @@
 
     SECTION("what cannot be read counts as absent")
     {
-        const CallerFacts none = protocol.readCaller({{"X-Deadline-Ms", "soon"},
-                                                      {"X-Token-Counts", "many"},
-                                                      {"Last-Event-Id", "-1"}});
+        const CallerFacts none = protocol.readCaller(
+                {{"X-Deadline-Ms", "soon"}, {"X-Token-Counts", "many"}, {"Last-Event-Id", "-1"}});
         CHECK_FALSE(none.patience);
         CHECK_FALSE(none.resumeAfter);
         CHECK(none.promptTokens == 0);
@@ -104,8 +103,8 @@
 TEST_CASE("The head of an answer says what it is worth", "[Platform][PlatformProtocol]")
 {
     const PlatformProtocol protocol;
-    const AnswerFacts good = protocol.readAnswer(
-            200, {{"X-Server-Seal", "s"}, {"X-Server-Load", "3,0,8"}});
+    const AnswerFacts good =
+            protocol.readAnswer(200, {{"X-Server-Seal", "s"}, {"X-Server-Load", "3,0,8"}});
     CHECK(good.isSigned);
     CHECK_FALSE(good.notRun);
     REQUIRE(good.load);
@@ -174,7 +173,8 @@
     }
     SECTION("a broken configuration is refused, and says why")
     {
-        for (const char *text : {"", "{}", R"({"version":"7"})", R"({"version":7,"routes":[{}]})"}) {
+        for (const char *text :
+             {"", "{}", R"({"version":"7"})", R"({"version":7,"routes":[{}]})"}) {
             INFO(text);
             CHECK_FALSE(protocol.readConfiguration(text));
         }
@@ -184,8 +184,8 @@
 TEST_CASE("Memory is ordered in the engine's words", "[Platform][PlatformProtocol]")
 {
     const PlatformProtocol protocol;
-    const HttpRequest reserve = protocol.memoryRequest(
-            {"t1", "i-1", {"10.0.0.1", 80}, 60'000, milliseconds(3'000)});
+    const HttpRequest reserve =
+            protocol.memoryRequest({"t1", "i-1", {"10.0.0.1", 80}, 60'000, milliseconds(3'000)});
     CHECK(reserve.target == "/-/order");
     CHECK(valueOf(reserve.headers, "X-Expect-Instance") == "i-1");
     CHECK(*reserve.body == R"({"hold_ms":3000,"id":"t1","op":"reserve","tokens":60000})");
--- a/tests/platform/test_platform_store.cpp
+++ b/tests/platform/test_platform_store.cpp
@@ -67,9 +67,9 @@
     Bench bench;
     SECTION("a list gives objects, texts and the store's revision")
     {
-        const auto page = bench.list(httpAnswer(
-                200, R"({"items":[{"metadata":{"name":"i-1","rev":4},"spec":{"a":1}}],)"
-                     R"("more":false,"at":530})"));
+        const auto page = bench.list(
+                httpAnswer(200, R"({"items":[{"metadata":{"name":"i-1","rev":4},"spec":{"a":1}}],)"
+                                R"("more":false,"at":530})"));
         REQUIRE(page);
         CHECK(page->revision == 530);
         REQUIRE(page->objects.size() == 1);
@@ -81,10 +81,9 @@
     SECTION("a watch gives changes and removals")
     {
         const auto page = bench.watch(httpAnswer(
-                200,
-                R"({"events":[{"removed":true,"object":{"metadata":{"name":"i-1","rev":4}}},)"
-                R"({"removed":false,"object":{"metadata":{"name":"i-2","rev":6},"spec":2}}],)"
-                R"("at":533})"));
+                200, R"({"events":[{"removed":true,"object":{"metadata":{"name":"i-1","rev":4}}},)"
+                     R"({"removed":false,"object":{"metadata":{"name":"i-2","rev":6},"spec":2}}],)"
+                     R"("at":533})"));
         REQUIRE(page);
         CHECK(page->revision == 533);
         REQUIRE(page->objects.size() == 2);
--- a/tests/support/forward_bench.cpp
+++ b/tests/support/forward_bench.cpp
@@ -105,8 +105,8 @@
     return call;
 }
 
-void ForwardBench::serverAnswers(std::size_t index, int status,
-                                 const HttpHeaders &headers, const std::string &body)
+void ForwardBench::serverAnswers(std::size_t index, int status, const HttpHeaders &headers,
+                                 const std::string &body)
 {
     const ForwardAttemptId id = this->sent.at(index).id;
     this->controller.onAttemptHead(id, status, headers, this->now);
--- a/tests/support/forward_bench.h
+++ b/tests/support/forward_bench.h
@@ -43,7 +43,8 @@
                        const std::string &body = "body");
 
     /// Answers the attempt at \a index whole.
-    void serverAnswers(std::size_t index, int status, const HttpHeaders &headers, const std::string &body);
+    void serverAnswers(std::size_t index, int status, const HttpHeaders &headers,
+                       const std::string &body);
 
     /// Lets time pass and runs what is due.
     void pass(Duration time);
--- a/tests/transport/test_kept_http_client.cpp
+++ b/tests/transport/test_kept_http_client.cpp
@@ -151,11 +151,10 @@
     SECTION("not when it asks to close, or states no idle time that is left")
     {
         for (const char *header : {"Connection: close", "Keep-Alive: timeout=0"}) {
-            ScriptedServer server(bench.loop,
-                                  {RequestBytes,
-                                   std::string("HTTP/1.1 200 OK\r\n") + header
-                                           + "\r\nContent-Length: 2\r\n\r\nab",
-                                   ScriptEnd::Hold});
+            ScriptedServer server(bench.loop, {RequestBytes,
+                                               std::string("HTTP/1.1 200 OK\r\n") + header
+                                                       + "\r\nContent-Length: 2\r\n\r\nab",
+                                               ScriptEnd::Hold});
             bench.run(server.endpoint());
             CHECK(bench.client.connectionsTo(server.endpoint()) == 0);
         }
