Split what a gateway host hears from how it serves

Cause: one file of 550 lines; comments that stood beside other constants than theirs; two members that were locals; a caller that blocked a first attempt seemed to block the next one too.

--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -1,6 +1,5 @@
 #include "entry_host/gateway_host.h"
 
-#include "coordination/member_topology.h"
 #include "core/hashing.h"
 
 #include <algorithm>
@@ -25,12 +24,6 @@
 /// What is left of the shutdown limit for the last bytes and the end of the process.
 constexpr Duration ExitMargin = std::chrono::milliseconds(400);
 constexpr Duration RegisterAgain = std::chrono::seconds(1);
-/// Hosts of a failure domain that follow the store and tell the others. Several may be lost at once
-/// before membership notices; each costs a counted call for every change.
-constexpr std::size_t FollowersPerDomain = 4;
-constexpr const char *FollowDuty = "follow";
-/// Up to so many hosts, all follow the store: the calls are few.
-constexpr std::size_t MostHostsThatAllFollow = 16;
 constexpr std::size_t MostIncomingFrame = 2UL * 1024 * 1024;
 
 RetryBound retryBoundOf(const Settings &settings)
@@ -42,11 +35,6 @@
     return bound;
 }
 
-std::uint32_t senderHash(const HostIdentity &identity)
-{
-    return hash32(identity.host + "/" + std::to_string(identity.incarnation));
-}
-
 } // namespace
 
 GatewayHost::GatewayHost(EventLoop &loop, const Settings &settings, Incarnation incarnation,
@@ -66,7 +54,7 @@
     , retries(retryBoundOf(settings))
     , crashes(CrashLimits{}, this->metrics, log)
     , controller(protocol, this->fleet, this->prompts, this->services, this->retries, this->crashes,
-                 *this, this->random, senderHash(this->identity), this->metrics, log)
+                 *this, this->random, promptSender(this->identity), this->metrics, log)
     , client(loop, KeptHttpClientLimits{})
     , attempts(loop, this->client, this->controller, [this] { this->armTimer(); })
     , server(loop, settings.callers, this->serverLimits(), *this)
@@ -75,7 +63,7 @@
            *this, this->random, this->metrics, log, MostIncomingFrame)
     , hostList(store, loop)
     , agent(loop, settings.heartbeatInterval, this->membership, this->mesh, this->hostList, *this)
-    , news(loop, this->mesh.endpoint(), senderHash(this->identity),
+    , news(loop, this->mesh.endpoint(), promptSender(this->identity),
            [this](const PromptNews &arrived) { this->onPromptNews(arrived); })
     , configurationFeed(
               loop, store, Collection::Configuration, this->random,
@@ -272,214 +260,6 @@
     this->mesh.broadcast(notice);
 }
 
-void GatewayHost::onPeerLinked(std::uint64_t link)
-{
-    this->agent.onPeerLinked(link);
-    // A host that lacks something asks for it; most often neither does.
-    this->mesh.send(link, this->configurationFeed.objects().announceAll());
-    this->mesh.send(link, this->serverFeed.objects().announceAll());
-}
-
-void GatewayHost::onPeerMessage(std::uint64_t link, const PeerMessage &message)
-{
-    this->agent.onPeerMessage(link, message);
-    if (const auto *notice = std::get_if<CrashNotice>(&message)) {
-        if (this->crashes.onNotice(*notice, this->loop.now()))
-            this->mesh.broadcast(*notice);
-    } else if (const auto *announcement = std::get_if<ObjectAnnouncement>(&message)) {
-        if (CollectionFeed *feed = this->feedOf(announcement->collection))
-            feed->onAnnounced(link, *announcement);
-        this->askPeers();
-    } else if (const auto *request = std::get_if<ObjectRequest>(&message)) {
-        if (const CollectionFeed *feed = this->feedOf(request->collection))
-            this->mesh.send(link, feed->objects().offer(*request));
-    } else if (const auto *offer = std::get_if<ObjectOffer>(&message)) {
-        if (CollectionFeed *feed = this->feedOf(offer->collection))
-            feed->onOffered(*offer);
-    }
-}
-
-CollectionFeed *GatewayHost::feedOf(std::uint8_t collection)
-{
-    if (collection == static_cast<std::uint8_t>(Collection::Configuration))
-        return &this->configurationFeed;
-    if (collection == static_cast<std::uint8_t>(Collection::Servers))
-        return &this->serverFeed;
-    return nullptr;
-}
-
-void GatewayHost::onHostList(const std::vector<ListedHost> & /*hosts*/) {}
-
-void GatewayHost::onServerNotice(const ServerNotice & /*notice*/) {}
-
-void GatewayHost::beforeHeartbeat()
-{
-    std::vector<Endpoint> peers;
-    std::set<std::uint32_t> present;
-    const std::vector<MemberRecord> live = this->membership.live();
-    for (const MemberRecord &member : live) {
-        present.insert(senderHash(member.identity));
-        if (member.identity.host != this->identity.host)
-            peers.push_back(member.peers);
-    }
-    this->chooseFollowers(live);
-    this->askPeers();
-    for (const std::uint32_t sender : this->senders) {
-        if (present.count(sender) == 0)
-            this->prompts.onSenderGone(sender);
-    }
-    this->senders = std::move(present);
-    this->news.setPeers(std::move(peers));
-    this->retries.setHosts(std::max<std::size_t>(live.size(), this->settings.sharedHosts));
-}
-
-void GatewayHost::chooseFollowers(const std::vector<MemberRecord> &live)
-{
-    // Without links nobody tells this host anything. Few hosts follow the store themselves anyway.
-    const bool follows = this->mesh.openLinks() == 0 || live.size() <= MostHostsThatAllFollow
-                         || hasDuty(this->identity, live, FollowDuty, FollowersPerDomain);
-    this->configurationFeed.setFollowing(follows);
-    this->serverFeed.setFollowing(follows);
-}
-
-void GatewayHost::askPeers()
-{
-    std::optional<TimePoint> next;
-    for (CollectionFeed *feed : {&this->configurationFeed, &this->serverFeed}) {
-        for (const auto &[link, request] : feed->takeWanted())
-            this->mesh.send(link, request);
-        const std::optional<TimePoint> due = feed->nextWanted();
-        if (due && (!next || *due < *next))
-            next = due;
-    }
-    this->askTimer.reset();
-    if (next)
-        this->askTimer = this->loop.after(*next - this->loop.now(), [this] { this->askPeers(); });
-}
-
-void GatewayHost::onConfiguration(const std::vector<CollectedObject> &objects)
-{
-    for (const CollectedObject &object : objects) {
-        if (object.removed)
-            continue;
-        const auto read = this->protocol.readConfiguration(object.text);
-        if (!read) {
-            this->log.write(Event::ConfigurationRejected,
-                            {{"object", object.name},
-                             {"revision", static_cast<std::int64_t>(object.revision)},
-                             {"error", read.error()}});
-            continue;
-        }
-        const auto &current = this->routes->configuration();
-        if (current && read->version <= current->version)
-            continue;
-        this->routes =
-                std::make_shared<RouteTable>(std::make_shared<const GatewayConfiguration>(*read));
-        this->controller.setRoutes(this->routes);
-        this->server.setLimits(this->serverLimits());
-        this->agent.announceConfiguration(read->version);
-        this->metrics.set(Gauge::ConfigurationVersion, static_cast<double>(read->version));
-        this->log.write(Event::ConfigurationApplied,
-                        {{"version", static_cast<std::int64_t>(read->version)},
-                         {"revision", static_cast<std::int64_t>(object.revision)},
-                         {"routes", static_cast<std::int64_t>(read->routes.size())},
-                         {"store_away", this->configurationFeed.isStoreAway()}});
-    }
-}
-
-void GatewayHost::onServers(const std::vector<CollectedObject> &objects, bool mayHaveLapsed)
-{
-    const TimePoint now = this->loop.now();
-    for (const CollectedObject &object : objects) {
-        if (object.removed) {
-            this->fleet.remove(object.name, mayHaveLapsed, now);
-            continue;
-        }
-        const auto read = this->protocol.readServer(object.name, object.text);
-        if (!read) {
-            this->log.write(Event::ObjectRejected,
-                            {{"collection", std::string("servers")},
-                             {"object", object.name},
-                             {"revision", static_cast<std::int64_t>(object.revision)},
-                             {"error", read.error()}});
-            this->fleet.remove(object.name, false, now);
-            continue;
-        }
-        if (this->fleet.put(*read, now))
-            this->prompts.onServerReset(read->id);
-        this->serversByHash[hash32(read->id)] = read->id;
-    }
-    this->metrics.set(Gauge::BackendServersUsable, static_cast<double>(this->fleet.all().size()));
-}
-
-const EngineProfile *GatewayHost::engineOf(const ServerId &server) const
-{
-    const GatewayServer *known = this->fleet.find(server);
-    if (known == nullptr || !this->routes->configuration())
-        return nullptr;
-    const auto &pools = this->routes->configuration()->pools;
-    const auto pool = pools.find(known->pool);
-    return pool == pools.end() || !pool->second.engine ? nullptr : &*pool->second.engine;
-}
-
-void GatewayHost::onPromptNews(const PromptNews &arrived)
-{
-    const TimePoint now = this->loop.now();
-    for (const PromptNewsItem &item : arrived.items) {
-        const PromptKey key{arrived.sender, item.sequence};
-        switch (item.step) {
-        case PromptStep::Dispatched:
-            this->dispatchedElsewhere(arrived, item);
-            break;
-        case PromptStep::FirstEvent:
-            this->prompts.onFirstEvent(key, now);
-            this->noteEvidence(item.server, ServerEvidence::Answered);
-            break;
-        case PromptStep::Unanswered:
-            this->prompts.onEnded(key, now);
-            this->noteEvidence(item.server, ServerEvidence::Silent);
-            break;
-        case PromptStep::Ended:
-            this->prompts.onEnded(key, now);
-            break;
-        }
-    }
-}
-
-void GatewayHost::dispatchedElsewhere(const PromptNews &arrived, const PromptNewsItem &item)
-{
-    EnginePrompt prompt;
-    prompt.key = {arrived.sender, item.sequence};
-    prompt.demand = item.demand;
-    prompt.parts = item.helpers.size() + 1;
-    prompt.dispatched = this->loop.now();
-    prompt.memoryTokens = item.demand.promptTokens + item.demand.outputTokens;
-    for (const std::uint64_t held : item.helperMemory)
-        prompt.memoryTokens -= std::min(prompt.memoryTokens, held);
-    this->addPrompt(item.server, prompt);
-    prompt.isHelper = true;
-    for (std::size_t index = 0; index < item.helpers.size(); ++index) {
-        prompt.memoryTokens = item.helperMemory[index];
-        this->addPrompt(item.helpers[index], prompt);
-    }
-}
-
-void GatewayHost::addPrompt(std::uint32_t server, const EnginePrompt &prompt)
-{
-    const auto id = this->serversByHash.find(server);
-    if (id == this->serversByHash.end())
-        return;
-    if (const EngineProfile *engine = this->engineOf(id->second))
-        this->prompts.onDispatched(id->second, *engine, prompt, this->loop.now());
-}
-
-void GatewayHost::noteEvidence(std::uint32_t server, ServerEvidence evidence)
-{
-    const auto id = this->serversByHash.find(server);
-    if (id != this->serversByHash.end())
-        this->fleet.onEvidence(id->second, evidence, this->loop.now());
-}
-
 void GatewayHost::orderMemory(const MemoryOrder &order)
 {
     const std::uint64_t id = this->nextMemoryCall++;
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -14,12 +14,16 @@
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 /// Further attempts that never reached a server, for one request.
 constexpr std::size_t MostUnreached = 4;
+/// The transport's own timeout comes this long after the deadline, so that the deadline decides.
 constexpr Duration TransportMargin = std::chrono::seconds(1);
+/// Servers that were lost are replaced, or trusted again, within about this time.
 constexpr Duration NoServerRetryAfter = std::chrono::milliseconds(500);
-/// Callers leave a stream after a gap of the longest of these: a fixed time, goals, pauses.
+/// Callers that are refused together return over this share of the wait.
+constexpr double ReturnSpread = 0.25;
 /// Of a route's timeout: the least and the mean patience of callers that ask for the first time.
 constexpr double LeastFirstPatience = 0.84;
 constexpr double MeanFirstPatience = 0.92;
+/// Callers leave a stream after a gap of the longest of these: a fixed time, goals, pauses.
 constexpr Duration LeastStreamPatience = std::chrono::seconds(2);
 constexpr int GoalsOfPatience = 4;
 constexpr int PausesOfPatience = 8;
@@ -124,8 +128,7 @@
         const Reason reason =
                 decision.anyServer ? Reason::DeadlineUnreachable : Reason::NoBackendServer;
         const Duration wait = decision.anyServer ? decision.retryAfter : NoServerRetryAfter;
-        // Callers that are refused together must not return together.
-        const Duration spread = fromSeconds(toSeconds(wait) * 0.25 * this->random.unit());
+        const Duration spread = fromSeconds(toSeconds(wait) * ReturnSpread * this->random.unit());
         return this->refuse(call, reason, wait + spread, now,
                             "loss " + std::to_string(decision.bestLoss) + " of "
                                     + std::to_string(call.demand.value));
@@ -172,6 +175,7 @@
     attempt.id = this->nextAttempt++;
     attempt.server = server.id;
     attempt.helpers = helpers;
+    call.paused = false; // Of the attempt before.
     attempt.sent = now;
     attempt.heard = now;
     this->attempts.emplace(attempt.id, call.id);
--- a/src/gateway/prompt_news.cpp
+++ b/src/gateway/prompt_news.cpp
@@ -1,5 +1,7 @@
 #include "gateway/prompt_news.h"
 
+#include "core/hashing.h"
+
 #include <nlohmann/json.hpp>
 
 namespace dotterel {
@@ -69,6 +71,11 @@
 
 } // namespace
 
+std::uint32_t promptSender(const HostIdentity &identity)
+{
+    return hash32(identity.host + "/" + std::to_string(identity.incarnation));
+}
+
 std::string encodePromptNews(const PromptNews &news)
 {
     nlohmann::json items = nlohmann::json::array();
--- a/src/gateway/prompt_news.h
+++ b/src/gateway/prompt_news.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/identity.h"
 #include "gateway/engine_load.h"
 
 #include <string>
@@ -37,6 +38,9 @@
     std::vector<PromptNewsItem> items;
 };
 
+/// Returns the number by which a life of a host names itself in its news.
+std::uint32_t promptSender(const HostIdentity &identity);
+
 /// Returns \a news as CBOR.
 std::string encodePromptNews(const PromptNews &news);
 
--- a/src/transport/kept_http_server.cpp
+++ b/src/transport/kept_http_server.cpp
@@ -274,8 +274,6 @@
         this->phase = Phase::Head;
         this->changed = this->owner.loop.now();
         this->body.clear();
-        this->tooLarge = false;
-        this->tooFull = false;
     }
 
     void onMessageHead(HttpHead &&newHead) override
@@ -284,11 +282,9 @@
         this->phase = Phase::Body;
         this->changed = this->owner.loop.now();
         const std::uint64_t length = this->head.contentLength.value_or(0);
-        this->tooLarge = length > this->owner.limits.maxBodyBytes;
-        this->tooFull = this->owner.bufferedBytes + length > this->owner.limits.maxBufferedBytes;
-        if (this->tooLarge)
+        if (length > this->owner.limits.maxBodyBytes)
             return this->reject(StatusBodyTooLarge);
-        if (this->tooFull)
+        if (this->owner.bufferedBytes + length > this->owner.limits.maxBufferedBytes)
             return this->reject(StatusUnavailable);
         this->body.reserve(length);
         const std::string *expectation = findHeader(this->head.headers, "Expect");
@@ -361,8 +357,6 @@
     std::string body;
     std::size_t accounted = 0; ///< Bytes of the body that count for the whole server.
     HttpCallId call = 0;
-    bool tooLarge = false;
-    bool tooFull = false;
     bool answerBegun = false;
     bool chunked = false;
     bool headOnly = false;
