Watch the servers with a pause, and ask peers nearby first

Change: after news of the servers a follower waits 200 to 600 ms, drawn apart, before it watches on (the configuration is still watched without a pause); a wanted object is asked of a peer in the same failure domain, and of another one after 100 ms or when the near one does not answer.

--- a/src/entry_host/collection_feed.cpp
+++ b/src/entry_host/collection_feed.cpp
@@ -94,9 +94,10 @@
     this->listener(news, this->follower.cameBackWithin(LapseWindow, this->loop.now()));
 }
 
-void CollectionFeed::onAnnounced(std::uint64_t link, const ObjectAnnouncement &announcement)
+void CollectionFeed::onAnnounced(std::uint64_t link, const ObjectAnnouncement &announcement,
+                                 PeerPlace place)
 {
-    this->pass(this->shared.onAnnounced(link, announcement, this->loop.now()));
+    this->pass(this->shared.onAnnounced(link, announcement, this->loop.now(), place));
 }
 
 void CollectionFeed::onOffered(const ObjectOffer &offer)
--- a/src/entry_host/collection_feed.h
+++ b/src/entry_host/collection_feed.h
@@ -31,7 +31,7 @@
     void setFollowing(bool follows);
 
     /// Takes over what a peer announced on \a link.
-    void onAnnounced(std::uint64_t link, const ObjectAnnouncement &announcement);
+    void onAnnounced(std::uint64_t link, const ObjectAnnouncement &announcement, PeerPlace place);
 
     /// Takes over what a peer sent.
     void onOffered(const ObjectOffer &offer);
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -87,6 +87,7 @@
     HostStatus status() const override;
     void drain() override;
 
+    PeerPlace placeOf(std::uint64_t link) const;
     CollectionFeed *feedOf(std::uint8_t collection);
     void onConfiguration(const std::vector<CollectedObject> &news);
     void onServers(const std::vector<CollectedObject> &news, bool mayHaveLapsed);
@@ -131,6 +132,7 @@
     HttpServer readinessServer;
     OperatorApi operatorApi;
     std::unordered_map<std::uint32_t, ServerId> serversByHash;
+    std::set<HostId> nearHosts;      ///< Live hosts of this failure domain.
     std::set<std::uint32_t> senders; ///< Hosts whose prompts are known, by hash.
     std::uint64_t nextMemoryCall = 1;
     std::map<std::uint64_t, std::unique_ptr<HttpFetch>> memoryCalls;
--- a/src/entry_host/gateway_host_news.cpp
+++ b/src/entry_host/gateway_host_news.cpp
@@ -35,7 +35,7 @@
             this->mesh.broadcast(*notice);
     } else if (const auto *announcement = std::get_if<ObjectAnnouncement>(&message)) {
         if (CollectionFeed *feed = this->feedOf(announcement->collection))
-            feed->onAnnounced(link, *announcement);
+            feed->onAnnounced(link, *announcement, this->placeOf(link));
         this->askPeers();
     } else if (const auto *request = std::get_if<ObjectRequest>(&message)) {
         if (const CollectionFeed *feed = this->feedOf(request->collection))
@@ -46,6 +46,12 @@
     }
 }
 
+PeerPlace GatewayHost::placeOf(std::uint64_t link) const
+{
+    return this->nearHosts.count(this->mesh.peerOf(link)) > 0 ? PeerPlace::SameDomain
+                                                              : PeerPlace::OtherDomain;
+}
+
 CollectionFeed *GatewayHost::feedOf(std::uint8_t collection)
 {
     if (collection == static_cast<std::uint8_t>(Collection::Configuration))
@@ -64,7 +70,10 @@
     std::vector<Endpoint> peers;
     std::set<std::uint32_t> present;
     const std::vector<MemberRecord> live = this->membership.live();
+    this->nearHosts.clear();
     for (const MemberRecord &member : live) {
+        if (member.identity.failureDomain == this->identity.failureDomain)
+            this->nearHosts.insert(member.identity.host);
         present.insert(promptSender(member.identity));
         if (member.identity.host != this->identity.host)
             peers.push_back(member.peers);
--- a/src/entry_host/peer_mesh.cpp
+++ b/src/entry_host/peer_mesh.cpp
@@ -211,6 +211,12 @@
         found->second->websocket->close();
 }
 
+HostId PeerMesh::peerOf(std::uint64_t link) const
+{
+    const auto found = this->links.find(link);
+    return found == this->links.end() ? HostId() : found->second->peer;
+}
+
 bool PeerMesh::noteSender(std::uint64_t link, const PeerMessage &message)
 {
     const auto found = this->links.find(link);
--- a/src/entry_host/peer_mesh.h
+++ b/src/entry_host/peer_mesh.h
@@ -49,6 +49,9 @@
     /// The address and port in use.
     Endpoint endpoint() const { return this->websockets.endpoint(); }
 
+    /// Returns the host behind \a link; an empty id if it is not known or the link is closed.
+    HostId peerOf(std::uint64_t link) const;
+
     /// Returns the number of open links.
     std::size_t openLinks() const;
 
--- a/src/gateway/collection_follower.cpp
+++ b/src/gateway/collection_follower.cpp
@@ -11,6 +11,12 @@
 constexpr Duration FirstBackoff = std::chrono::milliseconds(100);
 constexpr Duration LongestBackoff = std::chrono::milliseconds(800);
 constexpr int MostDoublings = 3;
+/// Wait between two watches of the servers, the shortest and the longest: they start and leave in
+/// groups, and each watch is a counted call. Well below the time in which a leaving server must get
+/// no new work; hosts draw it apart, so that one of them hears of a change at once and tells the
+/// others.
+constexpr Duration ShortestPause = std::chrono::milliseconds(200);
+constexpr Duration LongestPause = std::chrono::milliseconds(600);
 
 } // namespace
 
@@ -26,6 +32,7 @@
     if (this->revision) {
         step.kind = FollowStep::Kind::Watch;
         step.revision = *this->revision;
+        step.after = this->pause;
     }
     if (this->failures > 0) {
         const int doublings = std::min(this->failures - 1, MostDoublings);
@@ -39,13 +46,20 @@
 void CollectionFollower::onListed(std::uint64_t newRevision, TimePoint now)
 {
     this->revision = newRevision;
+    this->pause = Duration::zero();
     this->onAnswered(now);
 }
 
 void CollectionFollower::onWatched(std::uint64_t newRevision, TimePoint now)
 {
-    if (this->revision && newRevision > *this->revision)
+    this->pause = Duration::zero();
+    if (this->revision && newRevision > *this->revision) {
         this->revision = newRevision;
+        if (this->collection == Collection::Servers)
+            this->pause =
+                    fromSeconds(toSeconds(ShortestPause)
+                                + toSeconds(LongestPause - ShortestPause) * this->random.unit());
+    }
     this->onAnswered(now);
 }
 
--- a/src/gateway/collection_follower.h
+++ b/src/gateway/collection_follower.h
@@ -50,6 +50,7 @@
     RandomSource &random;
     EventLog &log;
     std::optional<std::uint64_t> revision; ///< None until listed.
+    Duration pause = Duration::zero();     ///< Before the next watch.
     int failures = 0;
     std::optional<TimePoint> backSince;
 };
--- a/src/gateway/shared_objects.cpp
+++ b/src/gateway/shared_objects.cpp
@@ -8,6 +8,9 @@
 
 /// Between two requests for the same object.
 constexpr Duration AskAgain = std::chrono::seconds(1);
+/// How much longer a peer of another failure domain waits to be asked: those that follow the store
+/// hear of a change within a few tens of milliseconds of each other.
+constexpr Duration FarDelay = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -55,8 +58,10 @@
 
 std::vector<CollectedObject> SharedObjects::onAnnounced(std::uint64_t link,
                                                         const ObjectAnnouncement &announcement,
-                                                        TimePoint now)
+                                                        TimePoint now, PeerPlace place)
 {
+    const bool isNear = place == PeerPlace::SameDomain;
+    const TimePoint due = now + this->askDelay + (isNear ? Duration::zero() : FarDelay);
     std::vector<CollectedObject> removals;
     for (const AnnouncedObject &announced : announcement.objects) {
         const CollectedObject object{announced.name, announced.revision, announced.removed, ""};
@@ -69,12 +74,15 @@
         Wanted &entry = this->wanted[announced.name];
         if (entry.revision > announced.revision)
             continue;
-        if (entry.revision == announced.revision) {
-            // The peer that was asked first may be gone.
-            entry.link = link;
-            continue;
+        if (entry.revision < announced.revision) {
+            entry = Wanted();
+            entry.revision = announced.revision;
+            entry.due = due;
+        } else if (isNear && !entry.nearLink) {
+            entry.due = std::min(entry.due, due);
         }
-        entry = {announced.revision, link, now + this->askDelay};
+        // The peer that told of it before may be gone.
+        (isNear ? entry.nearLink : entry.farLink) = link;
     }
     return this->onChanged(removals);
 }
@@ -85,7 +93,9 @@
     for (auto &[name, entry] : this->wanted) {
         if (entry.due > now)
             continue;
-        ObjectRequest &request = byLink[entry.link];
+        const bool asksFar = entry.farLink && (entry.askFar || !entry.nearLink);
+        entry.askFar = !asksFar;
+        ObjectRequest &request = byLink[asksFar ? *entry.farLink : *entry.nearLink];
         request.collection = static_cast<std::uint8_t>(this->which);
         request.names.push_back(name);
         entry.due = now + AskAgain;
--- a/src/gateway/shared_objects.h
+++ b/src/gateway/shared_objects.h
@@ -11,6 +11,12 @@
 
 namespace dotterel {
 
+/// Where a peer runs, seen from this host. Bytes between failure domains are priced.
+enum class PeerPlace {
+    SameDomain,
+    OtherDomain,
+};
+
 /// The objects of one collection as this host knows them, from the store and from other hosts, so
 /// that a host which the store turns away still learns. The highest revision of an object wins;
 /// nothing goes back. Pure.
@@ -26,9 +32,11 @@
     std::vector<CollectedObject> onChanged(const std::vector<CollectedObject> &changes);
 
     /// A peer told what it knows. Returns removals that are new here; what else is newer there is
-    /// asked for by takeWanted() if the store does not bring it first.
+    /// asked for by takeWanted() if the store does not bring it first. A peer in the same failure
+    /// domain is asked before others.
     std::vector<CollectedObject> onAnnounced(std::uint64_t link,
-                                             const ObjectAnnouncement &announcement, TimePoint now);
+                                             const ObjectAnnouncement &announcement, TimePoint now,
+                                             PeerPlace place);
 
     /// Sets how long the store has to bring what a peer announced before the peer is asked.
     void setAskDelay(Duration delay) { this->askDelay = delay; }
@@ -58,7 +66,9 @@
     struct Wanted
     {
         std::uint64_t revision = 0;
-        std::uint64_t link = 0;
+        std::optional<std::uint64_t> nearLink; ///< Announced it last, of this failure domain.
+        std::optional<std::uint64_t> farLink;  ///< The same, of another one.
+        bool askFar = false;                   ///< The near one was asked and has not answered.
         TimePoint due;
     };
 
--- a/tests/gateway/test_shared_objects.cpp
+++ b/tests/gateway/test_shared_objects.cpp
@@ -49,7 +49,7 @@
     {
         ObjectAnnouncement announcement;
         announcement.objects = {{"a", 8, true}, {"b", 9, false}, {"c", 1, false}};
-        const auto news = objects.onAnnounced(1, announcement, now);
+        const auto news = objects.onAnnounced(1, announcement, now, PeerPlace::SameDomain);
         REQUIRE(news.size() == 1);
         CHECK(news[0].name == "a");
         CHECK(objects.takeWanted(now).empty());
@@ -64,11 +64,38 @@
             CHECK_FALSE(objects.nextWanted());
         }
     }
+    SECTION("a peer in this host's own failure domain is asked before others")
+    {
+        objects.setAskDelay(Duration::zero());
+        const ObjectAnnouncement later{0, {{"b", 9, false}}};
+        objects.onAnnounced(1, later, now, PeerPlace::OtherDomain);
+        CHECK(objects.takeWanted(now).empty());
+        SECTION("as soon as it has what is wanted")
+        {
+            objects.onAnnounced(2, later, now + milliseconds(20), PeerPlace::SameDomain);
+            objects.onAnnounced(3, later, now + milliseconds(21), PeerPlace::OtherDomain);
+            const auto wanted = objects.takeWanted(now + milliseconds(21));
+            REQUIRE(wanted.size() == 1);
+            CHECK(wanted[0].first == 2);
+            SECTION("and the other one if it does not answer")
+            {
+                const auto again = objects.takeWanted(now + seconds(2));
+                REQUIRE(again.size() == 1);
+                CHECK(again[0].first == 3);
+            }
+        }
+        SECTION("but not waited for when it has nothing")
+        {
+            const auto wanted = objects.takeWanted(now + milliseconds(150));
+            REQUIRE(wanted.size() == 1);
+            CHECK(wanted[0].first == 1);
+        }
+    }
     SECTION("a host that knows something answers one that lacks it")
     {
         SharedObjects other(Collection::Servers);
         other.setAskDelay(Duration::zero());
-        other.onAnnounced(4, objects.announceAll(), now);
+        other.onAnnounced(4, objects.announceAll(), now, PeerPlace::SameDomain);
         const auto wanted = other.takeWanted(now);
         REQUIRE(wanted.size() == 1);
         const ObjectOffer offer = objects.offer(wanted[0].second);
@@ -95,6 +122,33 @@
         CHECK(follower.next().revision == 44);
         CHECK(follower.next().after == Duration::zero());
     }
+    SECTION("servers that start together are heard of in few calls")
+    {
+        CollectionFollower servers(Collection::Servers, random, log);
+        servers.onListed(40, now);
+        CHECK(servers.next().after == Duration::zero());
+        std::size_t calls = 0;
+        std::uint64_t revision = 40;
+        // 60 servers enter their names within a second, and nothing happens in the next one.
+        for (TimePoint at = now; at < now + seconds(2);) {
+            const auto entered =
+                    std::min<std::uint64_t>(60, (at - now) * 60 / Duration(seconds(1)));
+            if (40 + entered > revision) {
+                revision = 40 + entered;
+                servers.onWatched(revision, at);
+                ++calls;
+            }
+            CHECK(servers.next().after <= milliseconds(600));
+            at += servers.next().after + milliseconds(5);
+        }
+        CHECK(revision == 100);
+        CHECK(calls <= 5);
+        SECTION("and the next change after a calm time at once")
+        {
+            servers.onWatched(revision, now + seconds(22));
+            CHECK(servers.next().after == Duration::zero());
+        }
+    }
     SECTION("it lists again at once when the history is lost, and entries may have lapsed")
     {
         follower.onFailed(StoreError::NotFound, now);
