Fill the latency histograms of the gateway

Time to the first event by length of the prompt, to a whole answer, to a refusal, and the longest pause of a stream. A test reads them from the text that operators get; it failed before (no such lines).

--- a/src/core/metric_catalogue.cpp
+++ b/src/core/metric_catalogue.cpp
@@ -74,6 +74,9 @@
             {RetriesMetric, MetricType::Counter, "reason", "Further attempts by reason."},
             {FirstTokenMetric, MetricType::Histogram, "prompt_tokens",
              "Time from a request's arrival to its first token, by prompt length."},
+            {LatencyMetric, MetricType::Histogram, "span",
+             "Time from a request's arrival to its whole answer or its refusal, and the longest "
+             "pause of a stream."},
     };
     for (const Counter counter : allValues(counterName)) {
         catalogue.push_back(
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -52,8 +52,19 @@
         {Gauge::QueuedBytes, "queued_bytes"},
 }};
 
+constexpr std::array<EnumName<LatencySpan>, 3> LatencySpanNames = {{
+        {LatencySpan::Answer, "answer"},
+        {LatencySpan::Refusal, "refusal"},
+        {LatencySpan::LongestPause, "longest_pause"},
+}};
+
 } // namespace
 
+std::string_view latencySpanName(LatencySpan span)
+{
+    return enumName(LatencySpanNames, span);
+}
+
 std::string_view retryReasonName(RetryReason reason)
 {
     return enumName(RetryReasonNames, reason);
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -71,6 +71,16 @@
 /// Returns the external name of \a gauge.
 std::string_view gaugeName(Gauge gauge);
 
+/// Spans of a request's life that are recorded as histograms.
+enum class LatencySpan {
+    Answer,       ///< From the arrival to the end of a whole answer.
+    Refusal,      ///< From the arrival to a refusal.
+    LongestPause, ///< Of a whole stream, between two events.
+};
+
+/// Returns the external name of \a span.
+std::string_view latencySpanName(LatencySpan span);
+
 /// Where the parts of the system report what they do.
 class Metrics
 {
@@ -91,6 +101,9 @@
 
     /// Records the time from the arrival of a request to its first token.
     virtual void observeFirstToken(LengthBand band, Duration time) = 0;
+
+    /// Records that \a span took \a time.
+    virtual void observe(LatencySpan span, Duration time) = 0;
 };
 
 /// Drops every value.
@@ -102,6 +115,7 @@
     void count(Counter /*counter*/, std::uint64_t /*amount*/) override {}
     void set(Gauge /*gauge*/, double /*value*/) override {}
     void observeFirstToken(LengthBand /*band*/, Duration /*time*/) override {}
+    void observe(LatencySpan /*span*/, Duration /*time*/) override {}
 };
 
 } // namespace dotterel
--- a/src/core/prometheus_metrics.cpp
+++ b/src/core/prometheus_metrics.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-const prometheus::Histogram::BucketBoundaries FirstTokenBucketsSeconds = {
+const prometheus::Histogram::BucketBoundaries BucketsSeconds = {
         0.01, 0.025, 0.05, 0.1, 0.2, 0.33, 0.5, 1, 2, 5, 10, 30, 60, 120};
 
 std::string helpOf(const std::string &name)
@@ -36,6 +36,7 @@
     std::map<Counter, prometheus::Counter *> counters;
     std::map<Gauge, prometheus::Gauge *> gauges;
     std::map<LengthBand, prometheus::Histogram *> firstToken;
+    std::map<LatencySpan, prometheus::Histogram *> latencies;
 
     Families()
     {
@@ -55,9 +56,16 @@
                                         .Help(helpOf(FirstTokenMetric))
                                         .Register(this->registry);
         for (const LengthBand band : allValues(lengthBandName)) {
-            this->firstToken[band] =
-                    &histogramFamily.Add({{"prompt_tokens", std::string(lengthBandName(band))}},
-                                         FirstTokenBucketsSeconds);
+            this->firstToken[band] = &histogramFamily.Add(
+                    {{"prompt_tokens", std::string(lengthBandName(band))}}, BucketsSeconds);
+        }
+        auto &latencyFamily = prometheus::BuildHistogram()
+                                      .Name(LatencyMetric)
+                                      .Help(helpOf(LatencyMetric))
+                                      .Register(this->registry);
+        for (const LatencySpan span : allValues(latencySpanName)) {
+            this->latencies[span] = &latencyFamily.Add(
+                    {{"span", std::string(latencySpanName(span))}}, BucketsSeconds);
         }
     }
 
@@ -110,6 +118,11 @@
     this->families->firstToken.at(band)->Observe(toSeconds(time));
 }
 
+void PrometheusMetrics::observe(LatencySpan span, Duration time)
+{
+    this->families->latencies.at(span)->Observe(toSeconds(time));
+}
+
 std::string PrometheusMetrics::text() const
 {
     std::ostringstream stream;
--- a/src/gateway/forward_answers.cpp
+++ b/src/gateway/forward_answers.cpp
@@ -109,10 +109,12 @@
             continue;
         if (event.id)
             call.lastEvent = event.id;
-        if (call.firstEvent == Duration::zero())
+        if (call.firstEvent == Duration::zero()) {
             call.firstEvent = now - call.arrived;
-        else
+            this->metrics.observeFirstToken(lengthBand(call.facts.promptTokens), call.firstEvent);
+        } else {
             call.longestPause = std::max(call.longestPause, now - call.eventPassed);
+        }
         call.eventPassed = now;
         this->beginAnswer(call);
         this->passPart(call, event.bytes);
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -167,6 +167,7 @@
     const ReasonInfo &info = reasonInfo(reason);
     const int status = refusalStatus(info, call.mayHaveRun);
     this->metrics.countRefusal(reason);
+    this->metrics.observe(LatencySpan::Refusal, now - call.arrived);
     const Verdict verdict = call.mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun;
     this->log.write(
             Event::RequestRefused,
@@ -195,6 +196,9 @@
 void ForwardController::finish(ForwardCall &call, int status, TimePoint now)
 {
     this->metrics.count(Counter::RequestsFinished, 1);
+    this->metrics.observe(LatencySpan::Answer, now - call.arrived);
+    if (call.firstEvent > Duration::zero())
+        this->metrics.observe(LatencySpan::LongestPause, call.longestPause);
     this->log.write(Event::RequestFinished,
                     {{"request", call.facts.requestId},
                      {"route", call.route->name},
--- a/tests/gateway/test_forward_controller.cpp
+++ b/tests/gateway/test_forward_controller.cpp
@@ -360,3 +360,41 @@
         CHECK(bench.memoryOrders.size() == 2 * asked.size());
     }
 }
+
+TEST_CASE("Operators see how long requests took", "[Gateway][ForwardController]")
+{
+    ForwardBench bench;
+    bench.addServer("app-1", "app");
+    bench.addServer("engine-1", "engines");
+    const auto shows = [&bench](const std::string &line) {
+        return bench.metrics.text().find(line) != std::string::npos;
+    };
+
+    SECTION("until their whole answer")
+    {
+        bench.request("/orders/");
+        bench.pass(milliseconds(300));
+        bench.serverAnswers(0, 200, Signed, "done");
+        CHECK(shows("dotterel_request_seconds_count{span=\"answer\"} 1"));
+        CHECK(shows("dotterel_request_seconds_sum{span=\"answer\"} 0.3"));
+        CHECK(shows("dotterel_request_seconds_count{span=\"refusal\"} 0"));
+    }
+    SECTION("until they were refused")
+    {
+        bench.request("/nothing/");
+        CHECK(shows("dotterel_request_seconds_count{span=\"refusal\"} 1"));
+    }
+    SECTION("until the first event of a stream, and between two")
+    {
+        bench.request("/questions/", {{"Tokens", "5000,100"}});
+        REQUIRE(bench.sent.size() == 1);
+        bench.pass(milliseconds(200));
+        bench.controller.onAttemptHead(bench.sent[0].id, 200, Signed, bench.now);
+        bench.controller.onAttemptData(bench.sent[0].id, event(1), bench.now);
+        bench.pass(milliseconds(100));
+        bench.controller.onAttemptData(bench.sent[0].id, event(2), bench.now);
+        bench.controller.onAttemptComplete(bench.sent[0].id, bench.now);
+        CHECK(shows("dotterel_first_token_seconds_sum{prompt_tokens=\"4k-16k\"} 0.2"));
+        CHECK(shows("dotterel_request_seconds_sum{span=\"longest_pause\"} 0.1"));
+    }
+}
--- a/tests/support/forward_bench.h
+++ b/tests/support/forward_bench.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/prometheus_metrics.h"
 #include "gateway/forward_controller.h"
 #include "support/plain_gateway_protocol.h"
 
@@ -57,7 +58,7 @@
     TimePoint now{std::chrono::seconds(100)};
     PlainGatewayProtocol protocol;
     NullEventLog log;
-    NullMetrics metrics;
+    PrometheusMetrics metrics;
     SeededRandom random{7};
     GatewayConfiguration configuration;
     ServerFleet fleet;
