Keep the list of entry hosts in step with those that live

The hosts that read the list for their failure domain now take off entries of hosts unheard of for 60 s, if they hear of most others themselves, and enter live hosts again that the list lacks twice.

--- a/src/core/event_log.h
+++ b/src/core/event_log.h
@@ -45,6 +45,8 @@
     PeerFrameRejected = 502,
     MemberSuspected = 503,
     MemberJoined = 504,
+    HostEntryRemoved = 505,
+    HostEntryRestored = 506,
     ServerDraining = 600,
     ServerDown = 601,
     ServerUp = 602,
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -62,6 +62,7 @@
     , mesh(loop, settings.peers, settings.host, settings.heartbeatInterval * SilentHeartbeats,
            *this, this->random, this->metrics, log, MostIncomingFrame)
     , hostList(store, loop)
+    , entryKeeper(this->identity)
     , agent(loop, settings.heartbeatInterval, this->membership, this->mesh, this->hostList, *this)
     , news(loop, this->mesh.endpoint(), promptSender(this->identity),
            [this](const PromptNews &arrived) { this->onPromptNews(arrived); })
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -10,6 +10,7 @@
 #include "entry_host/peer_mesh.h"
 #include "entry_host/prompt_news_channel.h"
 #include "gateway/host_entries.h"
+#include "gateway/host_entry_keeper.h"
 #include "state/settings.h"
 
 #include <functional>
@@ -88,6 +89,8 @@
     void drain() override;
 
     PeerPlace placeOf(std::uint64_t link) const;
+    void removeEntry(const HostId &host);
+    void restoreEntry(const MemberRecord &member);
     CollectionFeed *feedOf(std::uint8_t collection);
     void onConfiguration(const std::vector<CollectedObject> &news);
     void onServers(const std::vector<CollectedObject> &news, bool mayHaveLapsed);
@@ -125,6 +128,7 @@
     Membership membership;
     PeerMesh mesh;
     CollectionHostList hostList;
+    HostEntryKeeper entryKeeper;
     PeerAgent agent;
     PromptNewsChannel news;
     CollectionFeed configurationFeed;
--- a/src/entry_host/gateway_host_news.cpp
+++ b/src/entry_host/gateway_host_news.cpp
@@ -61,7 +61,44 @@
     return nullptr;
 }
 
-void GatewayHost::onHostList(const std::vector<ListedHost> & /*hosts*/) {}
+void GatewayHost::onHostList(const std::vector<ListedHost> &hosts)
+{
+    if (this->shuttingDown)
+        return;
+    const HostEntryChanges changes =
+            this->entryKeeper.onListed(hosts, this->membership.live(), this->loop.now());
+    for (const HostId &host : changes.stale)
+        this->removeEntry(host);
+    for (const MemberRecord &member : changes.missing)
+        this->restoreEntry(member);
+}
+
+void GatewayHost::removeEntry(const HostId &host)
+{
+    // A call that fails is made again after the next reading of the list.
+    this->store.remove(Collection::Hosts, host, [&log = this->log, host](const auto &removed) {
+        log.write(Event::HostEntryRemoved,
+                  {{"member", host},
+                   {"outcome", std::string(removed ? "done" : storeErrorName(removed.error()))}});
+    });
+}
+
+void GatewayHost::restoreEntry(const MemberRecord &member)
+{
+    ListedHost entry;
+    entry.id = member.identity.host;
+    entry.failureDomain = member.identity.failureDomain;
+    entry.address = member.peers.address;
+    entry.peerPort = member.peers.port;
+    this->store.put(
+            Collection::Hosts, entry.id, encodeHostEntry(entry),
+            [&log = this->log, host = entry.id](const auto &written) {
+                log.write(Event::HostEntryRestored,
+                          {{"member", host},
+                           {"outcome",
+                            std::string(written ? "done" : storeErrorName(written.error()))}});
+            });
+}
 
 void GatewayHost::onServerNotice(const ServerNotice & /*notice*/) {}
 
