--- /dev/null
+++ b/src/coordination/membership_watch.cpp
@@ -0,0 +1,112 @@
+// Whom a host watches, what silence means, and to whom it links.
+
+#include "coordination/member_topology.h"
+#include "coordination/membership.h"
+#include "core/hashing.h"
+
+#include <algorithm>
+
+namespace dotterel {
+
+namespace {
+
+// Time limits, in ticks.
+constexpr std::uint64_t TicksPerProbe = 20;
+constexpr int SilentTicks = 8;
+constexpr int SuspicionTicks = 5;
+constexpr int PauseTicks = 4;
+
+} // namespace
+
+void Membership::forgivePause(TimePoint now)
+{
+    const Duration gap = this->lastTick ? now - *this->lastTick : Duration::zero();
+    this->lastTick = now;
+    if (gap < this->tick * PauseTicks)
+        return;
+    // This process did not run and heard nobody, so silence says nothing of the others.
+    for (auto &[host, time] : this->heard)
+        time += gap;
+    this->table.shiftTimes(gap);
+}
+
+void Membership::suspectSilent(TimePoint now)
+{
+    for (auto row = this->heard.begin(); row != this->heard.end();) {
+        if (now - row->second < this->tick * SilentTicks) {
+            ++row;
+            continue;
+        }
+        const MemberTable::Entry *known = this->table.find(row->first);
+        if (known == nullptr) {
+            this->unreachable.insert(row->first);
+            this->targetsRevision = 0;
+        } else if (known->record.state == MemberState::Alive) {
+            this->log.write(Event::MemberSuspected, {{"member", row->first}});
+            this->setState(known->record, MemberState::Suspected, now);
+        }
+        this->differsSince.erase(row->first);
+        row = this->heard.erase(row);
+    }
+}
+
+void Membership::buryUnrefuted(TimePoint now)
+{
+    std::vector<MemberRecord> dead;
+    for (const auto &[host, entry] : this->table.entries()) {
+        if (entry.record.state == MemberState::Suspected
+            && now - entry.since >= this->tick * SuspicionTicks)
+            dead.push_back(entry.record);
+    }
+    for (const MemberRecord &record : dead)
+        this->setState(record, MemberState::Dead, now);
+}
+
+void Membership::chooseTargets(TimePoint now)
+{
+    const bool probeDue = this->ticks % TicksPerProbe == 0;
+    if (this->targetsRevision == this->table.revision() && !probeDue)
+        return;
+    this->targetsRevision = this->table.revision();
+    std::vector<MemberRecord> candidates = this->live();
+    for (const auto &[host, record] : this->listed) {
+        if (this->table.find(host) == nullptr && this->unreachable.count(host) == 0)
+            candidates.push_back(record);
+    }
+    const std::vector<MemberRecord> chosen = chooseLinks(this->self.identity, candidates);
+    for (const MemberRecord &target : chosen)
+        this->heard.emplace(target.identity.host, now);
+    // A link that is given up says nothing of its peer; one that the peer opened is heard again.
+    for (const MemberRecord &target : this->targets) {
+        const HostId &host = target.identity.host;
+        const bool kept = std::any_of(chosen.begin(), chosen.end(), [&host](const auto &other) {
+            return other.identity.host == host;
+        });
+        if (!kept)
+            this->heard.erase(host);
+    }
+    this->targets = chosen;
+    const std::optional<MemberRecord> probe = this->probeTarget();
+    if (probe)
+        this->targets.push_back(*probe);
+}
+
+std::optional<MemberRecord> Membership::probeTarget() const
+{
+    std::vector<const MemberRecord *> candidates;
+    for (const auto &[host, entry] : this->table.entries()) {
+        if (entry.record.state == MemberState::Dead)
+            candidates.push_back(&entry.record);
+    }
+    for (const HostId &host : this->unreachable) {
+        const auto record = this->listed.find(host);
+        if (record != this->listed.end())
+            candidates.push_back(&record->second);
+    }
+    if (candidates.empty())
+        return std::nullopt;
+    const std::uint64_t draw = hash64(this->self.identity.host + toHex(this->probeRound));
+    return *candidates[draw % candidates.size()];
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/entry_host/entry_host_news.cpp
@@ -0,0 +1,114 @@
+// What an entry host hears from the other hosts, the list of hosts and the store.
+
+#include "core/hashing.h"
+#include "entry_host/entry_host.h"
+
+namespace dotterel {
+
+namespace {
+
+constexpr Duration NewsInterval = std::chrono::milliseconds(10);
+
+} // namespace
+
+void EntryHost::onPeerLinked(std::uint64_t link)
+{
+    this->agent.onPeerLinked(link);
+}
+
+void EntryHost::onPeerMessage(std::uint64_t link, const PeerMessage &message)
+{
+    this->agent.onPeerMessage(link, message);
+    this->configuration.onPeerMessage(link, message);
+    if (const CrashNotice *notice = std::get_if<CrashNotice>(&message)) {
+        // News goes on to peers that the sender is not linked to; what is known already stops here.
+        if (this->controller.onCrashNotice(*notice, this->loop.now()))
+            this->mesh.broadcast(*notice);
+    } else if (const DispatchNews *news = std::get_if<DispatchNews>(&message)) {
+        this->placement.onNews(*news, this->loop.now());
+    } else if (const LoadNews *loads = std::get_if<LoadNews>(&message)) {
+        this->onLoadNews(*loads);
+    } else if (const OrderOutcomeOffer *outcome = std::get_if<OrderOutcomeOffer>(&message)) {
+        const std::optional<OrderRecord> record = decodeOrderRecord(outcome->record);
+        if (!record || record->state == OrderState::Claimed)
+            return;
+        this->ledger.adopt({outcome->name, outcome->version, *record}, this->loop.now());
+        this->startLedgerTimer();
+    }
+}
+
+void EntryHost::onHostList(const std::vector<ListedHost> &hosts)
+{
+    std::set<ServerId> leaving;
+    for (const ListedHost &host : hosts) {
+        if (host.role == "backend" && host.leaving)
+            leaving.insert(host.id);
+    }
+    this->directory.applyList(leaving, this->loop.now());
+}
+
+void EntryHost::onServerNotice(const ServerNotice &notice)
+{
+    this->directory.applyNotice(notice, this->loop.now());
+}
+
+void EntryHost::beforeHeartbeat()
+{
+    for (const ServerNotice &notice : this->directory.takeNotices())
+        this->membership.publish(notice);
+    this->returnProber.maintain(this->directory.drainingByOwnWord(), this->membership.live());
+}
+
+void EntryHost::applyConfiguration(const Configuration &configuration)
+{
+    this->agent.announceConfiguration(configuration.version);
+    this->directory.applyConfiguration(configuration);
+    this->controller.applyConfiguration(configuration);
+    this->placement.applyConfiguration(configuration);
+    this->log.write(Event::HostReady,
+                    {{"version", static_cast<std::int64_t>(configuration.version)}});
+}
+
+void EntryHost::pollLoads()
+{
+    std::vector<HostId> live{this->identity.host};
+    for (const MemberRecord &member : this->membership.live())
+        live.push_back(member.identity.host);
+    this->loadPoller.poll(this->configuration.current(), live);
+}
+
+void EntryHost::onLoadReport(const ServerId &server, const LoadReport &report)
+{
+    this->placement.onLoadReport(server, report, this->loop.now());
+    if (report.draining)
+        this->directory.markDraining(server);
+    this->mesh.broadcast(
+            LoadNews{{{hash32(server), report.queuedPromptTokens, report.queuedByBand}}});
+}
+
+void EntryHost::onLoadNews(const LoadNews &news)
+{
+    for (const ServerLoad &load : news.loads) {
+        for (const auto &[id, server] : this->configuration.current().servers) {
+            if (hash32(id) != load.server)
+                continue;
+            LoadReport report;
+            report.queuedPromptTokens = load.queuedTokens;
+            report.queuedByBand = load.queuedByBand;
+            this->placement.onLoadReport(id, report, this->loop.now());
+        }
+    }
+}
+
+void EntryHost::armNews()
+{
+    if (this->newsArmed || !this->placement.hasNews())
+        return;
+    this->newsArmed = true;
+    this->newsTimer = this->loop.after(NewsInterval, [this] {
+        this->newsArmed = false;
+        this->mesh.broadcast(this->placement.takeNews());
+    });
+}
+
+} // namespace dotterel
