--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -83,6 +83,9 @@
     const MemberRecord &own() const { return this->self; }
 
 private:
+    /// Between two tries of a host that was silent.
+    static constexpr std::uint64_t TicksPerProbe = 20;
+
     std::size_t liveCount() const;
     void take(const MemberRecord &record, TimePoint now);
     void addNews(const MemberRecord &record);
--- a/src/coordination/membership_watch.cpp
+++ b/src/coordination/membership_watch.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 // Time limits, in ticks.
-constexpr std::uint64_t TicksPerProbe = 20;
 constexpr int SilentTicks = 8;
 constexpr int SuspicionTicks = 5;
 constexpr int PauseTicks = 4;
