--- a/tests/platform/soak/dotterelsoak.cpp
+++ b/tests/platform/soak/dotterelsoak.cpp
@@ -69,7 +69,7 @@
     options.hosts = static_cast<std::size_t>(hosts);
     bool allKept = true;
     for (int run = 0; run < runs; ++run) {
-        options.seed = static_cast<std::uint64_t>(firstSeed + run);
+        options.seed = static_cast<std::uint64_t>(firstSeed) + static_cast<std::uint64_t>(run);
         allKept = playOne(options) && allKept;
     }
     return allKept ? EXIT_SUCCESS : ExitBroken;
--- a/tests/platform/soak/soak_run.cpp
+++ b/tests/platform/soak/soak_run.cpp
@@ -16,8 +16,8 @@
 constexpr const char *Pools[] = {"orders", "prompts"};
 constexpr const char *Key = "k-cakes";
 /// Between two requests and between two faults, on average.
-constexpr int RequestGapMs = 12;
-constexpr int FaultGapMs = 350;
+constexpr std::uint64_t RequestGapMs = 12;
+constexpr std::uint64_t FaultGapMs = 350;
 /// How long a fault lasts.
 constexpr int ShortestFaultMs = 200;
 constexpr int LongestFaultMs = 2'500;
