Tell a starting host the prompts in flight, and do not leave busy engines for silence

Change: updates go to the hosts on the platform's list in the first seconds, a host that starts announces itself and gets the prompts in flight with age and remaining prefill (PromptUpdatePeers, RunningPrompt; ignored by the earlier build). A prompt keeps its place at an engine that sends events of other streams; a prompt given up as silent leaves an estimate of unknown work on its engine; a third of a pool at most is left for silence, and one host can report two servers in 3 s.

--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -69,8 +69,11 @@
     , entryKeeper(this->identity)
     , membershipDriver(loop, settings.heartbeatInterval, this->membership, this->peerMesh,
                        this->hostList, *this)
-    , promptUpdates(loop, this->peerMesh.endpoint(), promptSenderHash(this->identity),
-                    [this](const PromptUpdateBatch &update) { this->onPromptUpdates(update); })
+    , promptUpdates(
+              loop, this->peerMesh.endpoint(), promptSenderHash(this->identity),
+              [this](const PromptUpdateBatch &update) { this->onPromptUpdates(update); },
+              this->metrics, log)
+    , promptUpdatePeers(this->peerMesh.endpoint(), loop.now())
     , configurationFeed(
               loop, store, Collection::Configuration, this->random,
               [this](const std::vector<CollectionObject> &objects, bool /*mayHaveLapsed*/) {
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -11,6 +11,7 @@
 #include "entry_host/prompt_update_channel.h"
 #include "gateway/host_entries.h"
 #include "gateway/host_entry_reconciler.h"
+#include "gateway/prompt_update_peers.h"
 #include "state/settings.h"
 
 #include <functional>
@@ -95,8 +96,10 @@
     void applyConfigurationObjects(const std::vector<CollectionObject> &objects);
     void applyServerObjects(const std::vector<CollectionObject> &objects, bool mayHaveLapsed);
     void onPromptUpdates(const PromptUpdateBatch &update);
-    void onRemoteDispatch(const PromptUpdateBatch &update, const PromptUpdate &item);
-    void recordServerEvidence(std::uint32_t server, AttemptOutcome evidence);
+    void updatePromptPeers();
+    void addRemoteDispatch(std::uint32_t senderHash, const RunningPrompt &running, bool isNew);
+    void recordFirstEvent(std::uint32_t server);
+    void recordSilenceReport(std::uint32_t server, std::uint32_t senderHash);
     void addRemotePrompt(std::uint32_t server, const EnginePrompt &prompt);
     const EngineProfile *engineProfileOf(const ServerId &server) const;
     void registerHostEntry();
@@ -131,6 +134,7 @@
     HostEntryReconciler entryKeeper;
     MembershipDriver membershipDriver;
     PromptUpdateChannel promptUpdates;
+    PromptUpdatePeers promptUpdatePeers;
     CollectionFeed configurationFeed;
     CollectionFeed serverFeed;
     HttpServer readinessServer;
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -67,6 +67,12 @@
 {
     if (this->shuttingDown)
         return;
+    std::vector<Endpoint> listed;
+    listed.reserve(hosts.size());
+    for (const HostListEntry &host : hosts)
+        listed.push_back({host.address, host.peerPort});
+    this->promptUpdatePeers.setListed(listed);
+    this->updatePromptPeers();
     const HostEntryChanges changes =
             this->entryKeeper.reconcile(hosts, this->membership.liveMembers(), this->loop.now());
     for (const HostId &host : changes.stale)
@@ -113,9 +119,14 @@
     for (const MemberRecord &member : live) {
         if (member.identity.failureDomain == this->identity.failureDomain)
             this->sameDomainHosts.insert(member.identity.host);
-        liveSenders.insert(promptSenderHash(member.identity));
-        if (member.identity.host != this->identity.host)
-            peers.push_back(member.peerEndpoint);
+        const std::uint32_t sender = promptSenderHash(member.identity);
+        liveSenders.insert(sender);
+        if (member.identity.host == this->identity.host)
+            continue;
+        peers.push_back(member.peerEndpoint);
+        if (this->promptSenders.count(sender) == 0)
+            this->promptUpdates.sendRunning(member.peerEndpoint,
+                                            this->controller.runningPrompts(this->loop.now()));
     }
     this->updateStoreWatching(live);
     this->requestObjectsFromPeers();
@@ -124,11 +135,20 @@
             this->promptPlacement.onSenderGone(sender);
     }
     this->promptSenders = std::move(liveSenders);
-    this->promptUpdates.setPeers(std::move(peers));
+    this->promptUpdatePeers.setLive(peers);
+    this->updatePromptPeers();
     this->retryAllowance.setHostCount(
             std::max<std::size_t>(live.size(), this->settings.sharedHosts));
 }
 
+void GatewayHost::updatePromptPeers()
+{
+    const TimePoint now = this->loop.now();
+    this->promptUpdates.setPeers(this->promptUpdatePeers.endpoints(now));
+    if (this->promptUpdatePeers.takeAnnouncement(now))
+        this->promptUpdates.announceJoin();
+}
+
 void GatewayHost::updateStoreWatching(const std::vector<MemberRecord> &live)
 {
     // Without links this host gets no announcements from peers, so it watches the store itself.
@@ -228,30 +248,42 @@
         const PromptKey key{update.senderHash, item.sequence};
         switch (item.kind) {
         case PromptUpdateKind::Dispatched:
-            this->onRemoteDispatch(update, item);
+            this->addRemoteDispatch(update.senderHash, {item, Duration::zero(), Duration::zero()},
+                                    true);
             break;
         case PromptUpdateKind::FirstEvent:
             this->promptPlacement.onFirstEvent(key, now);
-            this->recordServerEvidence(item.serverHash, AttemptOutcome::Answered);
+            this->recordFirstEvent(item.serverHash);
             break;
         case PromptUpdateKind::Unanswered:
-            this->promptPlacement.onEnded(key, now);
-            this->recordServerEvidence(item.serverHash, AttemptOutcome::Silent);
+            this->promptPlacement.onSilent(key, now);
+            this->recordSilenceReport(item.serverHash, update.senderHash);
             break;
         case PromptUpdateKind::Ended:
             this->promptPlacement.onEnded(key, now);
             break;
         }
     }
+    for (const RunningPrompt &running : update.running)
+        this->addRemoteDispatch(update.senderHash, running, false);
+    if (update.joinedAt) {
+        this->promptUpdatePeers.onJoined(*update.joinedAt, now);
+        this->updatePromptPeers();
+        this->promptUpdates.sendRunning(*update.joinedAt, this->controller.runningPrompts(now));
+    }
 }
 
-void GatewayHost::onRemoteDispatch(const PromptUpdateBatch &update, const PromptUpdate &item)
+void GatewayHost::addRemoteDispatch(std::uint32_t senderHash, const RunningPrompt &running,
+                                    bool isNew)
 {
+    const PromptUpdate &item = running.dispatch;
     EnginePrompt prompt;
-    prompt.key = {update.senderHash, item.sequence};
+    prompt.key = {senderHash, item.sequence};
     prompt.demand = item.demand;
     prompt.prefillEngines = item.helperHashes.size() + 1;
-    prompt.dispatchedAt = this->loop.now();
+    prompt.dispatchedAt = this->loop.now() - running.age;
+    if (!isNew)
+        prompt.prefillLeft = running.prefillLeft;
     prompt.memoryTokens = item.demand.promptTokens + item.demand.outputTokens;
     for (const std::uint64_t helperTokens : item.helperMemoryTokens)
         prompt.memoryTokens -= std::min(prompt.memoryTokens, helperTokens);
@@ -272,11 +304,18 @@
         this->promptPlacement.onDispatched(id->second, *engine, prompt, this->loop.now());
 }
 
-void GatewayHost::recordServerEvidence(std::uint32_t server, AttemptOutcome evidence)
+void GatewayHost::recordFirstEvent(std::uint32_t server)
+{
+    const auto id = this->serversByHash.find(server);
+    if (id != this->serversByHash.end())
+        this->fleet.onAttemptOutcome(id->second, AttemptOutcome::Answered, this->loop.now());
+}
+
+void GatewayHost::recordSilenceReport(std::uint32_t server, std::uint32_t senderHash)
 {
     const auto id = this->serversByHash.find(server);
     if (id != this->serversByHash.end())
-        this->fleet.onAttemptOutcome(id->second, evidence, this->loop.now());
+        this->fleet.onSilenceReported(id->second, senderHash, this->loop.now());
 }
 
 } // namespace dotterel
--- a/src/entry_host/prompt_update_channel.cpp
+++ b/src/entry_host/prompt_update_channel.cpp
@@ -1,5 +1,7 @@
 #include "entry_host/prompt_update_channel.h"
 
+#include <algorithm>
+
 namespace dotterel {
 
 namespace {
@@ -10,13 +12,18 @@
 constexpr Duration BatchInterval = std::chrono::milliseconds(3);
 /// Keeps a datagram within one packet.
 constexpr std::size_t MaxItemsPerDatagram = 16;
+/// Bounds the reply to a host that joins; the rest of the prompts stays unknown to it.
+constexpr std::size_t MaxRunningPrompts = 512;
 
 } // namespace
 
 PromptUpdateChannel::PromptUpdateChannel(EventLoop &loop, const Endpoint &endpoint,
-                                         std::uint32_t sender, Listener listener)
+                                         std::uint32_t sender, Listener listener, Metrics &metrics,
+                                         EventLog &log)
     : loop(loop)
     , listener(std::move(listener))
+    , metrics(metrics)
+    , log(log)
     , socket(loop, endpoint, [this](std::string_view bytes) { this->onDatagram(bytes); })
 {
     this->pending.senderHash = sender;
@@ -49,10 +56,39 @@
     this->pending.updates.clear();
 }
 
+void PromptUpdateChannel::announceJoin()
+{
+    PromptUpdateBatch batch;
+    batch.senderHash = this->pending.senderHash;
+    batch.joinedAt = this->socket.endpoint();
+    const std::string bytes = encodePromptUpdates(batch);
+    for (const Endpoint &peer : this->peers)
+        this->socket.send(peer, bytes);
+}
+
+void PromptUpdateChannel::sendRunning(const Endpoint &peer,
+                                      const std::vector<RunningPrompt> &prompts)
+{
+    const std::size_t count = std::min(prompts.size(), MaxRunningPrompts);
+    for (std::size_t begin = 0; begin < count; begin += MaxItemsPerDatagram) {
+        PromptUpdateBatch batch;
+        batch.senderHash = this->pending.senderHash;
+        for (std::size_t i = begin; i < std::min(count, begin + MaxItemsPerDatagram); ++i)
+            batch.running.push_back(prompts[i]);
+        this->socket.send(peer, encodePromptUpdates(batch));
+    }
+}
+
 void PromptUpdateChannel::onDatagram(std::string_view bytes)
 {
     const tl::expected<PromptUpdateBatch, std::string> update = decodePromptUpdates(bytes);
-    if (update && update->senderHash != this->pending.senderHash)
+    if (!update) {
+        this->metrics.count(Counter::PeerFramesRejected, 1);
+        this->log.write(Event::PeerFrameRejected,
+                        {{"channel", std::string("prompt_updates")}, {"error", update.error()}});
+        return;
+    }
+    if (update->senderHash != this->pending.senderHash)
         this->listener(*update);
 }
 
--- a/src/entry_host/prompt_update_channel.h
+++ b/src/entry_host/prompt_update_channel.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "core/event_log.h"
 #include "core/identity.h"
+#include "core/metrics.h"
 #include "gateway/prompt_updates.h"
 #include "protocol/peer_message.h"
 #include "transport/datagram_socket.h"
@@ -19,11 +21,17 @@
 
     /// Binds a UDP socket to \a endpoint. Throws std::runtime_error if that fails.
     PromptUpdateChannel(EventLoop &loop, const Endpoint &endpoint, std::uint32_t sender,
-                        Listener listener);
+                        Listener listener, Metrics &metrics, EventLog &log);
 
     /// Sets the hosts to send to, without this one.
     void setPeers(std::vector<Endpoint> endpoints) { this->peers = std::move(endpoints); }
 
+    /// Announces to all hosts that this one has started and asks for their prompts in flight.
+    void announceJoin();
+
+    /// Sends \a prompts, which are in flight, to \a peer.
+    void sendRunning(const Endpoint &peer, const std::vector<RunningPrompt> &prompts);
+
     /// Sends \a item with the next batch.
     void enqueue(const PromptUpdate &item);
 
@@ -33,6 +41,8 @@
 
     EventLoop &loop;
     Listener listener;
+    Metrics &metrics;
+    EventLog &log;
     DatagramSocket socket;
     PromptUpdateBatch pending;
     std::vector<Endpoint> peers;
--- a/src/gateway/engine_load.cpp
+++ b/src/gateway/engine_load.cpp
@@ -22,6 +22,10 @@
 constexpr Duration ExpiryMargin = std::chrono::seconds(8);
 /// An answer that is complete within this many passes is not affected by a longer event gap.
 constexpr double NearlyFinishedPasses = 1.5;
+/// Bound of the wait that is added for work that no host has reported. Callers of short prompts
+/// leave after about this time.
+constexpr Duration MaxUnknownWork = std::chrono::milliseconds(1'500);
+constexpr Duration MinPrefillLeft = std::chrono::milliseconds(1);
 
 Duration fromMs(double milliseconds)
 {
@@ -50,12 +54,21 @@
 
 void EngineLoad::add(const EngineProfile &engine, const EnginePrompt &prompt, TimePoint now)
 {
+    const bool known =
+            std::any_of(this->entries.begin(), this->entries.end(), [&prompt](const Entry &entry) {
+                return entry.prompt.key == prompt.key && entry.prompt.isHelper == prompt.isHelper;
+            });
+    if (known)
+        return;
     this->advance(engine, now);
     Entry entry;
     entry.prompt = prompt;
-    entry.prefillLeft = prefillTime(engine, prompt.demand.promptTokens, prompt.prefillEngines);
+    entry.prefillLeft = prompt.prefillLeft.value_or(
+            prefillTime(engine, prompt.demand.promptTokens, prompt.prefillEngines));
     entry.predictedPrefillEnd = now + entry.prefillLeft;
-    entry.expiresAt = now + prompt.demand.callerTimeLeft + ExpiryMargin;
+    entry.expiresAt = prompt.dispatchedAt + prompt.demand.callerTimeLeft + ExpiryMargin;
+    entry.decoding = prompt.prefillLeft == Duration::zero() && !prompt.isHelper;
+    entry.decodingSince = now;
     if (!prompt.isHelper) {
         this->entries.push_back(entry);
         return;
@@ -69,6 +82,7 @@
     for (Entry &entry : this->entries) {
         if (!(entry.prompt.key == key))
             continue;
+        this->unknownWorkUntil = now;
         entry.prefillLeft = Duration::zero();
         if (!entry.decoding)
             entry.decodingSince = now;
@@ -91,6 +105,17 @@
             this->entries.end());
 }
 
+void EngineLoad::removeSilent(const PromptKey &key, TimePoint now)
+{
+    for (const Entry &entry : this->entries) {
+        if (!(entry.prompt.key == key) || entry.prompt.isHelper || entry.decoding)
+            continue;
+        const Duration wait = std::min(now - entry.prompt.dispatchedAt, MaxUnknownWork);
+        this->unknownWorkUntil = std::max(this->unknownWorkUntil, now + wait);
+    }
+    this->remove(key, now);
+}
+
 void EngineLoad::removeBySender(std::uint32_t senderHash)
 {
     this->entries.erase(std::remove_if(this->entries.begin(), this->entries.end(),
@@ -173,7 +198,7 @@
 
 Duration EngineLoad::overdueTime(TimePoint now) const
 {
-    Duration maxOverdue = Duration::zero();
+    Duration maxOverdue = std::max(Duration::zero(), this->unknownWorkUntil - now);
     for (const Entry &entry : this->entries) {
         if (entry.decoding || entry.prompt.isHelper || entry.prefillLeft > Duration::zero())
             continue;
@@ -249,6 +274,17 @@
     return total;
 }
 
+std::optional<Duration> EngineLoad::prefillLeft(const PromptKey &key) const
+{
+    for (const Entry &entry : this->entries) {
+        if (!(entry.prompt.key == key) || entry.prompt.isHelper)
+            continue;
+        // The first event has not arrived yet, so some work remains even if the estimate is over.
+        return entry.decoding ? Duration::zero() : std::max(entry.prefillLeft, MinPrefillLeft);
+    }
+    return std::nullopt;
+}
+
 std::size_t EngineLoad::promptCount() const
 {
     return static_cast<std::size_t>(
--- a/src/gateway/engine_load.h
+++ b/src/gateway/engine_load.h
@@ -4,6 +4,7 @@
 #include "gateway/prompt_demand.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace dotterel {
@@ -29,6 +30,8 @@
     bool isHelper = false;          ///< This engine only does a share of the prefill.
     std::uint64_t memoryTokens = 0; ///< KV cache held on this engine until the prompt ends.
     TimePoint dispatchedAt;
+    /// Prefill that remains if the prompt was dispatched earlier; zero if it is being decoded.
+    std::optional<Duration> prefillLeft;
 };
 
 /// Returns the time that a prefill of \a tokens takes on \a prefillEngines otherwise idle engines.
@@ -42,7 +45,7 @@
 class EngineLoad
 {
 public:
-    /// Adds a prompt that was dispatched to the engine.
+    /// Adds a prompt that was dispatched to the engine; ignores one that is known already.
     void add(const EngineProfile &engine, const EnginePrompt &prompt, TimePoint now);
 
     /// Records that the first event of a prompt arrived, so that its prefill is complete.
@@ -51,6 +54,11 @@
     /// Removes a prompt that ended.
     void remove(const PromptKey &key, TimePoint now);
 
+    /// Removes a prompt whose host gave it up because it got no event. The engine has more work
+    /// than this estimate knows of, so a wait as long as that of the prompt is added to
+    /// predictions, until the first event of another prompt shows that the work is done.
+    void removeSilent(const PromptKey &key, TimePoint now);
+
     /// Removes all prompts dispatched by the host \a senderHash.
     void removeBySender(std::uint32_t senderHash);
 
@@ -77,6 +85,10 @@
     /// Returns the number of prompts on this engine, without shares of other engines' prompts.
     std::size_t promptCount() const;
 
+    /// Returns the prefill that remains of the prompt \a key: zero if it is being decoded, nullopt
+    /// if it is not on this engine.
+    std::optional<Duration> prefillLeft(const PromptKey &key) const;
+
     /// Returns the time that all outstanding prefill on this engine takes.
     Duration queuedPrefillTime() const;
 
@@ -101,6 +113,7 @@
 
     std::vector<Entry> entries; ///< In prefill order.
     TimePoint updatedAt;
+    TimePoint unknownWorkUntil; ///< Estimated end of work that no host has reported.
 };
 
 } // namespace dotterel
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -3,6 +3,7 @@
 #include "gateway/event_stream_splitter.h"
 #include "gateway/forward_effects.h"
 #include "gateway/prompt_placement.h"
+#include "gateway/prompt_updates.h"
 #include "gateway/route_table.h"
 
 #include <memory>
@@ -37,6 +38,7 @@
     std::string unforwardedBody; ///< Response bytes received but not forwarded yet.
     EventStreamSplitter splitter;
     bool firstEventReceived = false;
+    PromptUpdate dispatchUpdate; ///< What the other hosts were told; prompts only.
 };
 
 /// One caller request, from its arrival to the end of its response.
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -60,6 +60,9 @@
     /// Returns when onTimer() has to be called next; nullopt if no timer is set.
     std::optional<TimePoint> nextTimer() const;
 
+    /// Returns the prompts of this host that are on engines, for a host that missed their dispatch.
+    std::vector<RunningPrompt> runningPrompts(TimePoint now) const;
+
     /// Number of requests that have not been answered yet.
     std::size_t inFlight() const { return this->calls.size(); }
 
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -43,6 +43,9 @@
 constexpr int InactivityPredictedTimeFactor = 3;
 constexpr int InactivityEventGapGoalFactor = 6;
 constexpr Duration MinInactivityLimit = std::chrono::milliseconds(600);
+/// Part of the time until a caller abandons its stream for which a server that works on other
+/// streams may leave it without an event.
+constexpr double BusyServerPatienceFraction = 0.6;
 constexpr Duration MinStreamInactivityLimit = std::chrono::milliseconds(1'600);
 
 /// Returns the gap between events after which callers abandon a stream of \a route.
@@ -267,9 +270,25 @@
         update.helperHashes.push_back(hash32(helper.server));
         update.helperMemoryTokens.push_back(helper.memoryTokens);
     }
+    call.attempt->dispatchUpdate = update;
     this->effects.publishPromptUpdate(update);
 }
 
+std::vector<RunningPrompt> ForwardController::runningPrompts(TimePoint now) const
+{
+    std::vector<RunningPrompt> result;
+    for (const auto &[id, call] : this->calls) {
+        if (!call.attempt || !call.attempt->isPrompt)
+            continue;
+        const ForwardAttempt &attempt = *call.attempt;
+        const std::optional<Duration> prefillLeft =
+                this->promptPlacement.prefillLeft(attempt.server, {this->senderHash, attempt.id});
+        if (prefillLeft)
+            result.push_back({attempt.dispatchUpdate, now - attempt.sentAt, *prefillLeft});
+    }
+    return result;
+}
+
 TimePoint ForwardController::inactivityDeadline(const ForwardCall &call) const
 {
     const ForwardAttempt &attempt = *call.attempt;
@@ -283,7 +302,15 @@
     const Duration inactivityLimit =
             std::max({MinInactivityLimit, route.latencyGoal * InactivityLatencyGoalFactor,
                       attempt.predictedLatency * InactivityPredictedTimeFactor});
-    return attempt.sentAt + inactivityLimit;
+    // A server that sends events of other streams is busy, not gone, and another one would have to
+    // start from the beginning.
+    const TimePoint due = attempt.sentAt + inactivityLimit;
+    const std::optional<TimePoint> lastSign = this->fleet.lastSignOfLife(attempt.server);
+    if (!attempt.isPrompt || !lastSign)
+        return due;
+    const Duration patience =
+            fromSeconds(toSeconds(streamAbandonTime(route)) * BusyServerPatienceFraction);
+    return std::max(due, std::min(*lastSign + MinInactivityLimit, attempt.sentAt + patience));
 }
 
 bool ForwardController::mayRetry(const ForwardCall &call, Verdict verdict, TimePoint now) const
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -60,6 +60,7 @@
         return;
     ForwardAttempt &attempt = *call->attempt;
     attempt.lastDataAt = now;
+    this->fleet.onSignOfLife(attempt.server, now);
     const bool valid = isSuccess(attempt.status) && attempt.metadata.isSigned
                        && !attempt.metadata.hasContentEncoding;
     if (valid && call->route->kind == RouteKind::Stream)
@@ -246,9 +247,13 @@
     const ForwardAttempt &attempt = *call.attempt;
     this->fleet.onAttemptOutcome(attempt.server, outcome, now);
     if (attempt.isPrompt) {
-        this->promptPlacement.onEnded({this->senderHash, attempt.id}, now);
         const bool noResponse =
                 outcome == AttemptOutcome::Unreachable || outcome == AttemptOutcome::Silent;
+        const PromptKey key{this->senderHash, attempt.id};
+        if (outcome == AttemptOutcome::Silent)
+            this->promptPlacement.onSilent(key, now);
+        else
+            this->promptPlacement.onEnded(key, now);
         const PromptUpdateKind updateKind =
                 noResponse ? PromptUpdateKind::Unanswered : PromptUpdateKind::Ended;
         this->effects.publishPromptUpdate(
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -260,6 +260,12 @@
         load.remove(key, now);
 }
 
+void PromptPlacement::onSilent(const PromptKey &key, TimePoint now)
+{
+    for (auto &[server, load] : this->loads)
+        load.removeSilent(key, now);
+}
+
 void PromptPlacement::onSenderGone(std::uint32_t senderHash)
 {
     for (auto &[server, load] : this->loads)
@@ -271,6 +277,13 @@
     this->loads.erase(server);
 }
 
+std::optional<Duration> PromptPlacement::prefillLeft(const ServerId &server,
+                                                     const PromptKey &key) const
+{
+    const auto found = this->loads.find(server);
+    return found == this->loads.end() ? std::nullopt : found->second.prefillLeft(key);
+}
+
 std::size_t PromptPlacement::promptCountOn(const ServerId &server) const
 {
     const auto found = this->loads.find(server);
--- a/src/gateway/prompt_placement.h
+++ b/src/gateway/prompt_placement.h
@@ -98,12 +98,18 @@
     /// Removes a prompt that ended.
     void onEnded(const PromptKey &key, TimePoint now);
 
+    /// Removes a prompt that got no event, so that its host gave it up.
+    void onSilent(const PromptKey &key, TimePoint now);
+
     /// Removes the prompts of the host \a senderHash, which is gone.
     void onSenderGone(std::uint32_t senderHash);
 
     /// Removes the prompts on \a server, which restarted or is gone.
     void onServerReset(const ServerId &server);
 
+    /// Returns the prefill that remains of the prompt \a key on \a server, or nullopt.
+    std::optional<Duration> prefillLeft(const ServerId &server, const PromptKey &key) const;
+
     /// Returns the number of prompts known to be on \a server.
     std::size_t promptCountOn(const ServerId &server) const;
 
--- a/src/gateway/prompt_updates.cpp
+++ b/src/gateway/prompt_updates.cpp
@@ -11,6 +11,10 @@
 constexpr std::int64_t MicrosecondsPerMs = 1'000;
 constexpr double ValueScale = 1'000.0;
 constexpr std::size_t MaxUpdates = 1'000;
+/// Longer than the deadline of any prompt.
+constexpr Duration MaxRunningAge = std::chrono::minutes(10);
+constexpr const char *JoinedKey = "joined";
+constexpr const char *RunningKey = "running";
 
 std::int64_t toMs(Duration duration)
 {
@@ -70,6 +74,41 @@
     return update;
 }
 
+nlohmann::json encodeRunning(const RunningPrompt &prompt)
+{
+    return {toMs(prompt.age), toMs(prompt.prefillLeft), encodeUpdate(prompt.dispatch)};
+}
+
+RunningPrompt decodeRunning(const nlohmann::json &row)
+{
+    RunningPrompt prompt;
+    prompt.age = durationFromMs(row.at(0));
+    prompt.prefillLeft = durationFromMs(row.at(1));
+    prompt.dispatch = decodeUpdate(row.at(2));
+    const bool plausible = prompt.age >= Duration::zero() && prompt.age <= MaxRunningAge
+                           && prompt.prefillLeft >= Duration::zero()
+                           && prompt.prefillLeft <= MaxRunningAge
+                           && prompt.dispatch.kind == PromptUpdateKind::Dispatched;
+    if (!plausible)
+        throw nlohmann::json::other_error::create(502, "implausible running prompt", &row);
+    return prompt;
+}
+
+/// Decodes the fields that hosts of earlier versions do not send.
+void decodeExtension(const nlohmann::json &json, PromptUpdateBatch &batch)
+{
+    if (const auto joined = json.find(JoinedKey); joined != json.end())
+        batch.joinedAt =
+                Endpoint{joined->at(0).get<std::string>(), joined->at(1).get<std::uint16_t>()};
+    const auto running = json.find(RunningKey);
+    if (running == json.end())
+        return;
+    if (running->size() > MaxUpdates)
+        throw nlohmann::json::other_error::create(503, "more than 1000 running prompts", &json);
+    for (const nlohmann::json &row : *running)
+        batch.running.push_back(decodeRunning(row));
+}
+
 } // namespace
 
 std::uint32_t promptSenderHash(const HostIdentity &identity)
@@ -82,7 +121,14 @@
     nlohmann::json rows = nlohmann::json::array();
     for (const PromptUpdate &update : batch.updates)
         rows.push_back(encodeUpdate(update));
-    const nlohmann::json json = {batch.senderHash, std::move(rows)};
+    nlohmann::json json = {batch.senderHash, std::move(rows)};
+    nlohmann::json extension = nlohmann::json::object();
+    if (batch.joinedAt)
+        extension[JoinedKey] = {batch.joinedAt->address, batch.joinedAt->port};
+    for (const RunningPrompt &prompt : batch.running)
+        extension[RunningKey].push_back(encodeRunning(prompt));
+    if (!extension.empty())
+        json.push_back(std::move(extension));
     std::string bytes;
     nlohmann::json::to_cbor(json, bytes);
     return bytes;
@@ -100,6 +146,8 @@
             return tl::unexpected(std::string("the datagram has more than 1000 updates"));
         for (const nlohmann::json &row : json.at(1))
             batch.updates.push_back(decodeUpdate(row));
+        if (json.size() > 2)
+            decodeExtension(json.at(2), batch);
         return batch;
     } catch (const nlohmann::json::exception &error) {
         return tl::unexpected(std::string(error.what()));
--- a/src/gateway/prompt_updates.h
+++ b/src/gateway/prompt_updates.h
@@ -2,7 +2,9 @@
 
 #include "core/identity.h"
 #include "gateway/engine_load.h"
+#include "transport/endpoint.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -30,12 +32,25 @@
     PromptDemand demand;
 };
 
+/// A prompt in flight at the sending host, for a host that missed its dispatch.
+struct RunningPrompt
+{
+    PromptUpdate dispatch;           ///< As sent when the prompt was dispatched.
+    Duration age = Duration::zero(); ///< Time since the dispatch.
+    /// Estimated prefill that remains; zero if the first event has arrived.
+    Duration prefillLeft = Duration::zero();
+};
+
 /// State changes of a host's prompts since its last batch. Sent as one datagram to each other
 /// host; the effect of a lost datagram ends when the prompts expire.
 struct PromptUpdateBatch
 {
     std::uint32_t senderHash = 0; ///< Hash of the sending host's id and incarnation.
     std::vector<PromptUpdate> updates;
+    /// Set by a host that just started: where it receives batches. It knows no prompts in flight
+    /// and asks for them. Hosts of earlier versions ignore it.
+    std::optional<Endpoint> joinedAt;
+    std::vector<RunningPrompt> running; ///< Reply to joinedAt, a part of the sender's prompts.
 };
 
 /// Returns the hash that identifies one incarnation of a host as a sender of prompt updates.
--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -121,11 +121,54 @@
     }
 }
 
-void ServerFleet::suspectServer(Record &record, AttemptOutcome outcome, TimePoint now)
+void ServerFleet::onSilenceReported(const ServerId &server, std::uint32_t senderHash, TimePoint now)
+{
+    std::map<ServerId, TimePoint> &reported = this->silenceReports[senderHash];
+    for (auto report = reported.begin(); report != reported.end();)
+        report = now - report->second > this->timings.reportWindow ? reported.erase(report)
+                                                                   : std::next(report);
+    if (reported.size() >= this->timings.maxReportedServers && reported.count(server) == 0)
+        return;
+    reported[server] = now;
+    this->onAttemptOutcome(server, AttemptOutcome::Silent, now);
+}
+
+void ServerFleet::onSignOfLife(const ServerId &server, TimePoint now)
+{
+    const auto found = this->records.find(server);
+    if (found != this->records.end())
+        found->second.lastAnswer = now;
+}
+
+std::optional<TimePoint> ServerFleet::lastSignOfLife(const ServerId &server) const
+{
+    const auto found = this->records.find(server);
+    return found == this->records.end() ? std::nullopt : found->second.lastAnswer;
+}
+
+bool ServerFleet::maySuspectForSilence(const Record &record, TimePoint now) const
 {
     const bool answeredRecently =
             record.lastAnswer && now - *record.lastAnswer < this->timings.recentAnswerWindow;
-    if (outcome == AttemptOutcome::Silent && answeredRecently)
+    if (answeredRecently)
+        return false;
+    std::size_t schedulable = 0;
+    std::size_t silent = 0;
+    for (const auto &[id, other] : this->records) {
+        if (other.server.pool != record.server.pool || !this->isSchedulable(other, now))
+            continue;
+        ++schedulable;
+        if (&other != &record && other.suspectedForSilence && other.suspectedUntil > now)
+            ++silent;
+    }
+    const double limit =
+            std::ceil(static_cast<double>(schedulable) * this->timings.maxSilentFraction);
+    return static_cast<double>(silent) < limit;
+}
+
+void ServerFleet::suspectServer(Record &record, AttemptOutcome outcome, TimePoint now)
+{
+    if (outcome == AttemptOutcome::Silent && !this->maySuspectForSilence(record, now))
         return;
     if (record.lastCountedFailure
         && now - *record.lastCountedFailure < this->timings.failureMergeWindow)
@@ -136,6 +179,7 @@
     const Duration suspicionTime =
             std::min(this->timings.maxSuspicion, this->timings.initialSuspicion * (1 << doublings));
     record.suspectedUntil = now + suspicionTime;
+    record.suspectedForSilence = outcome == AttemptOutcome::Silent;
     this->log.write(Event::ServerDown,
                     {{"server", record.server.id},
                      {"source", std::string(attemptOutcomeName(outcome))},
--- a/src/gateway/server_fleet.h
+++ b/src/gateway/server_fleet.h
@@ -22,6 +22,14 @@
     Duration recentAnswerWindow = std::chrono::milliseconds(400);
     /// Failures this close together count as one and do not double the suspicion time.
     Duration failureMergeWindow = std::chrono::milliseconds(350);
+    /// At most this fraction of a pool is suspected because of silence alone. If more of its
+    /// servers look silent, the estimate of their load is wrong, and leaving them would overload
+    /// the rest.
+    double maxSilentFraction = 1.0 / 3.0;
+    /// Servers that one other host may report as silent within reportWindow. A host that reports
+    /// more of them is more likely to be cut off itself.
+    std::size_t maxReportedServers = 2;
+    Duration reportWindow = std::chrono::seconds(3);
     /// Half-life of the failure and answer counts.
     Duration failureRateHalfLife = std::chrono::seconds(3);
     /// Entries that expired during a store outage are written again within this time after it.
@@ -58,6 +66,15 @@
     /// Records the outcome of an attempt at \a server.
     void onAttemptOutcome(const ServerId &server, AttemptOutcome outcome, TimePoint now);
 
+    /// Records that the host \a senderHash got no response from \a server.
+    void onSilenceReported(const ServerId &server, std::uint32_t senderHash, TimePoint now);
+
+    /// Records that \a server sent bytes for any request, which shows that it works.
+    void onSignOfLife(const ServerId &server, TimePoint now);
+
+    /// Returns when \a server last sent anything; nullopt if never.
+    std::optional<TimePoint> lastSignOfLife(const ServerId &server) const;
+
     /// Returns the server, or nullptr if it is unknown. The server need not be usable.
     const GatewayServer *find(const ServerId &server) const;
 
@@ -85,19 +102,23 @@
         int suspicions = 0;
         /// Latest failure that extended the suspicion.
         std::optional<TimePoint> lastCountedFailure;
-        std::optional<TimePoint> lastAnswer; ///< Latest answer to any request.
+        std::optional<TimePoint> lastAnswer; ///< Latest sign of life, for any request.
         TimePoint suspectedUntil;
+        bool suspectedForSilence = false;   ///< Reason of the latest suspicion.
         bool announcedLeaving = false;      ///< Announced in an answer.
         std::optional<TimePoint> expiresAt; ///< End of the grace period after the entry expired.
     };
 
     void decayCounts(Record &record, TimePoint now) const;
     void suspectServer(Record &record, AttemptOutcome outcome, TimePoint now);
+    bool maySuspectForSilence(const Record &record, TimePoint now) const;
     bool isSchedulable(const Record &record, TimePoint now) const;
 
     ServerFleetTimings timings;
     EventLog &log;
     std::map<ServerId, Record> records;
+    /// Servers that each other host reported as silent, with the time of the latest report.
+    std::map<std::uint32_t, std::map<ServerId, TimePoint>> silenceReports;
 };
 
 } // namespace dotterel
--- a/tests/gateway/test_forward_controller.cpp
+++ b/tests/gateway/test_forward_controller.cpp
@@ -277,6 +277,21 @@
         bench.controller.onCallerDrained(call);
         CHECK(bench.pauseCalls == std::vector<bool>{true, false});
     }
+    SECTION("a host that joins is told of it with its age, until it ends")
+    {
+        bench.advanceTime(milliseconds(20));
+        std::vector<RunningPrompt> running = bench.controller.runningPrompts(bench.now);
+        REQUIRE(running.size() == 1);
+        CHECK(running[0].age == milliseconds(20));
+        CHECK(running[0].prefillLeft > Duration::zero());
+        CHECK(running[0].dispatch.sequence == bench.promptUpdates[0].sequence);
+        bench.controller.onAttemptData(first, eventText(1), bench.now);
+        running = bench.controller.runningPrompts(bench.now);
+        REQUIRE(running.size() == 1);
+        CHECK(running[0].prefillLeft == Duration::zero());
+        bench.controller.onAttemptComplete(first, bench.now);
+        CHECK(bench.controller.runningPrompts(bench.now).empty());
+    }
     SECTION("the other hosts are informed of its dispatch, first event and end")
     {
         bench.controller.onAttemptData(first, eventText(1), bench.now);
@@ -289,6 +304,46 @@
     }
 }
 
+TEST_CASE("A prompt stays at a busy engine and leaves a dark one", "[Gateway][ForwardController]")
+{
+    ForwardBench bench;
+    bench.addServer("engine-1", "engines");
+    bench.request("/questions/", {{"Tokens", "5000,1300"}});
+    bench.addServer("engine-2", "engines");
+    bench.request("/questions/", {{"Tokens", "5000,1300"}});
+    REQUIRE(bench.sentAttempts.size() == 2);
+    const ForwardAttemptId first = bench.sentAttempts[0].id;
+    const std::string server = bench.sentAttempts[0].header("Server");
+
+    SECTION("an engine that sends nothing to anybody is left after the inactivity limit")
+    {
+        bench.advanceTime(milliseconds(590));
+        CHECK(bench.sentAttempts.size() == 2);
+        bench.advanceTime(milliseconds(20));
+        CHECK(bench.sentAttempts.size() > 2);
+    }
+    SECTION("one that sends events of another stream is busy, and the prompt keeps its place")
+    {
+        bench.fleet.onSignOfLife(server, bench.now);
+        for (int step = 0; step < 10; ++step) {
+            bench.advanceTime(milliseconds(100));
+            bench.fleet.onSignOfLife(server, bench.now);
+        }
+        CHECK_FALSE(bench.sentAttempts[0].cancelled);
+        SECTION("but not until the caller leaves")
+        {
+            bench.advanceTime(milliseconds(300));
+            CHECK(bench.sentAttempts[0].cancelled);
+        }
+        SECTION("nor once the engine falls silent")
+        {
+            bench.controller.onAttemptHead(first, 200, {}, bench.now);
+            bench.advanceTime(milliseconds(650));
+            CHECK(bench.sentAttempts[0].cancelled);
+        }
+    }
+}
+
 TEST_CASE("A request that crashes servers is refused after three crashes",
           "[Gateway][ForwardController]")
 {
--- a/tests/gateway/test_prompt_placement.cpp
+++ b/tests/gateway/test_prompt_placement.cpp
@@ -242,3 +242,93 @@
                         .hasUsableServer);
     }
 }
+
+TEST_CASE("A host that starts under load spares the engines that work for other hosts",
+          "[Gateway][PromptPlacement]")
+{
+    // Rolling restarts and the loss of all hosts: a host that starts knows no prompt in flight.
+    EngineSimulation running(2);
+    EngineSimulation started(2);
+    const auto huge = running.send(EngineSimulation::hugePrompt(60'000));
+    REQUIRE(huge);
+    REQUIRE(huge->helpers.empty());
+    running.advance(milliseconds(100));
+    started.now = running.now;
+    const PromptKey key{1, running.sequence};
+    const auto prefillLeft = running.placement.prefillLeft(huge->server, key);
+    REQUIRE(prefillLeft);
+    CHECK(*prefillLeft > milliseconds(200));
+    CHECK_FALSE(running.placement.prefillLeft("engine-7", key));
+
+    EnginePrompt reported;
+    reported.key = key;
+    reported.demand = EngineSimulation::hugePrompt(60'000);
+    reported.dispatchedAt = started.now - milliseconds(100);
+    reported.prefillLeft = prefillLeft;
+    const auto report = [&] {
+        started.placement.onDispatched(huge->server, *started.pool.engine, reported, started.now);
+    };
+
+    SECTION("with the prompts that its peers report")
+    {
+        report();
+        CHECK(started.send(EngineSimulation::shortPrompt())->server != huge->server);
+        SECTION("of which each counts once, also if several messages name it")
+        {
+            report();
+            CHECK(started.placement.promptCountOn(huge->server) == 1);
+        }
+    }
+    SECTION("and a prompt that is decoded there is no prefill to wait for")
+    {
+        reported.prefillLeft = Duration::zero();
+        report();
+        CHECK(started.placement.prefillLeft(huge->server, key) == Duration::zero());
+    }
+    SECTION("a reported prompt is forgotten when its caller must have left, counted from dispatch")
+    {
+        reported.demand.callerTimeLeft = std::chrono::seconds(2);
+        reported.dispatchedAt = started.now - std::chrono::seconds(60);
+        report();
+        started.advance(milliseconds(10));
+        started.send(EngineSimulation::shortPrompt());
+        CHECK_FALSE(started.placement.prefillLeft(huge->server, key));
+    }
+}
+
+TEST_CASE("An engine that left a prompt without an event is expected to have more work",
+          "[Gateway][PromptPlacement]")
+{
+    // Replays the load after the loss of all hosts: engines still work for callers of before.
+    EngineSimulation simulation(2);
+    const auto silent = simulation.send(EngineSimulation::shortPrompt());
+    REQUIRE(silent);
+    const PromptKey key{1, simulation.sequence};
+    simulation.events.clear();
+    simulation.advance(milliseconds(600));
+    simulation.placement.onSilent(key, simulation.now);
+    CHECK(simulation.placement.promptCountOn(silent->server) == 0);
+
+    const auto next = simulation.send(EngineSimulation::shortPrompt());
+    REQUIRE(next);
+    CHECK(next->server != silent->server);
+
+    SECTION("until another prompt gets its first event there")
+    {
+        EnginePrompt other;
+        other.key = {2, 1};
+        other.demand = EngineSimulation::shortPrompt();
+        other.dispatchedAt = simulation.now;
+        simulation.placement.onDispatched(silent->server, *simulation.pool.engine, other,
+                                          simulation.now);
+        simulation.placement.onFirstEvent(other.key, simulation.now);
+        simulation.placement.onEnded(other.key, simulation.now);
+        simulation.advance(milliseconds(10));
+        CHECK(simulation.send(EngineSimulation::shortPrompt())->server == silent->server);
+    }
+    SECTION("or until that work must be done")
+    {
+        simulation.advance(std::chrono::seconds(4));
+        CHECK(simulation.send(EngineSimulation::shortPrompt())->server == silent->server);
+    }
+}
--- /dev/null
+++ b/tests/gateway/test_prompt_updates.cpp
@@ -0,0 +1,108 @@
+#include "gateway/prompt_updates.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace dotterel;
+using std::chrono::milliseconds;
+
+namespace {
+
+PromptUpdate dispatchOf(std::uint64_t sequence)
+{
+    PromptUpdate update;
+    update.kind = PromptUpdateKind::Dispatched;
+    update.sequence = sequence;
+    update.serverHash = 77;
+    update.helperHashes = {5};
+    update.helperMemoryTokens = {1'000};
+    update.demand.promptTokens = 90'000;
+    update.demand.outputTokens = 600;
+    update.demand.firstEventTarget = milliseconds(3'000);
+    update.demand.callerTimeLeft = milliseconds(9'000);
+    return update;
+}
+
+std::string cbor(const nlohmann::json &json)
+{
+    std::string bytes;
+    nlohmann::json::to_cbor(json, bytes);
+    return bytes;
+}
+
+} // namespace
+
+TEST_CASE("A batch of prompt updates survives encoding", "[Gateway][PromptUpdates]")
+{
+    PromptUpdateBatch batch;
+    batch.senderHash = 9;
+    batch.updates = {dispatchOf(1), {PromptUpdateKind::Ended, 1, 0, {}, {}, {}}};
+
+    SECTION("a batch of updates alone has the two elements that earlier versions know")
+    {
+        const std::string bytes = encodePromptUpdates(batch);
+        CHECK(nlohmann::json::from_cbor(bytes).size() == 2);
+        const auto decoded = decodePromptUpdates(bytes);
+        REQUIRE(decoded);
+        REQUIRE(decoded->updates.size() == 2);
+        CHECK(decoded->updates[0].demand.promptTokens == 90'000);
+        CHECK_FALSE(decoded->joinedAt);
+        CHECK(decoded->running.empty());
+    }
+    SECTION("the announcement of a host that starts")
+    {
+        batch.joinedAt = Endpoint{"10.0.0.4", 7'000};
+        const auto decoded = decodePromptUpdates(encodePromptUpdates(batch));
+        REQUIRE(decoded);
+        REQUIRE(decoded->joinedAt);
+        CHECK(*decoded->joinedAt == Endpoint{"10.0.0.4", 7'000});
+    }
+    SECTION("running prompts, with their age and remaining prefill")
+    {
+        batch.running = {{dispatchOf(4), milliseconds(1'200), milliseconds(300)}};
+        const auto decoded = decodePromptUpdates(encodePromptUpdates(batch));
+        REQUIRE(decoded);
+        REQUIRE(decoded->running.size() == 1);
+        CHECK(decoded->running[0].age == milliseconds(1'200));
+        CHECK(decoded->running[0].prefillLeft == milliseconds(300));
+        CHECK(decoded->running[0].dispatch.sequence == 4);
+        CHECK(decoded->running[0].dispatch.helperMemoryTokens.front() == 1'000);
+    }
+}
+
+TEST_CASE("An invalid batch from a peer is rejected with an error", "[Gateway][PromptUpdates]")
+{
+    using nlohmann::json;
+    const json ended = {2, 8};
+    struct Row
+    {
+        const char *description;
+        json batch;
+    };
+    const std::vector<Row> rows = {
+            {"no array", json::object()},
+            {"running prompts are no list", {1, json::array(), {{"running", 4}}}},
+            {"a running prompt that is no dispatch",
+             {1, json::array(), {{"running", {{10, 10, ended}}}}}},
+            {"an address that is no address", {1, json::array(), {{"joined", "here"}}}},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.description);
+        CHECK_FALSE(decodePromptUpdates(cbor(row.batch)));
+    }
+    PromptUpdateBatch batch;
+    batch.running = {{dispatchOf(4), std::chrono::hours(2), milliseconds(300)}};
+    CHECK_FALSE(decodePromptUpdates(encodePromptUpdates(batch)));
+    batch.running = {{dispatchOf(4), milliseconds(-1), milliseconds(300)}};
+    CHECK_FALSE(decodePromptUpdates(encodePromptUpdates(batch)));
+    batch.running.assign(1'001, {dispatchOf(4), milliseconds(1), milliseconds(1)});
+    CHECK_FALSE(decodePromptUpdates(encodePromptUpdates(batch)));
+
+    SECTION("fields of later versions are ignored")
+    {
+        const auto decoded =
+                decodePromptUpdates(cbor({1, json::array(), {{"later", 1}}, "and more"}));
+        REQUIRE(decoded);
+        CHECK(decoded->senderHash == 1);
+    }
+}
--- a/tests/gateway/test_server_fleet.cpp
+++ b/tests/gateway/test_server_fleet.cpp
@@ -160,3 +160,50 @@
         CHECK(static_cast<double>(retriesInWindow) <= 0.2 * 303 + 106);
     }
 }
+
+TEST_CASE("Silence of many servers is taken for a wrong load estimate, not for their failure",
+          "[Gateway][ServerFleet]")
+{
+    // Replays the seconds after the loss of all hosts: the engines work, but hosts without state
+    // expect first events far too early, give attempts up and tell each other.
+    NullEventLog log;
+    ServerFleet fleet(ServerFleetTimings{}, log);
+    TimePoint now{seconds(100)};
+    constexpr std::size_t ServerCount = 12;
+    for (std::size_t index = 0; index < ServerCount; ++index)
+        fleet.put(server("s" + std::to_string(index)), now);
+
+    SECTION("a third of the pool at most is left for silence, whoever reports it")
+    {
+        for (std::uint32_t host = 0; host < 7; ++host) {
+            for (std::size_t index = 0; index < ServerCount; ++index)
+                fleet.onSilenceReported("s" + std::to_string((index + host) % ServerCount), host,
+                                        now);
+        }
+        CHECK(fleet.usable("app", now).size() == ServerCount * 2 / 3);
+    }
+    SECTION("one host can report only few servers, as it may be cut off itself")
+    {
+        for (std::size_t index = 0; index < ServerCount; ++index)
+            fleet.onSilenceReported("s" + std::to_string(index), 1, now);
+        CHECK(fleet.usable("app", now).size() == ServerCount - 2);
+    }
+    SECTION("a server that sends events to any caller is not left for silence")
+    {
+        fleet.onSignOfLife("s1", now);
+        fleet.onAttemptOutcome("s1", AttemptOutcome::Silent, now + milliseconds(200));
+        CHECK(fleet.usable("app", now + milliseconds(200)).size() == ServerCount);
+    }
+    SECTION("servers that are really dark are left at the first sign")
+    {
+        for (const char *id : {"s1", "s2", "s3"})
+            fleet.onAttemptOutcome(id, AttemptOutcome::Silent, now);
+        CHECK(fleet.usable("app", now).size() == ServerCount - 3);
+    }
+    SECTION("unreachable servers are left, however many")
+    {
+        for (std::size_t index = 0; index + 1 < ServerCount; ++index)
+            fleet.onAttemptOutcome("s" + std::to_string(index), AttemptOutcome::Unreachable, now);
+        CHECK(fleet.usable("app", now).size() == 1);
+    }
+}
