Hold a prompt briefly when every place for it would stall other streams

Refused, the caller returns after 0.2 s, finds the same and is refused for good. Change: PromptHold repeats the placement every 40 ms while the prompt can still begin within half of its target; the log of a refusal says what it loses and why; counter prompts_held.

--- a/src/core/metric_catalogue.cpp
+++ b/src/core/metric_catalogue.cpp
@@ -38,6 +38,7 @@
         {Counter::OrderClaimBatches, "Batched writes that recorded claims of orders."},
         {Counter::CrashSuspects, "Requests that were running on a backend server that crashed."},
         {Counter::RetriesWithheld, "Retries suppressed by the retry budget."},
+        {Counter::PromptsHeld, "Prompts that waited at the entry host for a better place."},
 };
 
 const std::vector<Meaning<Gauge>> GaugeMeanings = {
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -27,7 +27,7 @@
         {LengthBand::UpTo1M, "256k-1M"},
 }};
 
-constexpr std::array<EnumName<Counter>, 14> CounterNames = {{
+constexpr std::array<EnumName<Counter>, 15> CounterNames = {{
         {Counter::RequestsAdmitted, "requests_admitted"},
         {Counter::RequestsFinished, "requests_finished"},
         {Counter::ForeignBytesDropped, "foreign_bytes_dropped"},
@@ -42,6 +42,7 @@
         {Counter::OrderClaimBatches, "order_claim_batches"},
         {Counter::CrashSuspects, "crash_suspects"},
         {Counter::RetriesWithheld, "retries_withheld"},
+        {Counter::PromptsHeld, "prompts_held"},
 }};
 
 constexpr std::array<EnumName<Gauge>, 5> GaugeNames = {{
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -54,6 +54,7 @@
     OrderClaimBatches,
     CrashSuspects,
     RetriesWithheld, ///< Retries that the retry budget did not allow.
+    PromptsHeld,     ///< Prompts that waited at the host for a better place.
 };
 
 /// Returns the external name of \a counter.
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -61,6 +61,8 @@
     std::size_t connectionFailures = 0; ///< Failed connects and stale connections.
     std::set<ServerId> triedServers;    ///< Avoided by retries where possible.
     std::optional<ForwardAttempt> attempt;
+    std::optional<TimePoint> heldUntil;    ///< When the placement of a held prompt is repeated.
+    Duration heldTime = Duration::zero();  ///< Total time that the prompt was held.
     std::optional<PromptPlan> pendingPlan; ///< Plan that waits for its memory reservations.
     std::vector<MemoryReservation> reservations;
     TimePoint reservationsDue; ///< Next renewal, or the grant timeout while a plan is pending.
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -40,6 +40,7 @@
     : protocol(protocol)
     , fleet(fleet)
     , promptPlacement(promptPlacement)
+    , promptHold(PromptHoldSettings{})
     , servicePlacement(servicePlacement)
     , retryBudget(retryBudget)
     , crashGuard(crashGuard)
@@ -130,6 +131,11 @@
         if (!call.reservations.empty() && now >= call.reservationsDue
             && !this->onReservationsDue(call, now))
             continue;
+        if (call.heldUntil && now >= *call.heldUntil) {
+            call.heldUntil.reset();
+            this->dispatch(call, now);
+            continue;
+        }
         // An inactive server may still respond, so its attempt is cancelled only if a retry is
         // allowed.
         if (call.attempt && now >= this->inactivityDeadline(call)
@@ -158,6 +164,8 @@
 void ForwardController::scheduleTimer(const ForwardCall &call, TimePoint now)
 {
     TimePoint due = call.deadline;
+    if (call.heldUntil)
+        due = std::min(due, *call.heldUntil);
     if (!call.reservations.empty())
         due = std::min(due, call.reservationsDue);
     // An inactivity limit that has passed without a retry being allowed is not scheduled again: the
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -3,6 +3,7 @@
 #include "coordination/crash_guard.h"
 #include "core/metrics.h"
 #include "gateway/forward_call.h"
+#include "gateway/prompt_hold.h"
 #include "gateway/prompt_placement.h"
 #include "gateway/retry_budget.h"
 
@@ -70,6 +71,9 @@
     bool admit(ForwardCall &call, TimePoint now);
     void dispatch(ForwardCall &call, TimePoint now);
     void dispatchPrompt(ForwardCall &call, const ServerPool &pool, TimePoint now);
+    /// Holds the prompt if that is expected to find a better place for it; returns true if it is
+    /// held.
+    bool hold(ForwardCall &call, const PromptPlacementResult &decision, TimePoint now);
     void dispatchService(ForwardCall &call, const ServerPool &pool, TimePoint now);
     void sendPrompt(ForwardCall &call, const PromptPlan &plan, TimePoint now);
     void sendAttempt(ForwardCall &call, const GatewayServer &server,
@@ -131,6 +135,7 @@
     const GatewayProtocol &protocol;
     ServerFleet &fleet;
     PromptPlacement &promptPlacement;
+    PromptHold promptHold;
     ServicePlacement &servicePlacement;
     RetryBudget &retryBudget;
     CrashGuard &crashGuard;
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -3,6 +3,8 @@
 #include "core/hashing.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 
 namespace dotterel {
 
@@ -55,6 +57,22 @@
                      route.eventGapGoal * AbandonEventGapGoalFactor});
 }
 
+/// Describes the best plan for a prompt that was rejected.
+std::string rejectionDetail(const PromptPlacementResult &decision, const PromptDemand &demand)
+{
+    if (!decision.bestPlan)
+        return "no usable server";
+    const PromptPlan &plan = *decision.bestPlan;
+    std::array<char, 160> text{};
+    std::snprintf(text.data(), text.size(),
+                  "loses %.2f of %.2f: lateness %.2f, others %.2f; first event in %lld ms on %zu "
+                  "engines",
+                  plan.expectedLoss, demand.value, plan.latenessLoss, plan.interferenceLoss,
+                  static_cast<long long>(plan.timeToFirstEvent.count() / 1'000),
+                  plan.helpers.size() + 1);
+    return text.data();
+}
+
 /// Returns the server ids of \a helpers, separated by commas.
 std::string helperIds(const std::vector<PrefillHelper> &helpers)
 {
@@ -143,6 +161,8 @@
     call.demand = this->makeDemand(call, now);
     const PromptPlacementResult decision =
             this->promptPlacement.place(pool, call.demand, call.triedServers, now);
+    if (this->hold(call, decision, now))
+        return;
     if (!decision.plan) {
         const Reason reason =
                 decision.hasUsableServer ? Reason::DeadlineUnreachable : Reason::NoBackendServer;
@@ -150,8 +170,7 @@
         const Duration jitter =
                 fromSeconds(toSeconds(delay) * RetryAfterJitter * this->random.nextDouble());
         return this->refuse(call, reason, delay + jitter, now,
-                            "expected value loss " + std::to_string(decision.bestLoss) + " of "
-                                    + std::to_string(call.demand.value));
+                            rejectionDetail(decision, call.demand));
     }
     const bool needsMemory =
             std::any_of(decision.plan->helpers.begin(), decision.plan->helpers.end(),
@@ -162,6 +181,20 @@
         this->sendPrompt(call, *decision.plan, now);
 }
 
+bool ForwardController::hold(ForwardCall &call, const PromptPlacementResult &decision,
+                             TimePoint now)
+{
+    const std::optional<Duration> wait = this->promptHold.recheckAfter(call.demand, decision);
+    if (!wait || call.deadline - now < *wait + MinAttemptTime)
+        return false;
+    if (call.heldTime == Duration::zero())
+        this->metrics.count(Counter::PromptsHeld, 1);
+    call.heldUntil = now + *wait;
+    call.heldTime += *wait;
+    this->scheduleTimer(call, now);
+    return true;
+}
+
 void ForwardController::sendPrompt(ForwardCall &call, const PromptPlan &plan, TimePoint now)
 {
     const GatewayServer *server = this->fleet.find(plan.server);
@@ -241,6 +274,7 @@
              {"predicted_ms", static_cast<std::int64_t>(attempt.predictedLatency.count() / 1'000)},
              {"prompts_there",
               static_cast<std::int64_t>(this->promptPlacement.promptCountOn(server.id))},
+             {"held_ms", static_cast<std::int64_t>(call.heldTime.count() / 1'000)},
              {"time_left_ms", static_cast<std::int64_t>(metadata.remainingTime.count() / 1'000)},
              {"configuration", static_cast<std::int64_t>(call.configuration->version)}});
     this->effects.sendAttempt(attempt.id, request);
--- /dev/null
+++ b/src/gateway/prompt_hold.cpp
@@ -0,0 +1,33 @@
+#include "gateway/prompt_hold.h"
+
+#include <algorithm>
+
+namespace dotterel {
+
+PromptHold::PromptHold(const PromptHoldSettings &settings)
+    : settings(settings)
+{}
+
+std::optional<Duration> PromptHold::recheckAfter(const PromptDemand &demand,
+                                                 const PromptPlacementResult &result) const
+{
+    if (demand.answerStarted || !result.bestPlan)
+        return std::nullopt;
+    const double tolerableLoss = this->settings.tolerableLossFraction * demand.value;
+    const bool isLate = demand.elapsed >= demand.firstEventTarget;
+    // Lateness that has already happened is not a reason to wait.
+    const double avoidableLoss = result.bestPlan->expectedLoss - result.unavoidableLoss;
+    if (avoidableLoss <= tolerableLoss)
+        return std::nullopt;
+    const Duration usableTime = isLate ? fromSeconds(toSeconds(demand.callerTimeLeft)
+                                                     * this->settings.usableCallerTimeFraction)
+                                       : fromSeconds(toSeconds(demand.firstEventTarget)
+                                                     * this->settings.usableTargetFraction)
+                                                 - demand.elapsed;
+    const Duration slack = usableTime - result.shortestTimeToFirstEvent;
+    if (slack <= Duration::zero())
+        return std::nullopt;
+    return std::min(slack, this->settings.recheckInterval);
+}
+
+} // namespace dotterel
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -38,18 +38,23 @@
             best = plan;
     }
     const Duration prefill = prefillTime(*pool.engine, demand.promptTokens, 1);
+    result.shortestTimeToFirstEvent = prefill;
+    result.unavoidableLoss =
+            latenessLoss(demand, Duration::zero(), this->settings.valueModel.lateValueFraction);
     if (pool.engine->supportsSplitPrefill && prefill >= this->settings.minSharedPrefill) {
         const bool exceedsOneEngine = best->expectedLoss >= InfeasibleLoss;
         const std::size_t engineLimit = exceedsOneEngine ? this->settings.maxPrefillEnginesOversized
                                                          : this->settings.maxPrefillEngines;
         const std::size_t maxEngines = std::min(engineLimit, candidateList.size());
+        result.shortestTimeToFirstEvent =
+                prefillTime(*pool.engine, demand.promptTokens, maxEngines);
         for (std::size_t engineCount = 2; engineCount <= maxEngines; ++engineCount) {
             const auto plan = this->planShared(pool, demand, candidateList, engineCount, now);
             if (plan && plan->expectedLoss < best->expectedLoss)
                 best = plan;
         }
     }
-    result.bestLoss = best->expectedLoss;
+    result.bestPlan = best;
     if (best->expectedLoss <= this->maxAcceptableLoss(demand)) {
         result.plan = best;
         return result;
@@ -138,10 +143,11 @@
     plan.server = candidate.server->id;
     plan.memoryTokens = demand.promptTokens + demand.outputTokens;
     plan.timeToFirstEvent = candidate.load->predictTimeToFirstEvent(engine, prefill, false);
-    plan.expectedLoss = latenessLoss(demand, plan.timeToFirstEvent, lateValueFraction)
-                        + candidate.load->interferenceLoss(engine, prefill, demand.promptTokens,
-                                                           false, lateValueFraction, now)
-                        + this->serverCost(pool, demand, candidate);
+    plan.latenessLoss = latenessLoss(demand, plan.timeToFirstEvent, lateValueFraction);
+    plan.interferenceLoss = candidate.load->interferenceLoss(engine, prefill, demand.promptTokens,
+                                                             false, lateValueFraction, now);
+    plan.expectedLoss =
+            plan.latenessLoss + plan.interferenceLoss + this->serverCost(pool, demand, candidate);
     if (!candidate.fitsMemory)
         plan.expectedLoss += InfeasibleLoss;
     return plan;
@@ -159,31 +165,33 @@
     {
         const Candidate *candidate;
         Duration timeToFirst;
+        double interference;
         double cost;
     };
     std::vector<HelperOption> helpers;
     const Candidate *primary = nullptr;
     double primaryCost = InfeasibleLoss;
+    double primaryInterference = 0;
     Duration primaryTime = Duration::zero();
     for (const Candidate &candidate : candidates) {
         const Duration timeToFirst =
                 candidate.load->predictTimeToFirstEvent(engine, prefillShare, false);
-        const double cost =
-                latenessLoss(demand, timeToFirst, lateValueFraction)
-                + candidate.load->interferenceLoss(engine, prefillShare, demand.promptTokens, false,
-                                                   lateValueFraction, now)
-                + this->serverCost(pool, demand, candidate);
+        const double interference = candidate.load->interferenceLoss(
+                engine, prefillShare, demand.promptTokens, false, lateValueFraction, now);
+        const double cost = latenessLoss(demand, timeToFirst, lateValueFraction) + interference
+                            + this->serverCost(pool, demand, candidate);
         if (cost < primaryCost && (candidate.fitsMemory || candidate.reservableTokens > 0)) {
             primaryCost = cost;
             primary = &candidate;
             primaryTime = timeToFirst;
+            primaryInterference = interference;
         }
         const double failureCost = candidate.failureRate * demand.value;
+        const double helperInterference = candidate.load->interferenceLoss(
+                engine, prefillShare, demand.promptTokens, true, lateValueFraction, now);
         helpers.push_back(
                 {&candidate, candidate.load->predictTimeToFirstEvent(engine, prefillShare, true),
-                 candidate.load->interferenceLoss(engine, prefillShare, demand.promptTokens, true,
-                                                  lateValueFraction, now)
-                         + candidate.positionCost + failureCost});
+                 helperInterference, helperInterference + candidate.positionCost + failureCost});
     }
     if (primary == nullptr)
         return std::nullopt;
@@ -196,6 +204,7 @@
     PromptPlan plan;
     plan.server = primary->server->id;
     plan.timeToFirstEvent = primaryTime;
+    plan.interferenceLoss = primaryInterference;
     double cost = primaryCost - latenessLoss(demand, primaryTime, lateValueFraction);
     for (const HelperOption &option : helpers) {
         if (plan.helpers.size() + 1 == engineCount)
@@ -204,11 +213,13 @@
             continue;
         plan.helpers.push_back({option.candidate->server->id, 0});
         plan.timeToFirstEvent = std::max(plan.timeToFirstEvent, option.timeToFirst);
+        plan.interferenceLoss += option.interference;
         cost += option.cost + this->settings.extraEngineCost * demand.value;
     }
     if (plan.helpers.size() + 1 < engineCount || !this->distributeMemory(demand, candidates, plan))
         return std::nullopt;
-    plan.expectedLoss = cost + latenessLoss(demand, plan.timeToFirstEvent, lateValueFraction);
+    plan.latenessLoss = latenessLoss(demand, plan.timeToFirstEvent, lateValueFraction);
+    plan.expectedLoss = cost + plan.latenessLoss;
     return plan;
 }
 
--- a/src/gateway/prompt_placement.h
+++ b/src/gateway/prompt_placement.h
@@ -63,6 +63,9 @@
     std::vector<PrefillHelper> helpers;
     Duration timeToFirstEvent = Duration::zero();
     double expectedLoss = 0; ///< Loss of value of this prompt and of others on the engines.
+    double latenessLoss = 0; ///< Part of expectedLoss: this prompt's first event is late.
+    double interferenceLoss =
+            0; ///< Part of expectedLoss: other prompts on the engines are delayed.
 };
 
 /// Result of PromptPlacement::place().
@@ -71,7 +74,10 @@
     std::optional<PromptPlan> plan;
     bool hasUsableServer = false;           ///< The pool has a server that accepts work.
     Duration retryAfter = Duration::zero(); ///< Suggested retry delay if there is no plan.
-    double bestLoss = 0;                    ///< Loss of the best plan, even if it was rejected.
+    std::optional<PromptPlan> bestPlan;     ///< Plan with the lowest loss, even if it was rejected.
+    /// Time to the first event if the engines were idle.
+    Duration shortestTimeToFirstEvent = Duration::zero();
+    double unavoidableLoss = 0; ///< Loss of value that no placement can prevent.
 };
 
 /// Places prompts of very different lengths so that the expected loss of value is minimal: the
