Keep servers in use when most of a pool is removed at once

The hosts notice nothing; when the store returns, one response removes all 15 entries, which expired meanwhile. All prompts are refused as no_backend_server until the servers are back, 0.3 to 0.9 s later. Change: ServerFleet keeps removed entries for the grace period and, if more than half of a pool is removed within a second, goes on using them until it ends. Draining servers and single removals are left as before. Its test was compiled, but not run yet.

--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -57,6 +57,7 @@
     if (found != this->records.end() && !restarted) {
         // The entry had expired and was written again; the recorded health still applies.
         found->second.expiresAt.reset();
+        found->second.removedAt.reset();
         found->second.server = server;
         return false;
     }
@@ -74,17 +75,51 @@
 
 void ServerFleet::remove(const ServerId &server, bool mayHaveExpired, TimePoint now)
 {
+    this->removeExpired(now);
     const auto found = this->records.find(server);
-    if (found == this->records.end())
+    if (found == this->records.end() || found->second.removedAt)
         return;
-    const bool mayReturn =
-            mayHaveExpired && !found->second.server.draining && !found->second.announcedLeaving;
+    Record &record = found->second;
+    const bool leaving = record.server.draining || record.announcedLeaving;
+    const bool mayReturn = mayHaveExpired && !leaving;
     this->log.write(Event::ServerDown,
                     {{"server", server}, {"source", "entry"}, {"may_have_lapsed", mayReturn}});
-    if (mayReturn)
-        found->second.expiresAt = now + this->timings.expiredEntryGrace;
-    else
+    if (leaving) {
         this->records.erase(found);
+        return;
+    }
+    record.removedAt = now;
+    record.expiresAt = mayReturn ? now + this->timings.expiredEntryGrace : now;
+    this->graceIfMostRemoved(record.server.pool, now);
+}
+
+void ServerFleet::removeExpired(TimePoint now)
+{
+    for (auto record = this->records.begin(); record != this->records.end();) {
+        const std::optional<TimePoint> removedAt = record->second.removedAt;
+        record = removedAt && now - *removedAt > this->timings.expiredEntryGrace
+                         ? this->records.erase(record)
+                         : std::next(record);
+    }
+}
+
+void ServerFleet::graceIfMostRemoved(const std::string &pool, TimePoint now)
+{
+    std::vector<Record *> removed;
+    std::size_t registered = 0;
+    for (auto &[id, record] : this->records) {
+        if (record.server.pool != pool || record.server.draining || record.announcedLeaving)
+            continue;
+        if (!record.removedAt)
+            ++registered;
+        else if (now - *record.removedAt < this->timings.removalMergeWindow)
+            removed.push_back(&record);
+    }
+    const auto total = static_cast<double>(registered + removed.size());
+    if (static_cast<double>(removed.size()) <= total * this->timings.maxRemovedFraction)
+        return;
+    for (Record *record : removed)
+        record->expiresAt = *record->removedAt + this->timings.expiredEntryGrace;
 }
 
 void ServerFleet::onAttemptOutcome(const ServerId &server, AttemptOutcome outcome, TimePoint now)
@@ -233,8 +268,11 @@
 {
     std::vector<const GatewayServer *> servers;
     servers.reserve(this->records.size());
-    for (const auto &[id, record] : this->records)
-        servers.push_back(&record.server);
+    for (const auto &[id, record] : this->records) {
+        const bool gone = record.removedAt && record.expiresAt == record.removedAt;
+        if (!gone)
+            servers.push_back(&record.server);
+    }
     return servers;
 }
 
--- a/src/gateway/server_fleet.h
+++ b/src/gateway/server_fleet.h
@@ -34,6 +34,11 @@
     Duration failureRateHalfLife = std::chrono::seconds(3);
     /// Entries that expired during a store outage are written again within this time after it.
     Duration expiredEntryGrace = std::chrono::milliseconds(2'000);
+    /// Entries removed within this time of each other count as removed together.
+    Duration removalMergeWindow = std::chrono::seconds(1);
+    /// If more than this fraction of a pool is removed together, an outage of the store that this
+    /// host did not notice is more likely than the loss of the servers.
+    double maxRemovedFraction = 0.5;
 };
 
 /// Outcome of an attempt at a server.
@@ -60,7 +65,9 @@
     bool put(const GatewayServer &server, TimePoint now);
 
     /// Handles the removal of the entry of \a server. If \a mayHaveExpired is true, the entry may
-    /// have expired because of a store outage; the server then stays usable for a grace period.
+    /// have expired because of a store outage; the server then stays usable for a grace period. The
+    /// same holds if most of a pool is removed at once: a host whose watch was pending all through
+    /// an outage learns of it only by the removals.
     void remove(const ServerId &server, bool mayHaveExpired, TimePoint now);
 
     /// Records the outcome of an attempt at \a server.
@@ -106,9 +113,12 @@
         TimePoint suspectedUntil;
         bool suspectedForSilence = false;   ///< Reason of the latest suspicion.
         bool announcedLeaving = false;      ///< Announced in an answer.
+        std::optional<TimePoint> removedAt; ///< When the entry was removed.
         std::optional<TimePoint> expiresAt; ///< End of the grace period after the entry expired.
     };
 
+    void removeExpired(TimePoint now);
+    void graceIfMostRemoved(const std::string &pool, TimePoint now);
     void decayCounts(Record &record, TimePoint now) const;
     void suspectServer(Record &record, AttemptOutcome outcome, TimePoint now);
     bool maySuspectForSilence(const Record &record, TimePoint now) const;
--- a/tests/gateway/test_server_fleet.cpp
+++ b/tests/gateway/test_server_fleet.cpp
@@ -84,6 +84,34 @@
             CHECK(fleet.usable("app", now + milliseconds(2'001)).size() == 1);
         }
     }
+    SECTION("for a grace period when most entries of the pool are removed together")
+    {
+        // The watch of a host was pending all through an outage of the store; its response then
+        // removes every entry that expired, and the servers write them again one by one.
+        fleet.put(server("s3"), now);
+        fleet.remove("s1", false, now);
+        CHECK(fleet.usable("app", now).size() == 2);
+        CHECK(fleet.all().size() == 2);
+        now += milliseconds(300);
+        fleet.remove("s2", false, now);
+        fleet.remove("s3", false, now);
+        CHECK(fleet.usable("app", now).size() == 3);
+        CHECK(fleet.all().size() == 3);
+        fleet.put(server("s2"), now + milliseconds(500));
+        CHECK(fleet.usable("app", now + milliseconds(500)).size() == 3);
+        SECTION("but not if they are not written again")
+        {
+            CHECK(fleet.usable("app", now + milliseconds(2'001)).size() == 1);
+            fleet.remove("s4", false, now + milliseconds(2'001));
+            CHECK(fleet.find("s1") == nullptr);
+        }
+    }
+    SECTION("not when the entries of a pool are removed one after the other")
+    {
+        fleet.remove("s1", false, now);
+        fleet.remove("s2", false, now + seconds(3));
+        CHECK(fleet.usable("app", now + seconds(3)).empty());
+    }
     SECTION("a draining server gets no grace period when its entry is removed")
     {
         GatewayServer draining = server("s1");
