Require two removals before a pool counts as removed together

Cause: the new test of ServerFleet failed: the removal of a pool's last server alone counted as the removal of most of it. Change: at least two entries have to be removed within the merge window.

--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -26,6 +26,8 @@
 constexpr double PriorFailures = 0.05;
 /// Weight of a refusal as a failure: it says little about the next attempt.
 constexpr double RefusalWeight = 0.5;
+/// The removal of a single server says nothing about the store.
+constexpr std::size_t MinRemovedTogether = 2;
 constexpr int MaxSuspicionDoublings = 4;
 constexpr double HashRange = 18446744073709551616.0; // 2^64
 
@@ -116,7 +118,8 @@
             removed.push_back(&record);
     }
     const auto total = static_cast<double>(registered + removed.size());
-    if (static_cast<double>(removed.size()) <= total * this->timings.maxRemovedFraction)
+    if (removed.size() < MinRemovedTogether
+        || static_cast<double>(removed.size()) <= total * this->timings.maxRemovedFraction)
         return;
     for (Record *record : removed)
         record->expiresAt = *record->removedAt + this->timings.expiredEntryGrace;
