Hold prompts only for streams that they would stall, and plan again when memory is refused

Change: only the loss of other streams holds a prompt. Store: ten hosts in all, two a failure domain at least, watch it, instead of four a domain.

--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -10,10 +10,12 @@
 
 namespace {
 
-/// Number of hosts per failure domain that watch the store and announce changes to the others. More
-/// than one, since several hosts may fail at once before membership detects it; few, since each
-/// watcher costs one metered store call per change.
-constexpr std::size_t StoreWatchersPerDomain = 4;
+/// Number of hosts that watch the store and announce changes to the others, over all failure
+/// domains. Several, since many hosts may fail at once before membership detects it; few, since
+/// each watcher costs one metered store call per change.
+constexpr std::size_t StoreWatchers = 10;
+/// In each failure domain, since domains can be cut off from each other.
+constexpr std::size_t MinStoreWatchersPerDomain = 2;
 constexpr const char *WatchStoreDuty = "follow";
 /// Up to this number of live hosts every host watches the store, as the calls are few.
 constexpr std::size_t MaxHostsThatAllWatch = 16;
@@ -151,10 +153,16 @@
 
 void GatewayHost::updateStoreWatching(const std::vector<MemberRecord> &live)
 {
+    std::set<std::string> domains;
+    for (const MemberRecord &member : live)
+        domains.insert(member.identity.failureDomain);
+    const std::size_t watchersPerDomain =
+            std::max(MinStoreWatchersPerDomain, (StoreWatchers + domains.size() - 1)
+                                                        / std::max<std::size_t>(1, domains.size()));
     // Without links this host gets no announcements from peers, so it watches the store itself.
     const bool watchesStore =
             this->peerMesh.openLinks() == 0 || live.size() <= MaxHostsThatAllWatch
-            || isTaskAssigned(this->identity, live, WatchStoreDuty, StoreWatchersPerDomain);
+            || isTaskAssigned(this->identity, live, WatchStoreDuty, watchersPerDomain);
     this->configurationFeed.setWatching(watchesStore);
     this->serverFeed.setWatching(watchesStore);
 }
--- a/src/gateway/engine_load.cpp
+++ b/src/gateway/engine_load.cpp
@@ -25,6 +25,9 @@
 /// Bound of the wait that is added for work that no host has reported. Callers of short prompts
 /// leave after about this time.
 constexpr Duration MaxUnknownWork = std::chrono::milliseconds(1'500);
+/// How long a refused reservation says that an engine's memory is full. Prompts on engines end
+/// within a few seconds.
+constexpr Duration MemoryRefusalValidity = std::chrono::seconds(1);
 constexpr Duration MinPrefillLeft = std::chrono::milliseconds(1);
 
 Duration fromMs(double milliseconds)
@@ -116,6 +119,11 @@
     this->remove(key, now);
 }
 
+void EngineLoad::onMemoryRefused(TimePoint now)
+{
+    this->memoryRefusedUntil = now + MemoryRefusalValidity;
+}
+
 void EngineLoad::removeBySender(std::uint32_t senderHash)
 {
     this->entries.erase(std::remove_if(this->entries.begin(), this->entries.end(),
--- a/src/gateway/engine_load.h
+++ b/src/gateway/engine_load.h
@@ -59,6 +59,12 @@
     /// predictions, until the first event of another prompt shows that the work is done.
     void removeSilent(const PromptKey &key, TimePoint now);
 
+    /// Records that the engine refused to reserve memory, which this estimate took to be free.
+    void onMemoryRefused(TimePoint now);
+
+    /// Returns true if the engine refused memory a short time ago.
+    bool isMemoryRefused(TimePoint now) const { return now < this->memoryRefusedUntil; }
+
     /// Removes all prompts dispatched by the host \a senderHash.
     void removeBySender(std::uint32_t senderHash);
 
@@ -113,6 +119,7 @@
 
     std::vector<Entry> entries; ///< In prefill order.
     TimePoint updatedAt;
+    TimePoint memoryRefusedUntil;
     TimePoint unknownWorkUntil; ///< Estimated end of work that no host has reported.
 };
 
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -65,6 +65,7 @@
     Duration heldTime = Duration::zero();  ///< Total time that the prompt was held.
     std::optional<PromptPlan> pendingPlan; ///< Plan that waits for its memory reservations.
     std::vector<MemoryReservation> reservations;
+    std::size_t reservationRounds = 0; ///< Plans that failed for lack of memory.
     TimePoint reservationsDue; ///< Next renewal, or the grant timeout while a plan is pending.
     bool responseStarted = false;
     Duration timeToFirstEvent = Duration::zero(); ///< Since arrival; 0 until it is received.
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -275,6 +275,7 @@
                      {"verdict", std::string(verdictName(verdict))},
                      {"predicted_ms", toMs(attempt.predictedLatency)},
                      {"took_ms", toMs(now - attempt.sentAt)},
+                     {"faulty_server", attempt.metadata.faultyServer},
                      {"events_passed",
                       call.lastEventId ? static_cast<std::int64_t>(*call.lastEventId) : -1}});
 }
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -82,7 +82,9 @@
 
     void reserveMemory(ForwardCall &call, const PromptPlan &plan, TimePoint now);
     void requestReservation(const MemoryReservation &reservation);
-    void refuseMemoryUnavailable(ForwardCall &call, TimePoint now);
+    /// Plans again without the engines that granted no memory, or refuses the request. \a refusedBy
+    /// is the engine that refused; empty if engines did not respond.
+    void onMemoryUnavailable(ForwardCall &call, const ServerId &refusedBy, TimePoint now);
     void releaseReservations(ForwardCall &call);
     /// Renews granted reservations. Refuses the request and returns false if they were not granted
     /// in time.
@@ -111,6 +113,8 @@
     /// Handles an error status or an invalid response: retries if possible, otherwise forwards the
     /// response if it may be forwarded to callers, and refuses the request if not.
     void retryOrForward(ForwardCall &call, bool invalidResponse, TimePoint now);
+    /// Excludes the helpers that may be the reason of a refusal from the next attempt.
+    void avoidRefusingHelpers(ForwardCall &call);
     bool mayRetry(const ForwardCall &call, Verdict verdict, TimePoint now) const;
     /// Ends the attempt and records its outcome for the health of its server.
     void endAttempt(ForwardCall &call, AttemptOutcome outcome, TimePoint now);
--- a/src/gateway/forward_memory.cpp
+++ b/src/gateway/forward_memory.cpp
@@ -14,6 +14,8 @@
 /// Engines respond to reservation requests immediately. Only very large prompts need a reservation,
 /// for which a wait of this length is a small delay.
 constexpr Duration GrantTimeout = std::chrono::milliseconds(400);
+/// Plans that are tried if engines refuse memory, each without the engines that refused before.
+constexpr std::size_t MaxReservationRounds = 3;
 constexpr Duration MemoryRetryAfter = std::chrono::seconds(1);
 
 } // namespace
@@ -54,14 +56,17 @@
     if (found == this->callsByReservation.end())
         return;
     ForwardCall &call = this->calls.at(found->second);
+    ServerId server;
     for (MemoryReservation &reservation : call.reservations) {
-        if (reservation.id == reservationId)
-            reservation.granted = granted;
+        if (reservation.id != reservationId)
+            continue;
+        reservation.granted = granted;
+        server = reservation.server;
     }
     if (!call.pendingPlan)
         return; // Response to a renewal. If it failed, the engine aborts the prompt itself.
     if (!granted)
-        return this->refuseMemoryUnavailable(call, now);
+        return this->onMemoryUnavailable(call, server, now);
     const bool allGranted =
             std::all_of(call.reservations.begin(), call.reservations.end(),
                         [](const MemoryReservation &reservation) { return reservation.granted; });
@@ -73,23 +78,32 @@
     this->sendPrompt(call, plan, now);
 }
 
-void ForwardController::refuseMemoryUnavailable(ForwardCall &call, TimePoint now)
+void ForwardController::onMemoryUnavailable(ForwardCall &call, const ServerId &refusedBy,
+                                            TimePoint now)
 {
     std::string servers;
-    for (const MemoryReservation &reservation : call.reservations)
+    for (const MemoryReservation &reservation : call.reservations) {
         servers += reservation.server + (reservation.granted ? " granted " : " not granted ");
+        const bool unavailable =
+                refusedBy.empty() ? !reservation.granted : reservation.server == refusedBy;
+        if (unavailable)
+            this->promptPlacement.onMemoryRefused(reservation.server, now);
+    }
     this->log.write(Event::AllocationReserveFailed,
                     {{"request", call.metadata.requestId},
                      {"prompt_tokens", static_cast<std::int64_t>(call.metadata.promptTokens)},
+                     {"round", static_cast<std::int64_t>(call.reservationRounds)},
                      {"servers", servers}});
     this->releaseReservations(call);
+    if (++call.reservationRounds < MaxReservationRounds)
+        return this->dispatch(call, now);
     this->refuse(call, Reason::MemoryUnavailable, MemoryRetryAfter, now);
 }
 
 bool ForwardController::onReservationsDue(ForwardCall &call, TimePoint now)
 {
     if (call.pendingPlan) {
-        this->refuseMemoryUnavailable(call, now);
+        this->onMemoryUnavailable(call, ServerId(), now);
         return false;
     }
     call.reservationsDue = now + RenewInterval;
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -137,6 +137,7 @@
         return;
     const ForwardAttempt &attempt = *call->attempt;
     if (attempt.metadata.isWrongServer || attempt.metadata.notRun) {
+        this->avoidRefusingHelpers(*call);
         this->logFailedAttempt(*call, "refused", Verdict::NotRun, now);
         this->endAttempt(*call,
                          attempt.metadata.isWrongServer ? AttemptOutcome::Leaving
@@ -155,6 +156,25 @@
     this->completeResponse(*call, now);
 }
 
+void ForwardController::avoidRefusingHelpers(ForwardCall &call)
+{
+    const ForwardAttempt &attempt = *call.attempt;
+    const std::string &faulty = attempt.metadata.faultyServer;
+    bool named = faulty == attempt.server;
+    for (const PrefillHelper &helper : attempt.helpers) {
+        const GatewayServer *server = this->fleet.find(helper.server);
+        const bool isFaulty =
+                faulty == helper.server || (server != nullptr && faulty == server->endpoint.text());
+        if (isFaulty)
+            call.triedServers.insert(helper.server);
+        named = named || isFaulty;
+    }
+    if (named)
+        return;
+    for (const PrefillHelper &helper : attempt.helpers)
+        call.triedServers.insert(helper.server);
+}
+
 void ForwardController::retryOrForward(ForwardCall &call, bool invalidResponse, TimePoint now)
 {
     const int status = call.attempt->status;
--- a/src/gateway/prompt_hold.cpp
+++ b/src/gateway/prompt_hold.cpp
@@ -15,9 +15,9 @@
         return std::nullopt;
     const double tolerableLoss = this->settings.tolerableLossFraction * demand.value;
     const bool isLate = demand.elapsed >= demand.firstEventTarget;
-    // Lateness that has already happened is not a reason to wait.
-    const double avoidableLoss = result.bestPlan->expectedLoss - result.unavoidableLoss;
-    if (avoidableLoss <= tolerableLoss)
+    // Streams that would be stalled end soon. Other losses, such as queues for slots, do not get
+    // smaller by waiting.
+    if (result.bestPlan->interferenceLoss <= tolerableLoss)
         return std::nullopt;
     const Duration usableTime = isLate ? fromSeconds(toSeconds(demand.callerTimeLeft)
                                                      * this->settings.usableCallerTimeFraction)
--- a/src/gateway/prompt_hold.h
+++ b/src/gateway/prompt_hold.h
@@ -7,7 +7,7 @@
 /// Limits of a PromptHold.
 struct PromptHoldSettings
 {
-    /// A plan that loses at most this fraction of the prompt's value is taken at once.
+    /// A plan that delays other prompts by at most this fraction of the prompt's value is not held.
     double tolerableLossFraction = 0.1;
     /// Fraction of the target time after which a held prompt has to get its first event.
     double usableTargetFraction = 0.5;
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -39,8 +39,6 @@
     }
     const Duration prefill = prefillTime(*pool.engine, demand.promptTokens, 1);
     result.shortestTimeToFirstEvent = prefill;
-    result.unavoidableLoss =
-            latenessLoss(demand, Duration::zero(), this->settings.valueModel.lateValueFraction);
     if (pool.engine->supportsSplitPrefill && prefill >= this->settings.minSharedPrefill) {
         const bool exceedsOneEngine = best->expectedLoss >= InfeasibleLoss;
         const std::size_t engineLimit = exceedsOneEngine ? this->settings.maxPrefillEnginesOversized
@@ -97,8 +95,9 @@
                 || claimedTokens <= engineMemory * this->settings.usableMemoryFraction;
         const double freeTokens = engineMemory * this->settings.usableMemoryFraction
                                   - static_cast<double>(candidate.load->memoryTokens());
-        candidate.reservableTokens = static_cast<std::uint64_t>(
-                std::max(0.0, freeTokens * this->settings.reservableFraction));
+        if (!candidate.load->isMemoryRefused(now))
+            candidate.reservableTokens = static_cast<std::uint64_t>(
+                    std::max(0.0, freeTokens * this->settings.reservableFraction));
         (excluded.count(server->id) > 0 ? excludedCandidates : result).push_back(candidate);
     }
     return result.empty() ? excludedCandidates : result;
@@ -277,6 +276,11 @@
         load.removeSilent(key, now);
 }
 
+void PromptPlacement::onMemoryRefused(const ServerId &server, TimePoint now)
+{
+    this->loads[server].onMemoryRefused(now);
+}
+
 void PromptPlacement::onSenderGone(std::uint32_t senderHash)
 {
     for (auto &[server, load] : this->loads)
--- a/src/gateway/prompt_placement.h
+++ b/src/gateway/prompt_placement.h
@@ -77,7 +77,6 @@
     std::optional<PromptPlan> bestPlan;     ///< Plan with the lowest loss, even if it was rejected.
     /// Time to the first event if the engines were idle.
     Duration shortestTimeToFirstEvent = Duration::zero();
-    double unavoidableLoss = 0; ///< Loss of value that no placement can prevent.
 };
 
 /// Places prompts of very different lengths so that the expected loss of value is minimal: the
@@ -107,6 +106,9 @@
     /// Removes a prompt that got no event, so that its host gave it up.
     void onSilent(const PromptKey &key, TimePoint now);
 
+    /// Records that \a server refused to reserve memory; no memory is reserved there for a while.
+    void onMemoryRefused(const ServerId &server, TimePoint now);
+
     /// Removes the prompts of the host \a senderHash, which is gone.
     void onSenderGone(std::uint32_t senderHash);
 
--- a/tests/support/plain_gateway_protocol.cpp
+++ b/tests/support/plain_gateway_protocol.cpp
@@ -77,6 +77,8 @@
     facts.isSigned = findHeader(headers, "Signed") != nullptr;
     facts.isWrongServer = status == Misdirected;
     facts.notRun = facts.isWrongServer || findHeader(headers, "Not-Run") != nullptr;
+    if (const std::string *faulty = findHeader(headers, "Faulty"))
+        facts.faultyServer = *faulty;
     facts.hasContentEncoding = findHeader(headers, "Content-Encoding") != nullptr;
     return facts;
 }
