--- /dev/null
+++ b/tests/gateway/test_forward_prompts.cpp
@@ -0,0 +1,176 @@
+#include "support/forward_bench.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+using namespace dotterel;
+using namespace dotterel::support;
+using std::chrono::milliseconds;
+
+TEST_CASE("A prompt stays at a busy engine and leaves a dark one", "[Gateway][ForwardController]")
+{
+    ForwardBench bench;
+    bench.addServer("engine-1", "engines");
+    bench.request("/questions/", {{"Tokens", "5000,1300"}});
+    bench.addServer("engine-2", "engines");
+    bench.request("/questions/", {{"Tokens", "5000,1300"}});
+    REQUIRE(bench.sentAttempts.size() == 2);
+    const ForwardAttemptId first = bench.sentAttempts[0].id;
+    const std::string server = bench.sentAttempts[0].header("Server");
+
+    SECTION("an engine that sends nothing to anybody is left after the inactivity limit")
+    {
+        bench.advanceTime(milliseconds(590));
+        CHECK(bench.sentAttempts.size() == 2);
+        bench.advanceTime(milliseconds(20));
+        CHECK(bench.sentAttempts.size() > 2);
+    }
+    SECTION("one that sends events of another stream is busy, and the prompt keeps its place")
+    {
+        bench.fleet.onSignOfLife(server, bench.now);
+        for (int step = 0; step < 10; ++step) {
+            bench.advanceTime(milliseconds(100));
+            bench.fleet.onSignOfLife(server, bench.now);
+        }
+        CHECK_FALSE(bench.sentAttempts[0].cancelled);
+        SECTION("but not until the caller leaves")
+        {
+            bench.advanceTime(milliseconds(300));
+            CHECK(bench.sentAttempts[0].cancelled);
+        }
+        SECTION("nor once the engine falls silent")
+        {
+            bench.controller.onAttemptHead(first, 200, {}, bench.now);
+            bench.advanceTime(milliseconds(650));
+            CHECK(bench.sentAttempts[0].cancelled);
+        }
+    }
+}
+
+TEST_CASE("A prompt larger than the memory of one engine reserves memory before dispatch",
+          "[Gateway][ForwardController]")
+{
+    ForwardBench bench;
+    for (const char *id : {"e-1", "e-2", "e-3", "e-4", "e-5", "e-6", "e-7", "e-8"})
+        bench.addServer(id, "engines");
+    const HttpCallId call = bench.request("/archives/", {{"Tokens", "450000,700"}});
+    REQUIRE_FALSE(bench.reservationRequests.empty());
+    CHECK(bench.sentAttempts.empty());
+    const std::vector<MemoryReservationRequest> requests = bench.reservationRequests;
+
+    SECTION("it is sent when all reservations are granted")
+    {
+        for (const MemoryReservationRequest &request : requests) {
+            CHECK(bench.sentAttempts.empty());
+            bench.controller.onReservationResult(request.reservationId, true, bench.now);
+        }
+        REQUIRE(bench.sentAttempts.size() == 1);
+        std::size_t helpersWithReservation = 0;
+        for (const auto &[name, value] : bench.sentAttempts[0].request.headers)
+            helpersWithReservation += name == "Helper" && value.back() != '/' ? 1 : 0;
+        CHECK(helpersWithReservation == requests.size());
+        SECTION("the reservations are renewed while it runs")
+        {
+            bench.advanceTime(milliseconds(1'600));
+            CHECK(bench.reservationRequests.size() == 2 * requests.size());
+            CHECK(bench.reservationRequests.back().tokens > 0);
+        }
+        SECTION("the reservations are released when it ends")
+        {
+            bench.controller.onCallerDisconnected(call, bench.now);
+            CHECK(bench.reservationRequests.size() == 2 * requests.size());
+            CHECK(bench.reservationRequests.back().tokens == 0);
+        }
+    }
+    SECTION("if an engine rejects one, all are released, and other engines are asked")
+    {
+        bench.controller.onReservationResult(requests[0].reservationId, false, bench.now);
+        std::set<std::string> released;
+        std::set<ServerId> askedNext;
+        for (std::size_t index = requests.size(); index < bench.reservationRequests.size();
+             ++index) {
+            const MemoryReservationRequest &request = bench.reservationRequests[index];
+            if (request.tokens == 0)
+                released.insert(request.reservationId);
+            else
+                askedNext.insert(request.server);
+        }
+        for (const MemoryReservationRequest &request : requests)
+            CHECK(released.count(request.reservationId) == 1);
+        REQUIRE_FALSE(askedNext.empty());
+        CHECK(askedNext.count(requests[0].server) == 0);
+        CHECK(bench.outcome(call).status == 0);
+
+        SECTION("until every plan failed; then it is refused as not run, and all are released")
+        {
+            std::map<std::string, std::uint64_t> heldTokens;
+            for (int round = 0; round < 10 && bench.outcome(call).status == 0; ++round) {
+                const MemoryReservationRequest latest = bench.reservationRequests.back();
+                REQUIRE(latest.tokens > 0);
+                bench.controller.onReservationResult(latest.reservationId, false, bench.now);
+            }
+            CHECK(bench.outcome(call).status == 503);
+            CHECK(bench.sentAttempts.empty());
+            for (const MemoryReservationRequest &request : bench.reservationRequests)
+                heldTokens[request.reservationId] = request.tokens;
+            for (const auto &[id, tokens] : heldTokens)
+                CHECK(tokens == 0);
+        }
+    }
+    SECTION("if engines do not respond, it is refused after the grant timeouts")
+    {
+        bench.advanceTime(milliseconds(410));
+        CHECK(bench.reservationRequests.size() > 2 * requests.size());
+        for (int round = 0; round < 3; ++round)
+            bench.advanceTime(milliseconds(500));
+        CHECK(bench.outcome(call).status == 503);
+        CHECK(bench.sentAttempts.empty());
+        CHECK(bench.reservationRequests.back().tokens == 0);
+    }
+}
+
+TEST_CASE("A shared prompt that is refused is not sent to the same helper again",
+          "[Gateway][ForwardController]")
+{
+    // Replays a helper that is full: the engine that runs the prompt refuses on its behalf.
+    ForwardBench bench;
+    for (const char *id : {"e-1", "e-2", "e-3", "e-4", "e-5", "e-6"})
+        bench.addServer(id, "engines");
+    for (std::size_t index = 0; index < 6; ++index)
+        bench.fleet.put(
+                [&] {
+                    GatewayServer server = *bench.fleet.find("e-" + std::to_string(index + 1));
+                    server.endpoint.port = static_cast<std::uint16_t>(8'000 + index);
+                    return server;
+                }(),
+                bench.now);
+    bench.request("/archives/", {{"Tokens", "180000,700"}});
+    REQUIRE(bench.sentAttempts.size() == 1);
+    const auto helpersOf = [&](std::size_t index) {
+        std::set<std::string> helpers;
+        for (const auto &[name, value] : bench.sentAttempts.at(index).request.headers) {
+            if (name == "Helper")
+                helpers.insert(value.substr(0, value.find('/')));
+        }
+        return helpers;
+    };
+    const std::set<std::string> firstHelpers = helpersOf(0);
+    REQUIRE_FALSE(firstHelpers.empty());
+    const std::string faulty = *firstHelpers.begin();
+
+    SECTION("if the refusal names it")
+    {
+        bench.respond(0, 503, {{"Not-Run", "1"}, {"Faulty", faulty}}, "");
+        REQUIRE(bench.sentAttempts.size() == 2);
+        CHECK(helpersOf(1).count(faulty) == 0);
+        CHECK(bench.sentAttempts[1].request.endpoint.text() != faulty);
+    }
+    SECTION("nor to any of its helpers if the refusal names none")
+    {
+        bench.respond(0, 503, {{"Not-Run", "1"}}, "");
+        REQUIRE(bench.sentAttempts.size() == 2);
+        for (const std::string &helper : firstHelpers)
+            CHECK(helpersOf(1).count(helper) == 0);
+    }
+}
