--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -64,6 +64,17 @@
              "again."},
             {Event::ObjectRejected, "object_rejected", Severity::Warning,
              "An object of the platform is invalid and is ignored."},
+            {Event::ObjectOutdated, "object_outdated", Severity::Warning,
+             "The platform returned an object older than the known one; it is ignored. Logged once "
+             "per object until the object changes."},
+            {Event::PlatformEraChanged, "platform_era_changed", Severity::Warning,
+             "The platform was restored from a copy; what it returned before is replaced."},
+            {Event::PlatformEraRejected, "platform_era_rejected", Severity::Warning,
+             "A response of the platform stated an unreadable era, or an earlier one and was "
+             "discarded."},
+            {Event::WatchRenewed, "watch_renewed", Severity::Info,
+             "A waiting watch was repeated on a new connection, since its connection may be "
+             "silent."},
             {Event::PeerLinked, "peer_linked", Severity::Info,
              "A link to another entry host was established."},
             {Event::PeerLinkClosed, "peer_link_closed", Severity::Info,
@@ -83,6 +94,8 @@
             {Event::ServerDown, "server_down", Severity::Warning,
              "A backend server stopped responding."},
             {Event::ServerUp, "server_up", Severity::Info, "A backend server responds again."},
+            {Event::ServerPaused, "server_paused", Severity::Info,
+             "A backend server asked this host to send it nothing for a time."},
             {Event::AllocationReleased, "allocation_released", Severity::Warning,
              "An orphaned allocation of engine memory was released."},
             {Event::AllocationReserveFailed, "allocation_reserve_failed", Severity::Info,
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -27,7 +27,7 @@
         {LengthBand::UpTo1M, "256k-1M"},
 }};
 
-constexpr std::array<EnumName<Counter>, 15> CounterNames = {{
+constexpr std::array<EnumName<Counter>, 20> CounterNames = {{
         {Counter::RequestsAdmitted, "requests_admitted"},
         {Counter::RequestsFinished, "requests_finished"},
         {Counter::ForeignBytesDropped, "foreign_bytes_dropped"},
@@ -37,6 +37,11 @@
         {Counter::PlatformReads, "platform_reads"},
         {Counter::PlatformWrites, "platform_writes"},
         {Counter::PlatformErrors, "platform_errors"},
+        {Counter::PlatformWatchTimeouts, "platform_watch_timeouts"},
+        {Counter::OutdatedObjects, "outdated_objects"},
+        {Counter::PlatformEraChanges, "platform_era_changes"},
+        {Counter::WatchesRenewed, "watches_renewed"},
+        {Counter::ServerPauses, "server_pauses"},
         {Counter::AllocationsSwept, "allocations_swept"},
         {Counter::OrdersClaimed, "orders_claimed"},
         {Counter::OrderClaimBatches, "order_claim_batches"},
@@ -45,8 +50,10 @@
         {Counter::PromptsHeld, "prompts_held"},
 }};
 
-constexpr std::array<EnumName<Gauge>, 5> GaugeNames = {{
+constexpr std::array<EnumName<Gauge>, 7> GaugeNames = {{
         {Gauge::ConfigurationVersion, "configuration_version"},
+        {Gauge::PlatformRevision, "platform_revision"},
+        {Gauge::PlatformEra, "platform_era"},
         {Gauge::RequestsInFlight, "requests_in_flight"},
         {Gauge::LiveMembers, "live_members"},
         {Gauge::BackendServersUsable, "backend_servers_usable"},
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -49,6 +49,11 @@
     PlatformReads,
     PlatformWrites,
     PlatformErrors,
+    PlatformWatchTimeouts,
+    OutdatedObjects,
+    PlatformEraChanges,
+    WatchesRenewed,
+    ServerPauses,
     AllocationsSwept,
     OrdersClaimed,
     OrderClaimBatches,
@@ -63,6 +68,8 @@
 /// Gauges without labels.
 enum class Gauge {
     ConfigurationVersion,
+    PlatformRevision,
+    PlatformEra,
     RequestsInFlight,
     LiveMembers,
     BackendServersUsable,
--- a/src/entry_host/collection_feed.cpp
+++ b/src/entry_host/collection_feed.cpp
@@ -18,13 +18,15 @@
 
 CollectionFeed::CollectionFeed(EventLoop &loop, CollectionStore &store, Collection collection,
                                RandomSource &random, Listener listener, Announcer announcer,
-                               EventLog &log)
+                               Metrics &metrics, EventLog &log)
     : loop(loop)
     , store(store)
     , follower(collection, random, log)
     , localObjects(collection)
     , listener(std::move(listener))
     , announcer(std::move(announcer))
+    , metrics(metrics)
+    , log(log)
 {}
 
 CollectionFeed::~CollectionFeed()
@@ -62,6 +64,7 @@
 
 void CollectionFeed::callStore(const CollectionRequest &step)
 {
+    this->metrics.count(Counter::PlatformReads, 1);
     const auto callback = [this, kind = step.kind,
                            alive = this->alive](const CollectionStore::PageResult &page) {
         if (*alive)
@@ -77,8 +80,14 @@
 {
     const TimePoint now = this->loop.now();
     if (!page) {
+        if (page.error() == StoreError::NoResponse && kind == CollectionRequest::Kind::Watch)
+            this->metrics.count(Counter::PlatformWatchTimeouts, 1);
         this->follower.onFailed(page.error(), now);
-    } else if (kind == CollectionRequest::Kind::List) {
+        return this->scheduleNextCall();
+    }
+    this->metrics.set(Gauge::PlatformRevision, static_cast<double>(page->revision));
+    this->reportOutdatedObjects(*page);
+    if (kind == CollectionRequest::Kind::List) {
         this->follower.onListed(page->revision, now);
         this->publishChanges(this->localObjects.onListed(*page));
     } else {
@@ -88,6 +97,23 @@
     this->scheduleNextCall();
 }
 
+void CollectionFeed::reportOutdatedObjects(const CollectionPage &page)
+{
+    for (const CollectionObject &object : page.objects) {
+        const std::optional<std::uint64_t> known = this->localObjects.reportOutdated(object);
+        if (!known)
+            continue;
+        this->metrics.count(Counter::OutdatedObjects, 1);
+        this->log.write(
+                Event::ObjectOutdated,
+                {{"collection", std::string(collectionName(this->localObjects.collection()))},
+                 {"object", object.name},
+                 {"revision", static_cast<std::int64_t>(object.revision)},
+                 {"known_revision", static_cast<std::int64_t>(*known)},
+                 {"store_revision", static_cast<std::int64_t>(page.revision)}});
+    }
+}
+
 void CollectionFeed::publishChanges(const std::vector<CollectionObject> &changes)
 {
     if (changes.empty())
--- a/src/entry_host/collection_feed.h
+++ b/src/entry_host/collection_feed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/metrics.h"
 #include "gateway/collection_follower.h"
 #include "gateway/collection_replica.h"
 #include "transport/event_loop.h"
@@ -21,7 +22,8 @@
     using Announcer = std::function<void(const ObjectAnnouncement &)>;
 
     CollectionFeed(EventLoop &loop, CollectionStore &store, Collection collection,
-                   RandomSource &random, Listener listener, Announcer announcer, EventLog &log);
+                   RandomSource &random, Listener listener, Announcer announcer, Metrics &metrics,
+                   EventLog &log);
     ~CollectionFeed();
 
     /// Lists the collection once. Whether the store is watched afterwards is set by setWatching().
@@ -53,6 +55,7 @@
     void scheduleNextCall();
     void callStore(const CollectionRequest &step);
     void onPage(CollectionRequest::Kind kind, const CollectionStore::PageResult &page);
+    void reportOutdatedObjects(const CollectionPage &page);
     void publishChanges(const std::vector<CollectionObject> &changes);
 
     EventLoop &loop;
@@ -61,6 +64,8 @@
     CollectionReplica localObjects;
     Listener listener;
     Announcer announcer;
+    Metrics &metrics;
+    EventLog &log;
     EventLoop::TimerHandle callTimer;
     bool watching = true;
     bool callPending = false; ///< A call to the store is running or scheduled.
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -79,13 +79,15 @@
               [this](const std::vector<CollectionObject> &objects, bool /*mayHaveLapsed*/) {
                   this->applyConfigurationObjects(objects);
               },
-              [this](const ObjectAnnouncement &message) { this->peerMesh.broadcast(message); }, log)
+              [this](const ObjectAnnouncement &message) { this->peerMesh.broadcast(message); },
+              this->metrics, log)
     , serverFeed(
               loop, store, Collection::Servers, this->random,
               [this](const std::vector<CollectionObject> &objects, bool mayHaveLapsed) {
                   this->applyServerObjects(objects, mayHaveLapsed);
               },
-              [this](const ObjectAnnouncement &message) { this->peerMesh.broadcast(message); }, log)
+              [this](const ObjectAnnouncement &message) { this->peerMesh.broadcast(message); },
+              this->metrics, log)
     , readinessServer(loop, settings.readiness, MaxReadinessRequestBytes,
                       [this](const HttpExchangePtr &exchange) {
                           const bool ready =
--- a/src/gateway/collection_replica.cpp
+++ b/src/gateway/collection_replica.cpp
@@ -51,6 +51,7 @@
         if (!this->isNewer(object))
             continue;
         this->objects[object.name] = object;
+        this->reportedOutdated.erase(object.name);
         const auto pending = this->pendingRequests.find(object.name);
         if (pending != this->pendingRequests.end() && pending->second.revision <= object.revision)
             this->pendingRequests.erase(pending);
@@ -59,6 +60,15 @@
     return applied;
 }
 
+std::optional<std::uint64_t> CollectionReplica::reportOutdated(const CollectionObject &object)
+{
+    const auto found = this->objects.find(object.name);
+    if (found == this->objects.end() || object.revision >= found->second.revision
+        || !this->reportedOutdated.insert(object.name).second)
+        return std::nullopt;
+    return found->second.revision;
+}
+
 std::vector<CollectionObject> CollectionReplica::onAnnounced(std::uint64_t link,
                                                              const ObjectAnnouncement &announcement,
                                                              TimePoint now, PeerLocality locality)
--- a/src/gateway/collection_replica.h
+++ b/src/gateway/collection_replica.h
@@ -38,6 +38,10 @@
                                               const ObjectAnnouncement &announcement, TimePoint now,
                                               PeerLocality locality);
 
+    /// Returns the revision of the known version of \a object if \a object is older than it and has
+    /// not been reported since the known version changed; nullopt otherwise.
+    std::optional<std::uint64_t> reportOutdated(const CollectionObject &object);
+
     /// Sets how long to wait for the store to deliver an announced object before asking the peer.
     void setRequestDelay(Duration delay) { this->requestDelay = delay; }
 
@@ -79,6 +83,7 @@
     Duration requestDelay = std::chrono::milliseconds(250);
     std::map<std::string, CollectionObject> objects; ///< Includes tombstones of removed ones.
     std::map<std::string, PendingRequest> pendingRequests;
+    std::set<std::string> reportedOutdated; ///< Names, until their object changes.
 };
 
 } // namespace dotterel
--- a/src/state/object_store.cpp
+++ b/src/state/object_store.cpp
@@ -8,12 +8,13 @@
 
 namespace {
 
-constexpr std::array<EnumName<StoreError>, 5> StoreErrorNames = {{
+constexpr std::array<EnumName<StoreError>, 6> StoreErrorNames = {{
         {StoreError::NotFound, "not_found"},
         {StoreError::Conflict, "conflict"},
         {StoreError::Unavailable, "unavailable"},
         {StoreError::UnknownOutcome, "unknown_outcome"},
         {StoreError::TooLarge, "too_large"},
+        {StoreError::NoResponse, "no_response"},
 }};
 
 } // namespace
--- a/src/state/object_store.h
+++ b/src/state/object_store.h
@@ -27,6 +27,7 @@
     Unavailable,    ///< A read failed, or a write did not reach the store.
     UnknownOutcome, ///< No response to a write, which may take effect, even later.
     TooLarge,       ///< The value is larger than one megabyte.
+    NoResponse,     ///< A read got no response within its time limit.
 };
 
 /// Returns the external name of \a error.
--- a/tests/platform/test_platform_store.cpp
+++ b/tests/platform/test_platform_store.cpp
@@ -101,7 +101,7 @@
         CHECK(fixture.watch(httpResponse(429, "")).error() == StoreError::Unavailable);
         CHECK(fixture.watch(httpResponse(503, "")).error() == StoreError::Unavailable);
         CHECK(fixture.watch(httpResponse(200, "not json")).error() == StoreError::Unavailable);
-        CHECK(fixture.list("", ScriptEnd::Hold).error() == StoreError::Unavailable);
+        CHECK(fixture.list("", ScriptEnd::Hold).error() == StoreError::NoResponse);
         CHECK(fixture.list("", ScriptEnd::Reset).error() == StoreError::Unavailable);
     }
 }
