Reproduce the configuration that is not in force: two failing tests

Change: three gateway hosts in one process, each behind a proxy of its own to the store of the soak; the proxy can make open connections silent with TCP up, the store can come back from a copy in a new era, with revisions behind or ahead.

--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -52,6 +52,9 @@
     /// Returns true while the load balancer should route callers to this host.
     bool ready() const { return this->isReady(); }
 
+    /// Returns the status that the operator API shows.
+    HostStatus status() const override;
+
 private:
     // HttpCallHandler
     void onHttpRequest(HttpCallId call, HttpMessageHead &&head,
@@ -86,7 +89,6 @@
 
     // OperatorTarget
     bool isReady() const override;
-    HostStatus status() const override;
     void drain() override;
 
     PeerLocality peerLocation(std::uint64_t link) const;
--- a/tests/platform/soak/loopback_proxy.cpp
+++ b/tests/platform/soak/loopback_proxy.cpp
@@ -40,6 +40,7 @@
     bufferevent *client = nullptr;
     bufferevent *server = nullptr;
     bool lostBytes = false; ///< Bytes of this connection were dropped.
+    bool silent = false;    ///< All bytes are dropped until a peer closes the connection.
     std::list<EventLoop::TimerHandle> delayTimers;
 
     ~Connection()
@@ -101,6 +102,10 @@
 void LoopbackProxy::forward(Connection &connection, bufferevent *source)
 {
     evbuffer *input = bufferevent_get_input(source);
+    if (connection.silent) {
+        evbuffer_drain(input, evbuffer_get_length(input));
+        return;
+    }
     bufferevent *destination = source == connection.client ? connection.server : connection.client;
     const LinkFault droppingFault =
             source == connection.client ? LinkFault::DropClientBytes : LinkFault::DropServerBytes;
@@ -128,6 +133,11 @@
     if ((events & BEV_EVENT_CONNECTED) != 0)
         return;
     auto *connection = static_cast<Connection *>(context);
+    // The peer of a silent connection does not learn that the other side closed it.
+    if (connection->silent && stream == connection->server) {
+        bufferevent_disable(stream, EV_READ | EV_WRITE);
+        return;
+    }
     // With DropAllBytes the other side does not learn of the close either.
     if (connection->owner->fault == LinkFault::DropAllBytes) {
         connection->lostBytes = true;
@@ -171,6 +181,12 @@
     }
 }
 
+void LoopbackProxy::silenceConnections()
+{
+    for (const auto &connection : this->connections)
+        connection->silent = true;
+}
+
 void LoopbackProxy::resetConnections()
 {
     while (!this->connections.empty()) {
--- a/tests/platform/soak/loopback_proxy.h
+++ b/tests/platform/soak/loopback_proxy.h
@@ -40,6 +40,10 @@
     /// Resets all connections.
     void resetConnections();
 
+    /// Makes all open connections silent for good: their bytes are dropped, while TCP still
+    /// acknowledges them and answers keep-alive probes. New connections work.
+    void silenceConnections();
+
 private:
     struct Connection;
 
--- a/tests/platform/soak/soak_store.cpp
+++ b/tests/platform/soak/soak_store.cpp
@@ -1,5 +1,7 @@
 #include "platform/soak/soak_store.h"
 
+#include <algorithm>
+
 namespace dotterel::soak {
 
 namespace {
@@ -60,10 +62,40 @@
     this->watches.clear();
 }
 
+SoakStore::Copy SoakStore::copy() const
+{
+    return {this->revision, this->droppedUpTo, this->objects};
+}
+
+void SoakStore::restore(const Copy &earlier)
+{
+    this->objects = earlier.objects;
+    this->revision = earlier.revision;
+    this->droppedUpTo = std::min(earlier.droppedUpTo, earlier.revision);
+    this->history.erase(std::remove_if(this->history.begin(), this->history.end(),
+                                       [&earlier](const Change &change) {
+                                           return change.revision > earlier.revision;
+                                       }),
+                        this->history.end());
+    this->previousLists.clear();
+    this->eraHeader = std::to_string(++this->era);
+    for (const Watch &watch : this->watches)
+        watch.exchange->abort();
+    this->watches.clear();
+}
+
+HttpHeaders SoakStore::eraHeaders() const
+{
+    if (this->eraHeader.empty())
+        return {};
+    return {{"Store-Era", this->eraHeader}};
+}
+
 void SoakStore::handleRequest(const HttpExchangePtr &exchange)
 {
+    ++this->calls;
     if (this->fault == StoreFault::RejectRequests)
-        return exchange->reply(503, {}, "");
+        return exchange->reply(503, this->eraHeaders(), "");
     if (this->fault != StoreFault::DelayCalls)
         return this->executeCall(exchange);
     const auto position = this->delayTimers.emplace(this->delayTimers.end());
@@ -77,7 +109,9 @@
 {
     if (this->fault == StoreFault::DropResponses)
         return exchange->abort();
-    exchange->reply(status, {{"Content-Type", "application/json"}}, body.dump());
+    HttpHeaders headers = this->eraHeaders();
+    headers.emplace_back("Content-Type", "application/json");
+    exchange->reply(status, headers, body.dump());
 }
 
 void SoakStore::executeCall(const HttpExchangePtr &exchange)
@@ -128,7 +162,7 @@
 void SoakStore::watch(const HttpExchangePtr &exchange, const std::string &kind)
 {
     Watch watch{exchange, kind, std::stoull(exchange->query("watch")), nullptr};
-    if (watch.afterRevision < this->droppedUpTo)
+    if (watch.afterRevision < this->droppedUpTo || watch.afterRevision > this->revision)
         return this->reply(exchange, 410, {});
     if (this->completeWatch(watch, false))
         return;
--- a/tests/platform/soak/soak_store.h
+++ b/tests/platform/soak/soak_store.h
@@ -40,6 +40,30 @@
     /// Drops the change history and closes the connections of waiting watches.
     void dropHistory();
 
+    /// Content of the store at one moment.
+    struct Copy
+    {
+        std::uint64_t revision = 0;
+        std::uint64_t droppedUpTo = 0;
+        std::map<std::string, std::map<std::string, nlohmann::json>> objects;
+    };
+
+    /// Returns a copy of the store.
+    Copy copy() const;
+
+    /// Replaces the content of the store by \a earlier, begins the next era and closes all waiting
+    /// watches. Acknowledged writes since \a earlier are lost.
+    void restore(const Copy &earlier);
+
+    /// Gives out \a count revisions without a change.
+    void skipRevisions(std::uint64_t count) { this->revision += count; }
+
+    /// Sets the era header of all responses; an empty text leaves it out.
+    void setEraHeader(const std::string &text) { this->eraHeader = text; }
+
+    /// Returns the number of calls received; a waiting watch counts once.
+    std::size_t callCount() const { return this->calls; }
+
     /// Returns the number of objects of \a kind.
     std::size_t objectCount(const std::string &kind) const;
 
@@ -65,10 +89,14 @@
     /// Responds to \a watch and returns true if there are changes or \a respondsIfEmpty is set.
     bool completeWatch(const Watch &watch, bool respondsIfEmpty);
     void recordChange(const std::string &kind, const nlohmann::json &object, bool removed);
+    HttpHeaders eraHeaders() const;
     void reply(const HttpExchangePtr &exchange, int status, const nlohmann::json &body);
 
     EventLoop &loop;
     StoreFault fault = StoreFault::None;
+    std::uint64_t era = 1;
+    std::string eraHeader = "1";
+    std::size_t calls = 0;
     std::uint64_t revision = 100;
     std::uint64_t droppedUpTo = 100; ///< Changes up to this revision are no longer available.
     std::map<std::string, std::map<std::string, nlohmann::json>> objects;
--- /dev/null
+++ b/tests/platform/test_store_incidents.cpp
@@ -0,0 +1,232 @@
+#include "entry_host/gateway_host.h"
+#include "platform/soak/loopback_proxy.h"
+#include "platform/soak/soak_store.h"
+#include "platform_names.h"
+#include "platform_protocol.h"
+#include "platform_store.h"
+#include "support/raw_client.h"
+#include "transport/keep_alive_http_client.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <functional>
+
+using namespace dotterel;
+using namespace dotterel::support;
+using dotterel::platform::PlatformProtocol;
+using dotterel::platform::PlatformStore;
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Bounds of the users' site files: time until a host counts as in touch again after a fault, and
+/// time until a confirmed change must be in force on a host that is in touch.
+constexpr Duration ContactLimit = milliseconds(3'000);
+constexpr Duration ApplyLimit = milliseconds(2'000);
+
+/// Three gateway hosts in this process, each with a proxy of its own to one store.
+struct IncidentFixture
+{
+    struct Host
+    {
+        std::unique_ptr<soak::LoopbackProxy> proxy;
+        std::unique_ptr<PlatformStore> store;
+        std::unique_ptr<GatewayHost> gateway;
+    };
+
+    IncidentFixture()
+    {
+        this->publishConfiguration(1);
+        this->registerServer("s1", false);
+        this->registerServer("s2", false);
+        this->hosts.resize(3);
+        for (std::size_t index = 0; index < this->hosts.size(); ++index)
+            this->startHost(index);
+        this->runUntil([this] { return this->allAtVersion(1) && this->allLinked(); }, seconds(10));
+        // Lets the first watches begin to wait.
+        this->runFor(milliseconds(1'200));
+    }
+
+    void startHost(std::size_t index)
+    {
+        Host &host = this->hosts[index];
+        host.gateway.reset();
+        host.proxy = std::make_unique<soak::LoopbackProxy>(this->loop, this->store.endpoint());
+        host.store = std::make_unique<PlatformStore>(this->loop, this->storeClient,
+                                                     host.proxy->endpoint(), milliseconds(1'500));
+        Settings settings;
+        settings.host = "h" + std::to_string(index);
+        settings.failureDomain = "z" + std::to_string(index % 2);
+        settings.heartbeatInterval = milliseconds(250);
+        host.gateway =
+                std::make_unique<GatewayHost>(this->loop, settings, ++this->incarnation,
+                                              this->protocol, *host.store, "/ready", this->log);
+    }
+
+    /// Publishes \a version, whose only route carries the version in its path.
+    void publishConfiguration(std::uint64_t version)
+    {
+        const std::string number = std::to_string(version);
+        this->store.put("config", "main",
+                        {{"version", version},
+                         {"routes",
+                          {{{"name", "r" + number},
+                            {"host", "shop"},
+                            {"path_prefix", "/v" + number + "/"},
+                            {"kind", "idempotent"},
+                            {"service", "app"}}}},
+                         {"services", {{{"name", "app"}}}}});
+    }
+
+    void registerServer(const std::string &id, bool draining)
+    {
+        this->store.put("servers", id,
+                        {{"service", "app"},
+                         {"address", "127.0.0.1:9"},
+                         {"zone", "z0"},
+                         {"slots", 4},
+                         {"state", draining ? "draining" : "ready"},
+                         {"born", 1'700'000'000'000}});
+    }
+
+    bool allAtVersion(std::uint64_t version) const
+    {
+        return std::all_of(this->hosts.begin(), this->hosts.end(), [version](const Host &host) {
+            return host.gateway->status().configurationVersion == version;
+        });
+    }
+
+    bool allLinked() const
+    {
+        return std::all_of(this->hosts.begin(), this->hosts.end(), [this](const Host &host) {
+            return host.gateway->status().peerLinks + 1 >= this->hosts.size();
+        });
+    }
+
+    /// Returns true if every host lists the server \a id with \a state.
+    bool allShowServer(const std::string &id, const std::string &state) const
+    {
+        return std::all_of(this->hosts.begin(), this->hosts.end(), [&](const Host &host) {
+            const auto servers = host.gateway->status().servers;
+            return std::any_of(servers.begin(), servers.end(), [&](const auto &server) {
+                return server.id == id && server.state == state;
+            });
+        });
+    }
+
+    void silenceStoreConnections()
+    {
+        for (Host &host : this->hosts)
+            host.proxy->silenceConnections();
+    }
+
+    void runFor(Duration duration)
+    {
+        const TimePoint end = this->loop.now() + duration;
+        while (this->loop.now() < end) {
+            const EventLoop::TimerHandle wake = this->loop.after(milliseconds(20), [] {});
+            this->loop.runOnce(true);
+        }
+    }
+
+    /// Returns how long it took until \a condition held; \a limit if it did not hold by then.
+    Duration runUntil(const std::function<bool()> &condition, Duration limit)
+    {
+        const TimePoint start = this->loop.now();
+        while (!condition() && this->loop.now() - start < limit)
+            this->runFor(milliseconds(20));
+        return std::min(this->loop.now() - start, limit);
+    }
+
+    EventLoop loop;
+    NullEventLog log;
+    PlatformProtocol protocol;
+    soak::SoakStore store{this->loop};
+    KeepAliveHttpClient storeClient{this->loop, KeepAliveHttpClientLimits{}};
+    std::vector<Host> hosts;
+    Incarnation incarnation = 0;
+};
+
+} // namespace
+
+TEST_CASE("A change confirmed while all connections to the store are silent is in force in time",
+          "[Platform][StoreIncidents]")
+{
+    IncidentFixture fixture;
+    REQUIRE(fixture.allAtVersion(1));
+    fixture.silenceStoreConnections();
+    const TimePoint silentSince = fixture.loop.now();
+
+    SECTION("a configuration confirmed one second later")
+    {
+        fixture.runFor(seconds(1));
+        fixture.publishConfiguration(2);
+        fixture.runUntil([&] { return fixture.allAtVersion(2); }, seconds(25));
+        CHECK(toSeconds(fixture.loop.now() - silentSince) < toSeconds(ContactLimit));
+    }
+    SECTION("a configuration confirmed four seconds later")
+    {
+        fixture.runFor(seconds(4));
+        fixture.publishConfiguration(2);
+        const Duration time =
+                fixture.runUntil([&] { return fixture.allAtVersion(2); }, seconds(25));
+        CHECK(toSeconds(time) < toSeconds(ApplyLimit));
+    }
+    SECTION("a server that reports that it drains")
+    {
+        fixture.runFor(seconds(1));
+        fixture.registerServer("s1", true);
+        fixture.runUntil([&] { return fixture.allShowServer("s1", "draining"); }, seconds(25));
+        CHECK(toSeconds(fixture.loop.now() - silentSince) < toSeconds(ContactLimit));
+    }
+}
+
+TEST_CASE("A change confirmed after the store came back from a copy is in force in time",
+          "[Platform][StoreIncidents]")
+{
+    IncidentFixture fixture;
+    REQUIRE(fixture.allAtVersion(1));
+    const auto copy = fixture.store.copy();
+    for (std::uint64_t version = 2; version <= 9; ++version)
+        fixture.publishConfiguration(version);
+    fixture.registerServer("s3", false);
+    fixture.runUntil([&] { return fixture.allAtVersion(9) && fixture.allShowServer("s3", "up"); },
+                     seconds(5));
+    REQUIRE(fixture.allAtVersion(9));
+
+    SECTION("while its revisions are behind those given out before")
+    {
+        fixture.store.restore(copy);
+        // What the operator and the servers wrote is written again.
+        fixture.publishConfiguration(9);
+        fixture.registerServer("s3", false);
+        fixture.publishConfiguration(10);
+        const Duration time = fixture.runUntil([&] { return fixture.allAtVersion(10); },
+                                               ContactLimit + ApplyLimit);
+        CHECK(toSeconds(time) < toSeconds(ContactLimit));
+        SECTION("and so is the leaving of a server")
+        {
+            fixture.registerServer("s1", true);
+            const Duration drainTime = fixture.runUntil(
+                    [&] { return fixture.allShowServer("s1", "draining"); }, ContactLimit);
+            CHECK(toSeconds(drainTime) < toSeconds(ApplyLimit));
+        }
+    }
+    SECTION("when its revisions have overtaken those given out before")
+    {
+        // A server whose removal falls into the part of the history that hosts have not seen.
+        fixture.store.restore(copy);
+        fixture.store.remove("servers", "s2");
+        fixture.publishConfiguration(9);
+        fixture.store.skipRevisions(20);
+        fixture.publishConfiguration(10);
+        const Duration time = fixture.runUntil([&] { return fixture.allAtVersion(10); },
+                                               ContactLimit + ApplyLimit);
+        CHECK(toSeconds(time) < toSeconds(ContactLimit));
+        const Duration removalTime = fixture.runUntil(
+                [&] { return !fixture.allShowServer("s2", "up"); }, ContactLimit + ApplyLimit);
+        CHECK(toSeconds(removalTime) < toSeconds(ContactLimit));
+    }
+}
