Order what comes from the store by era, revision and version

Callers saw removed routes and keys served, moved routes at the old service, 401 and 404 on what a confirmed version had added, and servers that drain still got requests, without end, after the store came back from a copy some seconds old. Cause: a replica takes an object only at a higher revision, and revisions of a restored store go back; with a counter that has overtaken the old one, a watch goes on from a revision of the other history and misses what changed in the gap. Class: order derived from a counter whose history may be replaced. Change: the store states its era in each answer; objects, announcements and offers carry it, and the configuration its own version. A later era replaces what earlier ones said; versions never go back, so a host that starts in the gap takes a newer configuration from its peers. A host that learns of another era, from the store, from its other collection or from a peer, lists again at once and writes its own entry again. Entries that are missing get the merge time of an outage. A server that was leaving keeps leaving for its incarnation, whatever a restored entry says. A missing era is taken as the known one, an earlier or unreadable one is logged, an earlier one discarded. Earlier builds ignore the new columns. The operator API no longer lists servers whose grace period is over. Why this works: no order is derived from revisions of different histories any more.

--- a/src/entry_host/collection_feed.cpp
+++ b/src/entry_host/collection_feed.cpp
@@ -25,8 +25,7 @@
 
 CollectionFeed::CollectionFeed(EventLoop &loop, CollectionStore &store, Collection collection,
                                RandomSource &random, Listener listener, Announcer announcer,
-                               std::function<void()> onSilentConnection, Metrics &metrics,
-                               EventLog &log)
+                               HostEvents hostEvents, Metrics &metrics, EventLog &log)
     : loop(loop)
     , store(store)
     , follower(collection, random, log)
@@ -37,7 +36,7 @@
     , log(log)
     , watchSchedule(collection == Collection::Servers ? ServerTurnInterval : OtherTurnInterval,
                     {random.nextBelow(FirstTurns), FirstTurns})
-    , onSilentConnection(std::move(onSilentConnection))
+    , hostEvents(std::move(hostEvents))
 {}
 
 CollectionFeed::~CollectionFeed()
@@ -127,26 +126,106 @@
         this->follower.onFailed(page.error(), now);
         if (page.error() == StoreError::NoResponse && kind == CollectionRequest::Kind::Watch) {
             this->metrics.count(Counter::PlatformWatchTimeouts, 1);
-            this->onSilentConnection();
+            this->hostEvents.silentConnection();
         }
         return this->scheduleNextCall();
     }
-    this->metrics.set(Gauge::PlatformRevision, static_cast<double>(page->revision));
-    this->reportOutdatedObjects(*page);
+    CollectionPage current = *page;
+    const std::uint64_t knownEra = this->localObjects.era();
+    if (!this->resolveEra(current)) {
+        this->follower.onFailed(StoreError::Unavailable, now);
+        return this->scheduleNextCall();
+    }
+    this->metrics.set(Gauge::PlatformRevision, static_cast<double>(current.revision));
+    this->metrics.set(Gauge::PlatformEra, static_cast<double>(current.era));
+    if (current.era > knownEra && !this->localObjects.empty()) {
+        this->enterEra(current.era, current.revision, "store");
+        // The changes of a watch are not complete: it began in the earlier era.
+        if (kind == CollectionRequest::Kind::Watch)
+            return this->scheduleNextCall();
+    }
+    this->reportOutdatedObjects(current);
     if (kind == CollectionRequest::Kind::List) {
-        this->follower.onListed(page->revision, now);
-        this->publishChanges(this->localObjects.onListed(*page));
+        this->follower.onListed(current.revision, now);
+        this->publishChanges(this->localObjects.onListed(current));
     } else {
-        this->follower.onWatched(page->revision, now);
-        this->publishChanges(this->localObjects.onChanged(page->objects));
+        this->follower.onWatched(current.revision, now);
+        this->publishChanges(this->localObjects.onChanged(current.objects));
     }
     this->scheduleNextCall();
 }
 
+bool CollectionFeed::resolveEra(CollectionPage &page)
+{
+    const std::uint64_t knownEra = this->localObjects.era();
+    const bool isEarlier = page.era > 0 && page.era < knownEra;
+    if (page.hasUnreadableEra || isEarlier)
+        this->logRejectedEra(page);
+    else if (page.era > 0)
+        this->eraRejected = false;
+    if (isEarlier)
+        return false;
+    // A store that states no era is taken to be in the known one.
+    if (page.era == 0)
+        page.era = knownEra;
+    for (CollectionObject &object : page.objects)
+        object.era = page.era;
+    return true;
+}
+
+void CollectionFeed::logRejectedEra(const CollectionPage &page)
+{
+    if (this->eraRejected)
+        return;
+    this->eraRejected = true;
+    this->log.write(Event::PlatformEraRejected,
+                    {{"collection", std::string(collectionName(this->localObjects.collection()))},
+                     {"reason", std::string(page.hasUnreadableEra ? "unreadable" : "earlier")},
+                     {"era", static_cast<std::int64_t>(page.era)},
+                     {"known_era", static_cast<std::int64_t>(this->localObjects.era())},
+                     {"revision", static_cast<std::int64_t>(page.revision)}});
+}
+
+void CollectionFeed::enterEra(std::uint64_t era, std::uint64_t revision, const char *source)
+{
+    const std::uint64_t previousEra = this->localObjects.era();
+    this->metrics.count(Counter::PlatformEraChanges, 1);
+    this->log.write(Event::PlatformEraChanged,
+                    {{"collection", std::string(collectionName(this->localObjects.collection()))},
+                     {"source", std::string(source)},
+                     {"era", static_cast<std::int64_t>(era)},
+                     {"previous_era", static_cast<std::int64_t>(previousEra)},
+                     {"revision", static_cast<std::int64_t>(revision)},
+                     {"previous_revision",
+                      static_cast<std::int64_t>(this->follower.watchedRevision().value_or(0))}});
+    this->localObjects.learnEra(era);
+    this->follower.onEraChanged(this->loop.now());
+    this->hostEvents.eraChanged(era);
+}
+
+void CollectionFeed::learnEra(std::uint64_t era, const char *source)
+{
+    if (era <= this->localObjects.era())
+        return;
+    if (this->localObjects.empty())
+        return this->localObjects.learnEra(era);
+    this->enterEra(era, 0, source);
+    this->restartCalls();
+}
+
+void CollectionFeed::restartCalls()
+{
+    ++this->callNumber;
+    this->watchStartedAt.reset();
+    this->watchCall.reset();
+    this->callTimer.reset();
+    this->scheduleNextCall();
+}
+
 void CollectionFeed::reportOutdatedObjects(const CollectionPage &page)
 {
     for (const CollectionObject &object : page.objects) {
-        const std::optional<std::uint64_t> known = this->localObjects.reportOutdated(object);
+        const std::optional<CollectionObject> known = this->localObjects.reportOutdated(object);
         if (!known)
             continue;
         this->metrics.count(Counter::OutdatedObjects, 1);
@@ -154,8 +233,12 @@
                 Event::ObjectOutdated,
                 {{"collection", std::string(collectionName(this->localObjects.collection()))},
                  {"object", object.name},
+                 {"era", static_cast<std::int64_t>(object.era)},
                  {"revision", static_cast<std::int64_t>(object.revision)},
-                 {"known_revision", static_cast<std::int64_t>(*known)},
+                 {"version", static_cast<std::int64_t>(object.version)},
+                 {"known_era", static_cast<std::int64_t>(known->era)},
+                 {"known_revision", static_cast<std::int64_t>(known->revision)},
+                 {"known_version", static_cast<std::int64_t>(known->version)},
                  {"store_revision", static_cast<std::int64_t>(page.revision)}});
     }
 }
@@ -172,6 +255,8 @@
 void CollectionFeed::onAnnouncement(std::uint64_t link, const ObjectAnnouncement &announcement,
                                     PeerLocality place)
 {
+    for (const AnnouncedObject &object : announcement.objects)
+        this->learnEra(object.era, "peer");
     this->publishChanges(
             this->localObjects.onAnnounced(link, announcement, this->loop.now(), place));
 }
@@ -181,7 +266,8 @@
     std::vector<CollectionObject> objects;
     objects.reserve(offer.objects.size());
     for (const OfferedObject &object : offer.objects)
-        objects.push_back({object.name, object.revision, object.removed, object.text});
+        objects.push_back({object.name, object.revision, object.removed, object.text, object.era,
+                           object.version});
     this->publishChanges(this->localObjects.onChanged(objects));
 }
 
--- a/src/entry_host/collection_feed.h
+++ b/src/entry_host/collection_feed.h
@@ -22,10 +22,16 @@
     /// Announces changed objects to the linked peers.
     using Announcer = std::function<void(const ObjectAnnouncement &)>;
 
-    /// \a onSilentConnection is called when a watch got no response in time.
+    /// Callbacks for events that concern the host beyond the collection.
+    struct HostEvents
+    {
+        std::function<void()> silentConnection;            ///< A watch got no response in time.
+        std::function<void(std::uint64_t era)> eraChanged; ///< The store is in a later era.
+    };
+
     CollectionFeed(EventLoop &loop, CollectionStore &store, Collection collection,
                    RandomSource &random, Listener listener, Announcer announcer,
-                   std::function<void()> onSilentConnection, Metrics &metrics, EventLog &log);
+                   HostEvents hostEvents, Metrics &metrics, EventLog &log);
     ~CollectionFeed();
 
     /// Lists the collection once. Whether the store is watched afterwards is set by setWatching().
@@ -39,6 +45,10 @@
     /// is logged.
     void renewWatch(const char *reason);
 
+    /// Handles the news that the store is in \a era: lists the collection again at once if the era
+    /// is later than the known one. \a source is logged.
+    void learnEra(std::uint64_t era, const char *source);
+
     /// Handles an announcement that a peer sent over \a link.
     void onAnnouncement(std::uint64_t link, const ObjectAnnouncement &announcement,
                         PeerLocality place);
@@ -60,6 +70,11 @@
 
 private:
     void scheduleNextCall();
+    void restartCalls();
+    /// Completes the era of \a page. Returns false if the page belongs to an earlier era.
+    bool resolveEra(CollectionPage &page);
+    void logRejectedEra(const CollectionPage &page);
+    void enterEra(std::uint64_t era, std::uint64_t revision, const char *source);
     bool isWatchWaiting() const;
     void callStore(const CollectionRequest &step);
     void onPage(CollectionRequest::Kind kind, const CollectionStore::PageResult &page);
@@ -83,7 +98,8 @@
     std::optional<TimePoint> lastRenewal;
     bool watchContinues = false;  ///< The previous watch ended without a change.
     std::uint64_t callNumber = 0; ///< Responses to earlier calls are ignored.
-    std::function<void()> onSilentConnection;
+    HostEvents hostEvents;
+    bool eraRejected = false; ///< Logged; until a response states a valid era.
     std::shared_ptr<bool> alive =
             std::make_shared<bool>(true); ///< False for callbacks that run after destruction.
 };
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -80,15 +80,18 @@
                   this->applyConfigurationObjects(objects);
               },
               [this](const ObjectAnnouncement &message) { this->peerMesh.broadcast(message); },
-              [this] { this->serverFeed.renewWatch("other_watch_silent"); }, this->metrics, log)
+              {[this] { this->serverFeed.renewWatch("other_watch_silent"); },
+               [this](std::uint64_t era) { this->onPlatformEra(era, this->serverFeed); }},
+              this->metrics, log)
     , serverFeed(
               loop, store, Collection::Servers, this->random,
               [this](const std::vector<CollectionObject> &objects, bool mayHaveLapsed) {
                   this->applyServerObjects(objects, mayHaveLapsed);
               },
               [this](const ObjectAnnouncement &message) { this->peerMesh.broadcast(message); },
-              [this] { this->configurationFeed.renewWatch("other_watch_silent"); }, this->metrics,
-              log)
+              {[this] { this->configurationFeed.renewWatch("other_watch_silent"); },
+               [this](std::uint64_t era) { this->onPlatformEra(era, this->configurationFeed); }},
+              this->metrics, log)
     , readinessServer(loop, settings.readiness, MaxReadinessRequestBytes,
                       [this](const HttpExchangePtr &exchange) {
                           const bool ready =
@@ -314,7 +317,7 @@
 bool GatewayHost::isReady() const
 {
     return !this->shuttingDown && this->routes && this->routes->configuration()
-           && !this->fleet.all().empty();
+           && !this->fleet.all(this->loop.now()).empty();
 }
 
 HostStatus GatewayHost::status() const
@@ -329,7 +332,7 @@
     status.peerLinks = this->peerMesh.openLinks();
     for (const MemberRecord &member : this->membership.liveMembers())
         status.members.push_back({member.identity, member.configurationVersion, member.leaving});
-    for (const GatewayServer *known : this->fleet.all())
+    for (const GatewayServer *known : this->fleet.all(this->loop.now()))
         status.servers.push_back({known->id, known->pool, known->draining ? "draining" : "up"});
     return status;
 }
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -105,6 +105,8 @@
     void addRemotePrompt(std::uint32_t server, const EnginePrompt &prompt);
     const EngineProfile *engineProfileOf(const ServerId &server) const;
     void registerHostEntry();
+    /// Handles a change of the era of the store that one of the feeds noticed.
+    void onPlatformEra(std::uint64_t era, CollectionFeed &otherFeed);
     void requestObjectsFromPeers();
     void updateStoreWatching(const std::vector<MemberRecord> &live);
     /// Renews the watches and the peer links if most links fell silent at once.
@@ -149,6 +151,7 @@
     std::set<std::uint32_t> promptSenders; ///< Hashes of the hosts at the last heartbeat.
     std::uint64_t nextMemoryRequestId = 1;
     std::map<std::uint64_t, std::unique_ptr<HttpFetch>> memoryRequests;
+    std::uint64_t registeredEra = 0; ///< Latest era in which the host entry was written again.
     std::optional<TimePoint> lastLinkCheck;
     int silentLinkChecks = 0; ///< Checks in a row in which most peer links were silent.
     bool shuttingDown = false;
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -199,6 +199,15 @@
     this->serverFeed.setWatching(turn);
 }
 
+void GatewayHost::onPlatformEra(std::uint64_t era, CollectionFeed &otherFeed)
+{
+    otherFeed.learnEra(era, "other_collection");
+    if (this->shuttingDown || era <= this->registeredEra)
+        return;
+    this->registeredEra = era;
+    this->registerHostEntry();
+}
+
 void GatewayHost::checkPeerLinks()
 {
     const TimePoint now = this->loop.now();
@@ -292,7 +301,8 @@
             this->promptPlacement.onServerReset(parsed->id);
         this->serversByHash[hash32(parsed->id)] = parsed->id;
     }
-    this->metrics.set(Gauge::BackendServersUsable, static_cast<double>(this->fleet.all().size()));
+    this->metrics.set(Gauge::BackendServersUsable,
+                      static_cast<double>(this->fleet.all(this->loop.now()).size()));
 }
 
 const EngineProfile *GatewayHost::engineProfileOf(const ServerId &server) const
--- a/src/gateway/collection_follower.cpp
+++ b/src/gateway/collection_follower.cpp
@@ -89,6 +89,14 @@
     ++this->consecutiveFailures;
 }
 
+void CollectionFollower::onEraChanged(TimePoint now)
+{
+    this->revision.reset();
+    this->watchDelay = Duration::zero();
+    // Entries written since the copy was made are missing until they are written again.
+    this->reconnectedAt = now;
+}
+
 void CollectionFollower::onRequestSucceeded(TimePoint now)
 {
     if (this->consecutiveFailures > 0) {
--- a/src/gateway/collection_follower.h
+++ b/src/gateway/collection_follower.h
@@ -37,6 +37,12 @@
     /// Handles a request that failed with \a error.
     void onFailed(StoreError error, TimePoint now);
 
+    /// Handles a change of the era of the store: the collection is listed again at once.
+    void onEraChanged(TimePoint now);
+
+    /// Returns the revision from which the collection is watched; nullopt before a list.
+    std::optional<std::uint64_t> watchedRevision() const { return this->revision; }
+
     /// Returns true if a request has failed, other than with NotFound, since the last success.
     bool isStoreUnreachable() const { return this->consecutiveFailures > 0; }
 
--- a/src/gateway/collection_replica.cpp
+++ b/src/gateway/collection_replica.cpp
@@ -22,11 +22,7 @@
 bool CollectionReplica::isNewer(const CollectionObject &object) const
 {
     const auto found = this->objects.find(object.name);
-    if (found == this->objects.end() || found->second.revision < object.revision)
-        return true;
-    // The exact revision of a removal is not known, only a bound for it, so that an object that is
-    // written again may have the revision recorded for its removal.
-    return found->second.revision == object.revision && found->second.removed && !object.removed;
+    return found == this->objects.end() || isLaterState(object, found->second);
 }
 
 std::vector<CollectionObject> CollectionReplica::onListed(const CollectionPage &page)
@@ -37,9 +33,12 @@
     std::vector<CollectionObject> changes = page.objects;
     for (const auto &[name, object] : this->objects) {
         // Objects that peers announced with a later revision than that of the list are kept.
-        if (!object.removed && present.count(name) == 0 && object.revision < page.revision)
-            changes.push_back({name, page.revision, true, ""});
+        const bool precedesList = object.era < page.era
+                                  || (object.era == page.era && object.revision < page.revision);
+        if (!object.removed && present.count(name) == 0 && precedesList)
+            changes.push_back({name, page.revision, true, "", page.era});
     }
+    this->learnEra(page.era);
     return this->onChanged(changes);
 }
 
@@ -53,20 +52,21 @@
         this->objects[object.name] = object;
         this->reportedOutdated.erase(object.name);
         const auto pending = this->pendingRequests.find(object.name);
-        if (pending != this->pendingRequests.end() && pending->second.revision <= object.revision)
+        if (pending != this->pendingRequests.end()
+            && !isLaterState(pending->second.announced, object))
             this->pendingRequests.erase(pending);
         applied.push_back(object);
     }
     return applied;
 }
 
-std::optional<std::uint64_t> CollectionReplica::reportOutdated(const CollectionObject &object)
+std::optional<CollectionObject> CollectionReplica::reportOutdated(const CollectionObject &object)
 {
     const auto found = this->objects.find(object.name);
-    if (found == this->objects.end() || object.revision >= found->second.revision
+    if (found == this->objects.end() || !isLaterState(found->second, object)
         || !this->reportedOutdated.insert(object.name).second)
         return std::nullopt;
-    return found->second.revision;
+    return found->second;
 }
 
 std::vector<CollectionObject> CollectionReplica::onAnnounced(std::uint64_t link,
@@ -78,19 +78,21 @@
             now + this->requestDelay + (inSameDomain ? Duration::zero() : OtherDomainDelay);
     std::vector<CollectionObject> removals;
     for (const AnnouncedObject &announced : announcement.objects) {
-        const CollectionObject object{announced.name, announced.revision, announced.removed, ""};
+        const CollectionObject object{announced.name, announced.revision, announced.removed, "",
+                                      announced.era,  announced.version};
         if (!this->isNewer(object))
             continue;
         if (object.removed) {
             removals.push_back(object);
             continue;
         }
-        PendingRequest &entry = this->pendingRequests[announced.name];
-        if (entry.revision > announced.revision)
+        const auto [position, isFirst] = this->pendingRequests.try_emplace(announced.name);
+        PendingRequest &entry = position->second;
+        if (!isFirst && isLaterState(entry.announced, object))
             continue;
-        if (entry.revision < announced.revision) {
+        if (isFirst || isLaterState(object, entry.announced)) {
             entry = PendingRequest();
-            entry.revision = announced.revision;
+            entry.announced = object;
             entry.due = due;
         } else if (inSameDomain && !entry.sameDomainLink) {
             entry.due = std::min(entry.due, due);
@@ -136,7 +138,8 @@
     ObjectAnnouncement result;
     result.collection = static_cast<std::uint8_t>(this->replicatedCollection);
     for (const CollectionObject &object : changed)
-        result.objects.push_back({object.name, object.revision, object.removed});
+        result.objects.push_back(
+                {object.name, object.revision, object.removed, object.era, object.version});
     return result;
 }
 
@@ -144,7 +147,7 @@
 {
     std::vector<CollectionObject> all;
     for (const auto &[name, object] : this->objects)
-        all.push_back({name, object.revision, object.removed, ""});
+        all.push_back({name, object.revision, object.removed, "", object.era, object.version});
     return this->announcement(all);
 }
 
@@ -156,7 +159,8 @@
         const auto found = this->objects.find(name);
         if (found != this->objects.end())
             result.objects.push_back({found->second.name, found->second.revision,
-                                      found->second.removed, found->second.text});
+                                      found->second.removed, found->second.text, found->second.era,
+                                      found->second.version});
     }
     return result;
 }
--- a/src/gateway/collection_replica.h
+++ b/src/gateway/collection_replica.h
@@ -3,6 +3,7 @@
 #include "protocol/peer_message.h"
 #include "state/collection_store.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -18,8 +19,8 @@
 };
 
 /// Local replica of one collection, updated from the store and from peers, so that a host that the
-/// store rejects still receives changes. The highest revision of an object wins; an object never
-/// goes back to a lower one. Performs no I/O.
+/// store rejects still receives changes. The latest state of an object wins, by isLaterState(); an
+/// object never goes back to an earlier one. Performs no I/O.
 class CollectionReplica
 {
 public:
@@ -38,9 +39,16 @@
                                               const ObjectAnnouncement &announcement, TimePoint now,
                                               PeerLocality locality);
 
-    /// Returns the revision of the known version of \a object if \a object is older than it and has
-    /// not been reported since the known version changed; nullopt otherwise.
-    std::optional<std::uint64_t> reportOutdated(const CollectionObject &object);
+    /// Returns the known state of \a object if it is later than \a object and this has not been
+    /// reported since the known state changed; nullopt otherwise.
+    std::optional<CollectionObject> reportOutdated(const CollectionObject &object);
+
+    /// Returns the latest era of the store that this replica knows; 0 if none.
+    std::uint64_t era() const { return this->knownEra; }
+
+    /// Records that the store is in \a era. Objects of earlier eras stay until a list or a peer
+    /// replaces them.
+    void learnEra(std::uint64_t era) { this->knownEra = std::max(this->knownEra, era); }
 
     /// Sets how long to wait for the store to deliver an announced object before asking the peer.
     void setRequestDelay(Duration delay) { this->requestDelay = delay; }
@@ -69,7 +77,7 @@
 private:
     struct PendingRequest
     {
-        std::uint64_t revision = 0;
+        CollectionObject announced;                   ///< Latest announced state, without text.
         std::optional<std::uint64_t> sameDomainLink;  ///< Latest announcing peer in this domain.
         std::optional<std::uint64_t> otherDomainLink; ///< Latest announcing peer in another one.
         /// The peer in this failure domain was asked and has not responded.
@@ -80,6 +88,7 @@
     bool isNewer(const CollectionObject &object) const;
 
     Collection replicatedCollection;
+    std::uint64_t knownEra = 0;
     Duration requestDelay = std::chrono::milliseconds(250);
     std::map<std::string, CollectionObject> objects; ///< Includes tombstones of removed ones.
     std::map<std::string, PendingRequest> pendingRequests;
--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -46,32 +46,32 @@
 bool ServerFleet::put(const GatewayServer &server, TimePoint now)
 {
     const auto found = this->records.find(server.id);
-    if (found != this->records.end() && !found->second.expiresAt
-        && found->second.server.incarnation == server.incarnation) {
+    if (found != this->records.end() && found->second.server.incarnation == server.incarnation) {
         Record &record = found->second;
-        if (!record.server.draining && server.draining)
+        const bool wasDraining = record.server.draining;
+        if (!wasDraining && server.draining)
             this->log.write(Event::ServerDraining, {{"server", server.id}, {"source", "entry"}});
         record.server = server;
+        record.server.draining = server.draining || wasDraining;
+        // The entry may have expired and be written again; the recorded health still applies.
+        record.expiresAt.reset();
+        record.removedAt.reset();
         return false;
     }
-    const bool restarted =
-            found != this->records.end() && found->second.server.incarnation != server.incarnation;
-    if (found != this->records.end() && !restarted) {
-        // The entry had expired and was written again; the recorded health still applies.
-        found->second.expiresAt.reset();
-        found->second.removedAt.reset();
-        found->second.server = server;
-        return false;
-    }
+    const bool restarted = found != this->records.end();
     Record record;
     record.server = server;
     record.rank = static_cast<double>(hash64(server.id)) / HashRange;
     record.decayedAt = now;
+    const auto departure = this->departures.find(server.id);
+    record.announcedLeaving = departure != this->departures.end()
+                              && departure->second.incarnation == server.incarnation;
     this->records[server.id] = record;
     this->log.write(Event::ServerUp, {{"server", server.id},
                                       {"pool", server.pool},
                                       {"endpoint", server.endpoint.text()},
-                                      {"restarted", restarted}});
+                                      {"restarted", restarted},
+                                      {"departed_before", record.announcedLeaving}});
     return restarted;
 }
 
@@ -87,6 +87,8 @@
     this->log.write(Event::ServerDown,
                     {{"server", server}, {"source", "entry"}, {"may_have_lapsed", mayReturn}});
     if (leaving) {
+        this->forgetDepartures(now);
+        this->departures[server] = {record.server.incarnation, now};
         this->records.erase(found);
         return;
     }
@@ -105,6 +107,14 @@
     }
 }
 
+void ServerFleet::forgetDepartures(TimePoint now)
+{
+    for (auto departure = this->departures.begin(); departure != this->departures.end();) {
+        const bool isOld = now - departure->second.removedAt > this->timings.departureMemory;
+        departure = isOld ? this->departures.erase(departure) : std::next(departure);
+    }
+}
+
 void ServerFleet::graceIfMostRemoved(const std::string &pool, TimePoint now)
 {
     std::vector<Record *> removed;
@@ -267,13 +277,12 @@
     return found == this->records.end() ? 1.0 : found->second.rank;
 }
 
-std::vector<const GatewayServer *> ServerFleet::all() const
+std::vector<const GatewayServer *> ServerFleet::all(TimePoint now) const
 {
     std::vector<const GatewayServer *> servers;
     servers.reserve(this->records.size());
     for (const auto &[id, record] : this->records) {
-        const bool gone = record.removedAt && record.expiresAt == record.removedAt;
-        if (!gone)
+        if (!record.expiresAt || *record.expiresAt > now)
             servers.push_back(&record.server);
     }
     return servers;
--- a/src/gateway/server_fleet.h
+++ b/src/gateway/server_fleet.h
@@ -39,6 +39,9 @@
     /// If more than this fraction of a pool is removed together, an outage of the store that this
     /// host did not notice is more likely than the loss of the servers.
     double maxRemovedFraction = 0.5;
+    /// How long the departure of a server is remembered; longer than a restored copy of the store
+    /// can be old.
+    Duration departureMemory = std::chrono::minutes(10);
 };
 
 /// Outcome of an attempt at a server.
@@ -61,7 +64,9 @@
 public:
     ServerFleet(const ServerFleetTimings &timings, EventLog &log);
 
-    /// Adds a server or updates its entry. Returns true if the server restarted.
+    /// Adds a server or updates its entry. A server that was leaving keeps leaving until it has
+    /// another incarnation, since a store restored from a copy shows an earlier entry of it.
+    /// Returns true if the server restarted.
     bool put(const GatewayServer &server, TimePoint now);
 
     /// Handles the removal of the entry of \a server. If \a mayHaveExpired is true, the entry may
@@ -95,8 +100,9 @@
     /// Returns the position of \a server in the order that all hosts share, from 0 to 1.
     double rank(const ServerId &server) const;
 
-    /// Returns all known servers.
-    std::vector<const GatewayServer *> all() const;
+    /// Returns all known servers, except those whose removed entries were not written again in
+    /// time.
+    std::vector<const GatewayServer *> all(TimePoint now) const;
 
 private:
     struct Record
@@ -117,7 +123,15 @@
         std::optional<TimePoint> expiresAt; ///< End of the grace period after the entry expired.
     };
 
+    /// A server that was leaving when its entry was removed.
+    struct Departure
+    {
+        std::uint64_t incarnation = 0;
+        TimePoint removedAt;
+    };
+
     void removeExpired(TimePoint now);
+    void forgetDepartures(TimePoint now);
     void graceIfMostRemoved(const std::string &pool, TimePoint now);
     void decayCounts(Record &record, TimePoint now) const;
     void suspectServer(Record &record, AttemptOutcome outcome, TimePoint now);
@@ -127,6 +141,8 @@
     ServerFleetTimings timings;
     EventLog &log;
     std::map<ServerId, Record> records;
+    /// Departed servers, whose entries a restored store may show again.
+    std::map<ServerId, Departure> departures;
     /// Servers that each other host reported as silent, with the time of the latest report.
     std::map<std::uint32_t, std::map<ServerId, TimePoint>> silenceReports;
 };
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -297,7 +297,8 @@
 {
     nlohmann::json rows = nlohmann::json::array();
     for (const AnnouncedObject &object : announcement.objects)
-        rows.push_back(nlohmann::json::array({object.name, object.revision, object.removed}));
+        rows.push_back(nlohmann::json::array(
+                {object.name, object.revision, object.removed, object.era, object.version}));
     return {{TypeKey, ObjectAnnouncementType}, {"k", announcement.collection}, {"o", rows}};
 }
 
@@ -310,11 +311,17 @@
 {
     nlohmann::json rows = nlohmann::json::array();
     for (const OfferedObject &object : offer.objects)
-        rows.push_back(
-                nlohmann::json::array({object.name, object.revision, object.removed, object.text}));
+        rows.push_back(nlohmann::json::array({object.name, object.revision, object.removed,
+                                              object.text, object.era, object.version}));
     return {{TypeKey, ObjectOfferType}, {"k", offer.collection}, {"o", rows}};
 }
 
+/// Decodes a column that hosts of earlier versions do not send.
+std::uint64_t decodeOptionalUnsigned(const nlohmann::json &row, std::size_t column)
+{
+    return column < row.size() ? decodeUnsigned<std::uint64_t>(row.at(column)) : 0;
+}
+
 ObjectAnnouncement decodeObjectAnnouncement(const nlohmann::json &json)
 {
     ObjectAnnouncement announcement;
@@ -322,7 +329,8 @@
     for (const nlohmann::json &row : json.at("o"))
         announcement.objects.push_back({row.at(0).get<std::string>(),
                                         decodeUnsigned<std::uint64_t>(row.at(1)),
-                                        row.at(2).get<bool>()});
+                                        row.at(2).get<bool>(), decodeOptionalUnsigned(row, 3),
+                                        decodeOptionalUnsigned(row, 4)});
     return announcement;
 }
 
@@ -333,7 +341,8 @@
     for (const nlohmann::json &row : json.at("o"))
         offer.objects.push_back({row.at(0).get<std::string>(),
                                  decodeUnsigned<std::uint64_t>(row.at(1)), row.at(2).get<bool>(),
-                                 row.at(3).get<std::string>()});
+                                 row.at(3).get<std::string>(), decodeOptionalUnsigned(row, 4),
+                                 decodeOptionalUnsigned(row, 5)});
     return offer;
 }
 
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -153,6 +153,8 @@
     std::string name;
     std::uint64_t revision = 0;
     bool removed = false;
+    std::uint64_t era = 0;     ///< See CollectionObject; 0 from hosts of earlier versions.
+    std::uint64_t version = 0; ///< See CollectionObject; 0 from hosts of earlier versions.
 };
 
 /// Announces the revisions that the sender knows of the objects in a platform collection.
@@ -176,6 +178,8 @@
     std::uint64_t revision = 0;
     bool removed = false;
     std::string text;
+    std::uint64_t era = 0;     ///< See CollectionObject; 0 from hosts of earlier versions.
+    std::uint64_t version = 0; ///< See CollectionObject; 0 from hosts of earlier versions.
 };
 
 /// Reply to an ObjectRequest.
--- a/src/state/collection_store.h
+++ b/src/state/collection_store.h
@@ -32,16 +32,27 @@
 struct CollectionObject
 {
     std::string name;
-    std::uint64_t revision = 0; ///< Store-wide; rises with every change.
+    std::uint64_t revision = 0; ///< Store-wide; rises with every change of one era.
     bool removed = false;
     std::string text; ///< The stored value.
+    /// Rises each time the store is restored from a copy. What the store acknowledged since the
+    /// copy was made is then lost, and its revisions are given out again. 0 if unknown.
+    std::uint64_t era = 0;
+    /// Version that the writer gave the object; it never goes back. 0 if the object has none.
+    std::uint64_t version = 0;
 };
 
+/// Returns true if \a candidate is a later state of its object than \a known. Versions decide, as
+/// the restored copy of a versioned object is an older one; then the era and the revision.
+bool isLaterState(const CollectionObject &candidate, const CollectionObject &known);
+
 /// The objects of a list or the changes of a watch, up to one revision.
 struct CollectionPage
 {
     std::vector<CollectionObject> objects;
     std::uint64_t revision = 0;
+    std::uint64_t era = 0;         ///< 0 if the store does not state it.
+    bool hasUnreadableEra = false; ///< The store stated an era that is not a positive integer.
 };
 
 /// A running call. Destroying it abandons the call: its callback is not invoked.
--- a/tests/gateway/test_collection_replica.cpp
+++ b/tests/gateway/test_collection_replica.cpp
@@ -16,6 +16,80 @@
 
 } // namespace
 
+TEST_CASE("A store that was restored from a copy replaces what it returned before",
+          "[Gateway][CollectionReplica]")
+{
+    const auto inEra = [](const std::string &name, std::uint64_t revision, std::uint64_t era) {
+        CollectionObject result = object(name, revision);
+        result.era = era;
+        return result;
+    };
+    CollectionReplica objects(Collection::Servers);
+    objects.onListed({{inEra("a", 80, 1), inEra("b", 90, 1)}, 95, 1});
+    CHECK(objects.era() == 1);
+
+    SECTION("its objects win with lower revisions, and what it lacks is removed")
+    {
+        const auto changes = objects.onListed({{inEra("a", 40, 2)}, 50, 2});
+        REQUIRE(changes.size() == 2);
+        CHECK(changes[0].name == "a");
+        CHECK(changes[1].name == "b");
+        CHECK(changes[1].removed);
+        CHECK(objects.era() == 2);
+        SECTION("peers that are still in the earlier era change nothing")
+        {
+            CHECK(objects.onChanged({inEra("b", 90, 1)}).empty());
+            CHECK(objects.onChanged({object("b", 400)}).empty());
+        }
+        SECTION("an entry that is written again returns")
+        {
+            CHECK(objects.onChanged({inEra("b", 51, 2)}).size() == 1);
+        }
+    }
+    SECTION("a host without a connection to the store learns it from a peer")
+    {
+        const ObjectAnnouncement announcement{1, {{"a", 40, false, 2}, {"b", 50, true, 2}}};
+        const TimePoint now{seconds(100)};
+        const auto removals = objects.onAnnounced(1, announcement, now, PeerLocality::SameDomain);
+        REQUIRE(removals.size() == 1);
+        CHECK(removals[0].name == "b");
+        CHECK(objects.takeDueRequests(now + seconds(1)).at(0).second.names
+              == std::vector<std::string>{"a"});
+    }
+    SECTION("an outdated object is reported once until its object changes")
+    {
+        CHECK(objects.reportOutdated(inEra("a", 40, 1)));
+        CHECK_FALSE(objects.reportOutdated(inEra("a", 40, 1)));
+        objects.onChanged({inEra("a", 96, 1)});
+        CHECK(objects.reportOutdated(inEra("a", 40, 1)));
+    }
+}
+
+TEST_CASE("A versioned object never goes back to an older version", "[Gateway][CollectionReplica]")
+{
+    const auto versioned = [](std::uint64_t version, std::uint64_t revision, std::uint64_t era) {
+        return CollectionObject{"main", revision, false, "text", era, version};
+    };
+    CollectionReplica objects(Collection::Configuration);
+    objects.onListed({{versioned(7, 80, 1)}, 80, 1});
+
+    SECTION("not when the restored store has an older one, or none")
+    {
+        CHECK(objects.onListed({{versioned(5, 40, 2)}, 50, 2}).empty());
+        CHECK(objects.onListed({{}, 50, 2}).empty());
+        CHECK(objects.onChanged({versioned(8, 51, 2)}).size() == 1);
+    }
+    SECTION("and a peer that has a newer one of the earlier era is asked for it")
+    {
+        CollectionReplica startedInGap(Collection::Configuration);
+        startedInGap.onListed({{versioned(5, 40, 2)}, 50, 2});
+        const TimePoint now{seconds(100)};
+        startedInGap.onAnnounced(1, objects.fullAnnouncement(), now, PeerLocality::SameDomain);
+        REQUIRE(startedInGap.takeDueRequests(now + seconds(1)).size() == 1);
+        CHECK(startedInGap.onChanged({versioned(7, 80, 1)}).size() == 1);
+    }
+}
+
 TEST_CASE("The highest revision of an object wins, whatever its source",
           "[Gateway][CollectionReplica]")
 {
--- a/tests/gateway/test_server_fleet.cpp
+++ b/tests/gateway/test_server_fleet.cpp
@@ -39,6 +39,26 @@
         fleet.put(draining, now);
         CHECK(fleet.usable("app", now).size() == 1);
     }
+    SECTION("not when a restored store shows an earlier entry of a leaving server")
+    {
+        GatewayServer draining = server("s1");
+        draining.draining = true;
+        fleet.put(draining, now);
+        fleet.put(server("s1"), now);
+        CHECK(fleet.usable("app", now).size() == 1);
+        SECTION("even after its entry had been removed")
+        {
+            fleet.remove("s1", false, now);
+            fleet.put(server("s1"), now + seconds(5));
+            CHECK(fleet.usable("app", now + seconds(5)).size() == 1);
+        }
+        SECTION("until it has another incarnation")
+        {
+            fleet.remove("s1", false, now);
+            fleet.put(server("s1", 2), now + seconds(5));
+            CHECK(fleet.usable("app", now + seconds(5)).size() == 2);
+        }
+    }
     SECTION("not when they announced in an answer that they leave, whatever the entry says")
     {
         fleet.onAttemptOutcome("s1", AttemptOutcome::Leaving, now);
@@ -91,12 +111,12 @@
         fleet.put(server("s3"), now);
         fleet.remove("s1", false, now);
         CHECK(fleet.usable("app", now).size() == 2);
-        CHECK(fleet.all().size() == 2);
+        CHECK(fleet.all(now).size() == 2);
         now += milliseconds(300);
         fleet.remove("s2", false, now);
         fleet.remove("s3", false, now);
         CHECK(fleet.usable("app", now).size() == 3);
-        CHECK(fleet.all().size() == 3);
+        CHECK(fleet.all(now).size() == 3);
         fleet.put(server("s2"), now + milliseconds(500));
         CHECK(fleet.usable("app", now + milliseconds(500)).size() == 3);
         SECTION("but not if they are not written again")
--- a/tests/platform/test_platform_store.cpp
+++ b/tests/platform/test_platform_store.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 
-std::string httpResponse(int status, const std::string &body)
+std::string httpResponse(int status, const std::string &body, const std::string &headers = "")
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: "
-           + std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body;
+           + std::to_string(body.size()) + "\r\nConnection: close\r\n" + headers + "\r\n" + body;
 }
 
 struct StoreFixture
@@ -98,6 +98,24 @@
         CHECK_THAT(fixture.receivedRequest,
                    Catch::StartsWith("GET /-/objects/config?watch=530&wait_ms=100 "));
     }
+    SECTION("a response states the era of the store, and the version of a configuration")
+    {
+        const std::string events =
+                R"({"events":[{"object":{"metadata":{"name":"main","rev":9},"spec":{"version":7}}}],)"
+                R"("at":9})";
+        const auto eraOf = [&](const std::string &header) {
+            const auto page = fixture.watch(httpResponse(200, events, header));
+            REQUIRE(page);
+            CHECK(page->objects.at(0).version == 7);
+            return std::make_pair(page->era, page->hasUnreadableEra);
+        };
+        CHECK(eraOf("Store-Era: 3\r\n") == std::make_pair(std::uint64_t{3}, false));
+        CHECK(eraOf("") == std::make_pair(std::uint64_t{0}, false));
+        CHECK(eraOf("Store-Era: soon\r\n") == std::make_pair(std::uint64_t{0}, true));
+        CHECK(eraOf("Store-Era: -2\r\n") == std::make_pair(std::uint64_t{0}, true));
+        CHECK(eraOf("Store-Era: 99999999999999999999\r\n")
+              == std::make_pair(std::uint64_t{0}, true));
+    }
     SECTION("dropped history and an unavailable store give different errors")
     {
         CHECK(fixture.watch(httpResponse(410, "")).error() == StoreError::NotFound);
--- a/tests/platform/test_store_incidents.cpp
+++ b/tests/platform/test_store_incidents.cpp
@@ -218,6 +218,28 @@
             CHECK(toSeconds(drainTime) < toSeconds(ApplyLimit));
         }
     }
+    SECTION("a host that starts before the operator has written again takes it from its peers")
+    {
+        fixture.store.restore(copy);
+        fixture.startHost(0);
+        const Duration time =
+                fixture.runUntil([&] { return fixture.allAtVersion(9); }, seconds(10));
+        CHECK(toSeconds(time) < toSeconds(ContactLimit));
+    }
+    SECTION("with answers that state no era, an unreadable or an earlier one in between")
+    {
+        fixture.store.restore(copy);
+        fixture.runFor(milliseconds(500));
+        for (const char *header : {"", "none", "1"}) {
+            fixture.store.setEraHeader(header);
+            fixture.runFor(milliseconds(500));
+        }
+        fixture.store.setEraHeader("2");
+        fixture.publishConfiguration(10);
+        const Duration time = fixture.runUntil([&] { return fixture.allAtVersion(10); },
+                                               ContactLimit + ApplyLimit);
+        CHECK(toSeconds(time) < toSeconds(ApplyLimit));
+    }
     SECTION("when its revisions have overtaken those given out before")
     {
         // A server whose removal falls into the part of the history that hosts have not seen.
--- a/tests/protocol/test_peer_message.cpp
+++ b/tests/protocol/test_peer_message.cpp
@@ -3,6 +3,7 @@
 #include "core/random_source.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace dotterel;
 
@@ -75,3 +76,35 @@
         }
     }
 }
+
+TEST_CASE("Announced and offered objects carry their era and version", "[Protocol][PeerMessage]")
+{
+    SECTION("through both directions")
+    {
+        const ObjectAnnouncement sent{1, {{"s1", 5, false, 2, 7}}};
+        const auto received = decodePeerMessage(encodePeerMessage(sent));
+        REQUIRE(received);
+        const AnnouncedObject &object = std::get<ObjectAnnouncement>(*received).objects.at(0);
+        CHECK(object.era == 2);
+        CHECK(object.version == 7);
+        const ObjectOffer offer{1, {{"s1", 5, false, "text", 2, 7}}};
+        const auto receivedOffer = decodePeerMessage(encodePeerMessage(offer));
+        REQUIRE(receivedOffer);
+        CHECK(std::get<ObjectOffer>(*receivedOffer).objects.at(0).era == 2);
+        CHECK(std::get<ObjectOffer>(*receivedOffer).objects.at(0).version == 7);
+    }
+    SECTION("and are understood from hosts of earlier versions, which send neither")
+    {
+        const auto encoded =
+                nlohmann::json::to_cbor({{"t", "a"}, {"k", 1}, {"o", {{"s1", 5, false}}}});
+        const auto received = decodePeerMessage(std::string(encoded.begin(), encoded.end()));
+        REQUIRE(received);
+        CHECK(std::get<ObjectAnnouncement>(*received).objects.at(0).era == 0);
+    }
+    SECTION("and are rejected if they are not numbers")
+    {
+        const auto encoded = nlohmann::json::to_cbor(
+                {{"t", "a"}, {"k", 1}, {"o", {{"s1", 5, false, "two", 7}}}});
+        CHECK_FALSE(decodePeerMessage(std::string(encoded.begin(), encoded.end())));
+    }
+}
