Obey servers that leave by a header or ask for a pause

Cause: both headers were not read; a refusal only weighed as half a failure in the choice of a server. Change: platform/ translates Server-Leaving and Retry-After; the fleet keeps both for the incarnation of the server. A leaving server gets nothing new from the first answer on, also from answers to memory messages, and the other hosts are told by datagram (earlier builds ignore it). A paused server is not usable, even as the last one; messages about memory in use are limited to two in a pause. Callers are refused at once with the time of the first server that is back, spread by a quarter. Pauses over ten minutes are bounded, values that are not positive numbers ignored; a restart ends both states. Retry delays without a usable server are now spread as well.

--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -271,6 +271,11 @@
     this->promptUpdates.enqueue(item);
 }
 
+void GatewayHost::publishServerLeaving(const ServerLeavingNotice &notice)
+{
+    this->promptUpdates.announceLeaving(notice);
+}
+
 void GatewayHost::publishCrashNotice(const CrashNotice &notice)
 {
     this->peerMesh.broadcast(notice);
@@ -282,13 +287,16 @@
     const bool isReservation = order.tokens > 0;
     this->memoryRequests[id] = std::make_unique<HttpFetch>(
             this->httpClient, this->protocol.reservationRequest(order),
-            [this, id, isReservation, ticket = order.reservationId](
+            [this, id, isReservation, ticket = order.reservationId, server = order.server](
                     const std::optional<HttpResponse> &response, const HttpFailure & /*failure*/) {
                 // The fetch is still on the call stack, so it must not be destroyed here.
                 const std::shared_ptr<HttpFetch> finishedFetch =
                         std::move(this->memoryRequests[id]);
                 this->memoryRequests.erase(id);
                 this->loop.disposeLater(finishedFetch);
+                if (response)
+                    this->controller.onServerHeaders(server, response->status, response->headers,
+                                                     this->loop.now());
                 if (!isReservation)
                     return;
                 this->controller.onReservationResult(
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -76,6 +76,7 @@
     void endResponse(HttpCallId call) override;
     void abortResponse(HttpCallId call) override;
     void publishPromptUpdate(const PromptUpdate &item) override;
+    void publishServerLeaving(const ServerLeavingNotice &notice) override;
     void publishCrashNotice(const CrashNotice &notice) override;
 
     // PeerListener
@@ -101,6 +102,7 @@
     void updatePromptPeers();
     void addRemoteDispatch(std::uint32_t senderHash, const RunningPrompt &running, bool isNew);
     void recordFirstEvent(std::uint32_t server);
+    void recordLeaving(const ServerLeavingNotice &notice);
     void recordSilenceReport(std::uint32_t server, std::uint32_t senderHash);
     void addRemotePrompt(std::uint32_t server, const EnginePrompt &prompt);
     const EngineProfile *engineProfileOf(const ServerId &server) const;
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -338,6 +338,8 @@
             break;
         }
     }
+    for (const ServerLeavingNotice &notice : update.leavingServers)
+        this->recordLeaving(notice);
     for (const RunningPrompt &running : update.running)
         this->addRemoteDispatch(update.senderHash, running, false);
     if (update.joinedAt) {
@@ -385,6 +387,16 @@
         this->fleet.onAttemptOutcome(id->second, AttemptOutcome::Answered, this->loop.now());
 }
 
+void GatewayHost::recordLeaving(const ServerLeavingNotice &notice)
+{
+    const auto id = this->serversByHash.find(notice.serverHash);
+    if (id == this->serversByHash.end())
+        return;
+    const GatewayServer *server = this->fleet.find(id->second);
+    if (server != nullptr && server->incarnation == notice.incarnation)
+        this->fleet.onLeavingAnnounced(id->second, this->loop.now());
+}
+
 void GatewayHost::recordSilenceReport(std::uint32_t server, std::uint32_t senderHash)
 {
     const auto id = this->serversByHash.find(server);
--- a/src/entry_host/prompt_update_channel.cpp
+++ b/src/entry_host/prompt_update_channel.cpp
@@ -66,6 +66,17 @@
         this->socket.send(peer, bytes);
 }
 
+void PromptUpdateChannel::announceLeaving(const ServerLeavingNotice &notice)
+{
+    PromptUpdateBatch batch;
+    batch.senderHash = this->pending.senderHash;
+    batch.leavingServers.push_back(notice);
+    const std::string bytes = encodePromptUpdates(batch);
+    // A host that misses this learns it from the next answer of the server.
+    for (const Endpoint &peer : this->peers)
+        this->socket.send(peer, bytes);
+}
+
 void PromptUpdateChannel::sendRunning(const Endpoint &peer,
                                       const std::vector<RunningPrompt> &prompts)
 {
--- a/src/entry_host/prompt_update_channel.h
+++ b/src/entry_host/prompt_update_channel.h
@@ -29,6 +29,9 @@
     /// Announces to all hosts that this one has started and asks for their prompts in flight.
     void announceJoin();
 
+    /// Tells the peers that a backend server leaves.
+    void announceLeaving(const ServerLeavingNotice &notice);
+
     /// Sends \a prompts, which are in flight, to \a peer.
     void sendRunning(const Endpoint &peer, const std::vector<RunningPrompt> &prompts);
 
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -102,7 +102,7 @@
                      {"waited_ms", toMs(now - call.arrivedAt)},
                      {"had_server", call.attempt ? call.attempt->server : ServerId()}});
     this->abandonAttempt(call, now);
-    this->removeCall(call);
+    this->removeCall(call, now);
 }
 
 void ForwardController::onCallerDrained(HttpCallId id)
@@ -205,7 +205,7 @@
                 this->protocol.refusalHeaders(call.metadata,
                                               call.mayHaveRun ? std::nullopt : retryAfter),
                 "");
-    this->removeCall(call);
+    this->removeCall(call, now);
 }
 
 void ForwardController::finish(ForwardCall &call, int status, TimePoint now)
@@ -231,14 +231,14 @@
             this->effects.publishCrashNotice(this->crashGuard.onFinished(fingerprint, now));
     }
     this->endAttempt(call, AttemptOutcome::Answered, now);
-    this->removeCall(call);
+    this->removeCall(call, now);
 }
 
-void ForwardController::removeCall(ForwardCall &call)
+void ForwardController::removeCall(ForwardCall &call, TimePoint now)
 {
     if (call.attempt)
         this->callsByAttempt.erase(call.attempt->id);
-    this->releaseReservations(call);
+    this->releaseReservations(call, now);
     this->calls.erase(call.id);
 }
 
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -51,6 +51,11 @@
     void onAttemptComplete(ForwardAttemptId id, TimePoint now);
     void onAttemptFailed(ForwardAttemptId id, const HttpFailure &failure, TimePoint now);
 
+    /// A server responded to a message that is not an attempt. Records whether it leaves or asks
+    /// for a pause.
+    void onServerHeaders(const ServerId &server, int status, const HttpHeaders &headers,
+                         TimePoint now);
+
     /// An engine granted or rejected the memory reservation \a reservationId.
     void onReservationResult(const std::string &reservationId, bool granted, TimePoint now);
 
@@ -81,11 +86,11 @@
                      TimePoint now);
 
     void reserveMemory(ForwardCall &call, const PromptPlan &plan, TimePoint now);
-    void requestReservation(const MemoryReservation &reservation);
+    void requestReservation(const MemoryReservation &reservation, TimePoint now);
     /// Plans again without the engines that granted no memory, or refuses the request. \a refusedBy
     /// is the engine that refused; empty if engines did not respond.
     void onMemoryUnavailable(ForwardCall &call, const ServerId &refusedBy, TimePoint now);
-    void releaseReservations(ForwardCall &call);
+    void releaseReservations(ForwardCall &call, TimePoint now);
     /// Renews granted reservations. Refuses the request and returns false if they were not granted
     /// in time.
     bool onReservationsDue(ForwardCall &call, TimePoint now);
@@ -121,11 +126,19 @@
     /// Cancels the attempt without recording an outcome for its server.
     void abandonAttempt(ForwardCall &call, TimePoint now);
 
+    /// Records whether \a server leaves or asks for a pause.
+    void recordAnnouncements(const ServerId &server, const ResponseMetadata &metadata,
+                             TimePoint now);
+    /// Refuses a request for which no server of \a pool is usable.
+    void refuseWithoutServer(ForwardCall &call, TimePoint now, const std::string &detail);
+    /// Returns the retry delay for a caller if \a pool has no usable server.
+    Duration delayWithoutServer(const std::string &pool, TimePoint now);
+
     /// Ends a request with a refusal, or aborts its response if part of it was sent already.
     void refuse(ForwardCall &call, Reason reason, std::optional<Duration> retryAfter, TimePoint now,
                 const std::string &detail = "");
     void finish(ForwardCall &call, int status, TimePoint now);
-    void removeCall(ForwardCall &call);
+    void removeCall(ForwardCall &call, TimePoint now);
 
     const std::string &requestFingerprint(ForwardCall &call);
     void reportCrash(ForwardCall &call, const ServerId &server, TimePoint now);
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -163,13 +163,12 @@
             this->promptPlacement.place(pool, call.demand, call.triedServers, now);
     if (this->hold(call, decision, now))
         return;
+    if (!decision.plan && !decision.hasUsableServer)
+        return this->refuseWithoutServer(call, now, rejectionDetail(decision, call.demand));
     if (!decision.plan) {
-        const Reason reason =
-                decision.hasUsableServer ? Reason::DeadlineUnreachable : Reason::NoBackendServer;
-        const Duration delay = decision.hasUsableServer ? decision.retryAfter : NoServerRetryAfter;
-        const Duration jitter =
-                fromSeconds(toSeconds(delay) * RetryAfterJitter * this->random.nextDouble());
-        return this->refuse(call, reason, delay + jitter, now,
+        const Duration jitter = fromSeconds(toSeconds(decision.retryAfter) * RetryAfterJitter
+                                            * this->random.nextDouble());
+        return this->refuse(call, Reason::DeadlineUnreachable, decision.retryAfter + jitter, now,
                             rejectionDetail(decision, call.demand));
     }
     const bool needsMemory =
@@ -213,7 +212,7 @@
     const std::optional<ServerId> chosen =
             this->servicePlacement.place(pool.name, call.triedServers, now);
     if (!chosen)
-        return this->refuse(call, Reason::NoBackendServer, NoServerRetryAfter, now, pool.name);
+        return this->refuseWithoutServer(call, now, pool.name);
     call.attempt = ForwardAttempt();
     call.attempt->predictedLatency = call.route->latencyGoal;
     this->servicePlacement.onDispatched(*chosen);
@@ -357,6 +356,20 @@
            && call.connectionFailures < MaxConnectionFailures;
 }
 
+Duration ForwardController::delayWithoutServer(const std::string &pool, TimePoint now)
+{
+    const Duration pause = this->fleet.pauseLeft(pool, now).value_or(Duration::zero());
+    const Duration delay = std::max(NoServerRetryAfter, pause);
+    return delay + fromSeconds(toSeconds(delay) * RetryAfterJitter * this->random.nextDouble());
+}
+
+void ForwardController::refuseWithoutServer(ForwardCall &call, TimePoint now,
+                                            const std::string &detail)
+{
+    this->refuse(call, Reason::NoBackendServer, this->delayWithoutServer(call.pool, now), now,
+                 detail);
+}
+
 void ForwardController::retryOrRefuse(ForwardCall &call, const AttemptFailure &failure,
                                       TimePoint now)
 {
@@ -372,7 +385,7 @@
         Reason reason = connected ? Reason::BackendRefused : Reason::NoBackendServer;
         if (call.mayHaveRun)
             reason = Reason::BackendFailed;
-        return this->refuse(call, reason, NoServerRetryAfter, now);
+        return this->refuse(call, reason, this->delayWithoutServer(call.pool, now), now);
     }
     if (connected && !failure.retryCharged && !this->retryBudget.tryConsume(call.pool, now)) {
         this->metrics.count(Counter::RetriesWithheld, 1);
--- a/src/gateway/forward_effects.h
+++ b/src/gateway/forward_effects.h
@@ -56,6 +56,9 @@
     /// Sends the progress of a prompt of this host to the other hosts.
     virtual void publishPromptUpdate(const PromptUpdate &update) = 0;
 
+    /// Tells the other hosts that \a server announced that it leaves.
+    virtual void publishServerLeaving(const ServerLeavingNotice &notice) = 0;
+
     /// Sends a crash notice about a request fingerprint to the other hosts.
     virtual void publishCrashNotice(const CrashNotice &notice) = 0;
 };
--- a/src/gateway/forward_memory.cpp
+++ b/src/gateway/forward_memory.cpp
@@ -36,14 +36,14 @@
     // change call.reservations.
     const std::vector<MemoryReservation> requested = call.reservations;
     for (const MemoryReservation &reservation : requested)
-        this->requestReservation(reservation);
+        this->requestReservation(reservation, now);
     this->scheduleTimer(call, now);
 }
 
-void ForwardController::requestReservation(const MemoryReservation &reservation)
+void ForwardController::requestReservation(const MemoryReservation &reservation, TimePoint now)
 {
     const GatewayServer *server = this->fleet.find(reservation.server);
-    if (server == nullptr)
+    if (server == nullptr || !this->fleet.tryContact(reservation.server, now))
         return;
     this->effects.sendReservationRequest({reservation.id, reservation.server, server->endpoint,
                                           reservation.tokens, ReservationLifetime});
@@ -94,7 +94,7 @@
                      {"prompt_tokens", static_cast<std::int64_t>(call.metadata.promptTokens)},
                      {"round", static_cast<std::int64_t>(call.reservationRounds)},
                      {"servers", servers}});
-    this->releaseReservations(call);
+    this->releaseReservations(call, now);
     if (++call.reservationRounds < MaxReservationRounds)
         return this->dispatch(call, now);
     this->refuse(call, Reason::MemoryUnavailable, MemoryRetryAfter, now);
@@ -108,15 +108,17 @@
     }
     call.reservationsDue = now + RenewInterval;
     for (const MemoryReservation &reservation : call.reservations)
-        this->requestReservation(reservation);
+        this->requestReservation(reservation, now);
     return true;
 }
 
-void ForwardController::releaseReservations(ForwardCall &call)
+void ForwardController::releaseReservations(ForwardCall &call, TimePoint now)
 {
     for (const MemoryReservation &reservation : call.reservations) {
         this->callsByReservation.erase(reservation.id);
-        if (const GatewayServer *server = this->fleet.find(reservation.server))
+        const GatewayServer *server = this->fleet.find(reservation.server);
+        // A reservation that is not released expires.
+        if (server != nullptr && this->fleet.tryContact(reservation.server, now))
             this->effects.sendReservationRequest(
                     {reservation.id, reservation.server, server->endpoint, 0, Duration::zero()});
     }
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -47,12 +47,34 @@
     attempt.headers = headers;
     attempt.lastDataAt = now;
     attempt.metadata = this->protocol.parseResponseHead(status, headers);
+    this->recordAnnouncements(attempt.server, attempt.metadata, now);
     if (attempt.metadata.load)
         this->servicePlacement.onLoadReported(attempt.server, *attempt.metadata.load, now);
     if (!attempt.metadata.notRun && !attempt.metadata.isWrongServer)
         call->mayHaveRun = true;
 }
 
+void ForwardController::onServerHeaders(const ServerId &server, int status,
+                                        const HttpHeaders &headers, TimePoint now)
+{
+    this->recordAnnouncements(server, this->protocol.parseResponseHead(status, headers), now);
+}
+
+void ForwardController::recordAnnouncements(const ServerId &server,
+                                            const ResponseMetadata &metadata, TimePoint now)
+{
+    // A server that has taken over the address speaks for itself only.
+    const GatewayServer *known = metadata.isWrongServer ? nullptr : this->fleet.find(server);
+    if (known == nullptr)
+        return;
+    if (metadata.serverLeaving && this->fleet.onLeavingAnnounced(server, now))
+        this->effects.publishServerLeaving({hash32(server), known->incarnation});
+    if (!metadata.requestedPause)
+        return;
+    this->metrics.count(Counter::ServerPauses, 1);
+    this->fleet.onPauseRequested(server, *metadata.requestedPause, now);
+}
+
 void ForwardController::onAttemptData(ForwardAttemptId id, std::string_view bytes, TimePoint now)
 {
     ForwardCall *call = this->findCall(id);
@@ -278,7 +300,7 @@
                 noResponse ? PromptUpdateKind::Unanswered : PromptUpdateKind::Ended;
         this->effects.publishPromptUpdate(
                 {updateKind, attempt.id, hash32(attempt.server), {}, {}, {}});
-        this->releaseReservations(call);
+        this->releaseReservations(call, now);
     } else {
         this->servicePlacement.onEnded(attempt.server);
     }
@@ -297,7 +319,7 @@
     if (attempt.isPrompt) {
         this->promptPlacement.onEnded({this->senderHash, attempt.id}, now);
         this->effects.publishPromptUpdate({PromptUpdateKind::Ended, attempt.id, 0, {}, {}, {}});
-        this->releaseReservations(call);
+        this->releaseReservations(call, now);
     } else {
         this->servicePlacement.onEnded(attempt.server);
     }
--- a/src/gateway/gateway_protocol.h
+++ b/src/gateway/gateway_protocol.h
@@ -58,6 +58,9 @@
     bool notRun = false;   ///< The server guarantees that the request has not run and will not run.
     bool isWrongServer = false;      ///< The address belongs to another server now.
     bool hasContentEncoding = false; ///< The body was encoded after the server produced it.
+    bool serverLeaving = false;      ///< The server leaves and wants no new requests.
+    /// Time for which the server wants no requests from this host; nullopt if it did not say so.
+    std::optional<Duration> requestedPause;
     std::string faultyServer; ///< Id or address of the server that caused the refusal, if given.
     std::optional<ReportedLoad> load;
 };
--- a/src/gateway/prompt_updates.cpp
+++ b/src/gateway/prompt_updates.cpp
@@ -15,6 +15,7 @@
 constexpr Duration MaxRunningAge = std::chrono::minutes(10);
 constexpr const char *JoinedKey = "joined";
 constexpr const char *RunningKey = "running";
+constexpr const char *LeavingKey = "leaving";
 
 std::int64_t toMs(Duration duration)
 {
@@ -100,6 +101,13 @@
     if (const auto joined = json.find(JoinedKey); joined != json.end())
         batch.joinedAt =
                 Endpoint{joined->at(0).get<std::string>(), joined->at(1).get<std::uint16_t>()};
+    if (const auto leaving = json.find(LeavingKey); leaving != json.end()) {
+        if (leaving->size() > MaxUpdates)
+            throw nlohmann::json::other_error::create(504, "more than 1000 leaving servers", &json);
+        for (const nlohmann::json &row : *leaving)
+            batch.leavingServers.push_back(
+                    {row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint64_t>()});
+    }
     const auto running = json.find(RunningKey);
     if (running == json.end())
         return;
@@ -125,6 +133,8 @@
     nlohmann::json extension = nlohmann::json::object();
     if (batch.joinedAt)
         extension[JoinedKey] = {batch.joinedAt->address, batch.joinedAt->port};
+    for (const ServerLeavingNotice &notice : batch.leavingServers)
+        extension[LeavingKey].push_back({notice.serverHash, notice.incarnation});
     for (const RunningPrompt &prompt : batch.running)
         extension[RunningKey].push_back(encodeRunning(prompt));
     if (!extension.empty())
--- a/src/gateway/prompt_updates.h
+++ b/src/gateway/prompt_updates.h
@@ -41,6 +41,13 @@
     Duration prefillLeft = Duration::zero();
 };
 
+/// News that a backend server announced to the sending host that it leaves.
+struct ServerLeavingNotice
+{
+    std::uint32_t serverHash = 0;  ///< Hash of the server id.
+    std::uint64_t incarnation = 0; ///< Of the server; another one is not leaving.
+};
+
 /// State changes of a host's prompts since its last batch. Sent as one datagram to each other
 /// host; the effect of a lost datagram ends when the prompts expire.
 struct PromptUpdateBatch
@@ -50,6 +57,8 @@
     /// Set by a host that just started: where it receives batches. It knows no prompts in flight
     /// and asks for them. Hosts of earlier versions ignore it.
     std::optional<Endpoint> joinedAt;
+    /// Servers that leave. Hosts of earlier versions ignore it.
+    std::vector<ServerLeavingNotice> leavingServers;
     std::vector<RunningPrompt> running; ///< Reply to joinedAt, a part of the sender's prompts.
 };
 
--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -162,13 +162,59 @@
         this->suspectServer(record, outcome, now);
         break;
     case AttemptOutcome::Leaving:
-        if (!record.announcedLeaving)
-            this->log.write(Event::ServerDraining, {{"server", server}, {"source", "answer"}});
-        record.announcedLeaving = true;
+        this->onLeavingAnnounced(server, now);
         break;
     }
 }
 
+bool ServerFleet::onLeavingAnnounced(const ServerId &server, TimePoint /*now*/)
+{
+    const auto found = this->records.find(server);
+    if (found == this->records.end() || found->second.announcedLeaving)
+        return false;
+    found->second.announcedLeaving = true;
+    this->log.write(Event::ServerDraining, {{"server", server}, {"source", "answer"}});
+    return true;
+}
+
+void ServerFleet::onPauseRequested(const ServerId &server, Duration pause, TimePoint now)
+{
+    const auto found = this->records.find(server);
+    if (found == this->records.end())
+        return;
+    Record &record = found->second;
+    if (record.pausedUntil <= now)
+        record.contactsInPause = 0;
+    const Duration boundedPause = std::min(pause, this->timings.maxPause);
+    record.pausedUntil = std::max(record.pausedUntil, now + boundedPause);
+    this->log.write(Event::ServerPaused,
+                    {{"server", server},
+                     {"requested_ms", static_cast<std::int64_t>(pause.count() / 1'000)},
+                     {"paused_ms", static_cast<std::int64_t>(boundedPause.count() / 1'000)}});
+}
+
+bool ServerFleet::tryContact(const ServerId &server, TimePoint now)
+{
+    const auto found = this->records.find(server);
+    if (found == this->records.end() || found->second.pausedUntil <= now)
+        return true;
+    return found->second.contactsInPause++ < this->timings.maxContactsInPause;
+}
+
+std::optional<Duration> ServerFleet::pauseLeft(const std::string &pool, TimePoint now) const
+{
+    std::optional<Duration> shortest;
+    for (const auto &[id, record] : this->records) {
+        if (record.server.pool != pool || this->isLeavingOrGone(record, now))
+            continue;
+        if (record.pausedUntil <= now)
+            return std::nullopt;
+        const Duration left = record.pausedUntil - now;
+        shortest = std::min(shortest.value_or(left), left);
+    }
+    return shortest;
+}
+
 void ServerFleet::onSilenceReported(const ServerId &server, std::uint32_t senderHash, TimePoint now)
 {
     std::map<ServerId, TimePoint> &reported = this->silenceReports[senderHash];
@@ -300,9 +346,13 @@
 
 bool ServerFleet::isSchedulable(const Record &record, TimePoint now) const
 {
-    if (record.server.draining || record.announcedLeaving)
-        return false;
-    return !record.expiresAt || *record.expiresAt > now;
+    return record.pausedUntil <= now && !this->isLeavingOrGone(record, now);
+}
+
+bool ServerFleet::isLeavingOrGone(const Record &record, TimePoint now) const
+{
+    return record.server.draining || record.announcedLeaving
+           || (record.expiresAt && *record.expiresAt <= now);
 }
 
 } // namespace dotterel
--- a/src/gateway/server_fleet.h
+++ b/src/gateway/server_fleet.h
@@ -39,6 +39,10 @@
     /// If more than this fraction of a pool is removed together, an outage of the store that this
     /// host did not notice is more likely than the loss of the servers.
     double maxRemovedFraction = 0.5;
+    /// Longest pause that a server may ask for.
+    Duration maxPause = std::chrono::minutes(10);
+    /// Messages about work in progress that a server gets from this host in a pause.
+    std::size_t maxContactsInPause = 2;
     /// How long the departure of a server is remembered; longer than a restored copy of the store
     /// can be old.
     Duration departureMemory = std::chrono::minutes(10);
@@ -78,6 +82,21 @@
     /// Records the outcome of an attempt at \a server.
     void onAttemptOutcome(const ServerId &server, AttemptOutcome outcome, TimePoint now);
 
+    /// Records that \a server announced in an answer that it leaves. Returns true if that is news.
+    bool onLeavingAnnounced(const ServerId &server, TimePoint now);
+
+    /// Records that \a server wants no requests from this host for \a pause from now on. It is not
+    /// usable until then, even if there is no other server, unless it restarts.
+    void onPauseRequested(const ServerId &server, Duration pause, TimePoint now);
+
+    /// Returns true if a message about work in progress, other than a new request, may be sent to
+    /// \a server, and counts it: a server that asked for a pause gets few of them.
+    bool tryContact(const ServerId &server, TimePoint now);
+
+    /// Returns how long it takes until the first paused server of \a pool is usable again; nullopt
+    /// if another one is usable, or none is paused.
+    std::optional<Duration> pauseLeft(const std::string &pool, TimePoint now) const;
+
     /// Records that the host \a senderHash got no response from \a server.
     void onSilenceReported(const ServerId &server, std::uint32_t senderHash, TimePoint now);
 
@@ -119,6 +138,8 @@
         TimePoint suspectedUntil;
         bool suspectedForSilence = false;   ///< Reason of the latest suspicion.
         bool announcedLeaving = false;      ///< Announced in an answer.
+        TimePoint pausedUntil;              ///< The server wants no requests before.
+        std::size_t contactsInPause = 0;    ///< Messages sent to it in the current pause.
         std::optional<TimePoint> removedAt; ///< When the entry was removed.
         std::optional<TimePoint> expiresAt; ///< End of the grace period after the entry expired.
     };
@@ -137,6 +158,7 @@
     void suspectServer(Record &record, AttemptOutcome outcome, TimePoint now);
     bool maySuspectForSilence(const Record &record, TimePoint now) const;
     bool isSchedulable(const Record &record, TimePoint now) const;
+    bool isLeavingOrGone(const Record &record, TimePoint now) const;
 
     ServerFleetTimings timings;
     EventLog &log;
--- a/tests/gateway/test_prompt_updates.cpp
+++ b/tests/gateway/test_prompt_updates.cpp
@@ -57,6 +57,15 @@
         REQUIRE(decoded->joinedAt);
         CHECK(*decoded->joinedAt == Endpoint{"10.0.0.4", 7'000});
     }
+    SECTION("servers that leave, with their incarnation")
+    {
+        batch.leavingServers = {{7, 1'700'000'000'000}};
+        const auto decoded = decodePromptUpdates(encodePromptUpdates(batch));
+        REQUIRE(decoded);
+        REQUIRE(decoded->leavingServers.size() == 1);
+        CHECK(decoded->leavingServers[0].serverHash == 7);
+        CHECK(decoded->leavingServers[0].incarnation == 1'700'000'000'000);
+    }
     SECTION("running prompts, with their age and remaining prefill")
     {
         batch.running = {{dispatchOf(4), milliseconds(1'200), milliseconds(300)}};
--- a/tests/platform/test_platform_protocol.cpp
+++ b/tests/platform/test_platform_protocol.cpp
@@ -111,6 +111,19 @@
     CHECK(signedResponse.load->running == 3);
     CHECK(signedResponse.load->slots == 8);
     CHECK(protocol.parseResponseHead(503, {{"X-Not-Executed", "1"}}).notRun);
+    CHECK(protocol.parseResponseHead(200, {{"Server-Leaving", "1"}}).serverLeaving);
+    CHECK_FALSE(protocol.parseResponseHead(200, {{"Server-Leaving", "0"}}).serverLeaving);
+    CHECK_FALSE(protocol.parseResponseHead(200, {}).serverLeaving);
+    const auto pauseOf = [&protocol](int status, const std::string &value) {
+        return protocol.parseResponseHead(status, {{"Retry-After", value}}).requestedPause;
+    };
+    CHECK(pauseOf(503, "4") == std::chrono::seconds(4));
+    CHECK(pauseOf(503, "0.25") == std::chrono::milliseconds(250));
+    CHECK(pauseOf(503, "1e300") == std::chrono::hours(24));
+    for (const char *invalid : {"0", "-3", "", "soon", "nan", "4 s", "-inf"})
+        CHECK_FALSE(pauseOf(503, invalid));
+    CHECK_FALSE(pauseOf(429, "4"));
+    CHECK_FALSE(protocol.parseResponseHead(503, {}).requestedPause);
     CHECK_FALSE(protocol.parseResponseHead(503, {}).notRun);
     CHECK(protocol.parseResponseHead(421, {}).isWrongServer);
     CHECK(protocol.parseResponseHead(421, {}).notRun);
--- a/tests/support/forward_bench.cpp
+++ b/tests/support/forward_bench.cpp
@@ -191,6 +191,11 @@
     this->promptUpdates.push_back(item);
 }
 
+void ForwardBench::publishServerLeaving(const ServerLeavingNotice &notice)
+{
+    this->leavingNotices.push_back(notice);
+}
+
 void ForwardBench::publishCrashNotice(const CrashNotice &notice)
 {
     this->crashNotices.push_back(notice);
--- a/tests/support/forward_bench.h
+++ b/tests/support/forward_bench.h
@@ -73,6 +73,7 @@
     std::vector<SentAttempt> sentAttempts;
     std::vector<MemoryReservationRequest> reservationRequests;
     std::vector<PromptUpdate> promptUpdates;
+    std::vector<ServerLeavingNotice> leavingNotices;
     std::vector<CrashNotice> crashNotices;
     std::size_t queuedBytes = 0;  ///< Number of bytes reported as queued for a caller.
     std::vector<bool> pauseCalls; ///< Arguments of pauseAttempt(), in order.
@@ -94,6 +95,7 @@
     void endResponse(HttpCallId call) override;
     void abortResponse(HttpCallId call) override;
     void publishPromptUpdate(const PromptUpdate &item) override;
+    void publishServerLeaving(const ServerLeavingNotice &notice) override;
     void publishCrashNotice(const CrashNotice &notice) override;
 
     HttpCallId nextCall = 1;
--- a/tests/support/plain_gateway_protocol.cpp
+++ b/tests/support/plain_gateway_protocol.cpp
@@ -77,6 +77,9 @@
     facts.isSigned = findHeader(headers, "Signed") != nullptr;
     facts.isWrongServer = status == Misdirected;
     facts.notRun = facts.isWrongServer || findHeader(headers, "Not-Run") != nullptr;
+    facts.serverLeaving = findHeader(headers, "Leaving") != nullptr;
+    if (const std::string *pause = findHeader(headers, "Pause-Ms"))
+        facts.requestedPause = std::chrono::milliseconds(numberOf(*pause));
     if (const std::string *faulty = findHeader(headers, "Faulty"))
         facts.faultyServer = *faulty;
     facts.hasContentEncoding = findHeader(headers, "Content-Encoding") != nullptr;
