Answer requests that outlive the grace period of their host

Callers saw a closed connection without an answer when their request was still at work as the grace period after SIGTERM ended. Cause: the process exited with requests in flight. Change: the controller ends all requests with their verdict before the process exits: 504 where a server may have run the request.

--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -188,6 +188,8 @@
     this->drainTimer.reset();
     this->log.write(Event::ShutdownDone,
                     {{"in_flight", static_cast<std::int64_t>(this->controller.inFlight())}});
+    // Callers get a verdict instead of a closed connection.
+    this->controller.endAll(this->loop.now());
     this->membershipDriver.announceShutdown();
     this->store.remove(Collection::Hosts, this->identity.host, [](const auto & /*removed*/) {});
     this->drainTimer = this->loop.after(DrainCheckInterval, [this] {
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -154,6 +154,15 @@
     }
 }
 
+void ForwardController::endAll(TimePoint now)
+{
+    while (!this->calls.empty()) {
+        ForwardCall &call = this->calls.begin()->second;
+        this->abandonAttempt(call, now);
+        this->refuse(call, Reason::DeadlineExceeded, NoServerRetryAfter, now, "shutdown");
+    }
+}
+
 std::optional<TimePoint> ForwardController::nextTimer() const
 {
     if (this->timers.empty())
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -51,6 +51,9 @@
     void onAttemptComplete(ForwardAttemptId id, TimePoint now);
     void onAttemptFailed(ForwardAttemptId id, const HttpFailure &failure, TimePoint now);
 
+    /// Ends all requests in flight because the process exits.
+    void endAll(TimePoint now);
+
     /// A server responded to a message that is not an attempt. Records whether it leaves or asks
     /// for a pause.
     void onServerHeaders(const ServerId &server, int status, const HttpHeaders &headers,
--- a/tests/gateway/test_forward_controller.cpp
+++ b/tests/gateway/test_forward_controller.cpp
@@ -369,3 +369,17 @@
         CHECK(hasMetric("dotterel_request_seconds_sum{span=\"longest_pause\"} 0.1"));
     }
 }
+
+TEST_CASE("Requests that outlive the grace period of their host end with a verdict",
+          "[Gateway][ForwardController]")
+{
+    ForwardBench bench;
+    bench.addServer("app-1", "app");
+    const HttpCallId call = bench.request("/orders/1");
+    REQUIRE(bench.sentAttempts.size() == 1);
+    bench.controller.endAll(bench.now);
+    CHECK(bench.outcome(call).ended);
+    CHECK(bench.outcome(call).status == 504);
+    CHECK(bench.sentAttempts[0].cancelled);
+    CHECK(bench.controller.inFlight() == 0);
+}
