Soak: restored stores, silent connections, leaving and pausing servers

Change: the store comes back from copies up to five seconds old, with its counter behind or ahead; open connections to the store and to servers fall silent, all or some; servers leave by header or pause by 503, one or a whole pool; restarts in series with SIGHUP and new configurations in between. About half of the runs play only these drills, with time between them, so that hosts count as in touch. SoakBounds judges CONFIG, DRAIN and BUDGET with the users' limits; a configuration now must be in force 3 s after a disturbance, not 5 s. Not played: silent links between hosts, which connect to each other directly.

--- a/tests/platform/soak/soak_checker.cpp
+++ b/tests/platform/soak/soak_checker.cpp
@@ -79,7 +79,8 @@
         this->addViolation("wrong response: error response to " + id + " has a server's signature");
     const auto process = std::make_pair(request.host, request.incarnation);
     if (request.kind != RequestKind::ConfigurationProbe) {
-        if (response.status == 404 || response.status == 401)
+        const bool mayBeRemoved = request.kind == RequestKind::RemovedRouteProbe;
+        if ((response.status == 404 && !mayBeRemoved) || response.status == 401)
             this->addViolation("rejected: " + id + " got status "
                                + std::to_string(response.status));
     } else if (response.status == 404 && this->newestVersions[process] >= request.probedVersion) {
@@ -127,6 +128,11 @@
                            + " ran, but its connection was closed without a response");
 }
 
+void SoakChecker::onEndedWithGracePeriod(const std::string &id)
+{
+    this->requestsById.at(id).finished = true;
+}
+
 void SoakChecker::onHostInterrupted(std::size_t host)
 {
     for (auto &[id, request] : this->requestsById) {
--- a/tests/platform/soak/soak_checker.h
+++ b/tests/platform/soak/soak_checker.h
@@ -17,6 +17,7 @@
     ResumableStream,    ///< Event stream that may be resumed.
     NonResumableStream, ///< Event stream that cannot be resumed; runs at most once.
     ConfigurationProbe, ///< Succeeds on hosts with a certain configuration version or a newer one.
+    RemovedRouteProbe,  ///< Succeeds only on hosts with an older version than a certain one.
 };
 
 /// A request as its caller and the backend servers observed it.
@@ -25,7 +26,7 @@
     RequestKind kind = RequestKind::Order;
     std::size_t host = 0;
     std::uint64_t incarnation = 0;   ///< Number of the host's process.
-    std::uint64_t probedVersion = 0; ///< Oldest configuration version in which a probe succeeds.
+    std::uint64_t probedVersion = 0; ///< Version that added or removed the route of a probe.
     TimePoint sentAt;
     std::size_t executions = 0;
     std::optional<int> status; ///< Absent while in flight, and after a failure without a response.
@@ -50,6 +51,9 @@
     /// Records that the caller of the request \a id got no complete response.
     void onFailure(const std::string &id, const HttpFailure &failure);
 
+    /// Records that the request \a id was at work when the grace period of its host ended.
+    void onEndedWithGracePeriod(const std::string &id);
+
     /// Records that the process of \a host was suspended, resumed or killed.
     void onHostInterrupted(std::size_t host);
 
--- a/tests/platform/soak/soak_faults.cpp
+++ b/tests/platform/soak/soak_faults.cpp
@@ -11,8 +11,10 @@
 
 using std::chrono::milliseconds;
 
-/// Mean time between two faults.
+/// Mean time between two faults. In a run of drills there are fewer of them, so that hosts count as
+/// in touch for long enough to be judged.
 constexpr std::uint64_t MeanFaultIntervalMs = 350;
+constexpr std::uint64_t MeanDrillIntervalMs = 1'500;
 /// Range of the duration of a fault.
 constexpr std::uint64_t MinFaultMs = 200;
 constexpr std::uint64_t MaxFaultMs = 2'500;
@@ -22,7 +24,8 @@
 void SoakRun::markInterrupted(std::size_t host)
 {
     this->checker.onHostInterrupted(host);
-    this->hosts[host].undisturbedSince = this->loop.now();
+    this->bounds.onHostInterrupted(host);
+    this->disturbHost(host);
 }
 
 void SoakRun::suspendHost(std::size_t host)
@@ -53,6 +56,7 @@
 {
     if (this->hosts[host].isSuspended)
         return;
+    this->shutDownAt.emplace(std::make_pair(host, this->hosts[host].incarnation), this->loop.now());
     this->hosts[host].expectsExit = true;
     this->hosts[host].process->signal(SIGTERM);
 }
@@ -64,11 +68,15 @@
 
 void SoakRun::scheduleNextFault()
 {
-    this->runAfter(milliseconds(1 + this->random.nextBelow(2 * MeanFaultIntervalMs)), [this] {
+    const std::uint64_t interval = this->playsDrills ? MeanDrillIntervalMs : MeanFaultIntervalMs;
+    this->runAfter(milliseconds(1 + this->random.nextBelow(2 * interval)), [this] {
         if (this->faultsEnded)
             return;
         ++this->startedFaults;
-        this->startFault();
+        if (this->playsDrills)
+            this->startDrill();
+        else
+            this->startFault();
         this->scheduleNextFault();
     });
 }
@@ -76,7 +84,7 @@
 void SoakRun::startFault()
 {
     const std::size_t host = this->random.nextBelow(this->hosts.size());
-    switch (this->random.nextBelow(8)) {
+    switch (this->random.nextBelow(13)) {
     case 0:
         return this->publishConfiguration();
     case 1:
@@ -86,9 +94,20 @@
     case 3:
         return this->startHostFault(host);
     case 4:
+        this->disturbHost(host);
         return this->hosts[host].storeProxy->resetConnections();
     case 5:
         return this->startServerFault();
+    case 6:
+        return this->restoreStore();
+    case 7:
+        return this->startSilence();
+    case 8:
+        return this->leaveByHeader();
+    case 9:
+        return this->pauseServers();
+    case 10:
+        return this->restartInSeries();
     default:
         return this->startLinkFault();
     }
@@ -108,16 +127,17 @@
 {
     constexpr std::array<StoreFault, 3> FaultKinds = {
             StoreFault::RejectRequests, StoreFault::DelayCalls, StoreFault::DropResponses};
-    for (Host &host : this->hosts)
-        host.undisturbedSince = this->loop.now();
+    if (this->storeAway)
+        return;
+    this->disturbAllHosts();
     const std::uint64_t randomValue = this->random.nextBelow(FaultKinds.size() + 1);
     if (randomValue == FaultKinds.size())
         return this->store.dropHistory();
     this->store.setFault(FaultKinds[randomValue]);
     this->runAfter(this->randomFaultDuration(), [this] {
-        this->store.setFault(StoreFault::None);
-        for (Host &host : this->hosts)
-            host.undisturbedSince = this->loop.now();
+        if (!this->storeAway)
+            this->store.setFault(StoreFault::None);
+        this->disturbAllHosts();
     });
 }
 
@@ -148,17 +168,18 @@
     }
     const std::size_t host = this->random.nextBelow(this->hosts.size());
     this->hosts[host].storeProxy->setFault(fault);
-    this->hosts[host].undisturbedSince = this->loop.now();
+    this->disturbHost(host);
     this->runAfter(duration, [this, host] {
         this->hosts[host].storeProxy->setFault(LinkFault::None);
-        this->hosts[host].undisturbedSince = this->loop.now();
+        this->disturbHost(host);
     });
 }
 
 void SoakRun::endAllFaults()
 {
     this->faultsEnded = true;
-    this->store.setFault(StoreFault::None);
+    if (!this->storeAway)
+        this->store.setFault(StoreFault::None);
     for (const auto &server : this->servers) {
         server->setFault(ServerFault::None);
         server->linkProxy().setFault(LinkFault::None);
--- a/tests/platform/soak/soak_run.cpp
+++ b/tests/platform/soak/soak_run.cpp
@@ -15,17 +15,20 @@
 constexpr const char *ApiKey = "k-cakes";
 /// Mean time between two requests.
 constexpr std::uint64_t MeanRequestIntervalMs = 12;
-/// Limit from the platform's documentation: a configuration must be in force, and a draining server
-/// must not get new requests, this long after the change was written to the store.
-constexpr Duration ApplyLimit = milliseconds(2'000);
-/// After a fault a host has this long to reach the store again before the limit above applies.
-constexpr Duration ReconnectLimit = milliseconds(3'000);
-/// Tolerance for a busy machine before a limit counts as exceeded.
-constexpr Duration LimitTolerance = milliseconds(500);
+/// Time for which a draining server keeps its entry and serves.
+constexpr Duration DrainTime = milliseconds(2'000);
+/// Versions in advance of which a configuration has routes that they remove.
+constexpr std::uint64_t RemovalsAhead = 3;
 constexpr Duration RequestTimeout = seconds(3);
 constexpr Duration StreamTimeout = seconds(6);
 /// The final response must arrive at most this long after the deadline.
 constexpr Duration FinalResponseMargin = milliseconds(1'500);
+/// Time from the signal to the end of a process. A request that is sent no later than a limit after
+/// the signal and is at work in the last sixth of the period may end with it.
+constexpr Duration GracePeriod = seconds(8);
+constexpr Duration LastRequestAfterShutdown = seconds(3);
+/// Share of the runs that play drills.
+constexpr double DrillRunShare = 0.5;
 constexpr Duration StartTimeout = seconds(20);
 constexpr Duration RecoveryWait = seconds(6);
 constexpr int RecoveryRequestCount = 60;
@@ -41,6 +44,8 @@
         return "/stream/1";
     case RequestKind::NonResumableStream:
         return "/story/1";
+    case RequestKind::RemovedRouteProbe:
+        return "/until" + std::to_string(version) + "/1";
     case RequestKind::ConfigurationProbe:
         break;
     }
@@ -72,6 +77,7 @@
     , random(options.seed)
     , store(this->loop)
     , client(this->loop, KeepAliveHttpClientLimits{})
+    , playsDrills(this->random.nextDouble() < DrillRunShare)
 {
     for (const char *pool : PoolNames) {
         for (std::size_t index = 0; index < options.serversPerPool; ++index)
@@ -108,6 +114,7 @@
             return this->checker.addViolation("start: a host did not start within 20 s");
     }
     this->runLoopFor(seconds(1));
+    this->takeCopies();
     this->scheduleNextRequest();
     this->scheduleNextFault();
     const TimePoint end = this->loop.now() + this->options.faultDuration;
@@ -142,7 +149,9 @@
     host.callerEndpoint.reset();
     host.isSuspended = false;
     host.expectsExit = false;
-    host.undisturbedSince = this->loop.now();
+    const auto index = static_cast<std::size_t>(&host - this->hosts.data());
+    this->disturbHost(index);
+    this->bounds.onHostInterrupted(index);
     host.logPath = this->options.directory + "/" + host.name + "-"
                    + std::to_string(host.incarnation) + ".log";
     host.process = std::make_unique<support::ChildProcess>(
@@ -172,36 +181,53 @@
         host.callerEndpoint =
                 Endpoint{"127.0.0.1",
                          static_cast<std::uint16_t>(std::stoi(text.substr(text.rfind(':') + 1)))};
-        host.undisturbedSince = this->loop.now();
+        this->disturbHost(static_cast<std::size_t>(&host - this->hosts.data()));
     }
 }
 
+void SoakRun::disturbHost(std::size_t host)
+{
+    this->bounds.setUndisturbedSince(host, this->loop.now());
+}
+
 // Servers and configuration
 
 void SoakRun::addServer(const std::string &pool)
 {
     const std::string id = "s-" + std::to_string(this->nextServerNumber++);
-    this->servers.push_back(
-            std::make_unique<SoakServer>(this->loop, id, pool, this->checker, this->random));
+    this->servers.push_back(std::make_unique<SoakServer>(this->loop, id, pool, this->checker,
+                                                         this->bounds, this->random));
     this->activeServers.push_back(this->servers.back().get());
-    this->store.put("servers", id, this->servers.back()->registrationEntry(false));
+    this->registeredServers.insert(id);
+    this->writeServerEntry(*this->servers.back());
+}
+
+void SoakRun::unregisterServer(const std::string &id)
+{
+    this->registeredServers.erase(id);
+    this->store.remove("servers", id);
+    this->bounds.onWithdrawn(id, this->loop.now());
 }
 
 void SoakRun::drainServer()
 {
+    if (this->storeAway)
+        return;
     const std::size_t index = this->random.nextBelow(this->activeServers.size());
     SoakServer *drainingServer = this->activeServers[index];
     this->activeServers.erase(this->activeServers.begin() + static_cast<std::ptrdiff_t>(index));
     this->addServer(drainingServer->poolName());
-    this->store.put("servers", drainingServer->serverId(), drainingServer->registrationEntry(true));
-    this->runAfter(ApplyLimit, [this, drainingServer] {
-        this->store.remove("servers", drainingServer->serverId());
-    });
+    this->drainingServers.insert(drainingServer->serverId());
+    this->writeServerEntry(*drainingServer);
+    this->runAfter(DrainTime,
+                   [this, drainingServer] { this->unregisterServer(drainingServer->serverId()); });
 }
 
 void SoakRun::publishConfiguration()
 {
-    const std::uint64_t version = this->publishedConfigurations.size() + 1;
+    if (this->storeAway)
+        return;
+    const std::uint64_t version = ++this->newestVersion;
     Json routes = {routeJson("/order/", "non_idempotent", "orders", RequestTimeout),
                    routeJson("/lookup/", "idempotent", "orders", RequestTimeout),
                    routeJson("/stream/", "stream", "prompts", StreamTimeout),
@@ -209,6 +235,9 @@
     for (std::uint64_t sinceVersion = 1; sinceVersion <= version; ++sinceVersion)
         routes.push_back(routeJson("/since" + std::to_string(sinceVersion) + "/", "idempotent",
                                    "orders", RequestTimeout));
+    for (std::uint64_t removal = version + 1; removal <= version + RemovalsAhead; ++removal)
+        routes.push_back(routeJson("/until" + std::to_string(removal) + "/", "idempotent", "orders",
+                                   RequestTimeout));
     const Json engine = {{"slots", 8},        {"kv_tokens", 400'000}, {"stride", 34},
                          {"step_ms", 1.3},    {"per_seq_ms", 0.001},  {"context_per_k", 0.002},
                          {"read_per_s", 1e5}, {"pairs_per_m", 0.16},  {"chunk", 2'048},
@@ -217,15 +246,15 @@
                          {"max_body_bytes", 1'048'576},
                          {"header_timeout_ms", 3'000},
                          {"idle_timeout_ms", 10'000}};
-    this->store.put("config", "main",
-                    {{"version", version},
-                     {"routes", routes},
-                     {"services",
-                      {{{"name", "orders"}, {"max_conns", 100}},
-                       {{"name", "prompts"}, {"max_conns", 100}, {"engine", engine}}}},
-                     {"limits", limits},
-                     {"tenants", {{{"name", "cakes"}, {"api_keys", {ApiKey}}}}}});
-    this->publishedConfigurations.emplace_back(version, this->loop.now());
+    this->newestConfiguration = {{"version", version},
+                                 {"routes", routes},
+                                 {"services",
+                                  {{{"name", "orders"}, {"max_conns", 100}},
+                                   {{"name", "prompts"}, {"max_conns", 100}, {"engine", engine}}}},
+                                 {"limits", limits},
+                                 {"tenants", {{{"name", "cakes"}, {"api_keys", {ApiKey}}}}}};
+    this->store.put("config", "main", this->newestConfiguration);
+    this->bounds.onPublished(version, this->loop.now());
 }
 
 // Requests
@@ -236,7 +265,7 @@
         if (this->faultsEnded)
             return;
         this->sendRequest(this->random.nextBelow(this->hosts.size()),
-                          static_cast<RequestKind>(this->random.nextBelow(5)));
+                          static_cast<RequestKind>(this->random.nextBelow(6)));
         this->scheduleNextRequest();
     });
 }
@@ -257,8 +286,12 @@
     sentRequest.sentAt = this->loop.now();
     sentRequest.hostInterrupted = targetHost.isSuspended;
     if (kind == RequestKind::ConfigurationProbe)
+        sentRequest.probedVersion = 1 + this->random.nextBelow(this->newestVersion);
+    // The two latest removals and the next one.
+    if (kind == RequestKind::RemovedRouteProbe)
         sentRequest.probedVersion =
-                1 + this->random.nextBelow(this->publishedConfigurations.size());
+                this->newestVersion + 1
+                - this->random.nextBelow(std::min<std::uint64_t>(3, this->newestVersion));
     this->checker.onSent(id, sentRequest);
     const Duration timeout = isStream ? StreamTimeout : RequestTimeout;
     HttpRequest request;
@@ -279,30 +312,31 @@
     request.requireNewConnection = this->random.nextDouble() < 0.3;
     this->fetches[number] = std::make_unique<HttpFetch>(
             this->client, request,
-            [this, number, id, host](const std::optional<HttpResponse> &response,
-                                     const HttpFailure &failure) {
+            [this, number, id](const std::optional<HttpResponse> &response,
+                               const HttpFailure &failure) {
                 const std::shared_ptr<HttpFetch> finishedFetch = std::move(this->fetches[number]);
                 this->fetches.erase(number);
                 this->loop.disposeLater(finishedFetch);
-                if (!response)
+                if (!response) {
+                    const SoakRequest &ended = *this->checker.find(id);
+                    if (failure.kind == HttpFailureKind::ConnectionLost
+                        && this->endedWithGracePeriod(ended))
+                        return this->checker.onEndedWithGracePeriod(id);
                     return this->checker.onFailure(id, failure);
+                }
                 this->checker.onResponse(id, *response);
-                if (response->status == 404)
-                    this->checkConfigurationLimit(id, host);
+                const SoakRequest &answered = *this->checker.find(id);
+                if (response->status == 404 && answered.kind == RequestKind::ConfigurationProbe)
+                    this->bounds.onRefusedRoute(id, answered);
             });
 }
 
-void SoakRun::checkConfigurationLimit(const std::string &id, std::size_t host)
+bool SoakRun::endedWithGracePeriod(const SoakRequest &request) const
 {
-    const SoakRequest *request = this->checker.find(id);
-    const auto &[version, publishedAt] = this->publishedConfigurations[request->probedVersion - 1];
-    const TimePoint appliesFrom =
-            std::max(publishedAt, this->hosts[host].undisturbedSince + ReconnectLimit);
-    if (request->incarnation == this->hosts[host].incarnation
-        && request->sentAt > appliesFrom + ApplyLimit + LimitTolerance)
-        this->checker.addViolation("configuration: host " + std::to_string(host)
-                                   + " did not apply version " + std::to_string(version)
-                                   + " in time");
+    const auto shutDown = this->shutDownAt.find({request.host, request.incarnation});
+    return shutDown != this->shutDownAt.end()
+           && request.sentAt - shutDown->second <= LastRequestAfterShutdown
+           && this->loop.now() - shutDown->second >= GracePeriod * 5 / 6;
 }
 
 void SoakRun::checkRecovery()
--- a/tests/platform/soak/soak_run.h
+++ b/tests/platform/soak/soak_run.h
@@ -1,14 +1,17 @@
 #pragma once
 
 #include "platform/soak/loopback_proxy.h"
+#include "platform/soak/soak_bounds.h"
 #include "platform/soak/soak_checker.h"
 #include "platform/soak/soak_server.h"
 #include "platform/soak/soak_store.h"
 #include "support/child_process.h"
 #include "transport/keep_alive_http_client.h"
 
+#include <deque>
 #include <list>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,8 +55,6 @@
         std::optional<Endpoint> callerEndpoint; ///< Absent until the host has logged its port.
         bool isSuspended = false;
         bool expectsExit = false;
-        /// Time of the last fault of the host, its store link or the store.
-        TimePoint undisturbedSince;
     };
 
     void runLoopFor(Duration duration);
@@ -69,8 +70,22 @@
 
     void addServer(const std::string &pool);
     void drainServer();
+    void unregisterServer(const std::string &id);
     void publishConfiguration();
 
+    // Drills
+    void startDrill();
+    void takeCopies();
+    void restoreStore();
+    void rewriteLostEntries();
+    void writeServerEntry(const SoakServer &server);
+    void startSilence();
+    void leaveByHeader();
+    void pauseServers();
+    void restartInSeries();
+    void disturbHost(std::size_t host);
+    void disturbAllHosts();
+
     Duration randomFaultDuration();
     void scheduleNextFault();
     void startFault();
@@ -82,27 +97,37 @@
 
     void scheduleNextRequest();
     void sendRequest(std::size_t host, RequestKind kind);
-    /// Checks a failed configuration probe: the host must not be late in applying the version.
-    void checkConfigurationLimit(const std::string &id, std::size_t host);
+    /// Returns true if \a request ended with the grace period of its host, which was told to shut
+    /// down shortly before or after it was sent.
+    bool endedWithGracePeriod(const SoakRequest &request) const;
     void checkRecovery();
 
     SoakOptions options;
     EventLoop loop;
     SeededRandom random;
     SoakChecker checker;
+    SoakBounds bounds{this->checker};
     SoakStore store;
+    std::deque<SoakStore::Copy> storeCopies;
+    /// From the moment at which the store goes away until the operator has written again.
+    bool storeAway = false;
+    nlohmann::json newestConfiguration;
+    /// When a process was told to shut down, by host and incarnation.
+    std::map<std::pair<std::size_t, std::uint64_t>, TimePoint> shutDownAt;
+    std::set<std::string> registeredServers;
+    std::set<std::string> drainingServers;
     KeepAliveHttpClient client;
     std::vector<Host> hosts;
     /// Includes drained servers, which respond until the end of the run.
     std::list<std::unique_ptr<SoakServer>> servers;
     std::vector<SoakServer *> activeServers;
-    /// Versions and the times of their publication.
-    std::vector<std::pair<std::uint64_t, TimePoint>> publishedConfigurations;
+    std::uint64_t newestVersion = 0;
     std::map<std::uint64_t, std::unique_ptr<HttpFetch>> fetches;
     std::list<EventLoop::TimerHandle> timers;
     std::uint64_t nextRequestNumber = 1;
     std::uint64_t nextServerNumber = 1;
     std::size_t startedFaults = 0;
+    bool playsDrills = false; ///< Only the users' drills, with time between them.
     bool faultsEnded = false; ///< No new faults and no random requests are started.
 };
 
--- a/tests/platform/soak/soak_server.cpp
+++ b/tests/platform/soak/soak_server.cpp
@@ -14,11 +14,12 @@
 } // namespace
 
 SoakServer::SoakServer(EventLoop &loop, const std::string &id, const std::string &pool,
-                       SoakChecker &checker, RandomSource &random)
+                       SoakChecker &checker, SoakBounds &bounds, RandomSource &random)
     : loop(loop)
     , id(id)
     , pool(pool)
     , checker(checker)
+    , bounds(bounds)
     , random(random)
     , server(loop, Endpoint(), MaxBodyBytes,
              [this](const HttpExchangePtr &exchange) { this->handleRequest(exchange); })
@@ -47,19 +48,47 @@
     });
 }
 
+HttpHeaders SoakServer::announce(HttpHeaders headers, const std::string &requestId)
+{
+    if (!this->leaving)
+        return headers;
+    headers.emplace_back("Server-Leaving", "1");
+    if (const SoakRequest *request = this->checker.find(requestId))
+        this->bounds.onLeavingAnswered(this->id, request->host, this->loop.now());
+    return headers;
+}
+
+void SoakServer::refuseForPause(const HttpExchangePtr &exchange, const std::string &requestId)
+{
+    const TimePoint now = this->loop.now();
+    if (const SoakRequest *request = this->checker.find(requestId))
+        this->bounds.onPauseAnswered(this->id, request->host, this->pauseEnd, now);
+    exchange->reply(
+            503,
+            this->announce({{"X-Not-Executed", "1"},
+                            {"X-Request-Id", requestId},
+                            {"Retry-After", std::to_string(toSeconds(this->pauseEnd - now))}},
+                           requestId),
+            "");
+}
+
 void SoakServer::handleRequest(const HttpExchangePtr &exchange)
 {
     const std::string requestId = exchange->header("X-Request-Id");
     const std::string expectedServer = exchange->header("X-Expect-Instance");
-    const HttpHeaders notRunHeaders = {{"X-Not-Executed", "1"}, {"X-Request-Id", requestId}};
+    HttpHeaders notRunHeaders = {{"X-Not-Executed", "1"}, {"X-Request-Id", requestId}};
     if (!expectedServer.empty() && expectedServer != this->id)
         return exchange->reply(421, notRunHeaders, "");
     if (requestId.empty())
         return exchange->reply(400, notRunHeaders, "");
+    if (const SoakRequest *request = this->checker.find(requestId))
+        this->bounds.onArrival(requestId, *request, this->id, this->loop.now());
+    if (this->pauseEnd > this->loop.now())
+        return this->refuseForPause(exchange, requestId);
     const bool injectsFault =
             this->fault != ServerFault::None && this->random.nextDouble() < FaultProbability;
     if (injectsFault && this->fault == ServerFault::RejectRequests)
-        return exchange->reply(503, notRunHeaders, "");
+        return exchange->reply(503, this->announce(notRunHeaders, requestId), "");
     this->checker.onExecutionStarted(requestId, this->id);
     if (exchange->header("X-Tenant") != "cakes" || !exchange->header("Api-Key").empty())
         this->checker.addViolation(
@@ -86,7 +115,8 @@
 
 void SoakServer::sendResponse(const HttpExchangePtr &exchange, const std::string &requestId)
 {
-    HttpHeaders headers = {{"X-Request-Id", requestId}, {"X-Server-Seal", "seal-" + requestId}};
+    HttpHeaders headers = this->announce(
+            {{"X-Request-Id", requestId}, {"X-Server-Seal", "seal-" + requestId}}, requestId);
     const SoakRequest *knownRequest = this->checker.find(requestId);
     const bool isStream = knownRequest != nullptr
                           && (knownRequest->kind == RequestKind::ResumableStream
--- a/tests/platform/soak/soak_server.h
+++ b/tests/platform/soak/soak_server.h
@@ -2,9 +2,11 @@
 
 #include "core/random_source.h"
 #include "platform/soak/loopback_proxy.h"
+#include "platform/soak/soak_bounds.h"
 #include "platform/soak/soak_checker.h"
 #include "transport/http_server.h"
 
+#include <algorithm>
 #include <list>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -25,18 +27,27 @@
 {
 public:
     SoakServer(EventLoop &loop, const std::string &id, const std::string &pool,
-               SoakChecker &checker, RandomSource &random);
+               SoakChecker &checker, SoakBounds &bounds, RandomSource &random);
 
     /// Returns the registration entry of this server.
     nlohmann::json registrationEntry(bool draining) const;
 
     void setFault(ServerFault newFault) { this->fault = newFault; }
+
+    /// Says in all responses from now on that this server leaves.
+    void leaveByHeader() { this->leaving = true; }
+
+    /// Refuses all requests until \a time and asks for a pause until then.
+    void pauseUntil(TimePoint time) { this->pauseEnd = std::max(this->pauseEnd, time); }
     LoopbackProxy &linkProxy() { return this->proxy; }
     const std::string &serverId() const { return this->id; }
     const std::string &poolName() const { return this->pool; }
 
 private:
     void handleRequest(const HttpExchangePtr &exchange);
+    /// Returns \a headers with the announcements of this server, and records to whom they go.
+    HttpHeaders announce(HttpHeaders headers, const std::string &requestId);
+    void refuseForPause(const HttpExchangePtr &exchange, const std::string &requestId);
     void sendResponse(const HttpExchangePtr &exchange, const std::string &requestId);
     void sendEvents(const HttpExchangePtr &exchange, const std::string &requestId, int nextEvent);
     void runAfter(Duration delay, std::function<void()> action);
@@ -45,8 +56,11 @@
     std::string id;
     std::string pool;
     SoakChecker &checker;
+    SoakBounds &bounds;
     RandomSource &random;
     ServerFault fault = ServerFault::None;
+    bool leaving = false;
+    TimePoint pauseEnd;
     std::list<EventLoop::TimerHandle> delayTimers;
     std::list<HttpExchangePtr> heldExchanges;
     HttpServer server;
--- a/tests/platform/soak/soak_store.cpp
+++ b/tests/platform/soak/soak_store.cpp
@@ -53,15 +53,20 @@
                                                          : std::next(position);
 }
 
-void SoakStore::dropHistory()
+void SoakStore::closeWatches()
 {
-    this->droppedUpTo = this->revision;
-    this->history.clear();
     for (const Watch &watch : this->watches)
         watch.exchange->abort();
     this->watches.clear();
 }
 
+void SoakStore::dropHistory()
+{
+    this->droppedUpTo = this->revision;
+    this->history.clear();
+    this->closeWatches();
+}
+
 SoakStore::Copy SoakStore::copy() const
 {
     return {this->revision, this->droppedUpTo, this->objects};
@@ -79,9 +84,7 @@
                         this->history.end());
     this->previousLists.clear();
     this->eraHeader = std::to_string(++this->era);
-    for (const Watch &watch : this->watches)
-        watch.exchange->abort();
-    this->watches.clear();
+    this->closeWatches();
 }
 
 HttpHeaders SoakStore::eraHeaders() const
@@ -96,6 +99,8 @@
     ++this->calls;
     if (this->fault == StoreFault::RejectRequests)
         return exchange->reply(503, this->eraHeaders(), "");
+    if (this->fault == StoreFault::CloseConnections)
+        return exchange->abort();
     if (this->fault != StoreFault::DelayCalls)
         return this->executeCall(exchange);
     const auto position = this->delayTimers.emplace(this->delayTimers.end());
--- a/tests/platform/soak/soak_store.h
+++ b/tests/platform/soak/soak_store.h
@@ -14,9 +14,10 @@
 /// Fault that a SoakStore injects.
 enum class StoreFault {
     None,
-    RejectRequests, ///< Responds with status 503 and does not execute the call.
-    DelayCalls,     ///< Executes calls late.
-    DropResponses,  ///< Executes the call and closes the connection without a response.
+    RejectRequests,   ///< Responds with status 503 and does not execute the call.
+    DelayCalls,       ///< Executes calls late.
+    CloseConnections, ///< Closes the connection and does not execute the call.
+    DropResponses,    ///< Executes the call and closes the connection without a response.
 };
 
 /// Stand-in for the platform's metadata store: objects by kind and name, a store-wide revision,
@@ -37,6 +38,9 @@
 
     void setFault(StoreFault newFault) { this->fault = newFault; }
 
+    /// Closes the connections of waiting watches.
+    void closeWatches();
+
     /// Drops the change history and closes the connections of waiting watches.
     void dropHistory();
 
