Let the watches of dotterelfieldd take turns as well

Change: WatchSchedule serves both feeds and moves to coordination; watches end 1.5 s apart, a response is overdue one second after its wait. Measured: the new section of 'All reachable hosts apply a new configuration within 4 s' fails with waits of 20 s at all hosts and passes now; [Configuration], [WatchSchedule], [StoreIncidents], [GatewayHost], [ObjectStore] pass, 646 assertions.

--- a/src/gateway/watch_schedule.cpp
+++ b/src/coordination/watch_schedule.cpp
@@ -1,4 +1,4 @@
-#include "gateway/watch_schedule.h"
+#include "coordination/watch_schedule.h"
 
 #include <algorithm>
 
@@ -11,6 +11,15 @@
 
 } // namespace
 
+WatchTurn turnAmong(const HostIdentity &self, const std::vector<MemberRecord> &members)
+{
+    const auto before =
+            std::count_if(members.begin(), members.end(), [&self](const MemberRecord &member) {
+                return member.identity.host < self.host;
+            });
+    return {static_cast<std::size_t>(before), std::max<std::size_t>(1, members.size())};
+}
+
 void WatchSchedule::setTurn(const WatchTurn &newTurn)
 {
     if (newTurn.index == this->turn.index && newTurn.count == this->turn.count)
--- a/src/gateway/watch_schedule.h
+++ b/src/coordination/watch_schedule.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "core/time.h"
+#include "protocol/peer_message.h"
 
 #include <cstddef>
+#include <vector>
 
 namespace dotterel {
 
@@ -13,6 +15,9 @@
     std::size_t count = 1; ///< Number of watching hosts.
 };
 
+/// Returns the turn of \a self if all of \a members, which include it, watch.
+WatchTurn turnAmong(const HostIdentity &self, const std::vector<MemberRecord> &members);
+
 /// Chooses how long the watches of a collection wait at the store. A connection can fall silent
 /// without being closed, and only a missing response shows it. The watches of the hosts therefore
 /// end one after the other, at a fixed interval, so that one of the hosts notices soon, while each
--- a/src/entry_host/collection_feed.h
+++ b/src/entry_host/collection_feed.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "coordination/watch_schedule.h"
 #include "core/metrics.h"
 #include "gateway/collection_follower.h"
 #include "gateway/collection_replica.h"
-#include "gateway/watch_schedule.h"
 #include "transport/event_loop.h"
 
 #include <functional>
--- a/src/entry_host/configuration_feed.cpp
+++ b/src/entry_host/configuration_feed.cpp
@@ -4,7 +4,8 @@
 
 namespace {
 
-constexpr Duration WatchTimeout = std::chrono::seconds(20);
+/// Interval between the ends of the watches of two hosts.
+constexpr Duration WatchTurnInterval = std::chrono::milliseconds(1'500);
 constexpr Duration WatchRetryInterval = std::chrono::milliseconds(500);
 constexpr std::size_t MaxConcurrentChunkReads = 8;
 constexpr std::size_t MaxChunksPerRequest = 16;
@@ -22,6 +23,7 @@
     , mesh(mesh)
     , log(log)
     , follower(std::move(listener), metrics, log)
+    , watchSchedule(WatchTurnInterval, {})
 {}
 
 void ConfigurationFeed::start(Duration peerWait)
@@ -88,7 +90,8 @@
 void ConfigurationFeed::watch()
 {
     this->platform.watch(
-            ConfigurationRootKey, this->watchedVersion, WatchTimeout,
+            ConfigurationRootKey, this->watchedVersion,
+            this->watchSchedule.nextWait(this->watchContinues),
             [this](const ObjectStore::ReadResult &result, TimePoint) {
                 const bool reachable = result || result.error() == StoreError::NotFound;
                 if (reachable != this->platformReachable)
@@ -97,6 +100,7 @@
                 this->platformReachable = reachable;
                 // A stale response must not turn the watch into a busy loop.
                 const bool isNewer = result && result->version > this->watchedVersion;
+                this->watchContinues = reachable && !isNewer;
                 if (isNewer) {
                     this->watchedVersion = result->version;
                     this->follower.offerRoot(result->value);
--- a/src/entry_host/configuration_feed.h
+++ b/src/entry_host/configuration_feed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/configuration_follower.h"
+#include "coordination/watch_schedule.h"
 #include "entry_host/peer_mesh.h"
 #include "state/object_store.h"
 #include "transport/event_loop.h"
@@ -24,6 +25,9 @@
     /// peer is known and reached, or for \a peerWait, as the platform may return a stale one.
     void start(Duration peerWait);
 
+    /// Sets the turn of this host among those that watch the platform.
+    void setWatchTurn(const WatchTurn &turn) { this->watchSchedule.setTurn(turn); }
+
     /// Handles a message that a peer sent over \a link; ignores those that do not concern
     /// configurations.
     void onPeerMessage(std::uint64_t link, const PeerMessage &message);
@@ -48,6 +52,8 @@
     PeerMesh &mesh;
     EventLog &log;
     ConfigurationFollower follower;
+    WatchSchedule watchSchedule;
+    bool watchContinues = false; ///< The previous watch ended without a change.
     bool platformReachable = true;
     std::uint64_t watchedVersion = 0; ///< Version of the platform object that holds the root.
     std::set<std::string> chunkReadsInProgress; ///< Names of the chunks.
--- a/src/entry_host/entry_host_updates.cpp
+++ b/src/entry_host/entry_host_updates.cpp
@@ -60,6 +60,7 @@
         this->membership.publishNotice(notice);
     this->drainingServerProber.probeIfDue(this->serverDirectory.selfReportedDraining(),
                                           this->membership.liveMembers());
+    this->configurationFeed.setWatchTurn(turnAmong(this->identity, this->membership.liveMembers()));
 }
 
 void EntryHost::applyConfiguration(const Configuration &configuration)
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -27,16 +27,6 @@
 /// Up to this number of live hosts every host watches the store, as the calls are few.
 constexpr std::size_t MaxHostsThatAllWatch = 16;
 
-/// Returns the turn of \a self if all of \a live watch the store.
-WatchTurn turnAmongAll(const HostIdentity &self, const std::vector<MemberRecord> &live)
-{
-    const auto before =
-            std::count_if(live.begin(), live.end(), [&self](const MemberRecord &member) {
-                return member.identity.host < self.host;
-            });
-    return {static_cast<std::size_t>(before), std::max<std::size_t>(1, live.size())};
-}
-
 /// Returns the turn of \a self if \a perDomain hosts of each failure domain watch the store.
 WatchTurn turnAmongDomains(const HostIdentity &self, const std::vector<MemberRecord> &live,
                            const std::set<std::string> &domains, std::size_t perDomain)
@@ -193,7 +183,7 @@
     std::optional<WatchTurn> turn;
     if (watchesStore)
         turn = live.size() <= MaxHostsThatAllWatch
-                       ? turnAmongAll(this->identity, live)
+                       ? turnAmong(this->identity, live)
                        : turnAmongDomains(this->identity, live, domains, watchersPerDomain);
     this->configurationFeed.setWatching(turn);
     this->serverFeed.setWatching(turn);
--- a/src/state/http_object_store.cpp
+++ b/src/state/http_object_store.cpp
@@ -1,5 +1,6 @@
 #include "state/http_object_store.h"
 
+#include <algorithm>
 #include <event2/http.h>
 #include <nlohmann/json.hpp>
 
@@ -11,6 +12,8 @@
 constexpr int StatusNotFound = 404;
 constexpr int StatusPreconditionFailed = 412;
 constexpr int StatusTooLarge = 413;
+/// A response to a watch that is later than the end of its wait by more than this is lost.
+constexpr Duration MaxWatchResponseDelay = std::chrono::seconds(1);
 
 std::string percentEncoded(const std::string &text)
 {
@@ -165,7 +168,7 @@
             this->makeRequest("GET", "/v1/watch?key=" + percentEncoded(key)
                                              + "&version=" + std::to_string(knownVersion)
                                              + "&wait_ms=" + std::to_string(waitMilliseconds));
-    request.timeout += wait;
+    request.timeout = wait + std::min(request.timeout, MaxWatchResponseDelay);
     this->send(request, [this, key, callback = std::move(callback)](const FetchResult &response) {
         callback(readResult(key, response), this->loop.now());
     });
--- a/tests/gateway/test_watch_schedule.cpp
+++ b/tests/coordination/test_watch_schedule.cpp
@@ -1,4 +1,4 @@
-#include "gateway/watch_schedule.h"
+#include "coordination/watch_schedule.h"
 
 #include <catch2/catch.hpp>
 #include <vector>
@@ -7,7 +7,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-TEST_CASE("The watches of all hosts end one after the other", "[Gateway][WatchSchedule]")
+TEST_CASE("The watches of all hosts end one after the other", "[WatchSchedule]")
 {
     const std::size_t hostCount = GENERATE(std::size_t{1}, std::size_t{3}, std::size_t{9});
     std::vector<WatchSchedule> hosts(hostCount, WatchSchedule(seconds(2), {}));
--- a/tests/entry_host/test_configuration.cpp
+++ b/tests/entry_host/test_configuration.cpp
@@ -89,6 +89,14 @@
         fleet.platform().setFaults(faults);
         CHECK(allHostsReachVersion(fleet, 2));
     }
+    SECTION("no waiting watch is answered, as if all connections to the platform were silent")
+    {
+        fleet.runFor(std::chrono::seconds(2));
+        faults.wokenWatches = 0;
+        fleet.platform().setFaults(faults);
+        fleet.storeConfiguration(2);
+        CHECK(allHostsReachVersion(fleet, 2));
+    }
     SECTION("peers pass on the chunks of a large configuration while the platform is down")
     {
         faults.wokenWatches = 1;
