Repeat a silent watch of the servers without the batching delay

Cause: the delay that batches changes of the servers (0.2 to 0.6 s) stayed set while a watch waited, so that a watch that had been found silent was repeated up to 0.6 s late, of 3 s in all. Change: a failed or renewed watch is repeated without that delay.

--- a/src/entry_host/collection_feed.cpp
+++ b/src/entry_host/collection_feed.cpp
@@ -114,6 +114,7 @@
     this->watchStartedAt.reset();
     this->watchCall.reset();
     this->watchContinues = false;
+    this->follower.onWatchRepeated();
     this->scheduleNextCall();
 }
 
--- a/src/gateway/collection_follower.cpp
+++ b/src/gateway/collection_follower.cpp
@@ -71,6 +71,7 @@
 
 void CollectionFollower::onFailed(StoreError error, TimePoint now)
 {
+    this->onWatchRepeated();
     if (error == StoreError::NotFound) {
         this->log.write(Event::PlatformHistoryLost,
                         {{"collection", std::string(collectionName(this->collection))}});
--- a/src/gateway/collection_follower.h
+++ b/src/gateway/collection_follower.h
@@ -37,6 +37,9 @@
     /// Handles a request that failed with \a error.
     void onFailed(StoreError error, TimePoint now);
 
+    /// The current watch is repeated: the next request is not delayed to batch changes.
+    void onWatchRepeated() { this->watchDelay = Duration::zero(); }
+
     /// Handles a change of the era of the store: the collection is listed again at once.
     void onEraChanged(TimePoint now);
 
--- a/tests/gateway/test_collection_replica.cpp
+++ b/tests/gateway/test_collection_replica.cpp
@@ -218,6 +218,12 @@
         }
         CHECK(revision == 100);
         CHECK(requestCount <= 5);
+        SECTION("and a watch that got no response is repeated without delay")
+        {
+            serverFollower.onFailed(StoreError::NoResponse, now + seconds(2));
+            CHECK(serverFollower.nextRequest().kind == CollectionRequest::Kind::Watch);
+            CHECK(serverFollower.nextRequest().delay == Duration::zero());
+        }
         SECTION("and the next change after a period without changes is received without delay")
         {
             serverFollower.onWatched(revision, now + seconds(22));
