Test that a host renews its watches when most of its peer links are silent

Cause: the check of the links had no test. Change: a test with peers that accept a link and never send anything, and one with a single silent peer among working ones.

--- a/tests/platform/test_store_incidents.cpp
+++ b/tests/platform/test_store_incidents.cpp
@@ -4,12 +4,13 @@
 #include "platform_names.h"
 #include "platform_protocol.h"
 #include "platform_store.h"
-#include "support/raw_client.h"
+#include "support/raw_connection.h"
 #include "transport/keep_alive_http_client.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <set>
 
 using namespace dotterel;
 using namespace dotterel::support;
@@ -26,6 +27,23 @@
 constexpr Duration ContactLimit = milliseconds(3'000);
 constexpr Duration ApplyLimit = milliseconds(2'000);
 
+/// Records the reasons of renewed watches.
+class RenewalLog : public EventLog
+{
+public:
+    void write(Event event, const std::vector<LogField> &fields) override
+    {
+        if (event != Event::WatchRenewed)
+            return;
+        for (const LogField &field : fields) {
+            if (field.name == "reason")
+                this->reasons.insert(std::get<std::string>(field.value));
+        }
+    }
+
+    std::set<std::string> reasons;
+};
+
 /// Three gateway hosts in this process, each with a proxy of its own to one store.
 struct IncidentFixture
 {
@@ -145,7 +163,7 @@
     }
 
     EventLoop loop;
-    NullEventLog log;
+    RenewalLog log;
     PlatformProtocol protocol;
     soak::SoakStore store{this->loop};
     KeepAliveHttpClient storeClient{this->loop, KeepAliveHttpClientLimits{}};
@@ -256,3 +274,35 @@
         CHECK(toSeconds(removalTime) < toSeconds(ContactLimit));
     }
 }
+
+TEST_CASE("A host renews its watches when most of its peer links fall silent",
+          "[Platform][StoreIncidents]")
+{
+    IncidentFixture fixture;
+    const auto hostEntries = fixture.store.copy().objects.at(platform::HostObjectKind);
+    const Endpoint peers{"127.0.0.1",
+                         hostEntries.at("h0").at("spec").at("peer_port").get<std::uint16_t>()};
+    const auto hostLinks = [&fixture] { return fixture.hosts[0].gateway->status().peerLinks; };
+    const std::size_t linksBefore = hostLinks();
+    fixture.log.reasons.clear();
+
+    SECTION("peers that never send anything")
+    {
+        std::vector<std::unique_ptr<RawConnection>> silentPeers;
+        for (std::size_t count = 0; count < linksBefore + 2; ++count) {
+            silentPeers.push_back(std::make_unique<RawConnection>(peers));
+            silentPeers.back()->write(RawConnection::upgradeRequest());
+        }
+        fixture.runUntil([&] { return hostLinks() > linksBefore; }, seconds(2));
+        fixture.runUntil([&] { return fixture.log.reasons.count("peer_links_silent") > 0; },
+                         seconds(5));
+        CHECK(fixture.log.reasons.count("peer_links_silent") == 1);
+    }
+    SECTION("not while most links work")
+    {
+        RawConnection silentPeer(peers);
+        silentPeer.write(RawConnection::upgradeRequest());
+        fixture.runFor(seconds(2));
+        CHECK(fixture.log.reasons.count("peer_links_silent") == 0);
+    }
+}
