Space the turns of the configuration's watches by 8 s, spread retries only after pauses

The spread of retry delays without a usable server also reached refusals that have nothing to do with pauses. Change: 8 s between the ends of two hosts' configuration watches; a silent path is still found within 2 s by the watches of the servers, whose host renews the other watch. Only delays until the end of a pause are spread.

--- a/src/entry_host/collection_feed.cpp
+++ b/src/entry_host/collection_feed.cpp
@@ -9,7 +9,7 @@
 /// servers stays below the time within which a confirmed change must be in force. A host that finds
 /// one of its watches silent renews the other one, so that the other interval may be longer.
 constexpr Duration ServerTurnInterval = std::chrono::seconds(2);
-constexpr Duration OtherTurnInterval = std::chrono::seconds(5);
+constexpr Duration OtherTurnInterval = std::chrono::seconds(8);
 /// Number of turns over which hosts spread that do not know each other yet.
 constexpr std::size_t FirstTurns = 6;
 /// The store delivers a change to all watchers within a few tens of milliseconds. A watcher
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -358,8 +358,11 @@
 
 Duration ForwardController::delayWithoutServer(const std::string &pool, TimePoint now)
 {
-    const Duration pause = this->fleet.pauseLeft(pool, now).value_or(Duration::zero());
-    const Duration delay = std::max(NoServerRetryAfter, pause);
+    const std::optional<Duration> pause = this->fleet.pauseLeft(pool, now);
+    if (!pause)
+        return NoServerRetryAfter;
+    // All callers of the pool are refused until the same moment.
+    const Duration delay = std::max(NoServerRetryAfter, *pause);
     return delay + fromSeconds(toSeconds(delay) * RetryAfterJitter * this->random.nextDouble());
 }
 
