Doubt restored entries of servers whose removal was seen

Cause: a departed server was only remembered if it had been leaving. Change: the fleet remembers removals; an entry of the same incarnation that a new era shows again is suspected for 6 s, that is, used only if there is no other, unless the server answers. Entries that return after a plain outage are used at once, as before.

--- a/src/entry_host/collection_feed.cpp
+++ b/src/entry_host/collection_feed.cpp
@@ -249,8 +249,11 @@
     if (changes.empty())
         return;
     this->announcer(this->localObjects.announcement(changes));
-    this->listener(changes,
-                   this->follower.reconnectedWithin(ExpiryWindowAfterOutage, this->loop.now()));
+    const TimePoint now = this->loop.now();
+    ChangeContext context;
+    context.mayHaveLapsed = this->follower.reconnectedWithin(ExpiryWindowAfterOutage, now);
+    context.mayBeRestored = this->follower.eraChangedWithin(ExpiryWindowAfterOutage, now);
+    this->listener(changes, context);
 }
 
 void CollectionFeed::onAnnouncement(std::uint64_t link, const ObjectAnnouncement &announcement,
--- a/src/entry_host/collection_feed.h
+++ b/src/entry_host/collection_feed.h
@@ -16,9 +16,15 @@
 class CollectionFeed
 {
 public:
-    /// Receives objects that changed on this host. \a mayHaveLapsed is true if removals may be
-    /// entries that expired during an outage of the store.
-    using Listener = std::function<void(const std::vector<CollectionObject> &, bool mayHaveLapsed)>;
+    /// Circumstances of changes.
+    struct ChangeContext
+    {
+        bool mayHaveLapsed = false; ///< Removals may be entries that expired during an outage.
+        bool mayBeRestored = false; ///< Entries may be older ones of a restored copy.
+    };
+    /// Receives objects that changed on this host.
+    using Listener =
+            std::function<void(const std::vector<CollectionObject> &, const ChangeContext &)>;
     /// Announces changed objects to the linked peers.
     using Announcer = std::function<void(const ObjectAnnouncement &)>;
 
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -76,7 +76,8 @@
     , promptUpdatePeers(this->peerMesh.endpoint(), loop.now())
     , configurationFeed(
               loop, store, Collection::Configuration, this->random,
-              [this](const std::vector<CollectionObject> &objects, bool /*mayHaveLapsed*/) {
+              [this](const std::vector<CollectionObject> &objects,
+                     const CollectionFeed::ChangeContext & /*context*/) {
                   this->applyConfigurationObjects(objects);
               },
               [this](const ObjectAnnouncement &message) { this->peerMesh.broadcast(message); },
@@ -85,8 +86,9 @@
               this->metrics, log)
     , serverFeed(
               loop, store, Collection::Servers, this->random,
-              [this](const std::vector<CollectionObject> &objects, bool mayHaveLapsed) {
-                  this->applyServerObjects(objects, mayHaveLapsed);
+              [this](const std::vector<CollectionObject> &objects,
+                     const CollectionFeed::ChangeContext &context) {
+                  this->applyServerObjects(objects, context);
               },
               [this](const ObjectAnnouncement &message) { this->peerMesh.broadcast(message); },
               {[this] { this->configurationFeed.renewWatch("other_watch_silent"); },
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -97,7 +97,8 @@
     void restoreHostEntry(const MemberRecord &member);
     CollectionFeed *feedForCollection(std::uint8_t collection);
     void applyConfigurationObjects(const std::vector<CollectionObject> &objects);
-    void applyServerObjects(const std::vector<CollectionObject> &objects, bool mayHaveLapsed);
+    void applyServerObjects(const std::vector<CollectionObject> &objects,
+                            const CollectionFeed::ChangeContext &context);
     void onPromptUpdates(const PromptUpdateBatch &update);
     void updatePromptPeers();
     void addRemoteDispatch(std::uint32_t senderHash, const RunningPrompt &running, bool isNew);
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -269,12 +269,12 @@
 }
 
 void GatewayHost::applyServerObjects(const std::vector<CollectionObject> &objects,
-                                     bool mayHaveLapsed)
+                                     const CollectionFeed::ChangeContext &context)
 {
     const TimePoint now = this->loop.now();
     for (const CollectionObject &object : objects) {
         if (object.removed) {
-            this->fleet.remove(object.name, mayHaveLapsed, now);
+            this->fleet.remove(object.name, context.mayHaveLapsed, now);
             continue;
         }
         const auto parsed = this->protocol.parseServer(object.name, object.text);
@@ -287,6 +287,8 @@
             this->fleet.remove(object.name, false, now);
             continue;
         }
+        if (context.mayBeRestored)
+            this->fleet.doubtIfDeparted(*parsed, now);
         if (this->fleet.put(*parsed, now))
             this->promptPlacement.onServerReset(parsed->id);
         this->serversByHash[hash32(parsed->id)] = parsed->id;
--- a/src/gateway/collection_follower.cpp
+++ b/src/gateway/collection_follower.cpp
@@ -96,6 +96,7 @@
     this->watchDelay = Duration::zero();
     // Entries written since the copy was made are missing until they are written again.
     this->reconnectedAt = now;
+    this->eraChangedAt = now;
 }
 
 void CollectionFollower::onRequestSucceeded(TimePoint now)
@@ -110,6 +111,11 @@
     this->connectionSilent = false;
 }
 
+bool CollectionFollower::eraChangedWithin(Duration window, TimePoint now) const
+{
+    return this->eraChangedAt && now - *this->eraChangedAt < window;
+}
+
 bool CollectionFollower::reconnectedWithin(Duration window, TimePoint now) const
 {
     return this->reconnectedAt && now - *this->reconnectedAt < window;
--- a/src/gateway/collection_follower.h
+++ b/src/gateway/collection_follower.h
@@ -49,6 +49,10 @@
     /// Returns true if a request has failed, other than with NotFound, since the last success.
     bool isStoreUnreachable() const { return this->consecutiveFailures > 0; }
 
+    /// Returns true if the era of the store changed less than \a window ago. Entries may then be
+    /// those of the copy from which it was restored.
+    bool eraChangedWithin(Duration window, TimePoint now) const;
+
     /// Returns true if the store became reachable, or lost its history, less than \a window ago.
     /// Entries that expired during the outage may then be missing from the store.
     bool reconnectedWithin(Duration window, TimePoint now) const;
@@ -64,6 +68,7 @@
     int consecutiveFailures = 0;
     bool connectionSilent = false; ///< The latest failure may be due to its connection alone.
     std::optional<TimePoint> reconnectedAt;
+    std::optional<TimePoint> eraChangedAt;
 };
 
 } // namespace dotterel
--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -64,8 +64,11 @@
     record.rank = static_cast<double>(hash64(server.id)) / HashRange;
     record.decayedAt = now;
     const auto departure = this->departures.find(server.id);
-    record.announcedLeaving = departure != this->departures.end()
-                              && departure->second.incarnation == server.incarnation;
+    const bool departed = departure != this->departures.end()
+                          && departure->second.incarnation == server.incarnation;
+    record.announcedLeaving = departed && departure->second.wasLeaving;
+    if (departed && departure->second.doubtedUntil)
+        record.suspectedUntil = *departure->second.doubtedUntil;
     this->records[server.id] = record;
     this->log.write(Event::ServerUp, {{"server", server.id},
                                       {"pool", server.pool},
@@ -75,6 +78,17 @@
     return restarted;
 }
 
+void ServerFleet::doubtIfDeparted(const GatewayServer &server, TimePoint now)
+{
+    const auto departure = this->departures.find(server.id);
+    if (departure == this->departures.end() || departure->second.incarnation != server.incarnation)
+        return;
+    departure->second.doubtedUntil = now + this->timings.restoredEntryDoubt;
+    const auto found = this->records.find(server.id);
+    if (found != this->records.end() && found->second.removedAt)
+        found->second.suspectedUntil = *departure->second.doubtedUntil;
+}
+
 void ServerFleet::remove(const ServerId &server, bool mayHaveExpired, TimePoint now)
 {
     this->removeExpired(now);
@@ -86,9 +100,9 @@
     const bool mayReturn = mayHaveExpired && !leaving;
     this->log.write(Event::ServerDown,
                     {{"server", server}, {"source", "entry"}, {"may_have_lapsed", mayReturn}});
+    this->forgetDepartures(now);
+    this->departures[server] = {record.server.incarnation, leaving, now, std::nullopt};
     if (leaving) {
-        this->forgetDepartures(now);
-        this->departures[server] = {record.server.incarnation, now};
         this->records.erase(found);
         return;
     }
--- a/src/gateway/server_fleet.h
+++ b/src/gateway/server_fleet.h
@@ -43,6 +43,9 @@
     Duration maxPause = std::chrono::minutes(10);
     /// Messages about work in progress that a server gets from this host in a pause.
     std::size_t maxContactsInPause = 2;
+    /// How long a restored entry of a departed server is not trusted; longer than the store keeps
+    /// the entry of a server that does not write it again.
+    Duration restoredEntryDoubt = std::chrono::seconds(6);
     /// How long the departure of a server is remembered; longer than a restored copy of the store
     /// can be old.
     Duration departureMemory = std::chrono::minutes(10);
@@ -73,6 +76,11 @@
     /// Returns true if the server restarted.
     bool put(const GatewayServer &server, TimePoint now);
 
+    /// Handles an entry that may come from a restored copy of the store, before put(). If this host
+    /// saw the removal of this incarnation, the server is probably gone: it is only used for some
+    /// time if there is no other.
+    void doubtIfDeparted(const GatewayServer &server, TimePoint now);
+
     /// Handles the removal of the entry of \a server. If \a mayHaveExpired is true, the entry may
     /// have expired because of a store outage; the server then stays usable for a grace period. The
     /// same holds if most of a pool is removed at once: a host whose watch was pending all through
@@ -144,11 +152,13 @@
         std::optional<TimePoint> expiresAt; ///< End of the grace period after the entry expired.
     };
 
-    /// A server that was leaving when its entry was removed.
+    /// A server whose entry was removed.
     struct Departure
     {
         std::uint64_t incarnation = 0;
+        bool wasLeaving = false;
         TimePoint removedAt;
+        std::optional<TimePoint> doubtedUntil; ///< Set while a restored entry is not trusted.
     };
 
     void removeExpired(TimePoint now);
--- a/tests/gateway/test_server_fleet.cpp
+++ b/tests/gateway/test_server_fleet.cpp
@@ -59,6 +59,34 @@
             CHECK(fleet.usable("app", now + seconds(5)).size() == 2);
         }
     }
+    SECTION("only if there is no other, when a restored store shows a departed server again")
+    {
+        fleet.remove("s1", false, now);
+        now += seconds(5);
+        fleet.doubtIfDeparted(server("s1"), now);
+        fleet.put(server("s1"), now);
+        CHECK(fleet.usable("app", now).size() == 1);
+        SECTION("until its entry has outlasted those of servers that are gone")
+        {
+            CHECK(fleet.usable("app", now + seconds(6)).size() == 2);
+        }
+        SECTION("until it answers")
+        {
+            fleet.onAttemptOutcome("s1", AttemptOutcome::Answered, now);
+            CHECK(fleet.usable("app", now).size() == 2);
+        }
+        SECTION("and it is used if it is the only one")
+        {
+            fleet.remove("s2", false, now);
+            CHECK(fleet.usable("app", now).size() == 1);
+        }
+    }
+    SECTION("at once, when an expired entry returns without a change of the era")
+    {
+        fleet.remove("s1", true, now);
+        fleet.put(server("s1"), now + seconds(5));
+        CHECK(fleet.usable("app", now + seconds(5)).size() == 2);
+    }
     SECTION("not when they announced in an answer that they leave, whatever the entry says")
     {
         fleet.onAttemptOutcome("s1", AttemptOutcome::Leaving, now);
