Treat a stream that ends inside an event as broken, whatever its framing

Cause: `completeStream()` took the end of the framing for the end of the stream. An answer with neither length nor chunks ends with its connection, so that a server that breaks off in order inside an event completed the answer; the torn event was passed on and the chunked body ended. The splitter saw the torn event, and nobody asked it. Change: one rule, `judgeStreamEnd()`, decides when a stream is complete. A torn stream is an answer that was cut: it goes on at another server after the last whole event if its route allows that, within attempts, budget and deadline; else the caller's connection breaks. Counter `dotterel_streams_torn_total`. Why it works: the bytes of a stream end between two events or they do not, and only then is the last chunk sent.

--- a/src/core/metric_catalogue.cpp
+++ b/src/core/metric_catalogue.cpp
@@ -47,6 +47,8 @@
         {Counter::OrderClaimBatches, "Batched writes that recorded claims of orders."},
         {Counter::CrashSuspects, "Requests that were running on a backend server that crashed."},
         {Counter::RetriesWithheld, "Retries suppressed by the retry budget."},
+        {Counter::StreamsTorn,
+         "Streams that ended inside an event, or with their connection before their first event."},
         {Counter::PromptsHeld, "Prompts that waited at the entry host for a better place."},
 };
 
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -27,7 +27,7 @@
         {LengthBand::UpTo1M, "256k-1M"},
 }};
 
-constexpr std::array<EnumName<Counter>, 20> CounterNames = {{
+constexpr std::array<EnumName<Counter>, 21> CounterNames = {{
         {Counter::RequestsAdmitted, "requests_admitted"},
         {Counter::RequestsFinished, "requests_finished"},
         {Counter::ForeignBytesDropped, "foreign_bytes_dropped"},
@@ -47,6 +47,7 @@
         {Counter::OrderClaimBatches, "order_claim_batches"},
         {Counter::CrashSuspects, "crash_suspects"},
         {Counter::RetriesWithheld, "retries_withheld"},
+        {Counter::StreamsTorn, "streams_torn"},
         {Counter::PromptsHeld, "prompts_held"},
 }};
 
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -59,6 +59,7 @@
     OrderClaimBatches,
     CrashSuspects,
     RetriesWithheld, ///< Retries that the retry budget did not allow.
+    StreamsTorn,     ///< Streams whose framing was whole and whose events were not.
     PromptsHeld,     ///< Prompts that waited at the host for a better place.
 };
 
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -248,8 +248,6 @@
                      {"attempts", static_cast<std::int64_t>(call.attemptsSent)},
                      {"framing", framingName(attempt)},
                      {"body_bytes", static_cast<std::int64_t>(attempt.bodyBytes)},
-                     {"torn_bytes",
-                      static_cast<std::int64_t>(attempt.splitter.incompleteEvent().size())},
                      {"events_passed", lastEventNumber(call)},
                      {"prompt_tokens", static_cast<std::int64_t>(call.metadata.promptTokens)},
                      {"predicted_ms", toMs(attempt.predictedLatency)},
@@ -294,7 +292,7 @@
     return call == this->calls.end() ? nullptr : &call->second;
 }
 
-void ForwardController::logFailedAttempt(const ForwardCall &call, const char *outcome,
+void ForwardController::logFailedAttempt(const ForwardCall &call, std::string_view outcome,
                                          Verdict verdict, TimePoint now)
 {
     const ForwardAttempt &attempt = *call.attempt;
@@ -309,8 +307,7 @@
                      {"faulty_server", attempt.metadata.faultyServer},
                      {"framing", framingName(attempt)},
                      {"body_bytes", static_cast<std::int64_t>(attempt.bodyBytes)},
-                     {"torn_bytes",
-                      static_cast<std::int64_t>(attempt.splitter.incompleteEvent().size())},
+                     {"torn_bytes", static_cast<std::int64_t>(attempt.splitter.remainder().size())},
                      {"events_passed", lastEventNumber(call)}});
 }
 
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -107,6 +107,9 @@
     void beginResponse(ForwardCall &call);
     void completeStream(ForwardCall &call, TimePoint now);
     void completeResponse(ForwardCall &call, TimePoint now);
+    /// Handles a response that was broken off. \a outcome says in the log how that was recognized.
+    void onResponseBroken(ForwardCall &call, std::string_view outcome, Verdict verdict,
+                          TimePoint now);
 
     /// How an attempt ended without a response that can be forwarded.
     struct AttemptFailure
@@ -149,7 +152,7 @@
     TimePoint inactivityDeadline(const ForwardCall &call) const;
     void scheduleTimer(const ForwardCall &call, TimePoint now);
     ForwardCall *findCall(ForwardAttemptId attempt);
-    void logFailedAttempt(const ForwardCall &call, const char *outcome, Verdict verdict,
+    void logFailedAttempt(const ForwardCall &call, std::string_view outcome, Verdict verdict,
                           TimePoint now);
 
     const GatewayProtocol &protocol;
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -1,6 +1,7 @@
 #include "gateway/forward_controller.h"
 
 #include "core/hashing.h"
+#include "gateway/stream_end.h"
 
 #include <algorithm>
 
@@ -223,14 +224,37 @@
 
 void ForwardController::completeStream(ForwardCall &call, TimePoint now)
 {
+    const ForwardAttempt &attempt = *call.attempt;
+    StreamProgress progress;
+    progress.framing = bodyFraming(attempt.status, attempt.headers);
+    progress.insideEvent = attempt.splitter.isInsideEvent();
+    progress.hasEvents = attempt.firstEventReceived;
+    progress.isResumed = call.lastEventId || call.metadata.resumeAfter;
+    const StreamEnd end = judgeStreamEnd(progress);
+    if (end != StreamEnd::Complete) {
+        this->metrics.count(Counter::StreamsTorn, 1);
+        return this->onResponseBroken(call, streamEndName(end), Verdict::MayHaveRun, now);
+    }
     this->beginResponse(call);
-    const std::string incomplete = call.attempt->splitter.incompleteEvent();
-    if (!incomplete.empty())
-        this->forwardData(call, incomplete);
+    // Blank lines after the last event.
+    const std::string remainder = attempt.splitter.remainder();
+    if (!remainder.empty())
+        this->forwardData(call, remainder);
     this->effects.endResponse(call.id);
     this->finish(call, call.attempt->status, now);
 }
 
+void ForwardController::onResponseBroken(ForwardCall &call, std::string_view outcome,
+                                         Verdict verdict, TimePoint now)
+{
+    this->logFailedAttempt(call, outcome, verdict, now);
+    const ServerId server = call.attempt->server;
+    this->endAttempt(call, AttemptOutcome::Failed, now);
+    if (verdict != Verdict::NotRun)
+        this->reportCrash(call, server, now);
+    this->retryOrRefuse(call, {verdict, RetryReason::AnswerCut}, now);
+}
+
 void ForwardController::completeResponse(ForwardCall &call, TimePoint now)
 {
     const ForwardAttempt &attempt = *call.attempt;
@@ -256,20 +280,12 @@
     Verdict verdict = failure.verdict;
     if (call->attempt->status != 0 && call->attempt->metadata.notRun)
         verdict = Verdict::NotRun;
-    this->logFailedAttempt(*call,
-                           connectFailed     ? "unreachable"
-                           : staleConnection ? "stale_connection"
-                                             : "broken",
-                           verdict, now);
+    if (!connectFailed && !staleConnection)
+        return this->onResponseBroken(*call, "broken", verdict, now);
+    this->logFailedAttempt(*call, connectFailed ? "unreachable" : "stale_connection", verdict, now);
     const ServerId server = call->attempt->server;
-    const bool mayHaveRun = verdict != Verdict::NotRun && !staleConnection;
-    this->endAttempt(*call,
-                     connectFailed     ? AttemptOutcome::Unreachable
-                     : staleConnection ? AttemptOutcome::Refused
-                                       : AttemptOutcome::Failed,
+    this->endAttempt(*call, connectFailed ? AttemptOutcome::Unreachable : AttemptOutcome::Refused,
                      now);
-    if (mayHaveRun)
-        this->reportCrash(*call, server, now);
     if (staleConnection)
         call->triedServers.erase(server);
     const RetryReason reason = connectFailed ? RetryReason::ConnectFailed : RetryReason::AnswerCut;
--- /dev/null
+++ b/src/gateway/stream_end.cpp
@@ -0,0 +1,32 @@
+#include "gateway/stream_end.h"
+
+#include "core/enum_names.h"
+
+namespace dotterel {
+
+namespace {
+
+constexpr std::array<EnumName<StreamEnd>, 3> StreamEndNames = {{
+        {StreamEnd::Complete, "complete"},
+        {StreamEnd::InsideEvent, "inside_event"},
+        {StreamEnd::BeforeEvent, "before_event"},
+}};
+
+} // namespace
+
+StreamEnd judgeStreamEnd(const StreamProgress &progress)
+{
+    if (progress.insideEvent)
+        return StreamEnd::InsideEvent;
+    // A stream that was resumed after its last event has nothing left to send.
+    if (!progress.hasEvents && !progress.isResumed && progress.framing == BodyFraming::Connection)
+        return StreamEnd::BeforeEvent;
+    return StreamEnd::Complete;
+}
+
+std::string_view streamEndName(StreamEnd end)
+{
+    return enumName(StreamEndNames, end);
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/gateway/stream_end.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "transport/body_framing.h"
+
+#include <string_view>
+
+namespace dotterel {
+
+/// What the end of a stream whose framing is whole means for its caller.
+enum class StreamEnd {
+    Complete,
+    InsideEvent, ///< An event has begun and did not end.
+    BeforeEvent, ///< Nothing but the end of the connection says that the stream has no event.
+};
+
+/// How far a stream came when its body ended as its framing says.
+struct StreamProgress
+{
+    BodyFraming framing = BodyFraming::Connection;
+    bool insideEvent = false;
+    bool hasEvents = false; ///< The server sent at least one event.
+    bool isResumed = false; ///< The server was asked to go on after an event.
+};
+
+/// Decides whether a stream is complete. Framing does not prove it: a server that breaks off in the
+/// middle of an event may still end its connection in order, send its last chunk or reach its
+/// length.
+StreamEnd judgeStreamEnd(const StreamProgress &progress);
+
+/// Returns the external name of \a end.
+std::string_view streamEndName(StreamEnd end);
+
+} // namespace dotterel
