Never follow an answer that has begun by another run, except for numbered streams

Cause: `mayRetry()` asked whether the route may be retried, not whether bytes had been passed on. A plain answer over 256 KiB that broke, or whose server fell silent while it was passed on, was sent to another server and that answer appended; a stream whose events have no ids was begun again. Change: an answer that has begun is only retried if events with ids were passed on, so that the next server can go on after the last one. Why it works: without a place to go on at, every further byte belongs to another run; the caller's connection breaks instead.

--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -350,6 +350,9 @@
 {
     if (verdict != Verdict::NotRun && !call.route->isRetryable())
         return false;
+    // Only a stream can go on where another run has stopped, after the last event that it numbered.
+    if (call.responseStarted && !call.lastEventId)
+        return false;
     if (call.deadline - now < MinAttemptTime)
         return false;
     return call.attemptsSent < call.route->maxAttempts
--- /dev/null
+++ b/tests/gateway/test_joined_responses.cpp
@@ -0,0 +1,60 @@
+// Responses of two runs must never reach a caller as one.
+
+#include "support/forward_bench.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dotterel;
+using namespace dotterel::support;
+using std::chrono::milliseconds;
+
+namespace {
+
+const HttpHeaders Signed = {{"Signed", "s"}};
+/// More than the gateway holds back until a response is complete.
+const std::string LongPart(300'000, 'x');
+
+} // namespace
+
+TEST_CASE("A plain answer that has begun is not followed by another run",
+          "[Gateway][JoinedResponses]")
+{
+    ForwardBench bench;
+    bench.addServer("app-1", "app");
+    bench.addServer("app-2", "app");
+    const HttpCallId call = bench.request("/lookups/");
+    const ForwardAttemptId first = bench.sentAttempts[0].id;
+    bench.controller.onAttemptHead(first, 200, Signed, bench.now);
+    bench.controller.onAttemptData(first, LongPart, bench.now);
+    REQUIRE(bench.outcome(call).body == LongPart);
+
+    SECTION("its server resets the connection")
+    {
+        bench.failAttempt(0, HttpFailureKind::ResponseTruncated, Verdict::MayHaveRun);
+        CHECK(bench.sentAttempts.size() == 1);
+        CHECK(bench.outcome(call).aborted);
+    }
+    SECTION("its server falls silent until the deadline")
+    {
+        bench.advanceTime(std::chrono::seconds(3));
+        CHECK(bench.sentAttempts.size() == 1);
+        CHECK(bench.outcome(call).aborted);
+    }
+    CHECK_FALSE(bench.outcome(call).ended);
+    CHECK(bench.outcome(call).body == LongPart);
+}
+
+TEST_CASE("A stream whose events have no ids is not begun again", "[Gateway][JoinedResponses]")
+{
+    ForwardBench bench;
+    bench.addServer("engine-1", "engines");
+    bench.addServer("engine-2", "engines");
+    const HttpCallId call = bench.request("/questions/", {{"Tokens", "5000,1300"}});
+    const ForwardAttemptId first = bench.sentAttempts[0].id;
+    bench.controller.onAttemptHead(first, 200, Signed, bench.now);
+    bench.controller.onAttemptData(first, "data: x\n\n", bench.now);
+    bench.failAttempt(0, HttpFailureKind::ResponseTruncated, Verdict::MayHaveRun);
+    CHECK(bench.sentAttempts.size() == 1);
+    CHECK(bench.outcome(call).aborted);
+    CHECK(bench.outcome(call).body == "data: x\n\n");
+}
