Do not complete a resumed stream with the error answer of another server

Callers saw: a stream that stops after some events and ends as complete. Cause: `onAttemptComplete()` treats an answer below 500 as final. When a resumed stream was answered with 3xx or 4xx, `completeResponse()` ended the body that the first server had begun. Change: an answer that is no success cannot continue a response; it is handled like a server's failure.

--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -172,8 +172,10 @@
     const bool invalidResponse =
             isSuccess(attempt.status)
             && (!attempt.metadata.isSigned || attempt.metadata.hasContentEncoding);
-    if (invalidResponse || attempt.status >= ServerErrorStatusBegin
-        || impliesNotRun(attempt.status))
+    // A caller that has received events of a stream can only be given the rest of it.
+    const bool continuesResponse = !call->responseStarted || isSuccess(attempt.status);
+    if (invalidResponse || attempt.status >= ServerErrorStatusBegin || impliesNotRun(attempt.status)
+        || !continuesResponse)
         return this->retryOrForward(*call, invalidResponse, now);
     if (isSuccess(attempt.status) && call->route->kind == RouteKind::Stream)
         return this->completeStream(*call, now);
--- a/tests/gateway/test_joined_responses.cpp
+++ b/tests/gateway/test_joined_responses.cpp
@@ -14,6 +14,11 @@
 /// More than the gateway holds back until a response is complete.
 const std::string LongPart(300'000, 'x');
 
+std::string eventText(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
 } // namespace
 
 TEST_CASE("A plain answer that has begun is not followed by another run",
@@ -58,3 +63,23 @@
     CHECK(bench.outcome(call).aborted);
     CHECK(bench.outcome(call).body == "data: x\n\n");
 }
+
+TEST_CASE("An error answer to a resumed stream does not complete it", "[Gateway][JoinedResponses]")
+{
+    for (const int status : {302, 400, 404, 413, 500, 503}) {
+        ForwardBench bench;
+        bench.addServer("engine-1", "engines");
+        bench.addServer("engine-2", "engines");
+        const HttpCallId call = bench.request("/questions/", {{"Tokens", "5000,1300"}});
+        const ForwardAttemptId first = bench.sentAttempts[0].id;
+        bench.controller.onAttemptHead(first, 200, Signed, bench.now);
+        bench.controller.onAttemptData(first, eventText(1), bench.now);
+        bench.failAttempt(0, HttpFailureKind::ResponseTruncated, Verdict::MayHaveRun);
+        CAPTURE(status);
+        REQUIRE(bench.sentAttempts.size() == 2);
+        bench.respond(1, status, Signed, "no");
+        CHECK_FALSE(bench.outcome(call).ended);
+        CHECK(bench.outcome(call).aborted);
+        CHECK(bench.outcome(call).body == eventText(1));
+    }
+}
