Do not take a server for silent while its response waits for a slow caller

Callers saw: a stream of a caller that reads slowly is taken from its server after 1.6 s of pause and begun at another one, until its attempts are used up and the connection breaks. Cause: the gateway stops reading from the server while 256 KiB are queued, and counted that time as silence of the server. Change: no inactivity limit while reading is paused; the server's time for the next event begins when reading goes on. Measured: the new test fails on the code before (2 assertions) and passes; [Gateway] and [GatewayHost]: 3,427 assertions in 44 cases pass.

--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -215,7 +215,8 @@
 
 void GatewayHost::onHttpDrained(HttpCallId call)
 {
-    this->controller.onCallerDrained(call);
+    this->controller.onCallerDrained(call, this->loop.now());
+    this->scheduleControllerTimer();
 }
 
 void GatewayHost::onHttpRejected(int status)
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -120,13 +120,17 @@
     this->removeCall(call, now);
 }
 
-void ForwardController::onCallerDrained(HttpCallId id)
+void ForwardController::onCallerDrained(HttpCallId id, TimePoint now)
 {
     const auto found = this->calls.find(id);
     if (found == this->calls.end() || !found->second.readingPaused || !found->second.attempt)
         return;
-    found->second.readingPaused = false;
-    this->effects.pauseAttempt(found->second.attempt->id, false);
+    ForwardCall &call = found->second;
+    call.readingPaused = false;
+    // Nothing was read during the pause, so the server cannot be blamed for it.
+    call.attempt->lastDataAt = now;
+    this->effects.pauseAttempt(call.attempt->id, false);
+    this->scheduleTimer(call, now);
 }
 
 void ForwardController::onTimer(TimePoint now)
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -42,7 +42,7 @@
     void onCallerDisconnected(HttpCallId id, TimePoint now);
 
     /// All response bytes queued for the caller were sent; reading from the server resumes.
-    void onCallerDrained(HttpCallId id);
+    void onCallerDrained(HttpCallId id, TimePoint now);
 
     /// Progress of an attempt: response head, body bytes, and its success or failure. Events of
     /// attempts that have already ended are ignored.
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -326,7 +326,7 @@
 {
     const ForwardAttempt &attempt = *call.attempt;
     const Route &route = *call.route;
-    if (!route.isRetryable())
+    if (!route.isRetryable() || call.readingPaused)
         return call.deadline;
     if (route.kind == RouteKind::Stream && attempt.firstEventReceived)
         return attempt.lastDataAt
--- a/tests/gateway/test_joined_responses.cpp
+++ b/tests/gateway/test_joined_responses.cpp
@@ -83,3 +83,42 @@
         CHECK(bench.outcome(call).body == eventText(1));
     }
 }
+
+TEST_CASE("A server whose response waits for a slow caller is not silent",
+          "[Gateway][JoinedResponses]")
+{
+    ForwardBench bench;
+    bench.addServer("engine-1", "engines");
+    bench.addServer("engine-2", "engines");
+    const HttpCallId call = bench.request("/questions/", {{"Tokens", "5000,1300"}});
+    const ForwardAttemptId first = bench.sentAttempts[0].id;
+    bench.controller.onAttemptHead(first, 200, Signed, bench.now);
+    bench.queuedBytes = 1'000'000;
+    bench.controller.onAttemptData(first, eventText(1), bench.now);
+    REQUIRE(bench.pauseCalls == std::vector<bool>{true});
+
+    SECTION("it keeps the stream while the caller does not read")
+    {
+        bench.advanceTime(std::chrono::seconds(6));
+        CHECK(bench.sentAttempts.size() == 1);
+        CHECK_FALSE(bench.outcome(call).aborted);
+        SECTION("and its time to send the next event begins when the caller has read")
+        {
+            bench.queuedBytes = 0;
+            bench.controller.onCallerDrained(call, bench.now);
+            bench.advanceTime(milliseconds(500));
+            CHECK(bench.sentAttempts.size() == 1);
+            bench.advanceTime(std::chrono::seconds(3));
+            CHECK(bench.sentAttempts.size() == 2);
+        }
+    }
+    SECTION("a server that takes over the stream is paused as well")
+    {
+        bench.failAttempt(0, HttpFailureKind::ResponseTruncated, Verdict::MayHaveRun);
+        REQUIRE(bench.sentAttempts.size() == 2);
+        const ForwardAttemptId second = bench.sentAttempts[1].id;
+        bench.controller.onAttemptHead(second, 200, Signed, bench.now);
+        bench.controller.onAttemptData(second, eventText(2), bench.now);
+        CHECK(bench.pauseCalls == std::vector<bool>{true, true});
+    }
+}
