Bound the response bytes that a gateway holds back, per response and in sum

Cause: `onAttemptData()` kept every byte of a response that it would not pass on, and the splitter every byte of an event. Change: `ResponseLimits`. Bytes that will never be used (refusals, unsigned answers) are not kept. Past the limit of one response (setting `max-held-response-bytes`, 256 KiB) the connection is closed at once: a refusal whose head is whole stays a refusal, an error counts as failed, an event breaks its stream. A genuine answer below 500 is passed on from the limit on, as before. If all responses together hold more than an eighth of `memory-mb`, the largest makes room. Log line `response_too_large`, counter `dotterel_responses_too_large_total`. Memory of processes: not measured yet.

--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -45,6 +45,8 @@
              "The caller closed its connection before the response was complete."},
             {Event::LinesSuppressed, "lines_suppressed", Severity::Warning,
              "Log lines were dropped by the rate limit or because the output failed."},
+            {Event::ResponseTooLarge, "response_too_large", Severity::Warning,
+             "A response was cut off because more of it had to be held than the limit allows."},
             {Event::OrderClaimed, "order_claimed", Severity::Debug,
              "A non-idempotent request was claimed in the object API."},
             {Event::OrderClaimFailed, "order_claim_failed", Severity::Warning,
--- a/src/core/event_log.h
+++ b/src/core/event_log.h
@@ -32,6 +32,7 @@
     ForeignBytesDropped = 204,
     CallerLeft = 205,
     LinesSuppressed = 206,
+    ResponseTooLarge = 207,
     OrderClaimed = 300,
     OrderClaimFailed = 301,
     OrderOutcomeRecorded = 302,
--- a/src/core/metric_catalogue.cpp
+++ b/src/core/metric_catalogue.cpp
@@ -49,6 +49,8 @@
         {Counter::RetriesWithheld, "Retries suppressed by the retry budget."},
         {Counter::StreamsTorn,
          "Streams that ended inside an event, or with their connection before their first event."},
+        {Counter::ResponsesTooLarge,
+         "Responses cut off because more of them had to be held than the limits allow."},
         {Counter::PromptsHeld, "Prompts that waited at the entry host for a better place."},
 };
 
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -27,7 +27,7 @@
         {LengthBand::UpTo1M, "256k-1M"},
 }};
 
-constexpr std::array<EnumName<Counter>, 21> CounterNames = {{
+constexpr std::array<EnumName<Counter>, 22> CounterNames = {{
         {Counter::RequestsAdmitted, "requests_admitted"},
         {Counter::RequestsFinished, "requests_finished"},
         {Counter::ForeignBytesDropped, "foreign_bytes_dropped"},
@@ -48,6 +48,7 @@
         {Counter::CrashSuspects, "crash_suspects"},
         {Counter::RetriesWithheld, "retries_withheld"},
         {Counter::StreamsTorn, "streams_torn"},
+        {Counter::ResponsesTooLarge, "responses_too_large"},
         {Counter::PromptsHeld, "prompts_held"},
 }};
 
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -60,6 +60,7 @@
     CrashSuspects,
     RetriesWithheld, ///< Retries that the retry budget did not allow.
     StreamsTorn,     ///< Streams whose framing was whole and whose events were not.
+    ResponsesTooLarge,
     PromptsHeld,     ///< Prompts that waited at the host for a better place.
 };
 
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint64_t ReservedOutgoingDescriptors = 600;
 /// Buffered request bodies may take this fraction (1/4) of the memory of the process.
 constexpr std::uint64_t BufferedBodyMemoryDivisor = 4;
+/// Responses that are held back may take this fraction (1/8) of it.
+constexpr std::uint64_t HeldResponseMemoryDivisor = 8;
 /// The load balancer checks readiness once a second and removes a host after two failed checks.
 constexpr Duration LoadBalancerReactionTime = std::chrono::milliseconds(2'600);
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(50);
@@ -103,6 +105,7 @@
     , operatorApi(loop, settings.operators, *this, this->metrics)
 {
     this->controller.setRouteTable(this->routes);
+    this->controller.setResponseLimits(this->heldResponseLimits());
     this->retryAllowance.setHostCount(settings.sharedHosts);
     this->log.write(Event::HostStarted, {{"failure_domain", settings.failureDomain},
                                          {"incarnation", std::to_string(incarnation)},
@@ -134,6 +137,14 @@
     return limits;
 }
 
+ResponseLimits GatewayHost::heldResponseLimits() const
+{
+    ResponseLimits limits;
+    limits.maxHeldBytes = this->settings.maxHeldResponseBytes;
+    limits.maxTotalHeldBytes = this->settings.memoryMb * BytesPerMb / HeldResponseMemoryDivisor;
+    return limits;
+}
+
 void GatewayHost::registerHostEntry()
 {
     HostListEntry host;
@@ -157,7 +168,9 @@
     this->settings.memoryMb = newSettings.memoryMb;
     this->settings.maxOpenFiles = newSettings.maxOpenFiles;
     this->settings.shutdownLimitSeconds = newSettings.shutdownLimitSeconds;
+    this->settings.maxHeldResponseBytes = newSettings.maxHeldResponseBytes;
     this->callerServer.setLimits(this->callerServerLimits());
+    this->controller.setResponseLimits(this->heldResponseLimits());
     this->log.write(Event::SettingsReloaded, {});
 }
 
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -118,6 +118,7 @@
     void scheduleControllerTimer();
     void finishShutdownWhenIdle();
     KeepAliveHttpServerLimits callerServerLimits() const;
+    ResponseLimits heldResponseLimits() const;
 
     EventLoop &loop;
     Settings settings;
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -37,9 +37,20 @@
     ResponseMetadata metadata;
     std::uint64_t bodyBytes = 0; ///< Bytes of the response body received so far.
     std::string unforwardedBody; ///< Response bytes received but not forwarded yet.
+    std::size_t heldBytes = 0;   ///< Bytes counted in ForwardController::totalHeldBytes.
+    bool exceededLimit = false;  ///< The response was cut off because it is too large.
     EventStreamSplitter splitter;
     bool firstEventReceived = false;
     PromptUpdate dispatchUpdate; ///< What the other hosts were told; prompts only.
+
+    /// Returns true if the response carries the server's body, unchanged.
+    bool hasGenuineBody() const
+    {
+        return this->metadata.isSigned && !this->metadata.hasContentEncoding;
+    }
+
+    /// Returns true if no byte of the response body will be used.
+    bool isDiscarded() const;
 };
 
 /// One caller request, from its arrival to the end of its response.
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -269,8 +269,10 @@
 
 void ForwardController::removeCall(ForwardCall &call, TimePoint now)
 {
-    if (call.attempt)
+    if (call.attempt) {
         this->callsByAttempt.erase(call.attempt->id);
+        this->totalHeldBytes -= call.attempt->heldBytes;
+    }
     this->releaseReservations(call, now);
     this->calls.erase(call.id);
 }
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -5,6 +5,7 @@
 #include "gateway/forward_call.h"
 #include "gateway/prompt_hold.h"
 #include "gateway/prompt_placement.h"
+#include "gateway/response_limits.h"
 #include "gateway/retry_budget.h"
 
 #include <map>
@@ -34,6 +35,12 @@
         this->routeTable = std::move(table);
     }
 
+    /// Sets the limits for response bytes that arrive from now on.
+    void setResponseLimits(const ResponseLimits &limits) { this->responseLimits = limits; }
+
+    /// Number of response bytes that are held back.
+    std::size_t heldBytes() const { return this->totalHeldBytes; }
+
     /// A request was received completely.
     void onRequest(HttpCallId id, HttpMessageHead &&head, std::shared_ptr<const std::string> body,
                    TimePoint now);
@@ -111,6 +118,17 @@
     void onResponseBroken(ForwardCall &call, std::string_view outcome, Verdict verdict,
                           TimePoint now);
 
+    /// Returns true if the response of the attempt is passed on event by event.
+    static bool passesOnEvents(const ForwardCall &call);
+    /// Returns true if the held start of a response may be passed on before its end, which gives up
+    /// the possibility to replace it by a retry.
+    static bool mayPassOnUnfinished(const ForwardCall &call);
+    /// Updates the count of held bytes after those of \a attempt have changed.
+    void countHeldBytes(ForwardAttempt &attempt);
+    void enforceResponseLimits(ForwardCall &call, TimePoint now);
+    /// Begins to pass the response on, or ends the attempt if that is not possible.
+    void onLimitExceeded(ForwardCall &call, std::size_t limit, TimePoint now);
+
     /// How an attempt ended without a response that can be forwarded.
     struct AttemptFailure
     {
@@ -171,6 +189,8 @@
     ForwardAttemptId nextAttemptId = 1;
     std::map<HttpCallId, ForwardCall> calls;
     std::map<ForwardAttemptId, HttpCallId> callsByAttempt;
+    ResponseLimits responseLimits;
+    std::size_t totalHeldBytes = 0; ///< Sum over all attempts.
     std::uint64_t nextReservationNumber = 1;
     std::map<std::string, HttpCallId> callsByReservation;
     std::set<std::pair<TimePoint, HttpCallId>> timers;
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -12,9 +12,6 @@
 constexpr int SuccessStatusBegin = 200;
 constexpr int SuccessStatusEnd = 300;
 constexpr int ServerErrorStatusBegin = 500;
-/// Responses up to this size are buffered and forwarded when they are complete, so that an invalid
-/// one can still be replaced by a retry.
-constexpr std::size_t MaxBufferedBytes = 256UL * 1024;
 /// Reading the server's response pauses while more than this is queued for the caller.
 constexpr std::size_t MaxQueuedBytes = 256UL * 1024;
 
@@ -85,19 +82,33 @@
     attempt.lastDataAt = now;
     attempt.bodyBytes += bytes.size();
     this->fleet.onSignOfLife(attempt.server, now);
-    const bool valid = isSuccess(attempt.status) && attempt.metadata.isSigned
-                       && !attempt.metadata.hasContentEncoding;
-    if (valid && call->route->kind == RouteKind::Stream)
-        return this->forwardEvents(*call, bytes, now);
-    if (call->responseStarted && call->lastEventId == std::nullopt)
+    if (this->passesOnEvents(*call))
+        this->forwardEvents(*call, bytes, now);
+    else if (call->responseStarted && !call->lastEventId)
         return this->forwardData(*call, bytes);
-    attempt.unforwardedBody.append(bytes);
-    if (attempt.unforwardedBody.size() <= MaxBufferedBytes || !valid || call->responseStarted)
-        return;
-    this->beginResponse(*call);
-    const std::string buffered = std::move(attempt.unforwardedBody);
-    attempt.unforwardedBody.clear();
-    this->forwardData(*call, buffered);
+    else if (!attempt.isDiscarded())
+        attempt.unforwardedBody.append(bytes);
+    this->countHeldBytes(attempt);
+    this->enforceResponseLimits(*call, now);
+}
+
+bool ForwardAttempt::isDiscarded() const
+{
+    return this->metadata.notRun || this->metadata.isWrongServer || impliesNotRun(this->status)
+           || (isSuccess(this->status) && !this->hasGenuineBody());
+}
+
+bool ForwardController::passesOnEvents(const ForwardCall &call)
+{
+    return call.route->kind == RouteKind::Stream && isSuccess(call.attempt->status)
+           && call.attempt->hasGenuineBody();
+}
+
+bool ForwardController::mayPassOnUnfinished(const ForwardCall &call)
+{
+    const ForwardAttempt &attempt = *call.attempt;
+    return !call.responseStarted && !attempt.isDiscarded() && !passesOnEvents(call)
+           && attempt.status < ServerErrorStatusBegin;
 }
 
 void ForwardController::beginResponse(ForwardCall &call)
@@ -170,8 +181,7 @@
         return this->retryOrRefuse(*call, {Verdict::NotRun, RetryReason::Refused}, now);
     }
     const bool invalidResponse =
-            isSuccess(attempt.status)
-            && (!attempt.metadata.isSigned || attempt.metadata.hasContentEncoding);
+            attempt.exceededLimit || (isSuccess(attempt.status) && !attempt.hasGenuineBody());
     // A caller that has received events of a stream can only be given the rest of it.
     const bool continuesResponse = !call->responseStarted || isSuccess(attempt.status);
     if (invalidResponse || attempt.status >= ServerErrorStatusBegin || impliesNotRun(attempt.status)
@@ -323,6 +333,7 @@
     } else {
         this->servicePlacement.onEnded(attempt.server);
     }
+    this->totalHeldBytes -= attempt.heldBytes;
     this->callsByAttempt.erase(attempt.id);
     call.attempt.reset();
 }
@@ -334,7 +345,7 @@
     // The server may still run the request despite the cancellation.
     call.mayHaveRun = true;
     this->effects.cancelAttempt(call.attempt->id);
-    const ForwardAttempt attempt = *call.attempt;
+    const ForwardAttempt &attempt = *call.attempt;
     if (attempt.isPrompt) {
         this->promptPlacement.onEnded({this->senderHash, attempt.id}, now);
         this->effects.publishPromptUpdate({PromptUpdateKind::Ended, attempt.id, 0, {}, {}, {}});
@@ -342,6 +353,7 @@
     } else {
         this->servicePlacement.onEnded(attempt.server);
     }
+    this->totalHeldBytes -= attempt.heldBytes;
     this->callsByAttempt.erase(attempt.id);
     call.attempt.reset();
 }
--- a/src/state/settings.cpp
+++ b/src/state/settings.cpp
@@ -285,6 +285,11 @@
              "Gateway: limit on open file descriptors."},
             {"memory-mb", &Settings::memoryMb, false, MinMemoryMb, MaxMemoryMb,
              "Gateway: limit on the memory of the process, in megabytes."},
+            {"max-held-response-bytes", &Settings::maxHeldResponseBytes, false, 4'096,
+             MaxBodyBytesLimit,
+             "Gateway: limit on the bytes of one response that are held back before they are "
+             "passed on, such as an event or an error response. All responses together may hold an "
+             "eighth of `memory-mb`."},
             {"shared-hosts", &Settings::sharedHosts, false, 1, MaxSharedHosts,
              "Gateway: assumed number of entry hosts that share the retry budget, until members "
              "are known."},
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -37,9 +37,11 @@
     Endpoint readiness; ///< Listening address for a load balancer's readiness probe.
     std::uint64_t maxOpenFiles = 4'096; ///< Limit on open file descriptors.
     std::uint64_t memoryMb = 256;       ///< Limit on the memory of the process, in megabytes.
-    std::uint64_t sharedHosts = 9;      ///< Assumed number of entry hosts until members are known.
-    double retryRatio = 0.2;            ///< Retries per request of a pool, over all entry hosts.
-    double retrySlack = 100;            ///< Retries per window in addition to the ratio.
+    /// Limit on the bytes of one response that are held back before they are passed on.
+    std::uint64_t maxHeldResponseBytes = 256UL * 1024;
+    std::uint64_t sharedHosts = 9; ///< Assumed number of entry hosts until members are known.
+    double retryRatio = 0.2;       ///< Retries per request of a pool, over all entry hosts.
+    double retrySlack = 100;       ///< Retries per window in addition to the ratio.
     double retryWindowSeconds = 10;
     double shutdownLimitSeconds = 8; ///< From the signal to a forced exit.
 };
