Bound what is read before a response and what a fetch collects

Change: at most 100 messages and 1 MiB before a response, at most 4 MiB of a fetched body; past it the connection is closed and the call fails as `ResponseTooLarge`, may have run.

--- a/src/operator_tools/deployment.cpp
+++ b/src/operator_tools/deployment.cpp
@@ -20,6 +20,8 @@
         return "connection lost";
     case HttpFailureKind::MalformedResponse:
         return "malformed answer";
+    case HttpFailureKind::ResponseTooLarge:
+        return "the response is too large";
     case HttpFailureKind::ResponseTruncated:
         break;
     }
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -272,8 +272,10 @@
     return "";
 }
 
-HttpFetch::HttpFetch(HttpSender &client, const HttpRequest &request, Callback callback)
-    : callback(std::move(callback))
+HttpFetch::HttpFetch(HttpSender &client, const HttpRequest &request, Callback callback,
+                     std::size_t maxBodyBytes)
+    : maxBodyBytes(maxBodyBytes)
+    , callback(std::move(callback))
 {
     this->call = client.send(request, *this);
 }
@@ -286,7 +288,14 @@
 
 void HttpFetch::onData(std::string_view bytes)
 {
-    this->response.body.append(bytes);
+    if (!this->call)
+        return;
+    if (this->response.body.size() + bytes.size() <= this->maxBodyBytes) {
+        this->response.body.append(bytes);
+        return;
+    }
+    this->call.reset();
+    this->onFailed({HttpFailureKind::ResponseTooLarge, Verdict::MayHaveRun, false});
 }
 
 void HttpFetch::onComplete()
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -36,6 +36,7 @@
     ConnectionLost,
     MalformedResponse,
     ResponseTruncated, ///< The head arrived, but the body is incomplete.
+    ResponseTooLarge,  ///< More bytes arrived than the receiver accepts.
 };
 
 /// Describes a call that ended without a complete response.
@@ -118,9 +119,14 @@
 public:
     using Callback = std::function<void(const std::optional<HttpResponse> &, const HttpFailure &)>;
 
+    /// Largest body that is collected by default; the platform's pages and objects are smaller.
+    static constexpr std::size_t DefaultMaxBodyBytes = 4UL * 1024 * 1024;
+
     /// Sends \a request and calls \a callback with the response, or with no response and the
-    /// failure. The callback may destroy the fetch.
-    HttpFetch(HttpSender &client, const HttpRequest &request, Callback callback);
+    /// failure. A body of more than \a maxBodyBytes is a failure. The callback may destroy the
+    /// fetch.
+    HttpFetch(HttpSender &client, const HttpRequest &request, Callback callback,
+              std::size_t maxBodyBytes = DefaultMaxBodyBytes);
 
 private:
     void onHead(int status, const HttpHeaders &headers) override;
@@ -129,6 +135,7 @@
     void onFailed(const HttpFailure &failure) override;
 
     HttpResponse response;
+    std::size_t maxBodyBytes;
     Callback callback;
     std::unique_ptr<HttpCall> call;
 };
--- a/src/transport/keep_alive_http_client.cpp
+++ b/src/transport/keep_alive_http_client.cpp
@@ -112,6 +112,8 @@
         this->startedAt = this->owner.loop.now();
         this->headReceived = false;
         this->skippingMessage = false;
+        this->skippedBytes = 0;
+        this->skippedMessages = 0;
         this->keepAliveTimeout.reset();
         const std::string head = formatRequestHead(request);
         bufferevent_write(this->stream, head.data(), head.size());
@@ -215,6 +217,9 @@
             evbuffer_drain(input, segment.iov_len - bytes.size());
             if (this->listener == nullptr)
                 return;
+            if (this->skippedBytes > this->owner.limits.maxSkippedBytes
+                || this->skippedMessages > this->owner.limits.maxSkippedMessages)
+                return this->failCall(HttpFailureKind::ResponseTooLarge);
             if (result == HttpParseResult::Malformed || result == HttpParseResult::HeadTooLarge)
                 return this->failCall(this->headReceived ? HttpFailureKind::ResponseTruncated
                                                          : HttpFailureKind::MalformedResponse);
@@ -296,8 +301,10 @@
         this->skippingMessage = mismatched || interim;
         if (mismatched)
             ++this->owner.totals.mismatchedResponses;
-        if (this->skippingMessage)
+        if (this->skippingMessage) {
+            ++this->skippedMessages;
             return;
+        }
         this->headReceived = true;
         this->reusable = head.keepAlive && head.bodyDelimited;
         this->keepAliveTimeout = parseKeepAliveTimeout(head.headers);
@@ -307,7 +314,9 @@
 
     void onMessageData(std::string_view bytes) override
     {
-        if (!this->skippingMessage && this->listener != nullptr)
+        if (this->skippingMessage)
+            this->skippedBytes += bytes.size();
+        else if (this->listener != nullptr)
             this->listener->onData(bytes);
     }
 
@@ -329,6 +338,8 @@
     bool requestBytesSent = false; ///< Bytes of the current request were written to the socket.
     bool headReceived = false;
     bool skippingMessage = false; ///< The current message is not the expected response.
+    std::size_t skippedBytes = 0; ///< Of the bodies of skipped messages, for the current call.
+    std::size_t skippedMessages = 0;
     bool reusable = false;
 };
 
--- a/src/transport/keep_alive_http_client.h
+++ b/src/transport/keep_alive_http_client.h
@@ -27,6 +27,9 @@
     /// Fraction of the peer's idle timeout during which an idle connection may be reused. The rest
     /// is a margin for network latency and differences between the clocks.
     double reusableFractionOfIdleTimeout = 0.6;
+    /// Limits on what precedes a response: interim responses and responses to other requests.
+    std::size_t maxSkippedBytes = 1024UL * 1024;
+    std::size_t maxSkippedMessages = 100;
 };
 
 /// HTTP/1.1 client with a pool of persistent connections. A response that is delimited only by
--- a/tests/transport/test_keep_alive_http_client.cpp
+++ b/tests/transport/test_keep_alive_http_client.cpp
@@ -195,3 +195,61 @@
     fixture.runUntil([&server] { return server.closedByPeer() == 1; });
     CHECK_FALSE(response->done());
 }
+
+TEST_CASE("What precedes a response is read up to a limit only", "[Transport][KeepAliveHttpClient]")
+{
+    ClientFixture fixture;
+    KeepAliveHttpClientLimits limits;
+    limits.maxSkippedBytes = 1'000;
+    limits.maxSkippedMessages = 10;
+    std::string flood;
+    SECTION("interim responses without end")
+    {
+        for (int count = 0; count < 20; ++count)
+            flood += "HTTP/1.1 102 Processing\r\n\r\n";
+    }
+    SECTION("a response to another request without end")
+    {
+        flood = "HTTP/1.1 200 OK\r\nId: other\r\n\r\n" + std::string(2'000, 'x');
+    }
+    KeepAliveHttpClient client(fixture.loop, limits);
+    ScriptedServer server(fixture.loop, {1, flood, ScriptEnd::Hold});
+    ResponseRecorder response;
+    HttpRequest request;
+    request.endpoint = server.endpoint();
+    request.echoedHeader = {"Id", "mine"};
+    response.call = client.send(request, response);
+    fixture.runUntil([&response] { return response.done(); });
+    REQUIRE(response.failure);
+    CHECK(response.failure->kind == HttpFailureKind::ResponseTooLarge);
+    CHECK(response.failure->verdict == Verdict::MayHaveRun);
+    fixture.runUntil([&server] { return server.closedByPeer() == 1; });
+}
+
+TEST_CASE("A fetch collects a body up to its limit", "[Transport][HttpFetch]")
+{
+    ClientFixture fixture;
+    constexpr std::size_t MaxBodyBytes = 1'000;
+    const auto fetchBody = [&fixture](std::size_t length) {
+        ScriptedServer server(
+                fixture.loop,
+                {1, "HTTP/1.1 200 OK\r\n\r\n" + std::string(length, 'x'), ScriptEnd::Close});
+        std::optional<HttpFailureKind> failure;
+        std::optional<std::size_t> bytes;
+        HttpRequest request;
+        request.endpoint = server.endpoint();
+        HttpFetch fetch(
+                fixture.client, request,
+                [&](const std::optional<HttpResponse> &response, const HttpFailure &reported) {
+                    bytes = response ? response->body.size() : 0;
+                    if (!response)
+                        failure = reported.kind;
+                },
+                MaxBodyBytes);
+        fixture.runUntil([&bytes] { return bytes.has_value(); });
+        CHECK(bytes == (failure ? 0 : length));
+        return failure;
+    };
+    CHECK_FALSE(fetchBody(MaxBodyBytes));
+    CHECK(fetchBody(MaxBodyBytes + 1) == HttpFailureKind::ResponseTooLarge);
+}
