Keep the turns of the watches apart when hosts begin to watch at different times

Cause: a first wait counted from the moment at which its host began to watch. After an outage hosts begin up to a second apart, and after changes of the servers 0.2 to 0.6 s, so that two turns could end 2.9 s apart instead of 2 s; in the trace 840.0, 843.03 and 844.95. Change: turns count from the event that ended the watches of all hosts together (a change, the first failure of an outage, an era), so that a host that begins later waits less.

--- a/src/coordination/watch_schedule.cpp
+++ b/src/coordination/watch_schedule.cpp
@@ -28,13 +28,17 @@
     this->turnChanged = true;
 }
 
-Duration WatchSchedule::nextWait(bool continues)
+Duration WatchSchedule::nextWait(bool continues, Duration elapsed)
 {
     const bool keepsTurn = continues && !this->turnChanged;
     this->turnChanged = false;
-    const std::size_t intervals =
-            keepsTurn ? std::max<std::size_t>(1, this->turn.count) : this->turn.index + 1;
-    return std::min(MaxWait, this->turnInterval * static_cast<Duration::rep>(intervals));
+    const Duration cycle = this->turnInterval
+                           * static_cast<Duration::rep>(std::max<std::size_t>(1, this->turn.count));
+    if (keepsTurn)
+        return std::min(MaxWait, cycle);
+    const Duration turnEnd = this->turnInterval * static_cast<Duration::rep>(this->turn.index + 1);
+    const Duration left = (turnEnd - elapsed) % cycle;
+    return std::min(MaxWait, left > Duration::zero() ? left : left + cycle);
 }
 
 } // namespace dotterel
--- a/src/coordination/watch_schedule.h
+++ b/src/coordination/watch_schedule.h
@@ -36,9 +36,10 @@
     void setTurn(const WatchTurn &newTurn);
 
     /// Returns the wait of the next watch. \a continues is true if the previous watch ended without
-    /// a change: the host then keeps its turn. Otherwise the hosts begin to watch at about the same
-    /// time, and their first waits set the turns apart.
-    Duration nextWait(bool continues);
+    /// a change: the host then keeps its turn. Otherwise the watches of all hosts ended together,
+    /// \a elapsed ago, and the first waits set the turns apart. Hosts may begin to watch again at
+    /// different times, for example after an outage.
+    Duration nextWait(bool continues, Duration elapsed = Duration::zero());
 
 private:
     Duration turnInterval;
--- a/src/entry_host/collection_feed.cpp
+++ b/src/entry_host/collection_feed.cpp
@@ -36,6 +36,7 @@
     , log(log)
     , watchSchedule(collection == Collection::Servers ? ServerTurnInterval : OtherTurnInterval,
                     {random.nextBelow(FirstTurns), FirstTurns})
+    , turnsBeganAt(loop.now())
     , hostEvents(std::move(hostEvents))
 {}
 
@@ -86,10 +87,12 @@
         this->store.list(this->localObjects.collection(), ListFreshness::Current, callback);
         return;
     }
-    this->watchStartedAt = this->loop.now();
+    const TimePoint now = this->loop.now();
+    this->watchStartedAt = now;
+    const Duration wait =
+            this->watchSchedule.nextWait(this->watchContinues, now - this->turnsBeganAt);
     this->watchCall =
-            this->store.watch(this->localObjects.collection(), step.revision,
-                              this->watchSchedule.nextWait(this->watchContinues), callback);
+            this->store.watch(this->localObjects.collection(), step.revision, wait, callback);
 }
 
 bool CollectionFeed::isWatchWaiting() const
@@ -114,6 +117,7 @@
     this->watchStartedAt.reset();
     this->watchCall.reset();
     this->watchContinues = false;
+    this->turnsBeganAt = now;
     this->follower.onWatchRepeated();
     this->scheduleNextCall();
 }
@@ -123,6 +127,9 @@
     const TimePoint now = this->loop.now();
     this->watchStartedAt.reset();
     this->watchContinues = page && kind == CollectionRequest::Kind::Watch && page->objects.empty();
+    // An outage or a change ends the watches of all hosts at about the same time.
+    if (page ? !page->objects.empty() : !this->follower.isStoreUnreachable())
+        this->turnsBeganAt = now;
     if (!page) {
         this->follower.onFailed(page.error(), now);
         if (page.error() == StoreError::NoResponse && kind == CollectionRequest::Kind::Watch) {
@@ -200,6 +207,7 @@
                      {"previous_revision",
                       static_cast<std::int64_t>(this->follower.watchedRevision().value_or(0))}});
     this->localObjects.learnEra(era);
+    this->turnsBeganAt = this->loop.now();
     this->follower.onEraChanged(this->loop.now());
     this->hostEvents.eraChanged(era);
 }
--- a/src/entry_host/collection_feed.h
+++ b/src/entry_host/collection_feed.h
@@ -102,6 +102,7 @@
     std::unique_ptr<StoreCall> watchCall;
     std::optional<TimePoint> watchStartedAt; ///< Set while a watch waits at the store.
     std::optional<TimePoint> lastRenewal;
+    TimePoint turnsBeganAt;       ///< When the watches of all hosts ended together.
     bool watchContinues = false;  ///< The previous watch ended without a change.
     std::uint64_t callNumber = 0; ///< Responses to earlier calls are ignored.
     HostEvents hostEvents;
--- a/tests/coordination/test_watch_schedule.cpp
+++ b/tests/coordination/test_watch_schedule.cpp
@@ -1,5 +1,6 @@
 #include "coordination/watch_schedule.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <vector>
 
@@ -22,6 +23,17 @@
             CHECK(ends[index] - ends[index - 1] == ends[0]);
         CHECK(ends[0] <= seconds(2));
     }
+    SECTION("also if the hosts begin to watch at different times after an outage")
+    {
+        std::vector<Duration> ends(hostCount);
+        for (std::size_t index = 0; index < hostCount; ++index) {
+            const Duration began = milliseconds(1'700 + 300 * (index % 4));
+            ends[index] = began + hosts[index].nextWait(false, began);
+        }
+        std::sort(ends.begin(), ends.end());
+        for (std::size_t index = 1; index < hostCount; ++index)
+            CHECK(ends[index] - ends[index - 1] == seconds(2));
+    }
     SECTION("and in the same order again if nothing changes")
     {
         for (std::size_t index = 0; index < hostCount; ++index)
