--- a/tests/platform/soak/loopback_proxy.h
+++ b/tests/platform/soak/loopback_proxy.h
@@ -37,6 +37,12 @@
     /// LinkFault::None resets every connection that lost bytes.
     void setFault(LinkFault newFault);
 
+    /// Returns true if bytes may have been late or lost at some time since \a time.
+    bool wasDisturbedSince(TimePoint time) const
+    {
+        return this->fault != LinkFault::None || this->lastDisturbedAt >= time;
+    }
+
     /// Resets all connections.
     void resetConnections();
 
@@ -53,12 +59,15 @@
     static void onStreamEvent(bufferevent *stream, short events, void *context);
     void forward(Connection &connection, bufferevent *source);
     void closeConnection(Connection &connection);
+    /// Closes the connection in order after the bytes that are on their way.
+    void closeOnceSent(Connection &connection);
 
     EventLoop &loop;
     Endpoint target;
     Endpoint listenEndpoint;
     evconnlistener *listener;
     LinkFault fault = LinkFault::None;
+    TimePoint lastDisturbedAt;
     std::list<std::shared_ptr<Connection>> connections;
 };
 
--- a/tests/platform/soak/soak_drills.cpp
+++ b/tests/platform/soak/soak_drills.cpp
@@ -157,6 +157,21 @@
             server->pauseUntil(until);
 }
 
+void SoakRun::losePower()
+{
+    if (this->storeAway)
+        return;
+    this->publishConfiguration();
+    for (std::size_t host = 0; host < this->hosts.size(); ++host)
+        this->killHost(host);
+    for (const auto &server : this->servers)
+        server->linkProxy().resetConnections();
+    this->store.setFault(StoreFault::CloseConnections);
+    this->store.closeWatches();
+    this->runAfter(milliseconds(MinAwayMs + this->random.nextBelow(AwaySpreadMs)),
+                   [this] { this->store.setFault(StoreFault::None); });
+}
+
 void SoakRun::restartInSeries()
 {
     Duration delay = Duration::zero();
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -56,6 +56,19 @@
     return !this->ended;
 }
 
+std::size_t ChildProcess::peakMemoryMb() const
+{
+    constexpr std::size_t KbPerMb = 1024;
+    std::ifstream status("/proc/" + std::to_string(this->pid) + "/status");
+    std::string word;
+    std::size_t kb = 0;
+    while (status >> word) {
+        if (word == "VmHWM:")
+            status >> kb;
+    }
+    return kb / KbPerMb;
+}
+
 std::string ChildProcess::output() const
 {
     std::ifstream file(this->outputPath);
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -26,6 +27,9 @@
     /// Returns true while the process runs.
     bool running();
 
+    /// Returns the most memory that the running process has had resident, in megabytes.
+    std::size_t peakMemoryMb() const;
+
     /// Returns what the process has written so far.
     std::string output() const;
 
