Read no body after the head of an answer to HEAD

Seen when looking for answers whose end is misjudged: an answer to HEAD with a length or chunks was read on until its time was over and then failed; without either it was complete only when the connection ended. Cause: the parser was not told which request a response answers. Change: `setAnswersHead()`; 204 and 304 were right before. Measured: the new test fails on the code before (3 of 12 assertions) and passes; [Transport]: 481 assertions in 14 cases.

--- a/src/transport/http_message_parser.cpp
+++ b/src/transport/http_message_parser.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::uint64_t NoContentLength = UINT64_MAX;
 constexpr int ContinueParsing = 0;
+constexpr int SkipBody = 1;
 
 } // namespace
 
@@ -104,9 +105,10 @@
             head.contentLength = parser->content_length;
         head.keepAlive = http_should_keep_alive(parser) != 0;
         head.bodyDelimited = self.messageType == HttpMessageType::Request || chunked
-                             || head.contentLength || isBodilessStatus(head.status);
+                             || head.contentLength || isBodilessStatus(head.status)
+                             || self.answersHead;
         self.listener.onMessageHead(std::move(head));
-        return ContinueParsing;
+        return self.answersHead ? SkipBody : ContinueParsing;
     }
 
     static int onBody(http_parser *parser, const char *bytes, std::size_t length)
@@ -132,6 +134,7 @@
     http_parser_settings callbacks{};
     HttpMessageHead head;
     std::size_t headBytes = 0;
+    bool answersHead = false;
     bool inHead = false;
     bool previousWasValue = true;
     bool inMessage = false;
@@ -160,6 +163,11 @@
 
 HttpMessageParser::~HttpMessageParser() = default;
 
+void HttpMessageParser::setAnswersHead(bool answersHead)
+{
+    this->state->answersHead = answersHead;
+}
+
 HttpParseResult HttpMessageParser::feed(std::string_view &bytes)
 {
     State &self = *this->state;
--- a/src/transport/http_message_parser.h
+++ b/src/transport/http_message_parser.h
@@ -64,6 +64,10 @@
     HttpMessageParser(const HttpMessageParser &) = delete;
     HttpMessageParser &operator=(const HttpMessageParser &) = delete;
 
+    /// Sets whether the next responses answer a HEAD request: they have no body, whatever their
+    /// headers say.
+    void setAnswersHead(bool answersHead);
+
     /// Parses \a bytes and removes the consumed prefix from them.
     HttpParseResult feed(std::string_view &bytes);
 
--- a/src/transport/keep_alive_http_client.cpp
+++ b/src/transport/keep_alive_http_client.cpp
@@ -105,6 +105,7 @@
     {
         this->listener = &newListener;
         ++this->callId;
+        this->parser->setAnswersHead(request.method == "HEAD");
         this->echoedHeader = request.echoedHeader;
         this->reused = isReused;
         this->requestBytesSent = false;
--- a/tests/transport/test_keep_alive_http_client.cpp
+++ b/tests/transport/test_keep_alive_http_client.cpp
@@ -253,3 +253,25 @@
     CHECK_FALSE(fetchBody(MaxBodyBytes));
     CHECK(fetchBody(MaxBodyBytes + 1) == HttpFailureKind::ResponseTooLarge);
 }
+
+TEST_CASE("The answer to a HEAD request ends with its head", "[Transport][KeepAliveHttpClient]")
+{
+    ClientFixture fixture;
+    const std::vector<std::string> heads = {"Content-Length: 5\r\n",
+                                            "Transfer-Encoding: chunked\r\n", ""};
+    for (const std::string &framing : heads) {
+        CAPTURE(framing);
+        ScriptedServer server(fixture.loop,
+                              {1, "HTTP/1.1 200 OK\r\n" + framing + "\r\n", ScriptEnd::Hold});
+        ResponseRecorder response;
+        HttpRequest request;
+        request.endpoint = server.endpoint();
+        request.method = "HEAD";
+        request.timeout = std::chrono::milliseconds(300);
+        response.call = fixture.client.send(request, response);
+        fixture.runUntil([&response] { return response.done(); });
+        CHECK(response.complete);
+        CHECK(response.status == 200);
+        CHECK(response.body.empty());
+    }
+}
