Reject CBOR that declares too many elements or is nested deeply, also in datagrams

Found by the new fuzz test of what peers and the store send: an exception from `decodePromptUpdates()` (out_of_range.408, excessive object size). Cause: `from_cbor` without exceptions still throws when a container declares more elements than it can hold, and recurses at each level. Only frames of peer links were checked first; a datagram of nine bytes from anywhere could end the gateway, as could a damaged order record in the store. Change: `parseCbor()` holds the check and is the only way to parse CBOR of other processes.

--- a/src/coordination/order_record.cpp
+++ b/src/coordination/order_record.cpp
@@ -2,6 +2,7 @@
 
 #include "core/enum_names.h"
 #include "core/hashing.h"
+#include "protocol/cbor.h"
 
 #include <array>
 #include <nlohmann/json.hpp>
@@ -60,7 +61,7 @@
 
 std::optional<OrderRecord> decodeOrderRecord(std::string_view bytes)
 {
-    const nlohmann::json json = nlohmann::json::from_cbor(bytes, true, false);
+    const nlohmann::json json = parseCbor(bytes);
     if (!json.is_object())
         return std::nullopt;
     try {
--- a/src/gateway/prompt_updates.cpp
+++ b/src/gateway/prompt_updates.cpp
@@ -1,6 +1,7 @@
 #include "gateway/prompt_updates.h"
 
 #include "core/hashing.h"
+#include "protocol/cbor.h"
 
 #include <nlohmann/json.hpp>
 
@@ -146,7 +147,7 @@
 
 tl::expected<PromptUpdateBatch, std::string> decodePromptUpdates(std::string_view bytes)
 {
-    const nlohmann::json json = nlohmann::json::from_cbor(bytes, true, false);
+    const nlohmann::json json = parseCbor(bytes);
     if (!json.is_array())
         return tl::unexpected(std::string("the datagram is not a CBOR array"));
     try {
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -1,5 +1,7 @@
 #include "protocol/peer_message.h"
 
+#include "protocol/cbor.h"
+
 #include "core/enum_names.h"
 
 #include <algorithm>
@@ -44,41 +46,6 @@
         {MemberState::Left, "left"},
 }};
 
-/// Rejects deeply nested frames, which could overflow the stack: the decoder recurses at each
-/// level.
-class NestingDepthCheck : public nlohmann::json_sax<nlohmann::json>
-{
-public:
-    bool null() override { return true; }
-    bool boolean(bool /*value*/) override { return true; }
-    bool number_integer(std::int64_t /*value*/) override { return true; }
-    bool number_unsigned(std::uint64_t /*value*/) override { return true; }
-    bool number_float(double /*value*/, const std::string & /*text*/) override { return true; }
-    bool string(std::string & /*value*/) override { return true; }
-    bool binary(binary_t & /*value*/) override { return true; }
-    bool key(std::string & /*value*/) override { return true; }
-    bool start_object(std::size_t /*size*/) override { return ++this->depth <= MaxNestingDepth; }
-    bool start_array(std::size_t /*size*/) override { return ++this->depth <= MaxNestingDepth; }
-    bool end_object() override { return this->leaveContainer(); }
-    bool end_array() override { return this->leaveContainer(); }
-    bool parse_error(std::size_t /*position*/, const std::string & /*token*/,
-                     const nlohmann::detail::exception & /*error*/) override
-    {
-        return false;
-    }
-
-private:
-    static constexpr int MaxNestingDepth = 8;
-
-    bool leaveContainer()
-    {
-        --this->depth;
-        return true;
-    }
-
-    int depth = 0;
-};
-
 template <typename Number>
 Number decodeUnsigned(const nlohmann::json &json)
 {
@@ -411,12 +378,9 @@
 
 tl::expected<PeerMessage, std::string> decodePeerMessage(std::string_view bytes)
 {
-    NestingDepthCheck depthCheck;
-    if (!nlohmann::json::sax_parse(bytes, &depthCheck, nlohmann::json::input_format_t::cbor))
-        return tl::unexpected(std::string("the frame is not valid CBOR or is nested too deeply"));
-    const nlohmann::json json = nlohmann::json::from_cbor(bytes, true, false);
+    const nlohmann::json json = parseCbor(bytes);
     if (!json.is_object())
-        return tl::unexpected(std::string("the frame is not a CBOR map"));
+        return tl::unexpected(std::string("the frame is not a CBOR map, or is nested too deeply"));
     try {
         const std::string type = json.at(TypeKey).get<std::string>();
         if (type == HeartbeatType)
--- /dev/null
+++ b/tests/platform/test_reading_fuzz.cpp
@@ -0,0 +1,243 @@
+// Inputs drawn from fragments of what servers and the store send. A short seeded run; the variable
+// DOTTEREL_FUZZ_ROUNDS sets the number of inputs per case for a long one.
+
+#include "coordination/order_record.h"
+#include "core/random_source.h"
+#include "gateway/event_stream_splitter.h"
+#include "gateway/prompt_updates.h"
+#include "platform_protocol.h"
+#include "protocol/peer_message.h"
+#include "transport/http_message_parser.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+
+using namespace dotterel;
+
+namespace {
+
+constexpr std::uint64_t FuzzSeed = 20261204;
+constexpr std::size_t MaxHeadBytes = 512;
+constexpr std::uint64_t MaxFragments = 24;
+constexpr std::uint64_t MaxCuts = 4;
+
+int fuzzRounds()
+{
+    constexpr int DefaultRounds = 10'000;
+    const char *rounds = std::getenv("DOTTEREL_FUZZ_ROUNDS");
+    return rounds == nullptr ? DefaultRounds : std::atoi(rounds);
+}
+
+std::string drawInput(const std::vector<std::string> &fragments, RandomSource &random)
+{
+    std::string input;
+    for (std::uint64_t count = random.nextBelow(MaxFragments); count > 0; --count) {
+        const std::uint64_t index = random.nextBelow(fragments.size() + 1);
+        if (index < fragments.size())
+            input += fragments[index];
+        else
+            input += static_cast<char>(random.nextBelow(256));
+    }
+    return input;
+}
+
+/// Returns \a input cut at random places.
+std::vector<std::string_view> cutRandomly(std::string_view input, RandomSource &random)
+{
+    std::vector<std::string_view> pieces;
+    for (std::uint64_t cuts = random.nextBelow(MaxCuts + 1); cuts > 0; --cuts) {
+        const std::size_t length = random.nextBelow(input.size() + 1);
+        pieces.push_back(input.substr(0, length));
+        input.remove_prefix(length);
+    }
+    pieces.push_back(input);
+    return pieces;
+}
+
+/// Writes down what a parser reports, so that two runs can be compared.
+struct ParserTranscript : HttpMessageListener
+{
+    void onMessageHead(HttpMessageHead &&head) override
+    {
+        this->text += "\n[" + std::to_string(head.status) + (head.bodyDelimited ? "d" : "c")
+                      + std::to_string(head.headers.size()) + "]";
+        std::size_t headBytes = 0;
+        for (const auto &[name, value] : head.headers)
+            headBytes += name.size() + value.size();
+        REQUIRE(headBytes <= MaxHeadBytes);
+    }
+    void onMessageData(std::string_view bytes) override { this->text.append(bytes); }
+    void onMessageEnd() override {}
+
+    /// Reads \a pieces and the end of the connection.
+    void read(const std::vector<std::string_view> &pieces)
+    {
+        HttpMessageParser parser(HttpMessageType::Response, MaxHeadBytes, *this);
+        for (std::string_view piece : pieces) {
+            while (!piece.empty()) {
+                const HttpParseResult result = parser.feed(piece);
+                if (result == HttpParseResult::MessageComplete) {
+                    this->text += "[end]";
+                } else if (result != HttpParseResult::NeedsMoreData) {
+                    this->text += "[malformed]";
+                    return;
+                }
+            }
+        }
+        this->text += parser.finishAtEof() ? "[end at close]" : "[cut]";
+    }
+
+    std::string text;
+};
+
+struct SplitResult
+{
+    std::vector<std::string> events;
+    std::string remainder;
+    bool insideEvent = false;
+
+    bool operator==(const SplitResult &other) const
+    {
+        return this->events == other.events && this->remainder == other.remainder
+               && this->insideEvent == other.insideEvent;
+    }
+};
+
+SplitResult split(const std::vector<std::string_view> &pieces)
+{
+    SplitResult result;
+    EventStreamSplitter splitter;
+    for (const std::string_view piece : pieces) {
+        for (const StreamEvent &event : splitter.feed(piece))
+            result.events.push_back(event.bytes);
+    }
+    result.remainder = splitter.remainder();
+    result.insideEvent = splitter.isInsideEvent();
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("A response ends the same way however its bytes are split", "[Fuzz][HttpMessageParser]")
+{
+    const std::vector<std::string> fragments = {
+            "HTTP/1.1 200 OK\r\n",
+            "HTTP/1.1 103 Early\r\n",
+            "HTTP/1.1 204 None\r\n",
+            "Content-Length: 5\r\n",
+            "Content-Length: 0\r\n",
+            "Transfer-Encoding: chunked\r\n",
+            "Connection: close\r\n",
+            "Keep-Alive: timeout=4\r\n",
+            "\r\n",
+            "\r\n",
+            "\n",
+            "\r",
+            "hello",
+            "5\r\nhello\r\n",
+            "5;a=b\r\nhello\r\n",
+            "0\r\n\r\n",
+            "0\r\nX: y\r\n\r\n",
+            "X: y\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            "X: " + std::string(200, 'x') + "\r\n"};
+    SeededRandom random(FuzzSeed);
+    for (int round = fuzzRounds(); round > 0; --round) {
+        const std::string input = (random.nextBelow(4) > 0 ? "HTTP/1.1 200 OK\r\n" : "")
+                                  + drawInput(fragments, random);
+        ParserTranscript whole;
+        whole.read({input});
+        ParserTranscript cut;
+        cut.read(cutRandomly(input, random));
+        if (whole.text != cut.text) {
+            CAPTURE(input);
+            REQUIRE(whole.text == cut.text);
+        }
+    }
+}
+
+TEST_CASE("A stream ends the same way however its bytes are split", "[Fuzz][EventStreamSplitter]")
+{
+    const std::vector<std::string> fragments = {"id: 1", "id:2", "data: x",  ":",
+                                                ": c",   "\n",   "\r",       "\r\n",
+                                                "\n\n",  "\r\r", "\r\n\r\n", "x"};
+    SeededRandom random(FuzzSeed);
+    for (int round = fuzzRounds(); round > 0; --round) {
+        const std::string input = drawInput(fragments, random);
+        const SplitResult whole = split({input});
+        const SplitResult cut = split(cutRandomly(input, random));
+        std::string joined;
+        for (const std::string &event : whole.events)
+            joined += event;
+        joined += whole.remainder;
+        const bool blankRemainder = whole.remainder.find_first_not_of("\r\n") == std::string::npos;
+        if (!(whole == cut) || joined != input || whole.insideEvent == blankRemainder) {
+            CAPTURE(input, whole.insideEvent, cut.insideEvent);
+            REQUIRE(whole == cut);
+            REQUIRE(joined == input);
+            REQUIRE(whole.insideEvent != blankRemainder);
+        }
+    }
+}
+
+TEST_CASE("What peers and the store send is decoded or rejected", "[Fuzz][Codecs]")
+{
+    const platform::PlatformProtocol protocol;
+    const std::string message = encodePeerMessage(ConfigurationOffer{6, "{}"});
+    const std::string updates = encodePromptUpdates(PromptUpdateBatch{});
+    const std::vector<std::string> fragments = {message,
+                                                updates,
+                                                message.substr(0, message.size() / 2),
+                                                "{",
+                                                "}",
+                                                "[",
+                                                "]",
+                                                ",",
+                                                ":",
+                                                "\"version\"",
+                                                "\"routes\"",
+                                                "\"services\"",
+                                                "\"name\"",
+                                                "\"host\"",
+                                                "\"a\"",
+                                                "\"address\"",
+                                                "\"127.0.0.1:80\"",
+                                                "\"service\"",
+                                                "\"state\"",
+                                                "\"ready\"",
+                                                "\"born\"",
+                                                "1",
+                                                "-1",
+                                                "1e99",
+                                                "null",
+                                                "true",
+                                                std::string(40, '['),
+                                                std::string(40, '\x81'),
+                                                std::string(20, '\xbf')};
+    SeededRandom random(FuzzSeed);
+    std::size_t decoded = 0;
+    for (int round = fuzzRounds(); round > 0; --round) {
+        const std::string input = drawInput(fragments, random);
+        decoded += decodePeerMessage(input) ? 1 : 0;
+        decoded += decodePromptUpdates(input) ? 1 : 0;
+        decoded += protocol.parseConfiguration(input) ? 1 : 0;
+        decoded += protocol.parseServer("s", input) ? 1 : 0;
+    }
+    CHECK(decoded > 0);
+}
+
+TEST_CASE("CBOR that declares too many elements or is nested deeply does not end the host",
+          "[Fuzz][Codecs]")
+{
+    constexpr std::size_t DatagramBytes = 60'000;
+    const std::vector<std::string> inputs = {std::string("\x9b\x22\x61\x22\x2c\x31\x31\x31\x31", 9),
+                                             std::string("\xbb\x22\x61\x22\x2c\x31\x31\x31\x31", 9),
+                                             std::string(DatagramBytes, '\x81'),
+                                             std::string(DatagramBytes, '\x9f')};
+    for (const std::string &input : inputs) {
+        CHECK_FALSE(decodePromptUpdates(input));
+        CHECK_FALSE(decodePeerMessage(input));
+        CHECK_FALSE(decodeOrderRecord(input));
+    }
+}
