--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -61,7 +61,7 @@
     RetriesWithheld, ///< Retries that the retry budget did not allow.
     StreamsTorn,     ///< Streams whose framing was whole and whose events were not.
     ResponsesTooLarge,
-    PromptsHeld,     ///< Prompts that waited at the host for a better place.
+    PromptsHeld, ///< Prompts that waited at the host for a better place.
 };
 
 /// Returns the external name of \a counter.
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -242,8 +242,8 @@
     this->metrics.observe(LatencySpan::Answer, now - call.arrivedAt);
     if (call.timeToFirstEvent > Duration::zero())
         this->metrics.observe(LatencySpan::LongestPause, call.longestEventGap);
-    const ForwardAttempt ended;
-    const ForwardAttempt &attempt = call.attempt ? *call.attempt : ended;
+    const ForwardAttempt noAttempt;
+    const ForwardAttempt &attempt = call.attempt ? *call.attempt : noAttempt;
     this->log.write(Event::RequestFinished,
                     {{"request", call.metadata.requestId},
                      {"route", call.route->name},
--- a/src/gateway/forward_response_limits.cpp
+++ b/src/gateway/forward_response_limits.cpp
@@ -51,8 +51,12 @@
                      {"held_bytes", static_cast<std::int64_t>(attempt.heldBytes)},
                      {"limit_bytes", static_cast<std::int64_t>(limit)}});
     this->effects.cancelAttempt(attempt.id);
-    if (this->passesOnEvents(call))
-        return this->onResponseBroken(call, "too_large", Verdict::MayHaveRun, now);
+    if (this->passesOnEvents(call)) {
+        // Unlike a broken connection, this is no sign that the server has crashed.
+        this->logFailedAttempt(call, "too_large", Verdict::MayHaveRun, now);
+        this->endAttempt(call, AttemptOutcome::Failed, now);
+        return this->retryOrRefuse(call, {Verdict::MayHaveRun, RetryReason::AnswerCut}, now);
+    }
     attempt.unforwardedBody.clear();
     this->countHeldBytes(attempt);
     attempt.exceededLimit = true;
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -1,6 +1,7 @@
 #include "gateway/forward_controller.h"
 
 #include "core/hashing.h"
+#include "gateway/response_status.h"
 #include "gateway/stream_end.h"
 
 #include <algorithm>
@@ -9,29 +10,9 @@
 
 namespace {
 
-constexpr int SuccessStatusBegin = 200;
-constexpr int SuccessStatusEnd = 300;
-constexpr int ServerErrorStatusBegin = 500;
 /// Reading the server's response pauses while more than this is queued for the caller.
 constexpr std::size_t MaxQueuedBytes = 256UL * 1024;
 
-/// Returns true for a status from which callers conclude that their request has not run. Only the
-/// server can guarantee this, by ResponseMetadata::notRun; without it the status is not forwarded.
-bool impliesNotRun(int status)
-{
-    constexpr int RequestTimeout = 408;
-    constexpr int MisdirectedRequest = 421;
-    constexpr int TooManyRequests = 429;
-    constexpr int ServiceUnavailable = 503;
-    return status == RequestTimeout || status == MisdirectedRequest || status == TooManyRequests
-           || status == ServiceUnavailable;
-}
-
-bool isSuccess(int status)
-{
-    return status >= SuccessStatusBegin && status < SuccessStatusEnd;
-}
-
 } // namespace
 
 void ForwardController::onAttemptHead(ForwardAttemptId id, int status, const HttpHeaders &headers,
@@ -92,12 +73,6 @@
     this->enforceResponseLimits(*call, now);
 }
 
-bool ForwardAttempt::isDiscarded() const
-{
-    return this->metadata.notRun || this->metadata.isWrongServer || impliesNotRun(this->status)
-           || (isSuccess(this->status) && !this->hasGenuineBody());
-}
-
 bool ForwardController::passesOnEvents(const ForwardCall &call)
 {
     return call.route->kind == RouteKind::Stream && isSuccess(call.attempt->status)
@@ -108,7 +83,7 @@
 {
     const ForwardAttempt &attempt = *call.attempt;
     return !call.responseStarted && !attempt.isDiscarded() && !passesOnEvents(call)
-           && attempt.status < ServerErrorStatusBegin;
+           && !isServerError(attempt.status);
 }
 
 void ForwardController::beginResponse(ForwardCall &call)
@@ -184,7 +159,7 @@
             attempt.exceededLimit || (isSuccess(attempt.status) && !attempt.hasGenuineBody());
     // A caller that has received events of a stream can only be given the rest of it.
     const bool continuesResponse = !call->responseStarted || isSuccess(attempt.status);
-    if (invalidResponse || attempt.status >= ServerErrorStatusBegin || impliesNotRun(attempt.status)
+    if (invalidResponse || isServerError(attempt.status) || impliesNotRun(attempt.status)
         || !continuesResponse)
         return this->retryOrForward(*call, invalidResponse, now);
     if (isSuccess(attempt.status) && call->route->kind == RouteKind::Stream)
--- a/tests/gateway/test_broken_streams.cpp
+++ b/tests/gateway/test_broken_streams.cpp
@@ -135,8 +135,10 @@
 {
     for (const HttpHeaders &framing : AllFramings) {
         for (const std::string &lineEnd : AllLineEnds) {
-            const std::string body = ": hello" + lineEnd + lineEnd + eventText(1, lineEnd) + lineEnd
-                                     + eventText(2, lineEnd) + lineEnd;
+            std::string body = ": hello";
+            for (const std::string &part :
+                 {lineEnd, lineEnd, eventText(1, lineEnd), lineEnd, eventText(2, lineEnd), lineEnd})
+                body += part;
             for (std::size_t split = 0; split <= body.size(); ++split) {
                 StreamBench bench(false);
                 const ForwardAttemptId id = bench.sentAttempts[0].id;
--- a/tests/gateway/test_response_limits.cpp
+++ b/tests/gateway/test_response_limits.cpp
@@ -97,6 +97,7 @@
         CHECK(bench.sentAttempts[0].cancelled);
         REQUIRE(bench.sentAttempts.size() == 2);
         CHECK(bench.sentAttempts[1].header("After") == "1");
+        CHECK(bench.crashNotices.empty());
         CHECK(bench.outcome(bench.call).body == "id: 1\ndata: x\n\n");
     }
     SECTION("a genuine response is passed on from the limit on, also an error of the caller")
--- a/tests/gateway/test_route_table.cpp
+++ b/tests/gateway/test_route_table.cpp
@@ -58,8 +58,7 @@
         CHECK(events[0].id == 1U);
         CHECK(events[1].id == 2U);
         CHECK_FALSE(events[2].id);
-        CHECK(events[0].bytes + events[1].bytes + events[2].bytes + splitter.remainder()
-              == text);
+        CHECK(events[0].bytes + events[1].bytes + events[2].bytes + splitter.remainder() == text);
     }
 }
 
--- a/tests/platform/soak/soak_response.cpp
+++ b/tests/platform/soak/soak_response.cpp
@@ -47,7 +47,7 @@
     SoakResponse response;
     std::string head = "HTTP/1.1 200 OK\r\n";
     for (const auto &[name, value] : headers)
-        head += name + ": " + value + "\r\n";
+        head.append(name).append(": ").append(value).append("\r\n");
     if (framing == BodyFraming::Length)
         head += "Content-Length: " + std::to_string(totalSize(framingIsWhole ? sentParts : parts))
                 + "\r\n";
--- a/tests/platform/soak/soak_server.cpp
+++ b/tests/platform/soak/soak_server.cpp
@@ -22,7 +22,7 @@
 {
     std::string head = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
     for (const auto &[name, value] : headers)
-        head += name + ": " + value + "\r\n";
+        head.append(name).append(": ").append(value).append("\r\n");
     exchange.write(head + "Content-Length: 0\r\n\r\n");
     exchange.end(ConnectionEnd::KeepOpen);
 }
