--- a/tests/platform/soak/soak_run.cpp
+++ b/tests/platform/soak/soak_run.cpp
@@ -378,17 +378,25 @@
 
 void SoakRun::checkRecovery()
 {
-    const TimePoint end = this->loop.now() + RecoveryWait;
+    const auto superviseUntil = [this](TimePoint end) {
+        while (this->loop.now() < end) {
+            this->runLoopFor(milliseconds(50));
+            this->superviseHosts();
+        }
+    };
+    const auto allHostsUp = [this] {
+        return std::all_of(this->hosts.begin(), this->hosts.end(), [](const Host &host) {
+            return host.callerEndpoint && !host.expectsExit;
+        });
+    };
+    superviseUntil(this->loop.now() + RecoveryWait);
     // A process that was told to shut down just before may use its whole grace period.
-    const TimePoint lastEnd = this->loop.now() + GracePeriod + RecoveryWait;
-    const auto isUp = [](const Host &host) { return host.callerEndpoint && !host.expectsExit; };
-    while (this->loop.now() < end
-           || (this->loop.now() < lastEnd
-               && !std::all_of(this->hosts.begin(), this->hosts.end(), isUp))) {
-        this->runLoopFor(milliseconds(50));
-        this->superviseHosts();
+    if (!allHostsUp()) {
+        const TimePoint lastEnd = this->loop.now() + GracePeriod;
+        while (!allHostsUp() && this->loop.now() < lastEnd)
+            superviseUntil(this->loop.now() + milliseconds(50));
+        superviseUntil(this->loop.now() + seconds(1));
     }
-    this->runLoopFor(seconds(1));
     const std::uint64_t firstNumber = this->nextRequestNumber;
     for (int index = 0; index < RecoveryRequestCount; ++index) {
         this->sendRequest(static_cast<std::size_t>(index) % this->hosts.size(),
