Read the limits that servers name, and log them

The header is parsed in platform/ (malformed, negative, infinite and repeated values included) and each change is logged as server_limited, with what was named before and for how long. Nothing acts on it yet.

--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -98,6 +98,11 @@
             {Event::ServerUp, "server_up", Severity::Info, "A backend server responds again."},
             {Event::ServerPaused, "server_paused", Severity::Info,
              "A backend server asked this host to send it nothing for a time."},
+            {Event::ServerLimited, "server_limited", Severity::Info,
+             "A backend server named a limit of requests per second, changed it or lifted it."},
+            {Event::ServerLimitInvalid, "server_limit_invalid", Severity::Warning,
+             "A backend server named a limit that is no number of at least 0; what it named before "
+             "holds."},
             {Event::AllocationReleased, "allocation_released", Severity::Warning,
              "An orphaned allocation of engine memory was released."},
             {Event::AllocationReserveFailed, "allocation_reserve_failed", Severity::Info,
--- a/src/core/event_log.h
+++ b/src/core/event_log.h
@@ -57,6 +57,8 @@
     ServerDown = 601,
     ServerUp = 602,
     ServerPaused = 603,
+    ServerLimited = 604,
+    ServerLimitInvalid = 605,
     AllocationReleased = 700,
     AllocationReserveFailed = 701,
     CrashSuspect = 800,
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -27,7 +27,7 @@
         {LengthBand::UpTo1M, "256k-1M"},
 }};
 
-constexpr std::array<EnumName<Counter>, 24> CounterNames = {{
+constexpr std::array<EnumName<Counter>, 26> CounterNames = {{
         {Counter::RequestsAdmitted, "requests_admitted"},
         {Counter::RequestsFinished, "requests_finished"},
         {Counter::ForeignBytesDropped, "foreign_bytes_dropped"},
@@ -42,6 +42,8 @@
         {Counter::PlatformEraChanges, "platform_era_changes"},
         {Counter::WatchesRenewed, "watches_renewed"},
         {Counter::ServerPauses, "server_pauses"},
+        {Counter::ServerLimitChanges, "server_limit_changes"},
+        {Counter::ServerLimitsInvalid, "server_limits_invalid"},
         {Counter::AllocationsSwept, "allocations_swept"},
         {Counter::OrdersClaimed, "orders_claimed"},
         {Counter::OrderClaimBatches, "order_claim_batches"},
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -54,6 +54,8 @@
     PlatformEraChanges,
     WatchesRenewed,
     ServerPauses,
+    ServerLimitChanges,
+    ServerLimitsInvalid,
     AllocationsSwept,
     OrdersClaimed,
     OrderClaimBatches,
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -53,6 +53,13 @@
         return;
     if (metadata.serverLeaving && this->fleet.onLeavingAnnounced(server, now))
         this->effects.publishServerLeaving({hash32(server), known->incarnation});
+    if (metadata.hasInvalidLimit) {
+        this->metrics.count(Counter::ServerLimitsInvalid, 1);
+        this->log.write(Event::ServerLimitInvalid, {{"server", server}});
+    } else if (this->fleet.limits().onAnswer(server, known->incarnation, metadata.requestLimit,
+                                             now)) {
+        this->metrics.count(Counter::ServerLimitChanges, 1);
+    }
     if (!metadata.requestedPause)
         return;
     this->metrics.count(Counter::ServerPauses, 1);
--- a/src/gateway/gateway_protocol.h
+++ b/src/gateway/gateway_protocol.h
@@ -63,6 +63,10 @@
     bool serverLeaving = false;      ///< The server leaves and wants no new requests.
     /// Time for which the server wants no requests from this host; nullopt if it did not say so.
     std::optional<Duration> requestedPause;
+    /// Requests per second that the server takes from all hosts together, at least 0; nullopt if it
+    /// names no limit, or one that is invalid.
+    std::optional<double> requestLimit;
+    bool hasInvalidLimit = false; ///< The server names a limit that cannot be read.
     std::string faultyServer; ///< Id or address of the server that caused the refusal, if given.
     std::optional<ReportedLoad> load;
 };
--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -41,6 +41,7 @@
 ServerFleet::ServerFleet(const ServerFleetTimings &timings, EventLog &log)
     : timings(timings)
     , log(log)
+    , serverLimits(log)
 {}
 
 bool ServerFleet::put(const GatewayServer &server, TimePoint now)
@@ -61,6 +62,7 @@
     const bool restarted = found != this->records.end();
     if (restarted)
         this->recordDisappearance(found->second, now);
+    this->serverLimits.forget(server.id);
     Record record;
     record.server = server;
     record.rank = static_cast<double>(hash64(server.id)) / HashRange;
@@ -107,6 +109,7 @@
     if (!mayHaveExpired)
         this->recordDisappearance(record, now);
     if (leaving) {
+        this->serverLimits.forget(server);
         this->records.erase(found);
         return;
     }
--- a/src/gateway/server_fleet.h
+++ b/src/gateway/server_fleet.h
@@ -2,6 +2,7 @@
 
 #include "core/event_log.h"
 #include "gateway/gateway_configuration.h"
+#include "gateway/server_limits.h"
 
 #include <map>
 #include <optional>
@@ -141,6 +142,10 @@
     /// Returns the position of \a server in the order that all hosts share, from 0 to 1.
     double rank(const ServerId &server) const;
 
+    /// Limits that the servers name.
+    ServerLimits &limits() { return this->serverLimits; }
+    const ServerLimits &limits() const { return this->serverLimits; }
+
     /// Returns all known servers, except those whose removed entries were not written again in
     /// time.
     std::vector<const GatewayServer *> all(TimePoint now) const;
@@ -187,6 +192,7 @@
 
     ServerFleetTimings timings;
     EventLog &log;
+    ServerLimits serverLimits;
     std::map<ServerId, Record> records;
     /// Departed servers, whose entries a restored store may show again.
     std::map<ServerId, Departure> departures;
--- a/tests/platform/test_platform_protocol.cpp
+++ b/tests/platform/test_platform_protocol.cpp
@@ -151,6 +151,42 @@
     CHECK(headerValue(protocol.refusalHeaders({}, milliseconds(1'250)), "Retry-After") == "1.250");
 }
 
+TEST_CASE("The limit that a server names is read from any of its answers",
+          "[Platform][PlatformProtocol]")
+{
+    const PlatformProtocol protocol;
+    const auto parse = [&](int status, const std::vector<std::string> &values) {
+        HttpHeaders headers;
+        for (const std::string &value : values)
+            headers.emplace_back("server-limit", value);
+        return protocol.parseResponseHead(status, headers);
+    };
+
+    SECTION("success and refusal alike")
+    {
+        CHECK(parse(200, {"1.8"}).requestLimit == 1.8);
+        CHECK(parse(503, {"0.5"}).requestLimit == 0.5);
+        CHECK(parse(200, {"0"}).requestLimit == 0.0);
+        CHECK(parse(200, {" 12 "}).requestLimit == 12.0);
+        CHECK_FALSE(parse(200, {}).requestLimit);
+        CHECK_FALSE(parse(200, {}).hasInvalidLimit);
+    }
+    SECTION("the lowest of several")
+    {
+        CHECK(parse(200, {"3", "1.8"}).requestLimit == 1.8);
+        CHECK(parse(200, {"1.8, 3"}).requestLimit == 1.8);
+    }
+    SECTION("what is no number of at least 0 is reported as invalid")
+    {
+        for (const char *value : {"", "-1", "nan", "inf", "1.8x", "x", "1e999", "1.8,", ",1"}) {
+            CAPTURE(value);
+            CHECK_FALSE(parse(200, {value}).requestLimit);
+            CHECK(parse(200, {value}).hasInvalidLimit);
+        }
+        CHECK(parse(200, {"1.8", "x"}).hasInvalidLimit);
+    }
+}
+
 TEST_CASE("Objects of the metadata store are parsed", "[Platform][PlatformProtocol]")
 {
     const PlatformProtocol protocol;
--- a/tests/support/plain_gateway_protocol.cpp
+++ b/tests/support/plain_gateway_protocol.cpp
@@ -85,6 +85,11 @@
     facts.serverLeaving = findHeader(headers, "Leaving") != nullptr;
     if (const std::string *pause = findHeader(headers, "Pause-Ms"))
         facts.requestedPause = std::chrono::milliseconds(numberOf(*pause));
+    if (const std::string *limit = findHeader(headers, "Limit")) {
+        facts.hasInvalidLimit = *limit == "invalid";
+        if (!facts.hasInvalidLimit)
+            facts.requestLimit = std::stod(*limit);
+    }
     if (const std::string *faulty = findHeader(headers, "Faulty"))
         facts.faultyServer = *faulty;
     facts.hasContentEncoding = findHeader(headers, "Content-Encoding") != nullptr;
