Keep the requests of all hosts within the limit that a server names

What callers saw: engines in need got 17 and 18 requests in 4 s where 14 and 16 were allowed, from eight hosts that had passed their answers on. An overloaded server that asks for less and gets more keeps all its callers waiting.

Cause: no host read the limit. Class: a bound over all hosts that no host counts by itself. A bucket for each host would not do: with a burst of one it allows 6 + 12 requests in 4 s already at 1.5 a second and 12 hosts.

Fix: ServerLimits keeps one token bucket for each limited server at every host, and each host tells all others in its datagrams what it sends there, as a running count. So all hosts see the same bucket; requests that cross on the way are paid back, a lost datagram is made good by the next, and no request waits for a permit. A host whose part of the fleet is cut off uses that part of the limit only. The limit belongs to an incarnation; changes are numbered, so that an outdated word does not undo a later one, and an answer to a request sent before the limit was known does not lift it. If all servers of a pool are limited, a request waits for one only while it can still be on time; else it is refused as servers_limited, with places to return spread over the limits.

Hosts killed in turn, cut off, a fifth of the news lost: within the rule. 71 test programs pass, lint is clean.

--- a/src/core/metric_catalogue.cpp
+++ b/src/core/metric_catalogue.cpp
@@ -68,6 +68,7 @@
         {Gauge::RequestsInFlight, "Requests in progress."},
         {Gauge::LiveMembers, "Live entry hosts, including this one."},
         {Gauge::BackendServersUsable, "Configured backend servers."},
+        {Gauge::BackendServersLimited, "Backend servers that name a limit of requests."},
         {Gauge::QueuedBytes, "Response bytes buffered for callers that have not read them yet."},
         {Gauge::CrashSuspectsKnown, "Requests that are suspected of crashing backend servers."},
         {Gauge::CrashSuspectsRefused,
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -56,13 +56,14 @@
         {Counter::PromptsHeld, "prompts_held"},
 }};
 
-constexpr std::array<EnumName<Gauge>, 11> GaugeNames = {{
+constexpr std::array<EnumName<Gauge>, 12> GaugeNames = {{
         {Gauge::ConfigurationVersion, "configuration_version"},
         {Gauge::PlatformRevision, "platform_revision"},
         {Gauge::PlatformEra, "platform_era"},
         {Gauge::RequestsInFlight, "requests_in_flight"},
         {Gauge::LiveMembers, "live_members"},
         {Gauge::BackendServersUsable, "backend_servers_usable"},
+        {Gauge::BackendServersLimited, "backend_servers_limited"},
         {Gauge::QueuedBytes, "queued_bytes"},
         {Gauge::CrashSuspectsKnown, "crash_suspects_known"},
         {Gauge::CrashSuspectsRefused, "crash_suspects_refused"},
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -79,6 +79,7 @@
     RequestsInFlight,
     LiveMembers,
     BackendServersUsable,
+    BackendServersLimited,
     QueuedBytes,
     CrashSuspectsKnown,
     CrashSuspectsRefused,
--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -48,6 +48,7 @@
             {Reason::CallerTooSlow, "caller_too_slow", 408, false},
             {Reason::UnknownRoute, "unknown_route", 404, false},
             {Reason::UnknownKey, "unknown_key", 401, false},
+            {Reason::ServersLimited, "servers_limited", 503, true},
     };
     return table;
 }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -47,6 +47,7 @@
     CallerTooSlow,
     UnknownRoute,
     UnknownKey,
+    ServersLimited,
 };
 
 /// Static properties of a Reason.
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -52,7 +52,7 @@
     , readinessPath(std::move(readinessPath))
     , log(log)
     , random(incarnation)
-    , fleet(ServerFleetTimings{}, log)
+    , fleet(ServerFleetTimings{}, log, promptSenderHash(this->identity))
     , promptPlacement(PromptPlacementSettings{}, settings.failureDomain, this->fleet)
     , servicePlacement(settings.failureDomain, this->fleet, this->random)
     , retryAllowance(retryBoundOf(settings))
@@ -299,14 +299,20 @@
     this->promptUpdates.announceLeaving(notice);
 }
 
+void GatewayHost::publishServerLimit(const ServerLimitNotice &notice)
+{
+    this->promptUpdates.enqueueLimit(notice);
+}
+
 void GatewayHost::sendReservationRequest(const MemoryReservationRequest &order)
 {
     const std::uint64_t id = this->nextMemoryRequestId++;
     const bool isReservation = order.tokens > 0;
     this->memoryRequests[id] = std::make_unique<HttpFetch>(
             this->httpClient, this->protocol.reservationRequest(order),
-            [this, id, isReservation, ticket = order.reservationId, server = order.server](
-                    const std::optional<HttpResponse> &response, const HttpFailure & /*failure*/) {
+            [this, id, isReservation, ticket = order.reservationId, server = order.server,
+             sentAt = this->loop.now()](const std::optional<HttpResponse> &response,
+                                        const HttpFailure & /*failure*/) {
                 // The fetch is still on the call stack, so it must not be destroyed here.
                 const std::shared_ptr<HttpFetch> finishedFetch =
                         std::move(this->memoryRequests[id]);
@@ -314,7 +320,7 @@
                 this->loop.disposeLater(finishedFetch);
                 if (response)
                     this->controller.onServerHeaders(server, response->status, response->headers,
-                                                     this->loop.now());
+                                                     sentAt, this->loop.now());
                 if (!isReservation)
                     return;
                 this->controller.onReservationResult(
@@ -358,8 +364,11 @@
     status.peerLinks = this->peerMesh.openLinks();
     for (const MemberRecord &member : this->membership.liveMembers())
         status.members.push_back({member.identity, member.configurationVersion, member.leaving});
-    for (const GatewayServer *known : this->fleet.all(this->loop.now()))
-        status.servers.push_back({known->id, known->pool, known->draining ? "draining" : "up"});
+    for (const GatewayServer *known : this->fleet.all(this->loop.now())) {
+        const bool isLimited = this->fleet.limits().rate(known->id, this->loop.now()).has_value();
+        const char *state = isLimited ? "limited" : "up";
+        status.servers.push_back({known->id, known->pool, known->draining ? "draining" : state});
+    }
     return status;
 }
 
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -77,6 +77,7 @@
     void abortResponse(HttpCallId call) override;
     void publishPromptUpdate(const PromptUpdate &item) override;
     void publishServerLeaving(const ServerLeavingNotice &notice) override;
+    void publishServerLimit(const ServerLimitNotice &notice) override;
     void publishCrashNotice(const CrashNotice &notice) override;
 
     // PeerListener
@@ -104,6 +105,9 @@
     void addRemoteDispatch(std::uint32_t senderHash, const RunningPrompt &running, bool isNew);
     void recordFirstEvent(std::uint32_t server);
     void recordLeaving(const ServerLeavingNotice &notice);
+    void recordLimit(std::uint32_t senderHash, const ServerLimitNotice &notice);
+    /// Splits the limits of servers over the hosts that this one is in touch with.
+    void shareLimits(std::size_t liveHosts);
     void recordSilenceReport(std::uint32_t server, std::uint32_t senderHash);
     void addRemotePrompt(std::uint32_t server, const EnginePrompt &prompt);
     const EngineProfile *engineProfileOf(const ServerId &server) const;
@@ -157,6 +161,7 @@
     HttpServer readinessServer;
     OperatorApi operatorApi;
     std::unordered_map<std::uint32_t, ServerId> serversByHash;
+    std::size_t listedHosts = 0;           ///< Hosts on the platform's list, with this one.
     std::set<HostId> sameDomainHosts;      ///< Live hosts in this host's failure domain.
     std::set<std::uint32_t> promptSenders; ///< Hashes of the hosts at the last heartbeat.
     std::uint64_t nextMemoryRequestId = 1;
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -86,6 +86,7 @@
 {
     if (this->shuttingDown)
         return;
+    this->listedHosts = hosts.size();
     std::vector<Endpoint> listed;
     listed.reserve(hosts.size());
     for (const HostListEntry &host : hosts)
@@ -143,9 +144,11 @@
         if (member.identity.host == this->identity.host)
             continue;
         peers.push_back(member.peerEndpoint);
-        if (this->promptSenders.count(sender) == 0)
-            this->promptUpdates.sendRunning(member.peerEndpoint,
-                                            this->controller.runningPrompts(this->loop.now()));
+        if (this->promptSenders.count(sender) > 0)
+            continue;
+        this->promptUpdates.sendRunning(member.peerEndpoint,
+                                        this->controller.runningPrompts(this->loop.now()));
+        this->promptUpdates.sendLimits(member.peerEndpoint, this->fleet.limits().notices());
     }
     this->updateStoreWatching(live);
     this->checkPeerLinks();
@@ -160,6 +163,17 @@
     this->updatePromptPeers();
     this->retryAllowance.setHostCount(
             std::max<std::size_t>(live.size(), this->settings.sharedHosts));
+    this->shareLimits(live.size());
+}
+
+void GatewayHost::shareLimits(std::size_t liveHosts)
+{
+    const std::size_t allHosts = std::max({liveHosts, this->listedHosts, std::size_t{1}});
+    this->fleet.limits().setFleetShare(static_cast<double>(std::max<std::size_t>(liveHosts, 1))
+                                       / static_cast<double>(allHosts));
+    this->controller.setHostCount(allHosts);
+    this->metrics.set(Gauge::BackendServersLimited,
+                      static_cast<double>(this->fleet.limits().limitedServers()));
 }
 
 void GatewayHost::updatePromptPeers()
@@ -335,12 +349,15 @@
     }
     for (const ServerLeavingNotice &notice : update.leavingServers)
         this->recordLeaving(notice);
+    for (const ServerLimitNotice &notice : update.limits)
+        this->recordLimit(update.senderHash, notice);
     for (const RunningPrompt &running : update.running)
         this->addRemoteDispatch(update.senderHash, running, false);
     if (update.joinedAt) {
         this->promptUpdatePeers.onJoined(*update.joinedAt, now);
         this->updatePromptPeers();
         this->promptUpdates.sendRunning(*update.joinedAt, this->controller.runningPrompts(now));
+        this->promptUpdates.sendLimits(*update.joinedAt, this->fleet.limits().notices());
     }
 }
 
@@ -392,6 +409,21 @@
         this->fleet.onLeavingAnnounced(id->second, this->loop.now());
 }
 
+void GatewayHost::recordLimit(std::uint32_t senderHash, const ServerLimitNotice &notice)
+{
+    const auto id = this->serversByHash.find(notice.serverHash);
+    if (id == this->serversByHash.end())
+        return;
+    const GatewayServer *server = this->fleet.find(id->second);
+    if (server == nullptr || server->incarnation != notice.incarnation)
+        return;
+    ServerLimits &limits = this->fleet.limits();
+    if (!limits.onNotice(id->second, senderHash, notice, this->loop.now()))
+        return;
+    if (const std::optional<ServerLimitNotice> later = limits.notice(id->second))
+        this->promptUpdates.enqueueLimit(*later);
+}
+
 void GatewayHost::recordSilenceReport(std::uint32_t server, std::uint32_t senderHash)
 {
     const auto id = this->serversByHash.find(server);
--- a/src/entry_host/prompt_update_channel.cpp
+++ b/src/entry_host/prompt_update_channel.cpp
@@ -36,6 +36,26 @@
         this->flush();
         return;
     }
+    this->scheduleFlush();
+}
+
+void PromptUpdateChannel::enqueueLimit(const ServerLimitNotice &notice)
+{
+    std::vector<ServerLimitNotice> &limits = this->pending.limits;
+    const auto earlier = std::find_if(limits.begin(), limits.end(), [&](const auto &candidate) {
+        return candidate.serverHash == notice.serverHash;
+    });
+    if (earlier != limits.end())
+        *earlier = notice;
+    else
+        limits.push_back(notice);
+    if (limits.size() >= MaxItemsPerDatagram)
+        return this->flush();
+    this->scheduleFlush();
+}
+
+void PromptUpdateChannel::scheduleFlush()
+{
     if (this->flushScheduled)
         return;
     this->flushScheduled = true;
@@ -45,7 +65,7 @@
 void PromptUpdateChannel::flush()
 {
     this->flushScheduled = false;
-    if (this->pending.updates.empty())
+    if (this->pending.updates.empty() && this->pending.limits.empty())
         return;
     if (!this->peers.empty()) {
         const std::string bytes = encodePromptUpdates(this->pending);
@@ -54,6 +74,20 @@
             this->socket.send(peer, bytes);
     }
     this->pending.updates.clear();
+    this->pending.limits.clear();
+}
+
+void PromptUpdateChannel::sendLimits(const Endpoint &peer,
+                                     const std::vector<ServerLimitNotice> &limits)
+{
+    for (std::size_t begin = 0; begin < limits.size(); begin += MaxItemsPerDatagram) {
+        PromptUpdateBatch batch;
+        batch.senderHash = this->pending.senderHash;
+        const std::size_t end = std::min(limits.size(), begin + MaxItemsPerDatagram);
+        batch.limits.assign(limits.begin() + static_cast<std::ptrdiff_t>(begin),
+                            limits.begin() + static_cast<std::ptrdiff_t>(end));
+        this->socket.send(peer, encodePromptUpdates(batch));
+    }
 }
 
 void PromptUpdateChannel::announceJoin()
--- a/src/entry_host/prompt_update_channel.h
+++ b/src/entry_host/prompt_update_channel.h
@@ -32,6 +32,13 @@
     /// Tells the peers that a backend server leaves.
     void announceLeaving(const ServerLeavingNotice &notice);
 
+    /// Tells the peers of the limit of a server with the next batch, which replaces an earlier
+    /// notice about it.
+    void enqueueLimit(const ServerLimitNotice &notice);
+
+    /// Sends \a limits to \a peer.
+    void sendLimits(const Endpoint &peer, const std::vector<ServerLimitNotice> &limits);
+
     /// Sends \a prompts, which are in flight, to \a peer.
     void sendRunning(const Endpoint &peer, const std::vector<RunningPrompt> &prompts);
 
@@ -39,6 +46,7 @@
     void enqueue(const PromptUpdate &item);
 
 private:
+    void scheduleFlush();
     void flush();
     void onDatagram(std::string_view bytes);
 
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -8,7 +8,9 @@
 #include "gateway/prompt_placement.h"
 #include "gateway/response_limits.h"
 #include "gateway/retry_budget.h"
+#include "gateway/return_schedule.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -39,6 +41,9 @@
     /// Sets the limits for response bytes that arrive from now on.
     void setResponseLimits(const ResponseLimits &limits) { this->responseLimits = limits; }
 
+    /// Sets the number of hosts that share the servers.
+    void setHostCount(std::size_t count) { this->hostCount = std::max<std::size_t>(1, count); }
+
     /// Number of response bytes that are held back.
     std::size_t heldBytes() const { return this->totalHeldBytes; }
 
@@ -62,10 +67,10 @@
     /// Ends all requests in flight because the process exits.
     void endAll(TimePoint now);
 
-    /// A server responded to a message that is not an attempt. Records whether it leaves or asks
-    /// for a pause.
+    /// A server responded to a message that is not an attempt and was sent at \a sentAt. Records
+    /// whether it leaves, asks for a pause or names a limit.
     void onServerHeaders(const ServerId &server, int status, const HttpHeaders &headers,
-                         TimePoint now);
+                         TimePoint sentAt, TimePoint now);
 
     /// The entries of servers have changed. Settles which attempts ended by a crash.
     void onServersChanged(TimePoint now);
@@ -96,6 +101,9 @@
     /// Holds the prompt if that is expected to find a better place for it; returns true if it is
     /// held.
     bool hold(ForwardCall &call, const PromptPlacementResult &decision, TimePoint now);
+    /// Holds the request until a server of its pool may get one within the limits that they name,
+    /// if it can still be served in time then; returns true if it is held.
+    bool holdForLimit(ForwardCall &call, TimePoint now);
     void dispatchService(ForwardCall &call, const ServerPool &pool, TimePoint now);
     void sendPrompt(ForwardCall &call, const PromptPlan &plan, TimePoint now);
     void sendAttempt(ForwardCall &call, const GatewayServer &server,
@@ -157,9 +165,13 @@
     /// Cancels the attempt without recording an outcome for its server.
     void abandonAttempt(ForwardCall &call, TimePoint now);
 
-    /// Records whether \a server leaves or asks for a pause.
+    /// Records whether \a server leaves, asks for a pause or names a limit, in the response to a
+    /// request sent at \a sentAt.
     void recordAnnouncements(const ServerId &server, const ResponseMetadata &metadata,
-                             TimePoint now);
+                             TimePoint sentAt, TimePoint now);
+    /// Counts a message to \a server against the limit that it names.
+    void countAgainstLimit(const ServerId &server, TimePoint now);
+    void publishLimit(const ServerId &server);
     /// Refuses a request for which no server of \a pool is usable.
     void refuseWithoutServer(ForwardCall &call, TimePoint now, const std::string &detail);
     /// Returns the retry delay for a caller if \a pool has no usable server.
@@ -217,7 +229,9 @@
     Metrics &metrics;
     EventLog &log;
     DoubtfulEnds doubtfulEnds;
-    TimePoint nextSettling; ///< Requests that arrive before do not settle doubtful ends.
+    ReturnSchedule returnSchedule;
+    std::size_t hostCount = 1; ///< Hosts that share the servers.
+    TimePoint nextSettling;    ///< Requests that arrive before do not settle doubtful ends.
     std::shared_ptr<const RouteTable> routeTable;
     ForwardAttemptId nextAttemptId = 1;
     std::map<HttpCallId, ForwardCall> calls;
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -46,6 +46,10 @@
 /// streams may leave it without an event.
 constexpr double BusyServerPatienceFraction = 0.6;
 constexpr Duration MinStreamInactivityLimit = std::chrono::milliseconds(1'600);
+/// Parts of the latency goal, and of the time until a caller abandons its stream, for which a
+/// request may wait until a server takes it within its limit.
+constexpr double UsableGoalFraction = 0.5;
+constexpr double UsableGapFraction = 0.5;
 
 /// Returns the gap between events after which callers abandon a stream of \a route.
 Duration streamAbandonTime(const Route &route)
@@ -165,6 +169,8 @@
             this->promptPlacement.place(pool, call.demand, call.triedServers, now);
     if (this->hold(call, decision, now))
         return;
+    if (!decision.plan && !decision.hasUsableServer && this->holdForLimit(call, now))
+        return;
     if (!decision.plan && !decision.hasUsableServer)
         return this->refuseWithoutServer(call, now, rejectionDetail(decision, call.demand));
     if (!decision.plan) {
@@ -209,6 +215,26 @@
     this->recordPromptDispatch(call, pool->second, plan.memoryTokens, now);
 }
 
+bool ForwardController::holdForLimit(ForwardCall &call, TimePoint now)
+{
+    const std::optional<TimePoint> opening = this->fleet.limitOpening(call.pool, now);
+    if (!opening)
+        return false;
+    const Duration usableTime =
+            call.responseStarted
+                    ? fromSeconds(toSeconds(streamAbandonTime(*call.route)) * UsableGapFraction)
+                    : fromSeconds(toSeconds(call.route->latencyGoal) * UsableGoalFraction)
+                              - estimateEarlierWait(call);
+    const TimePoint lastUse =
+            (call.responseStarted ? call.lastEventAt : call.arrivedAt) + usableTime;
+    if (*opening > lastUse || *opening + MinAttemptTime > call.deadline)
+        return false;
+    call.heldUntil = *opening;
+    call.heldTime += *opening - now;
+    this->scheduleTimer(call, now);
+    return true;
+}
+
 void ForwardController::dispatchService(ForwardCall &call, const ServerPool &pool, TimePoint now)
 {
     // A server that may have closed an idle connection is asked again on a new one: if it refuses
@@ -218,6 +244,8 @@
     const std::optional<ServerId> chosen =
             verify ? call.unverifiedServer
                    : this->servicePlacement.place(pool.name, call.triedServers, now);
+    if (!chosen && this->holdForLimit(call, now))
+        return;
     if (!chosen)
         return this->refuseWithoutServer(call, now, pool.name);
     call.attempt = ForwardAttempt();
@@ -285,6 +313,9 @@
              {"time_left_ms", static_cast<std::int64_t>(metadata.remainingTime.count() / 1'000)},
              {"configuration", static_cast<std::int64_t>(call.configuration->version)}});
     this->effects.sendAttempt(attempt.id, request);
+    this->countAgainstLimit(server.id, now);
+    for (const PrefillHelper &helper : helpers)
+        this->countAgainstLimit(helper.server, now);
     this->scheduleTimer(call, now);
 }
 
@@ -380,8 +411,14 @@
 void ForwardController::refuseWithoutServer(ForwardCall &call, TimePoint now,
                                             const std::string &detail)
 {
-    this->refuse(call, Reason::NoBackendServer, this->delayWithoutServer(call.pool, now), now,
-                 detail);
+    if (!this->fleet.limitOpening(call.pool, now))
+        return this->refuse(call, Reason::NoBackendServer, this->delayWithoutServer(call.pool, now),
+                            now, detail);
+    const double rateOfHost =
+            this->fleet.limitedRate(call.pool, now) / static_cast<double>(this->hostCount);
+    const Duration delay =
+            this->returnSchedule.book(call.pool, rateOfHost, call.deadline - now, now);
+    this->refuse(call, Reason::ServersLimited, delay, now, detail);
 }
 
 void ForwardController::retryOrRefuse(ForwardCall &call, const AttemptFailure &failure,
--- a/src/gateway/forward_effects.h
+++ b/src/gateway/forward_effects.h
@@ -59,6 +59,9 @@
     /// Tells the other hosts that \a server announced that it leaves.
     virtual void publishServerLeaving(const ServerLeavingNotice &notice) = 0;
 
+    /// Tells the other hosts of a server that names a limit.
+    virtual void publishServerLimit(const ServerLimitNotice &notice) = 0;
+
     /// Sends a crash notice about a request fingerprint to the other hosts.
     virtual void publishCrashNotice(const CrashNotice &notice) = 0;
 };
--- a/src/gateway/forward_memory.cpp
+++ b/src/gateway/forward_memory.cpp
@@ -47,6 +47,7 @@
         return;
     this->effects.sendReservationRequest({reservation.id, reservation.server, server->endpoint,
                                           reservation.tokens, ReservationLifetime});
+    this->countAgainstLimit(reservation.server, now);
 }
 
 void ForwardController::onReservationResult(const std::string &reservationId, bool granted,
@@ -118,9 +119,11 @@
         this->callsByReservation.erase(reservation.id);
         const GatewayServer *server = this->fleet.find(reservation.server);
         // A reservation that is not released expires.
-        if (server != nullptr && this->fleet.tryContact(reservation.server, now))
-            this->effects.sendReservationRequest(
-                    {reservation.id, reservation.server, server->endpoint, 0, Duration::zero()});
+        if (server == nullptr || !this->fleet.tryContact(reservation.server, now))
+            continue;
+        this->effects.sendReservationRequest(
+                {reservation.id, reservation.server, server->endpoint, 0, Duration::zero()});
+        this->countAgainstLimit(reservation.server, now);
     }
     call.reservations.clear();
     call.pendingPlan.reset();
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -31,7 +31,7 @@
     attempt.headers = headers;
     attempt.lastDataAt = now;
     attempt.metadata = this->protocol.parseResponseHead(status, headers);
-    this->recordAnnouncements(attempt.server, attempt.metadata, now);
+    this->recordAnnouncements(attempt.server, attempt.metadata, attempt.sentAt, now);
     if (attempt.metadata.load)
         this->servicePlacement.onLoadReported(attempt.server, *attempt.metadata.load, now);
     if (!attempt.metadata.notRun && !attempt.metadata.isWrongServer)
@@ -39,13 +39,15 @@
 }
 
 void ForwardController::onServerHeaders(const ServerId &server, int status,
-                                        const HttpHeaders &headers, TimePoint now)
+                                        const HttpHeaders &headers, TimePoint sentAt, TimePoint now)
 {
-    this->recordAnnouncements(server, this->protocol.parseResponseHead(status, headers), now);
+    this->recordAnnouncements(server, this->protocol.parseResponseHead(status, headers), sentAt,
+                              now);
 }
 
 void ForwardController::recordAnnouncements(const ServerId &server,
-                                            const ResponseMetadata &metadata, TimePoint now)
+                                            const ResponseMetadata &metadata, TimePoint sentAt,
+                                            TimePoint now)
 {
     // A server that has taken over the address speaks for itself only.
     const GatewayServer *known = metadata.isWrongServer ? nullptr : this->fleet.find(server);
@@ -57,8 +59,9 @@
         this->metrics.count(Counter::ServerLimitsInvalid, 1);
         this->log.write(Event::ServerLimitInvalid, {{"server", server}});
     } else if (this->fleet.limits().onAnswer(server, known->incarnation, metadata.requestLimit,
-                                             now)) {
+                                             sentAt, now)) {
         this->metrics.count(Counter::ServerLimitChanges, 1);
+        this->publishLimit(server);
     }
     if (!metadata.requestedPause)
         return;
@@ -66,6 +69,18 @@
     this->fleet.onPauseRequested(server, *metadata.requestedPause, now);
 }
 
+void ForwardController::countAgainstLimit(const ServerId &server, TimePoint now)
+{
+    if (this->fleet.limits().onSent(server, now))
+        this->publishLimit(server);
+}
+
+void ForwardController::publishLimit(const ServerId &server)
+{
+    if (const std::optional<ServerLimitNotice> notice = this->fleet.limits().notice(server))
+        this->effects.publishServerLimit(*notice);
+}
+
 void ForwardController::onAttemptData(ForwardAttemptId id, std::string_view bytes, TimePoint now)
 {
     ForwardCall *call = this->findCall(id);
--- a/src/gateway/prompt_updates.cpp
+++ b/src/gateway/prompt_updates.cpp
@@ -3,6 +3,7 @@
 #include "core/hashing.h"
 #include "protocol/cbor.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace dotterel {
@@ -17,6 +18,7 @@
 constexpr const char *JoinedKey = "joined";
 constexpr const char *RunningKey = "running";
 constexpr const char *LeavingKey = "leaving";
+constexpr const char *LimitsKey = "limits";
 
 std::int64_t toMs(Duration duration)
 {
@@ -96,6 +98,29 @@
     return prompt;
 }
 
+nlohmann::json encodeLimit(const ServerLimitNotice &notice)
+{
+    nlohmann::json row = {notice.serverHash, notice.incarnation, notice.revision, notice.sent};
+    if (notice.limit)
+        row.push_back(*notice.limit);
+    return row;
+}
+
+ServerLimitNotice decodeLimit(const nlohmann::json &row)
+{
+    constexpr std::size_t LimitColumn = 4;
+    ServerLimitNotice notice;
+    notice.serverHash = row.at(0).get<std::uint32_t>();
+    notice.incarnation = row.at(1).get<std::uint64_t>();
+    notice.revision = row.at(2).get<std::uint64_t>();
+    notice.sent = row.at(3).get<std::uint64_t>();
+    if (row.size() > LimitColumn)
+        notice.limit = row.at(LimitColumn).get<double>();
+    if (notice.limit && !(std::isfinite(*notice.limit) && *notice.limit >= 0))
+        throw nlohmann::json::other_error::create(505, "implausible limit of a server", &row);
+    return notice;
+}
+
 /// Decodes the fields that hosts of earlier versions do not send.
 void decodeExtension(const nlohmann::json &json, PromptUpdateBatch &batch)
 {
@@ -109,6 +134,12 @@
             batch.leavingServers.push_back(
                     {row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint64_t>()});
     }
+    if (const auto limits = json.find(LimitsKey); limits != json.end()) {
+        if (limits->size() > MaxUpdates)
+            throw nlohmann::json::other_error::create(506, "more than 1000 limits", &json);
+        for (const nlohmann::json &row : *limits)
+            batch.limits.push_back(decodeLimit(row));
+    }
     const auto running = json.find(RunningKey);
     if (running == json.end())
         return;
@@ -136,6 +167,8 @@
         extension[JoinedKey] = {batch.joinedAt->address, batch.joinedAt->port};
     for (const ServerLeavingNotice &notice : batch.leavingServers)
         extension[LeavingKey].push_back({notice.serverHash, notice.incarnation});
+    for (const ServerLimitNotice &notice : batch.limits)
+        extension[LimitsKey].push_back(encodeLimit(notice));
     for (const RunningPrompt &prompt : batch.running)
         extension[RunningKey].push_back(encodeRunning(prompt));
     if (!extension.empty())
--- a/src/gateway/prompt_updates.h
+++ b/src/gateway/prompt_updates.h
@@ -2,6 +2,7 @@
 
 #include "core/identity.h"
 #include "gateway/engine_load.h"
+#include "gateway/server_limits.h"
 #include "transport/endpoint.h"
 
 #include <optional>
@@ -59,6 +60,8 @@
     std::optional<Endpoint> joinedAt;
     /// Servers that leave. Hosts of earlier versions ignore it.
     std::vector<ServerLeavingNotice> leavingServers;
+    /// Servers that name limits. Hosts of earlier versions ignore it.
+    std::vector<ServerLimitNotice> limits;
     std::vector<RunningPrompt> running; ///< Reply to joinedAt, a part of the sender's prompts.
 };
 
--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -38,10 +38,10 @@
     return enumName(AttemptOutcomeNames, outcome);
 }
 
-ServerFleet::ServerFleet(const ServerFleetTimings &timings, EventLog &log)
+ServerFleet::ServerFleet(const ServerFleetTimings &timings, EventLog &log, std::uint32_t hostHash)
     : timings(timings)
     , log(log)
-    , serverLimits(log)
+    , serverLimits(ServerLimitSettings{}, hostHash, log)
 {}
 
 bool ServerFleet::put(const GatewayServer &server, TimePoint now)
@@ -122,9 +122,10 @@
 {
     for (auto record = this->records.begin(); record != this->records.end();) {
         const std::optional<TimePoint> removedAt = record->second.removedAt;
-        record = removedAt && now - *removedAt > this->timings.expiredEntryGrace
-                         ? this->records.erase(record)
-                         : std::next(record);
+        const bool isGone = removedAt && now - *removedAt > this->timings.expiredEntryGrace;
+        if (isGone)
+            this->serverLimits.forget(record->first);
+        record = isGone ? this->records.erase(record) : std::next(record);
     }
 }
 
@@ -336,12 +337,16 @@
 {
     std::vector<const Record *> chosen;
     std::vector<const Record *> suspected;
+    bool hasSoundServer = false;
     for (const auto &[id, record] : this->records) {
         if (record.server.pool != pool || !this->isSchedulable(record, now))
             continue;
-        (record.suspectedUntil > now ? suspected : chosen).push_back(&record);
+        const bool isSuspected = record.suspectedUntil > now;
+        hasSoundServer = hasSoundServer || !isSuspected;
+        if (this->serverLimits.mayReceive(id, now))
+            (isSuspected ? suspected : chosen).push_back(&record);
     }
-    if (chosen.empty())
+    if (!hasSoundServer)
         chosen = suspected;
     std::sort(chosen.begin(), chosen.end(),
               [](const Record *left, const Record *right) { return left->rank < right->rank; });
@@ -355,7 +360,8 @@
 bool ServerFleet::isUsable(const ServerId &server, TimePoint now) const
 {
     const auto found = this->records.find(server);
-    return found != this->records.end() && this->isSchedulable(found->second, now);
+    return found != this->records.end() && this->isSchedulable(found->second, now)
+           && this->serverLimits.mayReceive(server, now);
 }
 
 double ServerFleet::failureRate(const ServerId &server, TimePoint now) const
--- a/src/gateway/server_fleet.h
+++ b/src/gateway/server_fleet.h
@@ -72,7 +72,8 @@
 class ServerFleet
 {
 public:
-    ServerFleet(const ServerFleetTimings &timings, EventLog &log);
+    /// \a hostHash differs between the hosts that share the servers.
+    ServerFleet(const ServerFleetTimings &timings, EventLog &log, std::uint32_t hostHash = 0);
 
     /// Adds a server or updates its entry. A server that was leaving keeps leaving until it has
     /// another incarnation, since a store restored from a copy shows an earlier entry of it.
@@ -130,9 +131,16 @@
     const GatewayServer *find(const ServerId &server) const;
 
     /// Returns the servers of \a pool that may get requests, in the order that all hosts share.
-    /// Suspected servers are left out unless there is no other.
+    /// Suspected servers are left out unless there is no other, and those whose limit is used up.
     std::vector<const GatewayServer *> usable(const std::string &pool, TimePoint now) const;
 
+    /// Returns when the first server of \a pool may get a request if all of them are left out only
+    /// for the limits that they name; nullopt otherwise.
+    std::optional<TimePoint> limitOpening(const std::string &pool, TimePoint now) const;
+
+    /// Returns the requests per second that the limited servers of \a pool take from all hosts.
+    double limitedRate(const std::string &pool, TimePoint now) const;
+
     /// Returns true if \a server is known and may get requests; it may be suspected.
     bool isUsable(const ServerId &server, TimePoint now) const;
 
--- a/tests/gateway/test_prompt_updates.cpp
+++ b/tests/gateway/test_prompt_updates.cpp
@@ -66,6 +66,22 @@
         CHECK(decoded->leavingServers[0].serverHash == 7);
         CHECK(decoded->leavingServers[0].incarnation == 1'700'000'000'000);
     }
+    SECTION("limits of servers, named and lifted")
+    {
+        batch.limits = {{7, 3, 2, 1.8, 41}, {8, 4, 9, std::nullopt, 0}};
+        const auto decoded = decodePromptUpdates(encodePromptUpdates(batch));
+        REQUIRE(decoded);
+        REQUIRE(decoded->limits.size() == 2);
+        CHECK(decoded->limits[0].serverHash == 7);
+        CHECK(decoded->limits[0].incarnation == 3);
+        CHECK(decoded->limits[0].revision == 2);
+        CHECK(decoded->limits[0].limit == 1.8);
+        CHECK(decoded->limits[0].sent == 41);
+        CHECK_FALSE(decoded->limits[1].limit);
+
+        batch.limits[0].limit = -1.0;
+        CHECK_FALSE(decodePromptUpdates(encodePromptUpdates(batch)));
+    }
     SECTION("running prompts, with their age and remaining prefill")
     {
         batch.running = {{dispatchOf(4), milliseconds(1'200), milliseconds(300)}};
--- a/tests/gateway/test_server_announcements.cpp
+++ b/tests/gateway/test_server_announcements.cpp
@@ -68,7 +68,7 @@
     SECTION("an answer to a message about memory counts too")
     {
         bench.addServer("engine-1", "engines");
-        bench.controller.onServerHeaders("engine-1", 200, {{"Leaving", "1"}}, bench.now);
+        bench.controller.onServerHeaders("engine-1", 200, {{"Leaving", "1"}}, bench.now, bench.now);
         const HttpCallId call = bench.request("/questions/1", {{"Tokens", "100,10"}});
         CHECK(bench.outcome(call).status == 503);
     }
@@ -153,7 +153,7 @@
     ForwardBench bench;
     bench.addServer("engine-1", "engines");
     bench.addServer("engine-2", "engines");
-    bench.controller.onServerHeaders("engine-1", 503, pauseHeaders("3000"), bench.now);
+    bench.controller.onServerHeaders("engine-1", 503, pauseHeaders("3000"), bench.now, bench.now);
     for (int count = 0; count < 4; ++count)
         bench.request("/archives/1", {{"Tokens", "150000,10"}});
     REQUIRE_FALSE(bench.sentAttempts.empty());
--- a/tests/support/forward_bench.cpp
+++ b/tests/support/forward_bench.cpp
@@ -42,16 +42,16 @@
     return value == nullptr ? std::string() : *value;
 }
 
-ForwardBench::ForwardBench()
-    : fleet(ServerFleetTimings{}, this->log)
+ForwardBench::ForwardBench(std::uint32_t hostHash)
+    : fleet(ServerFleetTimings{}, this->log, hostHash)
     , promptPlacement(PromptPlacementSettings{}, "centro-a", this->fleet)
     , servicePlacement("centro-a", this->fleet, this->random)
     , retryBudget(RetryBudgetLimits{})
     , crashGuard(CrashLimits{}, this->metrics, this->log)
     , partGuard(PromptPartLimits{}, this->metrics, this->log)
     , controller(this->protocol, this->fleet, this->promptPlacement, this->servicePlacement,
-                 this->retryBudget, this->crashGuard, this->partGuard, *this, this->random, 1,
-                 this->metrics, this->log)
+                 this->retryBudget, this->crashGuard, this->partGuard, *this, this->random,
+                 hostHash, this->metrics, this->log)
 {
     using std::chrono::milliseconds;
     this->configuration.version = 1;
@@ -197,6 +197,11 @@
     this->leavingNotices.push_back(notice);
 }
 
+void ForwardBench::publishServerLimit(const ServerLimitNotice &notice)
+{
+    this->limitNotices.push_back(notice);
+}
+
 void ForwardBench::publishCrashNotice(const CrashNotice &notice)
 {
     this->crashNotices.push_back(notice);
--- a/tests/support/forward_bench.h
+++ b/tests/support/forward_bench.h
@@ -35,7 +35,8 @@
 class ForwardBench : private ForwardEffects
 {
 public:
-    ForwardBench();
+    /// \a hostHash differs between benches that share servers.
+    explicit ForwardBench(std::uint32_t hostHash = 1);
 
     /// Registers a server of \a pool.
     void addServer(const ServerId &id, const std::string &pool);
@@ -75,6 +76,7 @@
     std::vector<MemoryReservationRequest> reservationRequests;
     std::vector<PromptUpdate> promptUpdates;
     std::vector<ServerLeavingNotice> leavingNotices;
+    std::vector<ServerLimitNotice> limitNotices;
     std::vector<CrashNotice> crashNotices;
     std::size_t queuedBytes = 0;  ///< Number of bytes reported as queued for a caller.
     std::vector<bool> pauseCalls; ///< Arguments of pauseAttempt(), in order.
@@ -97,6 +99,7 @@
     void abortResponse(HttpCallId call) override;
     void publishPromptUpdate(const PromptUpdate &item) override;
     void publishServerLeaving(const ServerLeavingNotice &notice) override;
+    void publishServerLimit(const ServerLimitNotice &notice) override;
     void publishCrashNotice(const CrashNotice &notice) override;
 
     HttpCallId nextCall = 1;
--- a/tests/support/limited_fleet.h
+++ b/tests/support/limited_fleet.h
@@ -10,16 +10,30 @@
 
 namespace dotterel::support {
 
-/// Several hosts that forward to the same plain servers, in virtual time. The servers answer after
-/// 30 ms and may name a limit; what hosts tell each other arrives after a delay, or is lost.
+/// What callers of a LimitedFleet send.
+enum class LimitedLoad {
+    Lookups, ///< Requests that a plain server answers after 30 ms.
+    Prompts, ///< Streams of one event, which an engine sends after 30 ms.
+};
+
+/// Several hosts that forward to the same servers, in virtual time. The servers may
+/// name a limit; what hosts tell each other arrives after a delay, or is lost.
 class LimitedFleet
 {
 public:
-    LimitedFleet(std::size_t hostCount, std::size_t serverCount);
+    LimitedFleet(std::size_t hostCount, std::size_t serverCount,
+                 LimitedLoad load = LimitedLoad::Lookups);
 
     /// Makes a server name \a limit in its answers from now on; nullopt for none.
     void setLimit(std::size_t server, std::optional<double> limit);
 
+    /// Cuts the first \a count hosts off from the others, but not from the servers. \a known tells
+    /// whether the hosts on each side have learned that the others are out of touch.
+    void cut(std::size_t count, bool known);
+
+    /// Ends the process of \a host and starts another one.
+    void restart(std::size_t host);
+
     /// Plays \a duration with \a requestsPerSecond callers at random hosts.
     void play(Duration duration, double requestsPerSecond);
 
@@ -36,7 +50,7 @@
     TimePoint now{std::chrono::seconds(100)};
     std::size_t served = 0;
     std::size_t refused = 0;
-    std::string target = "/lookups/1"; ///< Of all requests.
+    double lossRate = 0; ///< Share of the notices between hosts that are lost.
 
 private:
     struct Server
@@ -54,12 +68,30 @@
         std::size_t server = 0;
     };
 
+    struct PendingNotice
+    {
+        TimePoint dueAt;
+        std::size_t sender = 0;
+        std::size_t receiver = 0;
+        std::uint32_t senderHash = 0;
+        ServerLimitNotice notice;
+    };
+
+    void startHost(std::size_t host);
+    void sendNotices(std::size_t host);
+    void deliverDueNotices();
+    bool isCut(std::size_t left, std::size_t right) const;
     void sendRequest(std::size_t host);
     void collectAttempts(std::size_t host);
     void answerDueAttempts();
     void countOutcomes();
 
+    LimitedLoad load;
     std::vector<std::unique_ptr<ForwardBench>> hosts;
+    std::vector<std::uint32_t> hostHashes;
+    std::uint32_t nextHostHash = 1;
+    std::size_t cutHosts = 0;
+    std::deque<PendingNotice> notices;
     std::vector<std::size_t> collectedAttempts; ///< Number of attempts of each host seen so far.
     std::vector<Server> servers;
     std::deque<PendingAnswer> answers;
--- a/tests/support/plain_gateway_protocol.h
+++ b/tests/support/plain_gateway_protocol.h
@@ -7,8 +7,8 @@
 /// A GatewayProtocol with header names of its own and bare numbers, for tests of the gateway.
 ///
 /// Callers send Id, Patience-Ms, Key, Tokens ("P,A"), Parts ("ID:TOKENS,...") and After; servers
-/// answer with Signed, Not-Run, Load and Limit. A configuration or a server is read from a table that the
-/// test fills.
+/// answer with Signed, Not-Run, Load and Limit. A configuration or a server is read from a table
+/// that the test fills.
 class PlainGatewayProtocol : public GatewayProtocol
 {
 public:
