Hand requests to another host when this one reaches no server of a pool

Cause: a host has no way to a server but its own. Class: a decision from the view of one host alone, where its peers know better.

Fix: after two refused connects or a silent attempt with no word from the pool meanwhile, a request goes to another live host in one hop, with its workspace, deadline, attempts and last event; that host places it under its own admission, crash guard and limits of servers, and never hands it on. ServiceReach tells a cut from single servers that are down (all of up to three servers fail with no contact between); while it lasts, requests go to other hosts at once, and probes with each heartbeat, two answered in a row, bring the pool back. RelayPeers prefers the own failure domain while half of it can serve; hosts tell each other what they do not reach. If no host does, requests are refused at once as not run. Hops use plain HTTP on a port of their own: streams, flow control and cancellation are those of the transport, and the mesh keeps its heartbeats. Hosts of earlier versions state no such port and are not asked.

--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -28,6 +28,9 @@
     /// Sets the address at which this host accepts links. Must be called before the first tick.
     void setAddress(const Endpoint &address) { this->self.peerEndpoint = address; }
 
+    /// Sets the port on which this host takes over requests. Must be called before the first tick.
+    void setRelayPort(std::uint16_t port) { this->self.relayPort = port; }
+
     /// Must be called once per tick. Returns the heartbeat to send to all linked peers, if one is
     /// due.
     std::optional<Heartbeat> onTick(TimePoint now);
--- a/src/core/metric_catalogue.cpp
+++ b/src/core/metric_catalogue.cpp
@@ -58,6 +58,9 @@
          "Streams that ended inside an event, or with their connection before their first event."},
         {Counter::ResponsesTooLarge,
          "Responses cut off because more of them had to be held than the limits allow."},
+        {Counter::RequestsRelayed,
+         "Requests handed to another host since this one reaches no server of their pool."},
+        {Counter::RelayedRequestsTaken, "Requests of other hosts that were taken over."},
         {Counter::PromptsHeld, "Prompts that waited at the entry host for a better place."},
 };
 
@@ -69,6 +72,7 @@
         {Gauge::LiveMembers, "Live entry hosts, including this one."},
         {Gauge::BackendServersUsable, "Configured backend servers."},
         {Gauge::BackendServersLimited, "Backend servers that name a limit of requests."},
+        {Gauge::PoolsOutOfReach, "Pools of which this host reaches no server."},
         {Gauge::QueuedBytes, "Response bytes buffered for callers that have not read them yet."},
         {Gauge::CrashSuspectsKnown, "Requests that are suspected of crashing backend servers."},
         {Gauge::CrashSuspectsRefused,
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -27,7 +27,7 @@
         {LengthBand::UpTo1M, "256k-1M"},
 }};
 
-constexpr std::array<EnumName<Counter>, 26> CounterNames = {{
+constexpr std::array<EnumName<Counter>, 28> CounterNames = {{
         {Counter::RequestsAdmitted, "requests_admitted"},
         {Counter::RequestsFinished, "requests_finished"},
         {Counter::ForeignBytesDropped, "foreign_bytes_dropped"},
@@ -53,10 +53,12 @@
         {Counter::RetriesWithheld, "retries_withheld"},
         {Counter::StreamsTorn, "streams_torn"},
         {Counter::ResponsesTooLarge, "responses_too_large"},
+        {Counter::RequestsRelayed, "requests_relayed"},
+        {Counter::RelayedRequestsTaken, "relayed_requests_taken"},
         {Counter::PromptsHeld, "prompts_held"},
 }};
 
-constexpr std::array<EnumName<Gauge>, 12> GaugeNames = {{
+constexpr std::array<EnumName<Gauge>, 13> GaugeNames = {{
         {Gauge::ConfigurationVersion, "configuration_version"},
         {Gauge::PlatformRevision, "platform_revision"},
         {Gauge::PlatformEra, "platform_era"},
@@ -64,6 +66,7 @@
         {Gauge::LiveMembers, "live_members"},
         {Gauge::BackendServersUsable, "backend_servers_usable"},
         {Gauge::BackendServersLimited, "backend_servers_limited"},
+        {Gauge::PoolsOutOfReach, "pools_out_of_reach"},
         {Gauge::QueuedBytes, "queued_bytes"},
         {Gauge::CrashSuspectsKnown, "crash_suspects_known"},
         {Gauge::CrashSuspectsRefused, "crash_suspects_refused"},
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -65,6 +65,8 @@
     RetriesWithheld, ///< Retries that the retry budget did not allow.
     StreamsTorn,     ///< Streams whose framing was whole and whose events were not.
     ResponsesTooLarge,
+    RequestsRelayed,
+    RelayedRequestsTaken,
     PromptsHeld, ///< Prompts that waited at the host for a better place.
 };
 
@@ -80,6 +82,7 @@
     LiveMembers,
     BackendServersUsable,
     BackendServersLimited,
+    PoolsOutOfReach,
     QueuedBytes,
     CrashSuspectsKnown,
     CrashSuspectsRefused,
--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -49,6 +49,7 @@
             {Reason::UnknownRoute, "unknown_route", 404, false},
             {Reason::UnknownKey, "unknown_key", 401, false},
             {Reason::ServersLimited, "servers_limited", 503, true},
+            {Reason::ServiceOutOfReach, "service_out_of_reach", 503, true},
     };
     return table;
 }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -48,6 +48,7 @@
     UnknownRoute,
     UnknownKey,
     ServersLimited,
+    ServiceOutOfReach,
 };
 
 /// Static properties of a Reason.
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -18,6 +18,8 @@
 /// rest of the limit is available to callers.
 constexpr std::uint64_t ReservedFileDescriptors = 200;
 constexpr std::uint64_t ReservedOutgoingDescriptors = 600;
+/// Connections for requests of other hosts.
+constexpr std::uint64_t ReservedRelayDescriptors = 200;
 /// Buffered request bodies may take this fraction (1/4) of the memory of the process.
 constexpr std::uint64_t BufferedBodyMemoryDivisor = 4;
 /// Responses that are held back may take this fraction (1/8) of it.
@@ -39,6 +41,16 @@
     return bound;
 }
 
+Endpoint relayEndpoint(const Settings &settings)
+{
+    if (!settings.relay.address.empty())
+        return settings.relay;
+    const std::uint16_t port = settings.peers.port == 0
+                                       ? std::uint16_t{0}
+                                       : static_cast<std::uint16_t>(settings.peers.port + 1);
+    return {settings.peers.address, port};
+}
+
 } // namespace
 
 GatewayHost::GatewayHost(EventLoop &loop, const Settings &settings, Incarnation incarnation,
@@ -58,13 +70,19 @@
     , retryAllowance(retryBoundOf(settings))
     , crashGuard(CrashLimits{}, this->metrics, log)
     , partGuard(PromptPartLimits{}, this->metrics, log)
+    , reach(log)
+    , relayPeers(settings.failureDomain, this->random)
     , controller(protocol, this->fleet, this->promptPlacement, this->servicePlacement,
-                 this->retryAllowance, this->crashGuard, this->partGuard, *this, this->random,
+                 this->retryAllowance, this->crashGuard, this->partGuard, this->reach,
+                 this->relayPeers, *this, this->random, settings.host,
                  promptSenderHash(this->identity), this->metrics, log)
     , httpClient(loop, KeepAliveHttpClientLimits{})
     , attempts(loop, this->httpClient, this->controller,
                [this] { this->scheduleControllerTimer(); })
     , callerServer(loop, settings.callers, this->callerServerLimits(), *this)
+    , relayListener(
+              loop, relayEndpoint(settings), this->relayServerLimits(), this->controller,
+              [this] { this->scheduleControllerTimer(); }, log)
     , membership(this->identity, settings.heartbeatInterval, this->metrics, log)
     , peerMesh(loop, settings.peers, settings.host,
                settings.heartbeatInterval * PeerTimeoutHeartbeats, *this, this->random,
@@ -106,6 +124,7 @@
                       })
     , operatorApi(loop, settings.operators, *this, this->metrics)
 {
+    this->membership.setRelayPort(this->relayListener.server().endpoint().port);
     this->partGuard.setTrialDuty([this](const std::string &key) {
         return isTaskAssigned(this->identity, this->membership.liveMembers(), key, 1);
     });
@@ -135,13 +154,32 @@
         limits.idleTimeout = callers.idleTimeout;
     }
     limits.maxBufferedBytes = this->settings.memoryMb * BytesPerMb / BufferedBodyMemoryDivisor;
-    const std::uint64_t reservedDescriptors = ReservedFileDescriptors + ReservedOutgoingDescriptors;
+    const std::uint64_t reservedDescriptors =
+            ReservedFileDescriptors + ReservedOutgoingDescriptors + ReservedRelayDescriptors;
     limits.maxConnections = this->settings.maxOpenFiles > 2 * reservedDescriptors
                                     ? this->settings.maxOpenFiles - reservedDescriptors
                                     : this->settings.maxOpenFiles / 2;
     return limits;
 }
 
+KeepAliveHttpServerLimits GatewayHost::relayServerLimits() const
+{
+    KeepAliveHttpServerLimits limits = this->callerServerLimits();
+    limits.maxBufferedBytes /= 2;
+    limits.maxConnections = std::min<std::size_t>(limits.maxConnections, ReservedRelayDescriptors);
+    // The envelope adds to a head that the caller's host has checked.
+    limits.maxHeadBytes *= 2;
+    return limits;
+}
+
+KeepAliveHttpServer &GatewayHost::serverOf(HttpCallId &call)
+{
+    if (!RelayListener::isRelayed(call))
+        return this->callerServer;
+    call = RelayListener::serverCall(call);
+    return this->relayListener.server();
+}
+
 ResponseLimits GatewayHost::heldResponseLimits() const
 {
     ResponseLimits limits;
@@ -175,6 +213,7 @@
     this->settings.shutdownLimitSeconds = newSettings.shutdownLimitSeconds;
     this->settings.maxHeldResponseBytes = newSettings.maxHeldResponseBytes;
     this->callerServer.setLimits(this->callerServerLimits());
+    this->relayListener.server().setLimits(this->relayServerLimits());
     this->controller.setResponseLimits(this->heldResponseLimits());
     this->log.write(Event::SettingsReloaded, {});
 }
@@ -191,10 +230,13 @@
                     {{"in_flight", static_cast<std::int64_t>(this->controller.inFlight())}});
     this->membership.beginLeaving();
     this->callerServer.closeAfterReplies();
+    this->relayListener.server().closeAfterReplies();
     this->drainTimer = this->loop.after(LoadBalancerReactionTime, [this] {
         this->callerServer.stopListening();
         // A request that arrives later on a kept connection might not finish before the limit.
         this->callerServer.closeIdleConnections();
+        this->relayListener.server().stopListening();
+        this->relayListener.server().closeIdleConnections();
         this->drainTimer =
                 this->loop.every(DrainCheckInterval, [this] { this->finishShutdownWhenIdle(); });
     });
@@ -202,7 +244,8 @@
 
 void GatewayHost::finishShutdownWhenIdle()
 {
-    const bool idle = this->controller.inFlight() == 0 && this->callerServer.isIdle();
+    const bool idle = this->controller.inFlight() == 0 && this->callerServer.isIdle()
+                      && this->relayListener.server().isIdle();
     if (!idle && this->loop.now() < this->shutdownDeadline)
         return;
     this->drainTimer.reset();
@@ -264,29 +307,34 @@
 void GatewayHost::sendResponse(HttpCallId call, int status, const HttpHeaders &headers,
                                std::string_view body)
 {
-    this->callerServer.reply(call, status, headers, body);
+    KeepAliveHttpServer &server = this->serverOf(call);
+    server.reply(call, status, headers, body);
 }
 
 void GatewayHost::startResponse(HttpCallId call, int status, const HttpHeaders &headers,
                                 std::optional<std::uint64_t> length)
 {
-    this->callerServer.startReply(call, status, headers, length);
+    KeepAliveHttpServer &server = this->serverOf(call);
+    server.startReply(call, status, headers, length);
 }
 
 std::size_t GatewayHost::sendResponseData(HttpCallId call, std::string_view bytes)
 {
-    this->callerServer.sendBodyPart(call, bytes);
-    return this->callerServer.unsentBytes(call);
+    KeepAliveHttpServer &server = this->serverOf(call);
+    server.sendBodyPart(call, bytes);
+    return server.unsentBytes(call);
 }
 
 void GatewayHost::endResponse(HttpCallId call)
 {
-    this->callerServer.endReply(call);
+    KeepAliveHttpServer &server = this->serverOf(call);
+    server.endReply(call);
 }
 
 void GatewayHost::abortResponse(HttpCallId call)
 {
-    this->callerServer.abortReply(call);
+    KeepAliveHttpServer &server = this->serverOf(call);
+    server.abortReply(call);
 }
 
 void GatewayHost::publishPromptUpdate(const PromptUpdate &item)
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -9,6 +9,7 @@
 #include "entry_host/operator_api.h"
 #include "entry_host/peer_mesh.h"
 #include "entry_host/prompt_update_channel.h"
+#include "entry_host/relay_listener.h"
 #include "gateway/host_entries.h"
 #include "gateway/host_entry_reconciler.h"
 #include "gateway/prompt_update_peers.h"
@@ -127,6 +128,13 @@
     void scheduleControllerTimer();
     void finishShutdownWhenIdle();
     KeepAliveHttpServerLimits callerServerLimits() const;
+    KeepAliveHttpServerLimits relayServerLimits() const;
+    /// Returns the server of \a call and sets \a call to its id there.
+    KeepAliveHttpServer &serverOf(HttpCallId &call);
+    /// Tells the other hosts which pools are out of reach, and probes some of their servers.
+    void checkReach();
+    void probeServer(const GatewayServer &server);
+    void updateRelayPeers(const std::vector<MemberRecord> &live);
     ResponseLimits heldResponseLimits() const;
 
     EventLoop &loop;
@@ -145,10 +153,13 @@
     RetryBudget retryAllowance;
     CrashGuard crashGuard;
     PromptPartGuard partGuard;
+    ServiceReach reach;
+    RelayPeers relayPeers;
     ForwardController controller;
     KeepAliveHttpClient httpClient;
     GatewayAttempts attempts;
     KeepAliveHttpServer callerServer;
+    RelayListener relayListener;
     Membership membership;
     PeerMesh peerMesh;
     CollectionHostList hostList;
@@ -166,6 +177,8 @@
     std::set<std::uint32_t> promptSenders; ///< Hashes of the hosts at the last heartbeat.
     std::uint64_t nextMemoryRequestId = 1;
     std::map<std::uint64_t, std::unique_ptr<HttpFetch>> memoryRequests;
+    std::uint64_t nextProbe = 0; ///< Counts probes; selects the servers in turn.
+    std::map<std::uint64_t, std::unique_ptr<HttpFetch>> probes;
     std::uint64_t registeredEra = 0; ///< Latest era in which the host entry was written again.
     std::optional<TimePoint> lastLinkCheck;
     TimePoint crashNoticesRepeatedAt;
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -164,6 +164,8 @@
     this->retryAllowance.setHostCount(
             std::max<std::size_t>(live.size(), this->settings.sharedHosts));
     this->shareLimits(live.size());
+    this->updateRelayPeers(live);
+    this->checkReach();
 }
 
 void GatewayHost::shareLimits(std::size_t liveHosts)
@@ -274,6 +276,7 @@
                 std::make_shared<RouteTable>(std::make_shared<const GatewayConfiguration>(*parsed));
         this->controller.setRouteTable(this->routes);
         this->callerServer.setLimits(this->callerServerLimits());
+        this->relayListener.server().setLimits(this->relayServerLimits());
         this->membershipDriver.announceConfiguration(parsed->version);
         this->metrics.set(Gauge::ConfigurationVersion, static_cast<double>(parsed->version));
         this->log.write(Event::ConfigurationApplied,
@@ -305,6 +308,9 @@
         }
         if (context.mayBeRestored)
             this->fleet.doubtIfDeparted(*parsed, now);
+        const GatewayServer *known = this->fleet.find(parsed->id);
+        if (known == nullptr || known->incarnation != parsed->incarnation)
+            this->reach.onServerStarted(parsed->pool, now);
         if (this->fleet.put(*parsed, now))
             this->promptPlacement.onServerReset(parsed->id);
         this->serversByHash[hash32(parsed->id)] = parsed->id;
@@ -351,6 +357,8 @@
         this->recordLeaving(notice);
     for (const ServerLimitNotice &notice : update.limits)
         this->recordLimit(update.senderHash, notice);
+    if (!update.poolsOutOfReach.empty())
+        this->relayPeers.onOutOfReach(update.senderHash, update.poolsOutOfReach, now);
     for (const RunningPrompt &running : update.running)
         this->addRemoteDispatch(update.senderHash, running, false);
     if (update.joinedAt) {
--- a/src/entry_host/prompt_update_channel.cpp
+++ b/src/entry_host/prompt_update_channel.cpp
@@ -111,6 +111,16 @@
         this->socket.send(peer, bytes);
 }
 
+void PromptUpdateChannel::announceOutOfReach(const std::vector<std::uint32_t> &poolHashes)
+{
+    PromptUpdateBatch batch;
+    batch.senderHash = this->pending.senderHash;
+    batch.poolsOutOfReach = poolHashes;
+    const std::string bytes = encodePromptUpdates(batch);
+    for (const Endpoint &peer : this->peers)
+        this->socket.send(peer, bytes);
+}
+
 void PromptUpdateChannel::sendRunning(const Endpoint &peer,
                                       const std::vector<RunningPrompt> &prompts)
 {
--- a/src/entry_host/prompt_update_channel.h
+++ b/src/entry_host/prompt_update_channel.h
@@ -36,6 +36,9 @@
     /// notice about it.
     void enqueueLimit(const ServerLimitNotice &notice);
 
+    /// Tells the peers of which pools, by the hashes of their names, this host reaches no server.
+    void announceOutOfReach(const std::vector<std::uint32_t> &poolHashes);
+
     /// Sends \a limits to \a peer.
     void sendLimits(const Endpoint &peer, const std::vector<ServerLimitNotice> &limits);
 
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -4,6 +4,28 @@
 
 namespace dotterel {
 
+namespace {
+
+/// Minimum and mean timeout that callers send with their first request, as fractions of the
+/// route's timeout. A shorter timeout identifies a retry by the caller.
+constexpr double MinFirstTimeoutFraction = 0.84;
+constexpr double MeanFirstTimeoutFraction = 0.92;
+
+} // namespace
+
+// A caller that retries sends the rest of its original timeout, whereas the timeouts of first
+// requests differ from each other by at most a sixth.
+Duration earlierWait(const ForwardCall &call)
+{
+    if (call.relay)
+        return call.relay->waited;
+    const Duration routeTimeout = call.route->timeout;
+    const Duration callerTimeout = call.metadata.callerTimeout.value_or(routeTimeout);
+    if (toSeconds(callerTimeout) >= toSeconds(routeTimeout) * MinFirstTimeoutFraction)
+        return Duration::zero();
+    return fromSeconds(toSeconds(routeTimeout) * MeanFirstTimeoutFraction) - callerTimeout;
+}
+
 bool ForwardAttempt::isDiscarded() const
 {
     return this->metadata.notRun || this->metadata.isWrongServer || impliesNotRun(this->status)
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -4,6 +4,7 @@
 #include "gateway/forward_effects.h"
 #include "gateway/prompt_placement.h"
 #include "gateway/prompt_updates.h"
+#include "gateway/relay_envelope.h"
 #include "gateway/route_table.h"
 
 #include <memory>
@@ -26,8 +27,10 @@
 struct ForwardAttempt
 {
     ForwardAttemptId id = 0;
-    ServerId server;
-    std::vector<PrefillHelper> helpers; ///< Engines that prefill parts of the prompt.
+    ServerId server;                          ///< Empty if the attempt goes through another host.
+    HostId relayHost;                         ///< That host; empty otherwise.
+    std::optional<RelayRefusal> relayRefusal; ///< Set once that host has refused the request.
+    std::vector<PrefillHelper> helpers;       ///< Engines that prefill parts of the prompt.
     bool isPrompt = false;
     TimePoint sentAt;
     Duration predictedLatency = Duration::zero(); ///< Expected time to the first event or response.
@@ -46,6 +49,9 @@
     bool provedSound = false;    ///< The response went on for a while after its first event.
     PromptUpdate dispatchUpdate; ///< What the other hosts were told; prompts only.
 
+    /// Returns true if another host brings the request to a server.
+    bool isRelayed() const { return !this->relayHost.empty(); }
+
     /// Returns true if the response carries the server's body, unchanged.
     bool hasGenuineBody() const
     {
@@ -65,7 +71,10 @@
     RequestMetadata metadata;
     std::shared_ptr<const GatewayConfiguration> configuration; ///< Owns the route.
     const Route *route = nullptr;
-    std::string pool; ///< Chosen for the first attempt and kept for retries.
+    std::optional<RelayEnvelope> relay; ///< Set if the request came from another host.
+    std::set<HostId> triedHosts;        ///< To which the request was handed.
+    std::size_t pathFailures = 0;       ///< Signs that this host reaches no server of the pool.
+    std::string pool;                   ///< Chosen for the first attempt and kept for retries.
     std::string workspace;
     std::string fingerprint;           ///< Computed on first use.
     std::vector<std::string> partKeys; ///< See PromptPartGuard::keys(); computed on first use.
@@ -93,4 +102,7 @@
     bool readingPaused = false;                   ///< Reading the response waits for a slow caller.
 };
 
+/// Estimates how long the caller waited before \a call; 0 if this is its first attempt.
+Duration earlierWait(const ForwardCall &call);
+
 } // namespace dotterel
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -59,7 +59,8 @@
                                      PromptPlacement &promptPlacement,
                                      ServicePlacement &servicePlacement, RetryBudget &retryBudget,
                                      CrashGuard &crashGuard, PromptPartGuard &partGuard,
-                                     ForwardEffects &effects, RandomSource &random,
+                                     ServiceReach &reach, RelayPeers &relayPeers,
+                                     ForwardEffects &effects, RandomSource &random, HostId hostName,
                                      std::uint32_t senderHash, Metrics &metrics, EventLog &log)
     : protocol(protocol)
     , fleet(fleet)
@@ -69,8 +70,11 @@
     , retryBudget(retryBudget)
     , crashGuard(crashGuard)
     , partGuard(partGuard)
+    , reach(reach)
+    , relayPeers(relayPeers)
     , effects(effects)
     , random(random)
+    , hostName(std::move(hostName))
     , senderHash(senderHash)
     , metrics(metrics)
     , log(log)
@@ -177,6 +181,8 @@
             this->doubtIfSilent(call, now);
             this->effects.cancelAttempt(call.attempt->id);
             const bool noResponse = call.attempt->status == 0;
+            if (!call.attempt->isRelayed())
+                this->recordPathFailure(call, true, call.attempt->lastDataAt, now);
             this->endAttempt(call, noResponse ? AttemptOutcome::Silent : AttemptOutcome::Failed,
                              now);
             this->retryOrRefuse(
@@ -242,14 +248,20 @@
     if (call.responseStarted)
         this->effects.abortResponse(call.id);
     else
-        this->effects.sendResponse(
-                call.id, status,
-                this->protocol.refusalHeaders(call.metadata,
-                                              call.mayHaveRun ? std::nullopt : retryAfter),
-                "");
+        this->sendRefusal(call, status, reason, call.mayHaveRun ? std::nullopt : retryAfter);
     this->removeCall(call, now);
 }
 
+void ForwardController::sendRefusal(const ForwardCall &call, int status, Reason reason,
+                                    std::optional<Duration> retryAfter)
+{
+    HttpHeaders headers = this->protocol.refusalHeaders(call.metadata, retryAfter);
+    if (call.relay)
+        addRelayRefusal(headers, {call.mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun, reason,
+                                  retryAfter});
+    this->effects.sendResponse(call.id, status, headers, "");
+}
+
 void ForwardController::finish(ForwardCall &call, int status, TimePoint now)
 {
     this->metrics.count(Counter::RequestsFinished, 1);
@@ -263,6 +275,7 @@
                      {"route", call.route->name},
                      {"status", status},
                      {"server", attempt.server},
+                     {"through", attempt.relayHost},
                      {"attempts", static_cast<std::int64_t>(call.attemptsSent)},
                      {"framing", framingName(attempt)},
                      {"body_bytes", static_cast<std::int64_t>(attempt.bodyBytes)},
@@ -272,7 +285,7 @@
                      {"first_event_ms", toMs(call.timeToFirstEvent)},
                      {"longest_pause_ms", toMs(call.longestEventGap)},
                      {"took_ms", toMs(now - call.arrivedAt)}});
-    if (isSuccess(status) && call.attempt)
+    if (isSuccess(status) && call.attempt && !call.attempt->isRelayed())
         this->recordSuccess(call, now);
     this->endAttempt(call, AttemptOutcome::Answered, now);
     this->removeCall(call, now);
@@ -304,6 +317,7 @@
     this->log.write(Event::AttemptFailed,
                     {{"request", call.metadata.requestId},
                      {"server", attempt.server},
+                     {"through", attempt.relayHost},
                      {"outcome", std::string(outcome)},
                      {"status", attempt.status},
                      {"verdict", std::string(verdictName(verdict))},
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -6,9 +6,11 @@
 #include "gateway/forward_call.h"
 #include "gateway/prompt_hold.h"
 #include "gateway/prompt_placement.h"
+#include "gateway/relay_peers.h"
 #include "gateway/response_limits.h"
 #include "gateway/retry_budget.h"
 #include "gateway/return_schedule.h"
+#include "gateway/service_reach.h"
 
 #include <algorithm>
 #include <map>
@@ -28,7 +30,8 @@
     ForwardController(const GatewayProtocol &protocol, ServerFleet &fleet,
                       PromptPlacement &promptPlacement, ServicePlacement &servicePlacement,
                       RetryBudget &retryBudget, CrashGuard &crashGuard, PromptPartGuard &partGuard,
-                      ForwardEffects &effects, RandomSource &random, std::uint32_t senderHash,
+                      ServiceReach &reach, RelayPeers &relayPeers, ForwardEffects &effects,
+                      RandomSource &random, HostId hostName, std::uint32_t senderHash,
                       Metrics &metrics, EventLog &log);
 
     /// Sets the route table for requests that arrive from now on. Requests in flight keep the
@@ -51,6 +54,11 @@
     void onRequest(HttpCallId id, HttpMessageHead &&head, std::shared_ptr<const std::string> body,
                    TimePoint now);
 
+    /// A request of another host, which reaches no server of its pool, was received completely.
+    void onRelayedRequest(HttpCallId id, HttpMessageHead &&head,
+                          std::shared_ptr<const std::string> body, const RelayEnvelope &envelope,
+                          TimePoint now);
+
     /// The caller closed its connection; the attempt in progress is cancelled.
     void onCallerDisconnected(HttpCallId id, TimePoint now);
 
@@ -98,6 +106,14 @@
     bool admit(ForwardCall &call, TimePoint now);
     void dispatch(ForwardCall &call, TimePoint now);
     void dispatchPrompt(ForwardCall &call, const ServerPool &pool, TimePoint now);
+    /// Hands the request to another host if this one seems to reach no server of its pool; returns
+    /// true if it did.
+    bool relay(ForwardCall &call, TimePoint now);
+    void onRelayComplete(ForwardCall &call, TimePoint now);
+    void onRelayFailed(ForwardCall &call, std::string_view outcome, Verdict verdict, TimePoint now);
+    void refuseOutOfReach(ForwardCall &call, TimePoint now);
+    /// Records that the attempt was refused a connection or, from \a since on, got no answer.
+    void recordPathFailure(ForwardCall &call, bool wasSilent, TimePoint since, TimePoint now);
     /// Holds the prompt if that is expected to find a better place for it; returns true if it is
     /// held.
     bool hold(ForwardCall &call, const PromptPlacementResult &decision, TimePoint now);
@@ -180,6 +196,8 @@
     /// Ends a request with a refusal, or aborts its response if part of it was sent already.
     void refuse(ForwardCall &call, Reason reason, std::optional<Duration> retryAfter, TimePoint now,
                 const std::string &detail = "");
+    void sendRefusal(const ForwardCall &call, int status, Reason reason,
+                     std::optional<Duration> retryAfter);
     void finish(ForwardCall &call, int status, TimePoint now);
     void removeCall(ForwardCall &call, TimePoint now);
 
@@ -223,8 +241,11 @@
     RetryBudget &retryBudget;
     CrashGuard &crashGuard;
     PromptPartGuard &partGuard;
+    ServiceReach &reach;
+    RelayPeers &relayPeers;
     ForwardEffects &effects;
     RandomSource &random;
+    HostId hostName;
     std::uint32_t senderHash; ///< Identifies this incarnation of the host in prompt updates.
     Metrics &metrics;
     EventLog &log;
--- a/src/gateway/forward_crashes.cpp
+++ b/src/gateway/forward_crashes.cpp
@@ -143,7 +143,8 @@
 
 void ForwardController::doubtIfSilent(ForwardCall &call, TimePoint now)
 {
-    if (call.attempt && !call.readingPaused && now - call.attempt->lastDataAt >= MinDoubtfulSilence)
+    if (call.attempt && !call.attempt->isRelayed() && !call.readingPaused
+        && now - call.attempt->lastDataAt >= MinDoubtfulSilence)
         this->doubtEnd(call, DoubtfulEndKind::Silence, call.attempt->lastDataAt, now);
 }
 
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -24,10 +24,6 @@
 /// Maximum jitter added to the retry delay, as a fraction of it. It spreads the retries of callers
 /// that were refused at the same time.
 constexpr double RetryAfterJitter = 0.25;
-/// Minimum and mean timeout that callers send with their first request, as fractions of the
-/// route's timeout. A shorter timeout identifies a retry by the caller.
-constexpr double MinFirstTimeoutFraction = 0.84;
-constexpr double MeanFirstTimeoutFraction = 0.92;
 /// Callers abandon a stream after a gap without events that is longer than each of these: a fixed
 /// time, a multiple of the latency goal and a multiple of the event gap goal.
 constexpr Duration MinStreamAbandonTime = std::chrono::seconds(2);
@@ -83,24 +79,22 @@
     return text;
 }
 
-/// Estimates how long the caller waited before this request; 0 if this is its first one. A caller
-/// that retries sends the rest of its original timeout, whereas the timeouts of first requests
-/// differ from each other by at most a sixth.
-Duration estimateEarlierWait(const ForwardCall &call)
-{
-    const Duration routeTimeout = call.route->timeout;
-    const Duration callerTimeout = call.metadata.callerTimeout.value_or(routeTimeout);
-    if (toSeconds(callerTimeout) >= toSeconds(routeTimeout) * MinFirstTimeoutFraction)
-        return Duration::zero();
-    return fromSeconds(toSeconds(routeTimeout) * MeanFirstTimeoutFraction) - callerTimeout;
-}
-
 } // namespace
 
 void ForwardController::dispatch(ForwardCall &call, TimePoint now)
 {
     if (call.deadline - now < MinAttemptTime)
         return this->refuse(call, Reason::DeadlineExceeded, std::nullopt, now);
+    // Retries use the pool that was chosen for the first attempt.
+    if (call.pool.empty()) {
+        call.pool = this->choosePool(call);
+        this->retryBudget.onRequest(call.pool, now);
+    }
+    if (this->relay(call, now))
+        return;
+    const bool isSettled = call.relay || this->reach.isConfirmed(call.pool);
+    if (this->reach.isOutOfReach(call.pool) && isSettled)
+        return this->refuseOutOfReach(call, now);
     if (!this->crashGuard.empty()
         && this->crashGuard.shouldRefuse(this->requestFingerprint(call), now))
         return this->refuse(call, Reason::CrashesBackendServers, std::nullopt, now,
@@ -110,11 +104,6 @@
                                     : this->partGuard.refusedKey(this->promptPartKeys(call), now);
     if (!refusedPart.empty())
         return this->refuse(call, Reason::CrashesBackendServers, std::nullopt, now, refusedPart);
-    // Retries use the pool that was chosen for the first attempt.
-    if (call.pool.empty()) {
-        call.pool = this->choosePool(call);
-        this->retryBudget.onRequest(call.pool, now);
-    }
     const auto pool = call.configuration->pools.find(call.pool);
     if (pool == call.configuration->pools.end())
         return this->refuse(call, Reason::NoBackendServer, NoServerRetryAfter, now, call.pool);
@@ -151,10 +140,11 @@
     demand.outputTokens = call.metadata.outputTokens;
     demand.firstEventTarget = route.latencyGoal;
     demand.maxEventGap = route.eventGapGoal;
-    const Duration earlierWait = estimateEarlierWait(call);
-    demand.refusedBefore = earlierWait > Duration::zero();
-    demand.answerStarted = call.responseStarted;
-    demand.elapsed = earlierWait + (now - call.arrivedAt);
+    const Duration waited = earlierWait(call);
+    demand.refusedBefore = waited > Duration::zero();
+    demand.answerStarted =
+            call.responseStarted || (call.relay && call.relay->resumeAfter.has_value());
+    demand.elapsed = waited + (now - call.arrivedAt);
     demand.callerTimeLeft =
             std::min(call.deadline - now, streamAbandonTime(route) - (now - call.arrivedAt));
     demand.value = promptValue(this->promptPlacement.activeSettings().valueModel,
@@ -224,7 +214,7 @@
             call.responseStarted
                     ? fromSeconds(toSeconds(streamAbandonTime(*call.route)) * UsableGapFraction)
                     : fromSeconds(toSeconds(call.route->latencyGoal) * UsableGoalFraction)
-                              - estimateEarlierWait(call);
+                              - earlierWait(call);
     const TimePoint lastUse =
             (call.responseStarted ? call.lastEventAt : call.arrivedAt) + usableTime;
     if (*opening > lastUse || *opening + MinAttemptTime > call.deadline)
@@ -377,6 +367,9 @@
     // A server that sends events of other streams is busy, not gone, and another one would have to
     // start from the beginning.
     const TimePoint due = attempt.sentAt + inactivityLimit;
+    // The other host judges its server first.
+    if (attempt.isRelayed())
+        return due + MinInactivityLimit;
     const std::optional<TimePoint> lastSign = this->fleet.lastSignOfLife(attempt.server);
     if (!attempt.isPrompt || !lastSign)
         return due;
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -31,6 +31,14 @@
     attempt.headers = headers;
     attempt.lastDataAt = now;
     attempt.metadata = this->protocol.parseResponseHead(status, headers);
+    if (attempt.isRelayed()) {
+        // What a server says of itself is for the host that asked it.
+        attempt.relayRefusal = parseRelayRefusal(headers);
+        call->mayHaveRun = call->mayHaveRun || !attempt.relayRefusal
+                           || attempt.relayRefusal->verdict != Verdict::NotRun;
+        return;
+    }
+    this->reach.onContact(call->pool, now);
     this->recordAnnouncements(attempt.server, attempt.metadata, attempt.sentAt, now);
     if (attempt.metadata.load)
         this->servicePlacement.onLoadReported(attempt.server, *attempt.metadata.load, now);
@@ -89,7 +97,10 @@
     ForwardAttempt &attempt = *call->attempt;
     attempt.lastDataAt = now;
     attempt.bodyBytes += bytes.size();
-    this->fleet.onSignOfLife(attempt.server, now);
+    if (!attempt.isRelayed()) {
+        this->fleet.onSignOfLife(attempt.server, now);
+        this->reach.onContact(call->pool, now);
+    }
     if (this->passesOnEvents(*call))
         this->forwardEvents(*call, bytes, now);
     else if (call->responseStarted && !call->lastEventId)
@@ -135,7 +146,8 @@
 void ForwardController::forwardEvents(ForwardCall &call, std::string_view bytes, TimePoint now)
 {
     ForwardAttempt &attempt = *call.attempt;
-    if (attempt.firstEventReceived && now - attempt.firstEventAt >= SoundResponseTime)
+    if (attempt.firstEventReceived && !attempt.isRelayed()
+        && now - attempt.firstEventAt >= SoundResponseTime)
         this->recordSoundParts(call, now);
     for (const StreamEvent &event : attempt.splitter.feed(bytes)) {
         if (!attempt.firstEventReceived) {
@@ -176,6 +188,8 @@
     if (call == nullptr)
         return;
     const ForwardAttempt &attempt = *call->attempt;
+    if (attempt.isRelayed())
+        return this->onRelayComplete(*call, now);
     if (attempt.metadata.isWrongServer || attempt.metadata.notRun) {
         this->avoidRefusingHelpers(*call);
         this->logFailedAttempt(*call, "refused", Verdict::NotRun, now);
@@ -264,6 +278,8 @@
 void ForwardController::onResponseBroken(ForwardCall &call, std::string_view outcome,
                                          Verdict verdict, TimePoint now)
 {
+    if (call.attempt->isRelayed())
+        return this->onRelayFailed(call, outcome, verdict, now);
     this->logFailedAttempt(call, outcome, verdict, now);
     const ServerId server = call.attempt->server;
     if (verdict != Verdict::NotRun)
@@ -295,6 +311,12 @@
         return;
     call->attempt->reusedConnection = failure.reusedConnection;
     const bool connectFailed = failure.kind == HttpFailureKind::ConnectFailed;
+    if (call->attempt->isRelayed()) {
+        if (connectFailed)
+            this->relayPeers.onUnreachable(call->attempt->relayHost, now);
+        return this->onRelayFailed(*call, connectFailed ? "unreachable" : "broken", failure.verdict,
+                                   now);
+    }
     // The server may have closed the reused connection before the request reached it.
     const bool lostAtOnce = failure.reusedConnection
                             && failure.kind == HttpFailureKind::ConnectionLost
@@ -306,6 +328,10 @@
         return this->onResponseBroken(*call, "broken", verdict, now);
     this->logFailedAttempt(*call, connectFailed ? "unreachable" : "lost_at_once", verdict, now);
     const ServerId server = call->attempt->server;
+    if (connectFailed) {
+        const bool wasSilent = now - call->attempt->sentAt >= ConnectTimeout;
+        this->recordPathFailure(*call, wasSilent, wasSilent ? call->attempt->sentAt : now, now);
+    }
     if (connectFailed && now - call->attempt->sentAt < ConnectTimeout)
         this->fleet.onConnectionRefused(server, now);
     if (lostAtOnce)
@@ -331,8 +357,11 @@
     if (!call.attempt)
         return;
     const ForwardAttempt &attempt = *call.attempt;
-    this->fleet.onAttemptOutcome(attempt.server, outcome, now);
-    if (attempt.isPrompt) {
+    if (!attempt.isRelayed())
+        this->fleet.onAttemptOutcome(attempt.server, outcome, now);
+    if (attempt.isRelayed()) {
+        this->relayPeers.onEnded(attempt.relayHost);
+    } else if (attempt.isPrompt) {
         const bool noResponse =
                 outcome == AttemptOutcome::Unreachable || outcome == AttemptOutcome::Silent;
         const PromptKey key{this->senderHash, attempt.id};
@@ -362,7 +391,9 @@
     call.mayHaveRun = true;
     this->effects.cancelAttempt(call.attempt->id);
     const ForwardAttempt &attempt = *call.attempt;
-    if (attempt.isPrompt) {
+    if (attempt.isRelayed()) {
+        this->relayPeers.onEnded(attempt.relayHost);
+    } else if (attempt.isPrompt) {
         this->promptPlacement.onEnded({this->senderHash, attempt.id}, now);
         this->effects.publishPromptUpdate({PromptUpdateKind::Ended, attempt.id, 0, {}, {}, {}});
         this->releaseReservations(call, now);
--- a/src/gateway/gateway_protocol.h
+++ b/src/gateway/gateway_protocol.h
@@ -86,6 +86,13 @@
     virtual HttpHeaders dispatchHeaders(const HttpHeaders &callerHeaders,
                                         const DispatchMetadata &metadata) const = 0;
 
+    /// Returns the headers of a caller's request that another host needs to forward it: without
+    /// hop-by-hop headers and the API key.
+    virtual HttpHeaders relayHeaders(const HttpHeaders &callerHeaders) const = 0;
+
+    /// Returns a request that any server at \a endpoint answers and none runs.
+    virtual HttpRequest probeRequest(const Endpoint &endpoint) const = 0;
+
     /// Returns the header and value that a server must echo in its response to the request.
     virtual std::pair<std::string, std::string>
     expectedEcho(const RequestMetadata &metadata) const = 0;
--- a/src/gateway/prompt_updates.cpp
+++ b/src/gateway/prompt_updates.cpp
@@ -19,6 +19,7 @@
 constexpr const char *RunningKey = "running";
 constexpr const char *LeavingKey = "leaving";
 constexpr const char *LimitsKey = "limits";
+constexpr const char *OutOfReachKey = "unreached";
 
 std::int64_t toMs(Duration duration)
 {
@@ -140,6 +141,12 @@
         for (const nlohmann::json &row : *limits)
             batch.limits.push_back(decodeLimit(row));
     }
+    if (const auto pools = json.find(OutOfReachKey); pools != json.end()) {
+        if (pools->size() > MaxUpdates)
+            throw nlohmann::json::other_error::create(507, "more than 1000 pools", &json);
+        for (const nlohmann::json &pool : *pools)
+            batch.poolsOutOfReach.push_back(pool.get<std::uint32_t>());
+    }
     const auto running = json.find(RunningKey);
     if (running == json.end())
         return;
@@ -169,6 +176,8 @@
         extension[LeavingKey].push_back({notice.serverHash, notice.incarnation});
     for (const ServerLimitNotice &notice : batch.limits)
         extension[LimitsKey].push_back(encodeLimit(notice));
+    if (!batch.poolsOutOfReach.empty())
+        extension[OutOfReachKey] = batch.poolsOutOfReach;
     for (const RunningPrompt &prompt : batch.running)
         extension[RunningKey].push_back(encodeRunning(prompt));
     if (!extension.empty())
--- a/src/gateway/prompt_updates.h
+++ b/src/gateway/prompt_updates.h
@@ -62,6 +62,9 @@
     std::vector<ServerLeavingNotice> leavingServers;
     /// Servers that name limits. Hosts of earlier versions ignore it.
     std::vector<ServerLimitNotice> limits;
+    /// Hashes of the names of the pools of which the sender reaches no server. Hosts of earlier
+    /// versions ignore it.
+    std::vector<std::uint32_t> poolsOutOfReach;
     std::vector<RunningPrompt> running; ///< Reply to joinedAt, a part of the sender's prompts.
 };
 
--- a/src/gateway/server_fleet.h
+++ b/src/gateway/server_fleet.h
@@ -141,6 +141,9 @@
     /// Returns the requests per second that the limited servers of \a pool take from all hosts.
     double limitedRate(const std::string &pool, TimePoint now) const;
 
+    /// Returns the number of servers of \a pool that are not leaving, suspected or not.
+    std::size_t size(const std::string &pool, TimePoint now) const;
+
     /// Returns true if \a server is known and may get requests; it may be suspected.
     bool isUsable(const ServerId &server, TimePoint now) const;
 
--- a/src/gateway/server_fleet_limits.cpp
+++ b/src/gateway/server_fleet_pools.cpp
@@ -1,4 +1,4 @@
-// The part of ServerFleet that looks at the limits of whole pools.
+// The part of ServerFleet that looks at whole pools.
 
 #include "gateway/server_fleet.h"
 
@@ -21,6 +21,15 @@
     return first;
 }
 
+std::size_t ServerFleet::size(const std::string &pool, TimePoint now) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(this->records.begin(), this->records.end(), [&](const auto &entry) {
+                return entry.second.server.pool == pool
+                       && !this->isLeavingOrGone(entry.second, now);
+            }));
+}
+
 double ServerFleet::limitedRate(const std::string &pool, TimePoint now) const
 {
     double rate = 0;
--- /dev/null
+++ b/src/gateway/service_reach.cpp
@@ -0,0 +1,113 @@
+#include "gateway/service_reach.h"
+
+#include <algorithm>
+
+namespace dotterel {
+
+namespace {
+
+/// Servers that have to fail with no contact between; all of a smaller pool.
+constexpr std::size_t RequiredFailedServers = 3;
+/// Probes that have to be answered in a row. Hysteresis keeps requests off a path that works only
+/// now and then.
+constexpr int RequiredAnsweredProbes = 2;
+
+} // namespace
+
+ServiceReach::ServiceReach(EventLog &log)
+    : log(log)
+{}
+
+void ServiceReach::onContact(const std::string &pool, TimePoint now)
+{
+    Record &record = this->records[pool];
+    record.lastContact = now;
+    // Streams may live on at a host that cannot open new connections, so that contact alone does
+    // not bring a pool back.
+    record.failedServers.clear();
+}
+
+void ServiceReach::onFailure(const std::string &pool, const ServerId &server, std::size_t poolSize,
+                             TimePoint since, TimePoint now)
+{
+    Record &record = this->records[pool];
+    if (this->hasHeardSince(pool, since))
+        return;
+    record.failedServers.insert(server);
+    const std::size_t required =
+            std::min(RequiredFailedServers, std::max<std::size_t>(poolSize, 1));
+    if (record.lostAt || record.failedServers.size() < required)
+        return;
+    record.lostAt = now;
+    record.confirmed = false;
+    record.answeredProbes = 0;
+    this->log.write(
+            Event::ServiceOutOfReach,
+            {{"pool", pool},
+             {"failed_servers", static_cast<std::int64_t>(record.failedServers.size())},
+             {"silent_ms", record.lastContact ? static_cast<std::int64_t>(
+                                   (now - *record.lastContact) / std::chrono::milliseconds(1))
+                                              : -1}});
+}
+
+void ServiceReach::onProbe(const std::string &pool, bool answered, TimePoint now)
+{
+    const auto found = this->records.find(pool);
+    if (found == this->records.end() || !found->second.lostAt)
+        return;
+    Record &record = found->second;
+    record.answeredProbes = answered ? record.answeredProbes + 1 : 0;
+    record.confirmed = record.confirmed || !answered;
+    if (record.answeredProbes >= RequiredAnsweredProbes)
+        this->regain(pool, record, "probe", now);
+}
+
+void ServiceReach::onServerStarted(const std::string &pool, TimePoint now)
+{
+    const auto found = this->records.find(pool);
+    if (found != this->records.end() && found->second.lostAt)
+        this->regain(pool, found->second, "new_server", now);
+}
+
+void ServiceReach::regain(const std::string &pool, Record &record, const char *source,
+                          TimePoint now)
+{
+    this->log.write(Event::ServiceReachable,
+                    {{"pool", pool},
+                     {"source", std::string(source)},
+                     {"lost_ms", static_cast<std::int64_t>((now - *record.lostAt)
+                                                           / std::chrono::milliseconds(1))}});
+    record.lostAt.reset();
+    record.failedServers.clear();
+}
+
+bool ServiceReach::isOutOfReach(const std::string &pool) const
+{
+    const auto found = this->records.find(pool);
+    return found != this->records.end() && found->second.lostAt.has_value();
+}
+
+bool ServiceReach::isConfirmed(const std::string &pool) const
+{
+    const auto found = this->records.find(pool);
+    return found != this->records.end() && found->second.lostAt && found->second.confirmed;
+}
+
+bool ServiceReach::hasHeardSince(const std::string &pool, TimePoint time) const
+{
+    const auto found = this->records.find(pool);
+    return found != this->records.end() && found->second.lastContact
+           && *found->second.lastContact > time;
+}
+
+std::vector<std::string> ServiceReach::outOfReach() const
+{
+    std::vector<std::string> pools;
+    for (const auto &[pool, record] : this->records) {
+        if (record.lostAt)
+            pools.push_back(pool);
+    }
+    return pools;
+}
+
+} // namespace dotterel
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -70,7 +70,7 @@
     return nlohmann::json::array({record.identity.host, record.identity.incarnation,
                                   record.identity.failureDomain, record.peerEndpoint.address,
                                   record.peerEndpoint.port, record.refutationCounter, flags,
-                                  record.configurationVersion});
+                                  record.configurationVersion, record.relayPort});
 }
 
 MemberRecord decodeMemberRecord(const nlohmann::json &json)
@@ -86,6 +86,10 @@
     record.state = static_cast<MemberState>(flags & (LeavingFlag - 1));
     record.leaving = (flags & LeavingFlag) != 0;
     record.configurationVersion = decodeUnsigned<std::uint64_t>(json.at(7));
+    // Members of earlier versions take over no requests.
+    constexpr std::size_t RelayPortColumn = 8;
+    if (json.size() > RelayPortColumn)
+        record.relayPort = decodeUnsigned<std::uint16_t>(json.at(RelayPortColumn));
     return record;
 }
 
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -33,7 +33,9 @@
     Endpoint peerEndpoint;               ///< Address on which the member accepts peer links.
     std::uint64_t refutationCounter = 0; ///< Incremented by the member alone, at a refutation.
     MemberState state = MemberState::Alive;
-    bool leaving = false;                   ///< The member drains: it accepts no new requests.
+    bool leaving = false; ///< The member drains: it accepts no new requests.
+    /// Port, at the same address, on which the member takes over requests; 0 if it does not.
+    std::uint16_t relayPort = 0;
     std::uint64_t configurationVersion = 0; ///< Active at the last direct message from the member.
 };
 
--- a/src/state/settings.cpp
+++ b/src/state/settings.cpp
@@ -279,6 +279,9 @@
              "Time between becoming not ready and closing the listeners in a graceful shutdown."},
             {"log-threshold", &Settings::logThreshold, false, 0, 0,
              "Events below this severity are not logged."},
+            {"relay", &Settings::relay, false, 0, MaxPort,
+             "Gateway: listening address for requests that other entry hosts hand over; by default "
+             "the port after that of `peers`."},
             {"readiness", &Settings::readiness, false, 0, MaxPort,
              "Gateway: listening address for a load balancer's readiness probe."},
             {"max-open-files", &Settings::maxOpenFiles, false, MinOpenFiles, MaxOpenFiles,
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -35,6 +35,9 @@
 
     // Used only by the gateway.
     Endpoint readiness; ///< Listening address for a load balancer's readiness probe.
+    /// Listening address for requests that other entry hosts hand over; without one the port after
+    /// that of `peers`.
+    Endpoint relay;
     std::uint64_t maxOpenFiles = 4'096; ///< Limit on open file descriptors.
     std::uint64_t memoryMb = 256;       ///< Limit on the memory of the process, in megabytes.
     /// Limit on the bytes of one response that are held back before they are passed on.
--- a/tests/entry_host/test_partitioned_hosts.cpp
+++ b/tests/entry_host/test_partitioned_hosts.cpp
@@ -40,6 +40,7 @@
         for (const char *name : {"h1", "h2", "h3"})
             this->addHost(name);
         this->runUntil([this] { return this->allReadyAndLinked(); });
+        this->runFor(milliseconds(200)); // Some heartbeats.
     }
 
     ~PartitionedHosts() { this->hosts.clear(); }
--- a/tests/support/forward_bench.cpp
+++ b/tests/support/forward_bench.cpp
@@ -49,9 +49,11 @@
     , retryBudget(RetryBudgetLimits{})
     , crashGuard(CrashLimits{}, this->metrics, this->log)
     , partGuard(PromptPartLimits{}, this->metrics, this->log)
+    , reach(this->log)
+    , relayPeers("centro-a", this->random)
     , controller(this->protocol, this->fleet, this->promptPlacement, this->servicePlacement,
-                 this->retryBudget, this->crashGuard, this->partGuard, *this, this->random,
-                 hostHash, this->metrics, this->log)
+                 this->retryBudget, this->crashGuard, this->partGuard, this->reach,
+                 this->relayPeers, *this, this->random, "h1", hostHash, this->metrics, this->log)
 {
     using std::chrono::milliseconds;
     this->configuration.version = 1;
--- a/tests/support/forward_bench.h
+++ b/tests/support/forward_bench.h
@@ -72,6 +72,8 @@
     RetryBudget retryBudget;
     CrashGuard crashGuard;
     PromptPartGuard partGuard;
+    ServiceReach reach;
+    RelayPeers relayPeers;
     std::vector<SentAttempt> sentAttempts;
     std::vector<MemoryReservationRequest> reservationRequests;
     std::vector<PromptUpdate> promptUpdates;
--- a/tests/support/plain_gateway_protocol.cpp
+++ b/tests/support/plain_gateway_protocol.cpp
@@ -1,5 +1,7 @@
 #include "support/plain_gateway_protocol.h"
 
+#include <algorithm>
+
 namespace dotterel::support {
 
 namespace {
@@ -15,6 +17,18 @@
     return text.empty() ? 0 : std::stoull(text);
 }
 
+/// Returns \a headers without those that concern one connection only.
+HttpHeaders endToEndHeaders(const HttpHeaders &headers)
+{
+    HttpHeaders result;
+    for (const auto &header : headers) {
+        if (header.first != "Content-Length" && header.first != "Connection"
+            && header.first != "Transfer-Encoding")
+            result.push_back(header);
+    }
+    return result;
+}
+
 } // namespace
 
 RequestMetadata PlainGatewayProtocol::parseRequestHeaders(const HttpHeaders &headers) const
@@ -59,6 +73,23 @@
     return headers;
 }
 
+HttpHeaders PlainGatewayProtocol::relayHeaders(const HttpHeaders &callers) const
+{
+    HttpHeaders headers = endToEndHeaders(callers);
+    headers.erase(std::remove_if(headers.begin(), headers.end(),
+                                 [](const auto &header) { return header.first == "Key"; }),
+                  headers.end());
+    return headers;
+}
+
+HttpRequest PlainGatewayProtocol::probeRequest(const Endpoint &endpoint) const
+{
+    HttpRequest request;
+    request.endpoint = endpoint;
+    request.target = "/probe";
+    return request;
+}
+
 std::pair<std::string, std::string>
 PlainGatewayProtocol::expectedEcho(const RequestMetadata &facts) const
 {
@@ -96,6 +127,11 @@
     return facts;
 }
 
+HttpHeaders PlainGatewayProtocol::forwardedResponseHeaders(const HttpHeaders &headers) const
+{
+    return endToEndHeaders(headers);
+}
+
 HttpHeaders PlainGatewayProtocol::refusalHeaders(const RequestMetadata &facts,
                                                  std::optional<Duration> retryAfter) const
 {
--- a/tests/support/plain_gateway_protocol.h
+++ b/tests/support/plain_gateway_protocol.h
@@ -15,13 +15,12 @@
     RequestMetadata parseRequestHeaders(const HttpHeaders &headers) const override;
     HttpHeaders dispatchHeaders(const HttpHeaders &callers,
                                 const DispatchMetadata &facts) const override;
+    HttpHeaders relayHeaders(const HttpHeaders &callers) const override;
+    HttpRequest probeRequest(const Endpoint &endpoint) const override;
     std::pair<std::string, std::string> expectedEcho(const RequestMetadata &facts) const override;
     HttpRequest reservationRequest(const MemoryReservationRequest &order) const override;
     ResponseMetadata parseResponseHead(int status, const HttpHeaders &headers) const override;
-    HttpHeaders forwardedResponseHeaders(const HttpHeaders &headers) const override
-    {
-        return headers;
-    }
+    HttpHeaders forwardedResponseHeaders(const HttpHeaders &headers) const override;
     HttpHeaders refusalHeaders(const RequestMetadata &facts,
                                std::optional<Duration> retryAfter) const override;
     tl::expected<GatewayConfiguration, std::string>
