Listen for requests of other hosts next to the mesh, not on loopback

The tests ran on loopback and could not show it. The setting is empty now unless it is given, host_started states the address, and a test states the default.

--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -41,16 +41,6 @@
     return bound;
 }
 
-Endpoint relayEndpoint(const Settings &settings)
-{
-    if (!settings.relay.address.empty())
-        return settings.relay;
-    const std::uint16_t port = settings.peers.port == 0
-                                       ? std::uint16_t{0}
-                                       : static_cast<std::uint16_t>(settings.peers.port + 1);
-    return {settings.peers.address, port};
-}
-
 } // namespace
 
 GatewayHost::GatewayHost(EventLoop &loop, const Settings &settings, Incarnation incarnation,
@@ -131,11 +121,13 @@
     this->controller.setRouteTable(this->routes);
     this->controller.setResponseLimits(this->heldResponseLimits());
     this->retryAllowance.setHostCount(settings.sharedHosts);
-    this->log.write(Event::HostStarted, {{"failure_domain", settings.failureDomain},
-                                         {"incarnation", std::to_string(incarnation)},
-                                         {"callers", this->callers().text()},
-                                         {"operators", this->operators().text()},
-                                         {"peers", this->peerMesh.endpoint().text()}});
+    this->log.write(Event::HostStarted,
+                    {{"failure_domain", settings.failureDomain},
+                     {"incarnation", std::to_string(incarnation)},
+                     {"callers", this->callers().text()},
+                     {"operators", this->operators().text()},
+                     {"peers", this->peerMesh.endpoint().text()},
+                     {"relay", this->relayListener.server().endpoint().text()}});
     this->configurationFeed.start();
     this->serverFeed.start();
     this->registerHostEntry();
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -102,6 +102,7 @@
                     {{"request", call.metadata.requestId},
                      {"route", call.route->name},
                      {"to_host", peer->host},
+                     {"endpoint", peer->endpoint.text()},
                      {"pool", call.pool},
                      {"out_of_reach", this->reach.isOutOfReach(call.pool)},
                      {"path_failures", static_cast<std::int64_t>(call.pathFailures)}});
--- a/src/state/settings.cpp
+++ b/src/state/settings.cpp
@@ -308,6 +308,16 @@
     return table;
 }
 
+Endpoint relayEndpoint(const Settings &settings)
+{
+    if (!settings.relay.address.empty())
+        return settings.relay;
+    const std::uint16_t port = settings.peers.port == 0
+                                       ? std::uint16_t{0}
+                                       : static_cast<std::uint16_t>(settings.peers.port + 1);
+    return {settings.peers.address, port};
+}
+
 std::string allowedValuesText(const SettingInfo &setting)
 {
     return std::visit(AllowedValueFormatter{setting}, setting.member);
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -35,9 +35,9 @@
 
     // Used only by the gateway.
     Endpoint readiness; ///< Listening address for a load balancer's readiness probe.
-    /// Listening address for requests that other entry hosts hand over; without one the port after
-    /// that of `peers`.
-    Endpoint relay;
+    /// Listening address for requests that other entry hosts hand over, as far as it is set; see
+    /// relayEndpoint().
+    Endpoint relay{"", 0};
     std::uint64_t maxOpenFiles = 4'096; ///< Limit on open file descriptors.
     std::uint64_t memoryMb = 256;       ///< Limit on the memory of the process, in megabytes.
     /// Limit on the bytes of one response that are held back before they are passed on.
@@ -49,6 +49,10 @@
     double shutdownLimitSeconds = 8; ///< From the signal to a forced exit.
 };
 
+/// Returns where a gateway listens for requests that other entry hosts hand over: `relay`, or the
+/// port after that of `peers`. Port 0 selects a free port.
+Endpoint relayEndpoint(const Settings &settings);
+
 /// The member that a setting is read into. Its type determines the syntax of the value.
 using SettingMember =
         std::variant<std::string Settings::*, Endpoint Settings::*, std::uint64_t Settings::*,
--- a/tests/state/test_settings.cpp
+++ b/tests/state/test_settings.cpp
@@ -132,3 +132,14 @@
     const std::string deeplyNested(20'000, '[');
     CHECK_FALSE(errorMessages(deeplyNested).empty());
 }
+
+TEST_CASE("A gateway listens for requests of other hosts next to its peers", "[Settings]")
+{
+    Settings settings;
+    settings.peers = {"10.1.0.4", 7'480};
+    CHECK(relayEndpoint(settings) == Endpoint{"10.1.0.4", 7'481});
+    settings.peers.port = 0;
+    CHECK(relayEndpoint(settings) == Endpoint{"10.1.0.4", 0});
+    settings.relay = {"10.1.0.5", 9'000};
+    CHECK(relayEndpoint(settings) == Endpoint{"10.1.0.5", 9'000});
+}
