Take back crashes of servers that are heard of again

Cause: a connection lost while a request is at a server counts as a crash at once, and nothing that the server does later takes it back. Class: evidence of one host's path taken for the state of a server.

Fix: before a host refuses a request or a part of a prompt it takes back the crashes whose server, in the same incarnation, has sent something more than 50 ms after them, to this host or to one that told of it. A server that refused a connection meanwhile may have restarted and proves nothing, but refused connections to a pool of which no server is in reach are forgotten. What was taken back stays known, so that further reports of it do not count, and a later crash does.

Evidence: test_crashes_without_end failed before (the request was not sent) and passes; the tests of crash suspects and deadly parts pass.

What remains: parts of prompts may be accused and their waiting prompts withdrawn within the 50 ms before a server can be heard of again.

--- a/src/coordination/crash_guard.cpp
+++ b/src/coordination/crash_guard.cpp
@@ -37,7 +37,9 @@
     const auto found = this->records.find(fingerprint);
     if (found == this->records.end() || this->isExpired(found->second, now))
         return 0;
-    return found->second.crashes.size();
+    return static_cast<std::size_t>(
+            std::count_if(found->second.crashes.begin(), found->second.crashes.end(),
+                          [](const Crash &crash) { return !crash.takenBack; }));
 }
 
 bool CrashGuard::shouldRefuse(const std::string &fingerprint, TimePoint now) const
@@ -84,7 +86,9 @@
 std::size_t CrashGuard::weightOf(const std::vector<Crash> &crashes)
 {
     return std::accumulate(crashes.begin(), crashes.end(), std::size_t{0},
-                           [](std::size_t sum, const Crash &crash) { return sum + crash.weight; });
+                           [](std::size_t sum, const Crash &crash) {
+                               return crash.takenBack ? sum : sum + crash.weight;
+                           });
 }
 
 std::size_t CrashGuard::weightOf(const Record &record)
@@ -163,6 +167,24 @@
     return makeNotice(fingerprint, record, now);
 }
 
+void CrashGuard::takeBackCrashes(
+        const std::function<bool(const ServerId &server, TimePoint crashedAt)> &livedOn)
+{
+    for (auto &[fingerprint, record] : this->records) {
+        for (Crash &crash : record.crashes) {
+            if (crash.takenBack || !livedOn(crash.server, crash.time))
+                continue;
+            crash.takenBack = true;
+            this->log.write(Event::CrashCleared,
+                            {{"subject", std::string(crashSubjectName(this->limits.subject))},
+                             {"fingerprint", fingerprint},
+                             {"server", crash.server},
+                             {"cause", std::string("server lived on")},
+                             {"crashes", static_cast<std::int64_t>(weightOf(record))}});
+        }
+    }
+}
+
 bool CrashGuard::onNotice(const CrashNotice &notice, TimePoint now)
 {
     if (notice.fingerprint.empty())
@@ -241,8 +263,15 @@
     if (record.clearedAt && crash.time <= *record.clearedAt + this->limits.maxReportDelay)
         return false;
     for (Crash &recorded : record.crashes) {
-        if (!this->isSameCrash(recorded, crash))
+        const bool explainsNothing = recorded.takenBack && recorded.server != crash.server;
+        if (explainsNothing || !this->isSameCrash(recorded, crash))
             continue;
+        // The server may have crashed after it had lived on.
+        if (recorded.takenBack && crash.time > recorded.time + this->limits.maxReportDelay) {
+            recorded = crash;
+            record.lastUpdate = std::max(record.lastUpdate, crash.time);
+            return true;
+        }
         const bool saysMore = crash.weight > recorded.weight;
         recorded.weight = std::max(recorded.weight, crash.weight);
         return saysMore;
@@ -250,10 +279,13 @@
     if (record.crashes.size() < this->limits.maxRecordedCrashes) {
         record.crashes.push_back(crash);
     } else {
-        const auto oldest = std::min_element(
-                record.crashes.begin(), record.crashes.end(),
-                [](const Crash &left, const Crash &right) { return left.time < right.time; });
-        if (crash.time <= oldest->time)
+        const auto oldest = std::min_element(record.crashes.begin(), record.crashes.end(),
+                                             [](const Crash &left, const Crash &right) {
+                                                 return left.takenBack != right.takenBack
+                                                                ? left.takenBack
+                                                                : left.time < right.time;
+                                             });
+        if (crash.time <= oldest->time && !oldest->takenBack)
             return false;
         *oldest = crash;
     }
@@ -336,8 +368,10 @@
     notice.subject = this->limits.subject;
     notice.fingerprint = fingerprint;
     notice.runningServer = record.runningServer;
-    for (const Crash &crash : record.crashes)
-        notice.crashes.push_back({crash.server, now - crash.time, crash.weight});
+    for (const Crash &crash : record.crashes) {
+        if (!crash.takenBack)
+            notice.crashes.push_back({crash.server, now - crash.time, crash.weight});
+    }
     if (record.clearedAt)
         notice.sinceCompletion = now - *record.clearedAt;
     return notice;
--- a/src/coordination/crash_guard.h
+++ b/src/coordination/crash_guard.h
@@ -110,6 +110,11 @@
     CrashNotice onFinished(const std::string &fingerprint, TimePoint now,
                            const CrashContext &context = {});
 
+    /// Takes back the crashes whose server, by \a livedOn, has gone on since the time of the crash:
+    /// a connection may also be lost because the host that used it was cut off.
+    void takeBackCrashes(
+            const std::function<bool(const ServerId &server, TimePoint crashedAt)> &livedOn);
+
     /// Applies \a notice of another host. Returns true if it contained a new crash or clearance.
     bool onNotice(const CrashNotice &notice, TimePoint now);
 
@@ -135,6 +140,7 @@
         ServerId server;
         TimePoint time;
         std::size_t weight = 1;
+        bool takenBack = false; ///< The server lived on; kept to recognize further reports.
     };
 
     struct Record
--- a/src/coordination/prompt_part_guard.h
+++ b/src/coordination/prompt_part_guard.h
@@ -90,6 +90,13 @@
     std::vector<CrashNotice> onSoundResponse(const std::vector<std::string> &keys, TimePoint now,
                                              const CrashContext &context);
 
+    /// See CrashGuard.
+    void
+    takeBackCrashes(const std::function<bool(const ServerId &server, TimePoint crashedAt)> &livedOn)
+    {
+        this->crashes.takeBackCrashes(livedOn);
+    }
+
     /// What a notice of another host means for this one.
     struct NoticeResult
     {
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -202,6 +202,11 @@
     void removeCall(ForwardCall &call, TimePoint now);
 
     const std::string &requestFingerprint(ForwardCall &call);
+    /// Returns the fingerprint of the request, or the key of a part of its prompt, for which it is
+    /// refused since it crashes servers; empty if it is not.
+    std::string refusedSuspect(ForwardCall &call, TimePoint now);
+    /// Takes back the crashes of servers that have been heard of since.
+    void takeBackCrashes();
     void reportCrash(ForwardCall &call, const ServerId &server, std::string_view outcome,
                      TimePoint now);
     const std::vector<std::string> &promptPartKeys(ForwardCall &call);
--- a/src/gateway/forward_crashes.cpp
+++ b/src/gateway/forward_crashes.cpp
@@ -29,6 +29,33 @@
     return call.fingerprint;
 }
 
+std::string ForwardController::refusedSuspect(ForwardCall &call, TimePoint now)
+{
+    const auto isRequestRefused = [this, &call, now] {
+        return !this->crashGuard.empty()
+               && this->crashGuard.shouldRefuse(this->requestFingerprint(call), now);
+    };
+    const bool isAnyRefused =
+            isRequestRefused()
+            || (!this->partGuard.empty()
+                && this->partGuard.findRefused(this->promptPartKeys(call), now) != nullptr);
+    if (isAnyRefused)
+        this->takeBackCrashes();
+    if (isRequestRefused())
+        return call.fingerprint;
+    return this->partGuard.empty() ? std::string()
+                                   : this->partGuard.refusedKey(this->promptPartKeys(call), now);
+}
+
+void ForwardController::takeBackCrashes()
+{
+    const auto livedOn = [this](const ServerId &server, TimePoint crashedAt) {
+        return this->fleet.livedOn(server, crashedAt);
+    };
+    this->crashGuard.takeBackCrashes(livedOn);
+    this->partGuard.takeBackCrashes(livedOn);
+}
+
 void ForwardController::reportCrash(ForwardCall &call, const ServerId &server,
                                     std::string_view outcome, TimePoint now)
 {
@@ -77,6 +104,7 @@
 {
     if (this->partGuard.empty())
         return;
+    this->takeBackCrashes();
     std::vector<std::pair<HttpCallId, std::string>> refused;
     for (auto &[id, call] : this->calls) {
         const bool isWaiting =
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -95,15 +95,8 @@
     const bool isSettled = call.relay || this->reach.isConfirmed(call.pool);
     if (this->reach.isOutOfReach(call.pool) && isSettled)
         return this->refuseOutOfReach(call, now);
-    if (!this->crashGuard.empty()
-        && this->crashGuard.shouldRefuse(this->requestFingerprint(call), now))
-        return this->refuse(call, Reason::CrashesBackendServers, std::nullopt, now,
-                            call.fingerprint);
-    const std::string refusedPart =
-            this->partGuard.empty() ? std::string()
-                                    : this->partGuard.refusedKey(this->promptPartKeys(call), now);
-    if (!refusedPart.empty())
-        return this->refuse(call, Reason::CrashesBackendServers, std::nullopt, now, refusedPart);
+    if (const std::string suspect = this->refusedSuspect(call, now); !suspect.empty())
+        return this->refuse(call, Reason::CrashesBackendServers, std::nullopt, now, suspect);
     const auto pool = call.configuration->pools.find(call.pool);
     if (pool == call.configuration->pools.end())
         return this->refuse(call, Reason::NoBackendServer, NoServerRetryAfter, now, call.pool);
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -332,8 +332,11 @@
         const bool wasSilent = now - call->attempt->sentAt >= ConnectTimeout;
         this->recordPathFailure(*call, wasSilent, wasSilent ? call->attempt->sentAt : now, now);
     }
-    if (connectFailed && now - call->attempt->sentAt < ConnectTimeout)
+    if (connectFailed && now - call->attempt->sentAt < ConnectTimeout) {
         this->fleet.onConnectionRefused(server, now);
+        if (this->reach.isOutOfReach(call->pool))
+            this->fleet.forgetRefusedConnections(call->pool);
+    }
     if (lostAtOnce)
         this->doubtEnd(*call, DoubtfulEndKind::LostAtOnce, call->attempt->sentAt, now);
     this->endAttempt(*call, connectFailed ? AttemptOutcome::Unreachable : AttemptOutcome::Refused,
--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -67,6 +67,7 @@
     record.server = server;
     record.rank = static_cast<double>(hash64(server.id)) / HashRange;
     record.decayedAt = now;
+    record.knownSince = now;
     const auto departure = this->departures.find(server.id);
     const bool departed = departure != this->departures.end()
                           && departure->second.incarnation == server.incarnation;
@@ -135,30 +136,41 @@
         const bool isOld = now - departure->second.removedAt > this->timings.departureMemory;
         departure = isOld ? this->departures.erase(departure) : std::next(departure);
     }
-    for (auto gone = this->disappearances.begin(); gone != this->disappearances.end();) {
-        const bool isOld = now - gone->second > this->timings.departureMemory;
-        gone = isOld ? this->disappearances.erase(gone) : std::next(gone);
+    for (auto *times : {&this->disappearances, &this->refusedConnections}) {
+        for (auto gone = times->begin(); gone != times->end();) {
+            const bool isOld = now - gone->second > this->timings.departureMemory;
+            gone = isOld ? times->erase(gone) : std::next(gone);
+        }
     }
 }
 
+bool ServerFleet::isLeaving(const Record &record)
+{
+    return record.server.draining || record.announcedLeaving || record.removedAt;
+}
+
 void ServerFleet::recordDisappearance(const Record &record, TimePoint now)
 {
-    if (!record.server.draining && !record.announcedLeaving && !record.removedAt)
+    if (!this->isLeaving(record))
         this->disappearances[record.server.id] = now;
 }
 
 void ServerFleet::onConnectionRefused(const ServerId &server, TimePoint now)
 {
     const auto found = this->records.find(server);
-    if (found != this->records.end())
-        this->recordDisappearance(found->second, now);
+    if (found != this->records.end() && !this->isLeaving(found->second))
+        this->refusedConnections[server] = now;
 }
 
 std::optional<TimePoint> ServerFleet::disappearedAt(const ServerId &server) const
 {
-    const auto found = this->disappearances.find(server);
-    return found == this->disappearances.end() ? std::nullopt
-                                               : std::optional<TimePoint>(found->second);
+    std::optional<TimePoint> latest;
+    for (const auto *times : {&this->disappearances, &this->refusedConnections}) {
+        const auto found = times->find(server);
+        if (found != times->end())
+            latest = std::max(latest.value_or(found->second), found->second);
+    }
+    return latest;
 }
 
 void ServerFleet::graceIfMostRemoved(const std::string &pool, TimePoint now)
--- a/src/gateway/server_fleet.h
+++ b/src/gateway/server_fleet.h
@@ -42,6 +42,8 @@
     /// If more than this fraction of a pool is removed together, an outage of the store that this
     /// host did not notice is more likely than the loss of the servers.
     double maxRemovedFraction = 0.5;
+    /// Bytes that a server sent before it crashed may be received this much later.
+    Duration transitTime = std::chrono::milliseconds(50);
     /// Longest pause that a server may ask for.
     Duration maxPause = std::chrono::minutes(10);
     /// Messages about work in progress that a server gets from this host in a pause.
@@ -124,6 +126,14 @@
     /// count.
     std::optional<TimePoint> disappearedAt(const ServerId &server) const;
 
+    /// Returns true if \a server, in the incarnation that it had at \a time, has sent something
+    /// well after \a time.
+    bool livedOn(const ServerId &server, TimePoint time) const;
+
+    /// Forgets the connections that servers of \a pool refused: a host that reaches none of them
+    /// cannot tell which have ended.
+    void forgetRefusedConnections(const std::string &pool);
+
     /// Returns when \a server last sent anything; nullopt if never.
     std::optional<TimePoint> lastSignOfLife(const ServerId &server) const;
 
@@ -178,6 +188,7 @@
         bool announcedLeaving = false;      ///< Announced in an answer.
         TimePoint pausedUntil;              ///< The server wants no requests before.
         std::size_t contactsInPause = 0;    ///< Messages sent to it in the current pause.
+        TimePoint knownSince;               ///< When this incarnation was registered here.
         std::optional<TimePoint> removedAt; ///< When the entry was removed.
         std::optional<TimePoint> expiresAt; ///< End of the grace period after the entry expired.
     };
@@ -191,6 +202,7 @@
         std::optional<TimePoint> doubtedUntil; ///< Set while a restored entry is not trusted.
     };
 
+    static bool isLeaving(const Record &record);
     void recordDisappearance(const Record &record, TimePoint now);
     void removeExpired(TimePoint now);
     void forgetDepartures(TimePoint now);
@@ -207,7 +219,8 @@
     std::map<ServerId, Record> records;
     /// Departed servers, whose entries a restored store may show again.
     std::map<ServerId, Departure> departures;
-    std::map<ServerId, TimePoint> disappearances; ///< See disappearedAt().
+    std::map<ServerId, TimePoint> disappearances;     ///< Shown by entries; see disappearedAt().
+    std::map<ServerId, TimePoint> refusedConnections; ///< Likewise, shown by connections.
     /// Servers that each other host reported as silent, with the time of the latest report.
     std::map<std::uint32_t, std::map<ServerId, TimePoint>> silenceReports;
 };
--- a/src/gateway/server_fleet_pools.cpp
+++ b/src/gateway/server_fleet_pools.cpp
@@ -21,6 +21,26 @@
     return first;
 }
 
+bool ServerFleet::livedOn(const ServerId &server, TimePoint time) const
+{
+    const auto found = this->records.find(server);
+    if (found == this->records.end() || found->second.knownSince > time
+        || !found->second.lastAnswer)
+        return false;
+    const TimePoint lastAnswer = *found->second.lastAnswer;
+    const std::optional<TimePoint> goneAt = this->disappearedAt(server);
+    const bool mayHaveRestarted = goneAt && *goneAt >= time && lastAnswer >= *goneAt;
+    return lastAnswer > time + this->timings.transitTime && !mayHaveRestarted;
+}
+
+void ServerFleet::forgetRefusedConnections(const std::string &pool)
+{
+    for (const auto &[id, record] : this->records) {
+        if (record.server.pool == pool)
+            this->refusedConnections.erase(id);
+    }
+}
+
 std::size_t ServerFleet::size(const std::string &pool, TimePoint now) const
 {
     return static_cast<std::size_t>(
