Let callers wait while a pool lifts its limits

Cause: hosts hear of it with the next answer only; in an idle pool all servers are still closed for the requests that come with it, and then open one after the other. Such requests wait up to 600 ms now, which is less than their way back after a refusal.

--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -46,6 +46,8 @@
 /// request may wait until a server takes it within its limit.
 constexpr double UsableGoalFraction = 0.5;
 constexpr double UsableGapFraction = 0.5;
+/// A request may wait this long for a pool whose servers lift their limits.
+constexpr Duration MaxLiftingWait = std::chrono::milliseconds(600);
 
 /// Returns the gap between events after which callers abandon a stream of \a route.
 Duration streamAbandonTime(const Route &route)
@@ -203,11 +205,14 @@
     const std::optional<TimePoint> opening = this->fleet.limitOpening(call.pool, now);
     if (!opening)
         return false;
-    const Duration usableTime =
+    Duration usableTime =
             call.responseStarted
                     ? fromSeconds(toSeconds(streamAbandonTime(*call.route)) * UsableGapFraction)
                     : fromSeconds(toSeconds(call.route->latencyGoal) * UsableGoalFraction)
                               - earlierWait(call);
+    // Its servers open one after the other within this time.
+    if (this->fleet.isLimitLifting(call.pool, now))
+        usableTime = std::max(usableTime, MaxLiftingWait);
     const TimePoint lastUse =
             (call.responseStarted ? call.lastEventAt : call.arrivedAt) + usableTime;
     if (*opening > lastUse || *opening + MinAttemptTime > call.deadline)
--- a/src/gateway/server_fleet.h
+++ b/src/gateway/server_fleet.h
@@ -148,6 +148,9 @@
     /// for the limits that they name; nullopt otherwise.
     std::optional<TimePoint> limitOpening(const std::string &pool, TimePoint now) const;
 
+    /// Returns true if a server of \a pool is on the way back from a limit.
+    bool isLimitLifting(const std::string &pool, TimePoint now) const;
+
     /// Returns the requests per second that the limited servers of \a pool take from all hosts.
     double limitedRate(const std::string &pool, TimePoint now) const;
 
--- a/src/gateway/server_fleet_pools.cpp
+++ b/src/gateway/server_fleet_pools.cpp
@@ -50,6 +50,14 @@
             }));
 }
 
+bool ServerFleet::isLimitLifting(const std::string &pool, TimePoint now) const
+{
+    return std::any_of(this->records.begin(), this->records.end(), [&](const auto &entry) {
+        return entry.second.server.pool == pool && this->isSchedulable(entry.second, now)
+               && this->serverLimits.isLifting(entry.first, now);
+    });
+}
+
 double ServerFleet::limitedRate(const std::string &pool, TimePoint now) const
 {
     double rate = 0;
--- a/src/gateway/server_limits.cpp
+++ b/src/gateway/server_limits.cpp
@@ -153,6 +153,12 @@
     return missing <= 0 ? now : now + fromSeconds(missing / *rate) + Duration(1);
 }
 
+bool ServerLimits::isLifting(const ServerId &server, TimePoint now) const
+{
+    const auto found = this->records.find(server);
+    return found != this->records.end() && !found->second.limit && this->rate(found->second, now);
+}
+
 bool ServerLimits::onSent(const ServerId &server, TimePoint now)
 {
     const auto found = this->records.find(server);
--- a/src/gateway/server_limits.h
+++ b/src/gateway/server_limits.h
@@ -77,6 +77,9 @@
     /// Returns the rate at which \a server takes requests of all hosts; nullopt without a limit.
     std::optional<double> rate(const ServerId &server, TimePoint now) const;
 
+    /// Returns true if \a server has lifted its limit and is on the way back to its share.
+    bool isLifting(const ServerId &server, TimePoint now) const;
+
     /// Records a request, of any kind, that this host sends to \a server. Returns true if the other
     /// hosts have to be told.
     bool onSent(const ServerId &server, TimePoint now);
--- a/tests/gateway/test_server_limits.cpp
+++ b/tests/gateway/test_server_limits.cpp
@@ -209,3 +209,20 @@
         CHECK_FALSE(limits.mayReceive("app-1", start + seconds(39)));
     }
 }
+
+TEST_CASE("Callers were refused while an idle pool had lifted its limits",
+          "[Gateway][ServerLimits]")
+{
+    constexpr std::size_t ServerCount = 3;
+    LimitedFleet fleet(4, ServerCount);
+    for (std::size_t server = 0; server < ServerCount; ++server)
+        fleet.setLimit(server, 0.4);
+    fleet.play(seconds(3), 20);
+    for (std::size_t server = 0; server < ServerCount; ++server)
+        fleet.setLimit(server, std::nullopt);
+    // Nobody hears of it before the next request.
+    fleet.play(seconds(4), 0);
+    fleet.refused = 0;
+    fleet.play(seconds(2), 33);
+    CHECK(fleet.refused == 0);
+}
