--- a/src/entry_host/gateway_host_reach.cpp
+++ b/src/entry_host/gateway_host_servers.cpp
@@ -1,4 +1,4 @@
-// The part of GatewayHost that finds out whether servers are in reach, and who else reaches them.
+// The part of GatewayHost that shares with other hosts what servers take and who reaches them.
 
 #include "core/hashing.h"
 #include "entry_host/gateway_host.h"
@@ -16,6 +16,31 @@
 
 } // namespace
 
+void GatewayHost::shareLimits(std::size_t liveHosts)
+{
+    const std::size_t allHosts = std::max({liveHosts, this->listedHosts, std::size_t{1}});
+    this->fleet.limits().setFleetShare(static_cast<double>(std::max<std::size_t>(liveHosts, 1))
+                                       / static_cast<double>(allHosts));
+    this->controller.setHostCount(allHosts);
+    this->metrics.set(Gauge::BackendServersLimited,
+                      static_cast<double>(this->fleet.limits().limitedServers()));
+}
+
+void GatewayHost::recordLimit(std::uint32_t senderHash, const ServerLimitNotice &notice)
+{
+    const auto id = this->serversByHash.find(notice.serverHash);
+    if (id == this->serversByHash.end())
+        return;
+    const GatewayServer *server = this->fleet.find(id->second);
+    if (server == nullptr || server->incarnation != notice.incarnation)
+        return;
+    ServerLimits &limits = this->fleet.limits();
+    if (!limits.onNotice(id->second, senderHash, notice, this->loop.now()))
+        return;
+    if (const std::optional<ServerLimitNotice> later = limits.notice(id->second))
+        this->promptUpdates.enqueueLimit(*later);
+}
+
 void GatewayHost::updateRelayPeers(const std::vector<MemberRecord> &live)
 {
     std::vector<RelayPeer> peers;
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -168,16 +168,6 @@
     this->checkReach();
 }
 
-void GatewayHost::shareLimits(std::size_t liveHosts)
-{
-    const std::size_t allHosts = std::max({liveHosts, this->listedHosts, std::size_t{1}});
-    this->fleet.limits().setFleetShare(static_cast<double>(std::max<std::size_t>(liveHosts, 1))
-                                       / static_cast<double>(allHosts));
-    this->controller.setHostCount(allHosts);
-    this->metrics.set(Gauge::BackendServersLimited,
-                      static_cast<double>(this->fleet.limits().limitedServers()));
-}
-
 void GatewayHost::updatePromptPeers()
 {
     const TimePoint now = this->loop.now();
@@ -417,21 +407,6 @@
         this->fleet.onLeavingAnnounced(id->second, this->loop.now());
 }
 
-void GatewayHost::recordLimit(std::uint32_t senderHash, const ServerLimitNotice &notice)
-{
-    const auto id = this->serversByHash.find(notice.serverHash);
-    if (id == this->serversByHash.end())
-        return;
-    const GatewayServer *server = this->fleet.find(id->second);
-    if (server == nullptr || server->incarnation != notice.incarnation)
-        return;
-    ServerLimits &limits = this->fleet.limits();
-    if (!limits.onNotice(id->second, senderHash, notice, this->loop.now()))
-        return;
-    if (const std::optional<ServerLimitNotice> later = limits.notice(id->second))
-        this->promptUpdates.enqueueLimit(*later);
-}
-
 void GatewayHost::recordSilenceReport(std::uint32_t server, std::uint32_t senderHash)
 {
     const auto id = this->serversByHash.find(server);
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -10,6 +10,11 @@
 /// route's timeout. A shorter timeout identifies a retry by the caller.
 constexpr double MinFirstTimeoutFraction = 0.84;
 constexpr double MeanFirstTimeoutFraction = 0.92;
+/// Callers abandon a stream after a gap without events that is longer than each of these: a fixed
+/// time, a multiple of the latency goal and a multiple of the event gap goal.
+constexpr Duration MinStreamAbandonTime = std::chrono::seconds(2);
+constexpr int AbandonLatencyGoalFactor = 4;
+constexpr int AbandonEventGapGoalFactor = 8;
 
 } // namespace
 
@@ -26,6 +31,12 @@
     return fromSeconds(toSeconds(routeTimeout) * MeanFirstTimeoutFraction) - callerTimeout;
 }
 
+Duration streamAbandonTime(const Route &route)
+{
+    return std::max({MinStreamAbandonTime, route.latencyGoal * AbandonLatencyGoalFactor,
+                     route.eventGapGoal * AbandonEventGapGoalFactor});
+}
+
 bool ForwardAttempt::isDiscarded() const
 {
     return this->metadata.notRun || this->metadata.isWrongServer || impliesNotRun(this->status)
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -102,6 +102,12 @@
     bool readingPaused = false;                   ///< Reading the response waits for a slow caller.
 };
 
+/// No attempt is made if less time than this is left until the deadline.
+inline constexpr Duration MinAttemptTime = std::chrono::milliseconds(20);
+
+/// Returns the gap between events after which callers abandon a stream of \a route.
+Duration streamAbandonTime(const Route &route);
+
 /// Estimates how long the caller waited before \a call; 0 if this is its first attempt.
 Duration earlierWait(const ForwardCall &call);
 
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// No attempt is made if less time than this is left until the deadline.
-constexpr Duration MinAttemptTime = std::chrono::milliseconds(20);
 /// Maximum number of failed connects and connections lost at once per request. They are not counted
 /// against the attempts of the route.
 constexpr std::size_t MaxConnectionFailures = 4;
@@ -24,11 +22,6 @@
 /// Maximum jitter added to the retry delay, as a fraction of it. It spreads the retries of callers
 /// that were refused at the same time.
 constexpr double RetryAfterJitter = 0.25;
-/// Callers abandon a stream after a gap without events that is longer than each of these: a fixed
-/// time, a multiple of the latency goal and a multiple of the event gap goal.
-constexpr Duration MinStreamAbandonTime = std::chrono::seconds(2);
-constexpr int AbandonLatencyGoalFactor = 4;
-constexpr int AbandonEventGapGoalFactor = 8;
 /// Limits on the inactivity of an attempt before it is retried at another server. Before the first
 /// event it is the longest of a minimum, a multiple of the latency goal and a multiple of the
 /// predicted time, all counted from dispatch; after it, a minimum or a multiple of the event gap
@@ -42,19 +35,6 @@
 /// streams may leave it without an event.
 constexpr double BusyServerPatienceFraction = 0.6;
 constexpr Duration MinStreamInactivityLimit = std::chrono::milliseconds(1'600);
-/// Parts of the latency goal, and of the time until a caller abandons its stream, for which a
-/// request may wait until a server takes it within its limit.
-constexpr double UsableGoalFraction = 0.5;
-constexpr double UsableGapFraction = 0.5;
-/// A request may wait this long for a pool whose servers lift their limits.
-constexpr Duration MaxLiftingWait = std::chrono::milliseconds(600);
-
-/// Returns the gap between events after which callers abandon a stream of \a route.
-Duration streamAbandonTime(const Route &route)
-{
-    return std::max({MinStreamAbandonTime, route.latencyGoal * AbandonLatencyGoalFactor,
-                     route.eventGapGoal * AbandonEventGapGoalFactor});
-}
 
 /// Describes the best plan for a prompt that was rejected.
 std::string rejectionDetail(const PromptPlacementResult &decision, const PromptDemand &demand)
@@ -200,29 +180,6 @@
     this->recordPromptDispatch(call, pool->second, plan.memoryTokens, now);
 }
 
-bool ForwardController::holdForLimit(ForwardCall &call, TimePoint now)
-{
-    const std::optional<TimePoint> opening = this->fleet.limitOpening(call.pool, now);
-    if (!opening)
-        return false;
-    Duration usableTime =
-            call.responseStarted
-                    ? fromSeconds(toSeconds(streamAbandonTime(*call.route)) * UsableGapFraction)
-                    : fromSeconds(toSeconds(call.route->latencyGoal) * UsableGoalFraction)
-                              - earlierWait(call);
-    // Its servers open one after the other within this time.
-    if (this->fleet.isLimitLifting(call.pool, now))
-        usableTime = std::max(usableTime, MaxLiftingWait);
-    const TimePoint lastUse =
-            (call.responseStarted ? call.lastEventAt : call.arrivedAt) + usableTime;
-    if (*opening > lastUse || *opening + MinAttemptTime > call.deadline)
-        return false;
-    call.heldUntil = *opening;
-    call.heldTime += *opening - now;
-    this->scheduleTimer(call, now);
-    return true;
-}
-
 void ForwardController::dispatchService(ForwardCall &call, const ServerPool &pool, TimePoint now)
 {
     // A server that may have closed an idle connection is asked again on a new one: if it refuses
@@ -399,19 +356,6 @@
     return delay + fromSeconds(toSeconds(delay) * RetryAfterJitter * this->random.nextDouble());
 }
 
-void ForwardController::refuseWithoutServer(ForwardCall &call, TimePoint now,
-                                            const std::string &detail)
-{
-    if (!this->fleet.limitOpening(call.pool, now))
-        return this->refuse(call, Reason::NoBackendServer, this->delayWithoutServer(call.pool, now),
-                            now, detail);
-    const double rateOfHost =
-            this->fleet.limitedRate(call.pool, now) / static_cast<double>(this->hostCount);
-    const Duration delay =
-            this->returnSchedule.book(call.pool, rateOfHost, call.deadline - now, now);
-    this->refuse(call, Reason::ServersLimited, delay, now, detail);
-}
-
 void ForwardController::retryOrRefuse(ForwardCall &call, const AttemptFailure &failure,
                                       TimePoint now)
 {
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -77,18 +77,6 @@
     this->fleet.onPauseRequested(server, *metadata.requestedPause, now);
 }
 
-void ForwardController::countAgainstLimit(const ServerId &server, TimePoint now)
-{
-    if (this->fleet.limits().onSent(server, now))
-        this->publishLimit(server);
-}
-
-void ForwardController::publishLimit(const ServerId &server)
-{
-    if (const std::optional<ServerLimitNotice> notice = this->fleet.limits().notice(server))
-        this->effects.publishServerLimit(*notice);
-}
-
 void ForwardController::onAttemptData(ForwardAttemptId id, std::string_view bytes, TimePoint now)
 {
     ForwardCall *call = this->findCall(id);
--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -260,20 +260,6 @@
     return found->second.contactsInPause++ < this->timings.maxContactsInPause;
 }
 
-std::optional<Duration> ServerFleet::pauseLeft(const std::string &pool, TimePoint now) const
-{
-    std::optional<Duration> shortest;
-    for (const auto &[id, record] : this->records) {
-        if (record.server.pool != pool || this->isLeavingOrGone(record, now))
-            continue;
-        if (record.pausedUntil <= now)
-            return std::nullopt;
-        const Duration left = record.pausedUntil - now;
-        shortest = std::min(shortest.value_or(left), left);
-    }
-    return shortest;
-}
-
 void ServerFleet::onSilenceReported(const ServerId &server, std::uint32_t senderHash, TimePoint now)
 {
     std::map<ServerId, TimePoint> &reported = this->silenceReports[senderHash];
@@ -393,17 +379,6 @@
     return found == this->records.end() ? 1.0 : found->second.rank;
 }
 
-std::vector<const GatewayServer *> ServerFleet::all(TimePoint now) const
-{
-    std::vector<const GatewayServer *> servers;
-    servers.reserve(this->records.size());
-    for (const auto &[id, record] : this->records) {
-        if (!record.expiresAt || *record.expiresAt > now)
-            servers.push_back(&record.server);
-    }
-    return servers;
-}
-
 void ServerFleet::decayCounts(Record &record, TimePoint now) const
 {
     const double halfLives =
--- a/src/gateway/server_fleet_pools.cpp
+++ b/src/gateway/server_fleet_pools.cpp
@@ -6,6 +6,31 @@
 
 namespace dotterel {
 
+std::vector<const GatewayServer *> ServerFleet::all(TimePoint now) const
+{
+    std::vector<const GatewayServer *> servers;
+    servers.reserve(this->records.size());
+    for (const auto &[id, record] : this->records) {
+        if (!record.expiresAt || *record.expiresAt > now)
+            servers.push_back(&record.server);
+    }
+    return servers;
+}
+
+std::optional<Duration> ServerFleet::pauseLeft(const std::string &pool, TimePoint now) const
+{
+    std::optional<Duration> shortest;
+    for (const auto &[id, record] : this->records) {
+        if (record.server.pool != pool || this->isLeavingOrGone(record, now))
+            continue;
+        if (record.pausedUntil <= now)
+            return std::nullopt;
+        const Duration left = record.pausedUntil - now;
+        shortest = std::min(shortest.value_or(left), left);
+    }
+    return shortest;
+}
+
 std::optional<TimePoint> ServerFleet::limitOpening(const std::string &pool, TimePoint now) const
 {
     std::optional<TimePoint> first;
