Release reserved memory again after lost answers and late orders

A release was sent once, and not at all if a grant came after it. An engine that does not answer an order may carry it out seconds later, so that a renewal or reserve order took effect after the release and nobody released it; several of them follow on each other.

MemoryReleases keeps the reservations of ended prompts until their release is answered, repeats it (0.6 s, doubled, while the lease can last), and releases again every 2.5 s while unanswered orders may still take effect (13 s). A host that stops waits for the first repeats, within its shutdown limit.

--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -237,7 +237,8 @@
 void GatewayHost::finishShutdownWhenIdle()
 {
     const bool idle = this->controller.inFlight() == 0 && this->callerServer.isIdle()
-                      && this->relayListener.server().isIdle();
+                      && this->relayListener.server().isIdle()
+                      && !this->controller.isReleasingMemory();
     if (!idle && this->loop.now() < this->shutdownDeadline)
         return;
     this->drainTimer.reset();
@@ -352,7 +353,7 @@
             this->httpClient, this->protocol.reservationRequest(order),
             [this, id, isReservation, ticket = order.reservationId, server = order.server,
              sentAt = this->loop.now()](const std::optional<HttpResponse> &response,
-                                        const HttpFailure & /*failure*/) {
+                                        const HttpFailure &failure) {
                 // The fetch is still on the call stack, so it must not be destroyed here.
                 const std::shared_ptr<HttpFetch> finishedFetch =
                         std::move(this->memoryRequests[id]);
@@ -361,10 +362,14 @@
                 if (response)
                     this->controller.onServerHeaders(server, response->status, response->headers,
                                                      sentAt, this->loop.now());
-                if (!isReservation)
-                    return;
-                this->controller.onReservationResult(
-                        ticket, response && response->status == StatusOk, this->loop.now());
+                const TimePoint now = this->loop.now();
+                if (!isReservation && response && response->status == StatusOk)
+                    this->controller.onMemoryReleased(ticket, now);
+                else if (isReservation && !response && failure.verdict != Verdict::NotRun)
+                    this->controller.onReservationUnanswered(ticket, now);
+                else if (isReservation)
+                    this->controller.onReservationResult(
+                            ticket, response && response->status == StatusOk, now);
                 this->scheduleControllerTimer();
             });
 }
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -2,6 +2,7 @@
 
 #include "gateway/event_stream_splitter.h"
 #include "gateway/forward_effects.h"
+#include "gateway/memory_releases.h"
 #include "gateway/prompt_placement.h"
 #include "gateway/prompt_updates.h"
 #include "gateway/relay_envelope.h"
@@ -14,15 +15,6 @@
 
 namespace dotterel {
 
-/// KV cache memory reserved on one engine for a prompt.
-struct MemoryReservation
-{
-    std::string id;
-    ServerId server;
-    std::uint64_t tokens = 0;
-    bool granted = false;
-};
-
 /// One attempt to run a request on a backend server.
 struct ForwardAttempt
 {
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -79,6 +79,7 @@
     , metrics(metrics)
     , log(log)
     , doubtfulEnds(DoubtfulEndLimits{})
+    , memoryReleases(MemoryReleaseTimings{})
 {}
 
 void ForwardController::onRequest(HttpCallId id, HttpMessageHead &&head,
@@ -191,6 +192,7 @@
         }
         this->scheduleTimer(call, now);
     }
+    this->sendDueReleases(now);
 }
 
 void ForwardController::endAll(TimePoint now)
@@ -204,9 +206,11 @@
 
 std::optional<TimePoint> ForwardController::nextTimer() const
 {
+    const std::optional<TimePoint> releaseDue = this->memoryReleases.nextDue();
     if (this->timers.empty())
-        return std::nullopt;
-    return this->timers.begin()->first;
+        return releaseDue;
+    const TimePoint callDue = this->timers.begin()->first;
+    return releaseDue ? std::min(callDue, *releaseDue) : callDue;
 }
 
 void ForwardController::scheduleTimer(const ForwardCall &call, TimePoint now)
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -89,6 +89,12 @@
     /// An engine granted or rejected the memory reservation \a reservationId.
     void onReservationResult(const std::string &reservationId, bool granted, TimePoint now);
 
+    /// An engine did not answer an order to reserve, which may still take effect.
+    void onReservationUnanswered(const std::string &reservationId, TimePoint now);
+
+    /// An engine answered the release of \a reservationId.
+    void onMemoryReleased(const std::string &reservationId, TimePoint now);
+
     /// Ends requests past their deadline, renews memory reservations and retries attempts that were
     /// inactive for too long.
     void onTimer(TimePoint now);
@@ -102,6 +108,9 @@
     /// Number of requests that have not been answered yet.
     std::size_t inFlight() const { return this->calls.size(); }
 
+    /// Returns true if engines have not confirmed the release of memory of ended prompts.
+    bool isReleasingMemory() const { return this->memoryReleases.isUnconfirmed(); }
+
 private:
     bool admit(ForwardCall &call, TimePoint now);
     void dispatch(ForwardCall &call, TimePoint now);
@@ -127,11 +136,13 @@
                      TimePoint now);
 
     void reserveMemory(ForwardCall &call, const PromptPlan &plan, TimePoint now);
-    void requestReservation(const MemoryReservation &reservation, TimePoint now);
+    /// Asks for the memory of \a call, or renews it.
+    void requestReservations(ForwardCall &call, TimePoint now);
     /// Plans again without the engines that granted no memory, or refuses the request. \a refusedBy
     /// is the engine that refused; empty if engines did not respond.
     void onMemoryUnavailable(ForwardCall &call, const ServerId &refusedBy, TimePoint now);
     void releaseReservations(ForwardCall &call, TimePoint now);
+    void sendDueReleases(TimePoint now);
     /// Renews granted reservations. Refuses the request and returns false if they were not granted
     /// in time.
     bool onReservationsDue(ForwardCall &call, TimePoint now);
@@ -266,6 +277,7 @@
     std::size_t totalHeldBytes = 0; ///< Sum over all attempts.
     std::uint64_t nextReservationNumber = 1;
     std::map<std::string, HttpCallId> callsByReservation;
+    MemoryReleases memoryReleases;
     std::set<std::pair<TimePoint, HttpCallId>> timers;
 };
 
--- a/src/gateway/forward_effects.h
+++ b/src/gateway/forward_effects.h
@@ -32,8 +32,7 @@
     /// Stops or resumes reading the response of \a attempt.
     virtual void pauseAttempt(ForwardAttemptId attempt, bool paused) = 0;
 
-    /// Sends \a request to an engine and reports whether the reservation was granted. Nothing is
-    /// reported for a release.
+    /// Sends \a request to an engine and reports how the engine answered.
     virtual void sendReservationRequest(const MemoryReservationRequest &request) = 0;
 
     /// Sends a complete response to a caller.
--- a/src/gateway/forward_memory.cpp
+++ b/src/gateway/forward_memory.cpp
@@ -29,39 +29,47 @@
             continue;
         const std::string reservationId = "d" + std::to_string(this->senderHash) + "-"
                                           + std::to_string(this->nextReservationNumber++);
-        call.reservations.push_back({reservationId, helper.server, helper.memoryTokens, false});
+        MemoryReservation reservation;
+        reservation.id = reservationId;
+        reservation.server = helper.server;
+        reservation.tokens = helper.memoryTokens;
+        call.reservations.push_back(reservation);
         this->callsByReservation.emplace(reservationId, call.id);
     }
-    // Iterates over a copy, since a response that arrives before all reservations are requested may
-    // change call.reservations.
-    const std::vector<MemoryReservation> requested = call.reservations;
-    for (const MemoryReservation &reservation : requested)
-        this->requestReservation(reservation, now);
+    this->requestReservations(call, now);
     this->scheduleTimer(call, now);
 }
 
-void ForwardController::requestReservation(const MemoryReservation &reservation, TimePoint now)
+void ForwardController::requestReservations(ForwardCall &call, TimePoint now)
 {
-    const GatewayServer *server = this->fleet.find(reservation.server);
-    if (server == nullptr || !this->fleet.tryContact(reservation.server, now))
-        return;
-    this->effects.sendReservationRequest({reservation.id, reservation.server, server->endpoint,
-                                          reservation.tokens, ReservationLifetime});
-    this->countAgainstLimit(reservation.server, now);
+    for (MemoryReservation &reservation : call.reservations) {
+        const GatewayServer *server = this->fleet.find(reservation.server);
+        if (server == nullptr || !this->fleet.tryContact(reservation.server, now))
+            continue;
+        ++reservation.unansweredOrders;
+        reservation.orderedAt = now;
+        this->effects.sendReservationRequest({reservation.id, reservation.server, server->endpoint,
+                                              reservation.tokens, ReservationLifetime});
+        this->countAgainstLimit(reservation.server, now);
+    }
 }
 
 void ForwardController::onReservationResult(const std::string &reservationId, bool granted,
                                             TimePoint now)
 {
     const auto found = this->callsByReservation.find(reservationId);
-    if (found == this->callsByReservation.end())
-        return;
+    if (found == this->callsByReservation.end()) {
+        this->memoryReleases.onReserved(reservationId, granted, now);
+        return this->sendDueReleases(now);
+    }
     ForwardCall &call = this->calls.at(found->second);
     ServerId server;
     for (MemoryReservation &reservation : call.reservations) {
         if (reservation.id != reservationId)
             continue;
         reservation.granted = granted;
+        if (reservation.unansweredOrders > 0)
+            --reservation.unansweredOrders;
         server = reservation.server;
     }
     if (!call.pendingPlan)
@@ -79,6 +87,21 @@
     this->sendPrompt(call, plan, now);
 }
 
+void ForwardController::onReservationUnanswered(const std::string &reservationId, TimePoint now)
+{
+    const auto found = this->callsByReservation.find(reservationId);
+    if (found == this->callsByReservation.end())
+        return;
+    ForwardCall &call = this->calls.at(found->second);
+    if (call.pendingPlan)
+        this->onMemoryUnavailable(call, ServerId(), now);
+}
+
+void ForwardController::onMemoryReleased(const std::string &reservationId, TimePoint now)
+{
+    this->memoryReleases.onReleased(reservationId, now);
+}
+
 void ForwardController::onMemoryUnavailable(ForwardCall &call, const ServerId &refusedBy,
                                             TimePoint now)
 {
@@ -108,8 +131,7 @@
         return false;
     }
     call.reservationsDue = now + RenewInterval;
-    for (const MemoryReservation &reservation : call.reservations)
-        this->requestReservation(reservation, now);
+    this->requestReservations(call, now);
     return true;
 }
 
@@ -117,6 +139,17 @@
 {
     for (const MemoryReservation &reservation : call.reservations) {
         this->callsByReservation.erase(reservation.id);
+        if (reservation.orderedAt != TimePoint())
+            this->memoryReleases.add(reservation, now);
+    }
+    call.reservations.clear();
+    call.pendingPlan.reset();
+    this->sendDueReleases(now);
+}
+
+void ForwardController::sendDueReleases(TimePoint now)
+{
+    for (const MemoryReservation &reservation : this->memoryReleases.takeDue(now)) {
         const GatewayServer *server = this->fleet.find(reservation.server);
         // A reservation that is not released expires.
         if (server == nullptr || !this->fleet.tryContact(reservation.server, now))
@@ -125,8 +158,6 @@
                 {reservation.id, reservation.server, server->endpoint, 0, Duration::zero()});
         this->countAgainstLimit(reservation.server, now);
     }
-    call.reservations.clear();
-    call.pendingPlan.reset();
 }
 
 } // namespace dotterel
--- /dev/null
+++ b/tests/gateway/test_reserved_memory.cpp
@@ -0,0 +1,189 @@
+// Memory that engines set aside for prompts and that no prompt uses.
+
+#include "support/forward_bench.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <list>
+#include <map>
+
+using namespace dotterel;
+using namespace dotterel::support;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr Duration Step = milliseconds(100);
+constexpr Duration OrderTimeout = milliseconds(500);
+/// Engines may set memory aside for less than this without a prompt that uses it.
+constexpr std::int64_t MaxUnusedMs = 9'000;
+
+/// The memory of the engines of a bench, which carries out orders when the test says so.
+class EngineMemory
+{
+public:
+    explicit EngineMemory(ForwardBench &bench)
+        : bench(bench)
+    {}
+
+    /// Lets the next orders be carried out \a lateBy later and without an answer, each one
+    /// \a increase later than the one before.
+    void setLate(Duration lateBy, Duration increase)
+    {
+        this->lateBy = lateBy;
+        this->increase = increase;
+    }
+
+    /// Lets the next orders be answered at once.
+    void setInTime() { this->lateBy.reset(); }
+
+    /// Whether a running prompt uses all memory that is set aside.
+    void setInUse(bool inUse) { this->inUse = inUse; }
+
+    void advance(Duration duration)
+    {
+        this->takeOrders();
+        for (const TimePoint end = this->bench.now + duration; this->bench.now < end;) {
+            this->bench.advanceTime(Step);
+            this->takeOrders();
+            this->expire();
+        }
+    }
+
+    bool isAnySetAside() const { return !this->heldUntil.empty(); }
+
+    std::int64_t longestUnusedMs() const { return this->longestUnused / milliseconds(1); }
+
+private:
+    struct Late
+    {
+        MemoryReservationRequest order;
+        TimePoint effectAt;
+        TimePoint timeoutAt;
+        bool timedOut = false;
+    };
+
+    void takeOrders()
+    {
+        while (this->taken < this->bench.reservationRequests.size()) {
+            const MemoryReservationRequest order = this->bench.reservationRequests[this->taken++];
+            if (this->lateBy) {
+                this->late.push_back({order, this->bench.now + *this->lateBy,
+                                      this->bench.now + OrderTimeout, false});
+                *this->lateBy += this->increase;
+                continue;
+            }
+            this->carryOut(order);
+            if (order.tokens > 0)
+                this->bench.controller.onReservationResult(order.reservationId, true,
+                                                           this->bench.now);
+            else
+                this->bench.controller.onMemoryReleased(order.reservationId, this->bench.now);
+        }
+        for (auto item = this->late.begin(); item != this->late.end();) {
+            if (!item->timedOut && this->bench.now >= item->timeoutAt) {
+                item->timedOut = true;
+                if (item->order.tokens > 0)
+                    this->bench.controller.onReservationUnanswered(item->order.reservationId,
+                                                                   this->bench.now);
+            }
+            if (this->bench.now < item->effectAt) {
+                ++item;
+                continue;
+            }
+            this->carryOut(item->order);
+            item = this->late.erase(item);
+        }
+    }
+
+    void carryOut(const MemoryReservationRequest &order)
+    {
+        if (order.tokens > 0) {
+            this->unusedSince.emplace(order.reservationId, this->bench.now);
+            TimePoint &until = this->heldUntil[order.reservationId];
+            until = std::max(until, this->bench.now + order.lifetime);
+        } else {
+            this->heldUntil.erase(order.reservationId);
+            this->unusedSince.erase(order.reservationId);
+        }
+    }
+
+    void expire()
+    {
+        for (auto held = this->heldUntil.begin(); held != this->heldUntil.end();) {
+            TimePoint &since = this->unusedSince[held->first];
+            if (this->inUse)
+                since = this->bench.now;
+            this->longestUnused = std::max(this->longestUnused, this->bench.now - since);
+            if (this->bench.now < held->second) {
+                ++held;
+                continue;
+            }
+            this->unusedSince.erase(held->first);
+            held = this->heldUntil.erase(held);
+        }
+    }
+
+    ForwardBench &bench;
+    Duration longestUnused = Duration::zero();
+    std::optional<Duration> lateBy;
+    Duration increase = Duration::zero();
+    bool inUse = false;
+    std::size_t taken = 0;
+    std::list<Late> late;
+    std::map<std::string, TimePoint> heldUntil;
+    std::map<std::string, TimePoint> unusedSince;
+};
+
+void addEngines(ForwardBench &bench)
+{
+    for (int number = 1; number <= 8; ++number)
+        bench.addServer("e-" + std::to_string(number), "engines");
+}
+
+} // namespace
+
+TEST_CASE("Memory is released again after orders that are carried out late",
+          "[Gateway][ForwardController]")
+{
+    // Replays engines that carry out renewals only after the prompt has ended.
+    ForwardBench bench;
+    addEngines(bench);
+    EngineMemory memory(bench);
+    const HttpCallId call = bench.request("/archives/", {{"Tokens", "450000,700"}});
+    memory.advance(Step);
+    REQUIRE(bench.sentAttempts.size() == 1);
+    memory.setInUse(true);
+
+    SECTION("renewals that take effect one after the other do not add up")
+    {
+        memory.setLate(milliseconds(5'000), milliseconds(700));
+        memory.advance(milliseconds(6'200));
+        memory.setInTime();
+        memory.setInUse(false);
+        bench.controller.onCallerDisconnected(call, bench.now);
+        memory.advance(milliseconds(20'000));
+        CHECK(memory.longestUnusedMs() < MaxUnusedMs);
+        CHECK_FALSE(memory.isAnySetAside());
+        CHECK_FALSE(bench.controller.nextTimer());
+    }
+    SECTION("a release without an answer is repeated, but not without end")
+    {
+        memory.setLate(milliseconds(60'000), Duration::zero());
+        bench.controller.onCallerDisconnected(call, bench.now);
+        const std::size_t first = bench.reservationRequests.size();
+        memory.advance(milliseconds(700));
+        CHECK(bench.reservationRequests.size() > first);
+        memory.advance(milliseconds(5'000));
+        CHECK_FALSE(bench.controller.nextTimer());
+    }
+    SECTION("nor does the host exit before it was repeated")
+    {
+        memory.setLate(milliseconds(60'000), Duration::zero());
+        bench.controller.onCallerDisconnected(call, bench.now);
+        CHECK(bench.controller.isReleasingMemory());
+        memory.setInTime();
+        memory.advance(milliseconds(700));
+        CHECK_FALSE(bench.controller.isReleasingMemory());
+    }
+}
