Give up prompts that do not begin while memory is set aside for them

Such a prompt is now given up 8 s after its memory was asked for, and retried or refused; renewals until then end at 8.5 s, so that memory also expires in time if the release is lost.

--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -85,6 +85,7 @@
     std::optional<PromptPlan> pendingPlan; ///< Plan that waits for its memory reservations.
     std::vector<MemoryReservation> reservations;
     std::size_t reservationRounds = 0; ///< Plans that failed for lack of memory.
+    TimePoint reservedAt;              ///< When the memory of the plan in force was asked for.
     TimePoint reservationsDue; ///< Next renewal, or the grant timeout while a plan is pending.
     bool responseStarted = false;
     Duration timeToFirstEvent = Duration::zero(); ///< Since arrival; 0 until it is received.
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -143,8 +143,10 @@
     void onMemoryUnavailable(ForwardCall &call, const ServerId &refusedBy, TimePoint now);
     void releaseReservations(ForwardCall &call, TimePoint now);
     void sendDueReleases(TimePoint now);
-    /// Renews granted reservations. Refuses the request and returns false if they were not granted
-    /// in time.
+    /// Ends an attempt for which memory is set aside and which has not begun.
+    void giveUpUnusedMemory(ForwardCall &call, TimePoint now);
+    /// Renews granted reservations. Retries or refuses the request and returns false if they were
+    /// not granted in time or are not used.
     bool onReservationsDue(ForwardCall &call, TimePoint now);
     std::string choosePool(const ForwardCall &call);
     PromptDemand makeDemand(const ForwardCall &call, TimePoint now) const;
--- a/src/gateway/forward_memory.cpp
+++ b/src/gateway/forward_memory.cpp
@@ -14,6 +14,11 @@
 /// Engines respond to reservation requests immediately. Only very large prompts need a reservation,
 /// for which a wait of this length is a small delay.
 constexpr Duration GrantTimeout = std::chrono::milliseconds(400);
+/// How long memory is set aside for a prompt that does not begin. Other prompts wait for that
+/// memory, and the engine that runs the prompt is too busy to use it.
+constexpr Duration MaxUnusedTime = std::chrono::seconds(8);
+/// Memory expires by itself this much later if no release reaches its engine.
+constexpr Duration UnusedExpiryMargin = std::chrono::milliseconds(500);
 /// Plans that are tried if engines refuse memory, each without the engines that refused before.
 constexpr std::size_t MaxReservationRounds = 3;
 constexpr Duration MemoryRetryAfter = std::chrono::seconds(1);
@@ -23,6 +28,7 @@
 void ForwardController::reserveMemory(ForwardCall &call, const PromptPlan &plan, TimePoint now)
 {
     call.pendingPlan = plan;
+    call.reservedAt = now;
     call.reservationsDue = now + GrantTimeout;
     for (const PrefillHelper &helper : plan.helpers) {
         if (helper.memoryTokens == 0)
@@ -42,6 +48,10 @@
 
 void ForwardController::requestReservations(ForwardCall &call, TimePoint now)
 {
+    const bool isUsed = call.attempt && call.attempt->firstEventReceived;
+    const Duration unusedTimeLeft = call.reservedAt + MaxUnusedTime + UnusedExpiryMargin - now;
+    const Duration lifetime =
+            isUsed ? ReservationLifetime : std::min(ReservationLifetime, unusedTimeLeft);
     for (MemoryReservation &reservation : call.reservations) {
         const GatewayServer *server = this->fleet.find(reservation.server);
         if (server == nullptr || !this->fleet.tryContact(reservation.server, now))
@@ -49,7 +59,7 @@
         ++reservation.unansweredOrders;
         reservation.orderedAt = now;
         this->effects.sendReservationRequest({reservation.id, reservation.server, server->endpoint,
-                                              reservation.tokens, ReservationLifetime});
+                                              reservation.tokens, lifetime});
         this->countAgainstLimit(reservation.server, now);
     }
 }
@@ -130,11 +140,25 @@
         this->onMemoryUnavailable(call, ServerId(), now);
         return false;
     }
+    const bool isUnused = call.attempt && !call.attempt->firstEventReceived;
+    if (isUnused && now >= call.reservedAt + MaxUnusedTime) {
+        this->giveUpUnusedMemory(call, now);
+        return false;
+    }
     call.reservationsDue = now + RenewInterval;
+    if (isUnused)
+        call.reservationsDue = std::min(call.reservationsDue, call.reservedAt + MaxUnusedTime);
     this->requestReservations(call, now);
     return true;
 }
 
+void ForwardController::giveUpUnusedMemory(ForwardCall &call, TimePoint now)
+{
+    this->logFailedAttempt(call, "memory_unused", Verdict::MayHaveRun, now);
+    this->abandonAttempt(call, now);
+    this->retryOrRefuse(call, {Verdict::MayHaveRun, RetryReason::FirstTokenTimeout}, now);
+}
+
 void ForwardController::releaseReservations(ForwardCall &call, TimePoint now)
 {
     for (const MemoryReservation &reservation : call.reservations) {
--- a/tests/gateway/test_reserved_memory.cpp
+++ b/tests/gateway/test_reserved_memory.cpp
@@ -143,6 +143,39 @@
 
 } // namespace
 
+TEST_CASE("Memory is not set aside for a prompt that does not begin",
+          "[Gateway][ForwardController]")
+{
+    // Replays an engine that is busy with other streams while helpers set memory aside.
+    ForwardBench bench;
+    addEngines(bench);
+    EngineMemory memory(bench);
+    bench.request("/archives/", {{"Tokens", "450000,700"}});
+    memory.advance(Step);
+    REQUIRE(bench.sentAttempts.size() == 1);
+    const auto waitAtBusyEngines = [&](Duration duration) {
+        for (const TimePoint end = bench.now + duration; bench.now < end;) {
+            for (const SentAttempt &attempt : bench.sentAttempts)
+                bench.fleet.onSignOfLife(attempt.header("Server"), bench.now);
+            memory.advance(Step);
+        }
+    };
+
+    SECTION("at an engine that goes on with other streams")
+    {
+        waitAtBusyEngines(milliseconds(14'800));
+        CHECK(memory.longestUnusedMs() < MaxUnusedMs);
+    }
+    SECTION("nor in the last attempt, which no other can replace")
+    {
+        bench.failAttempt(0, HttpFailureKind::ConnectionLost, Verdict::MayHaveRun);
+        memory.advance(Step);
+        REQUIRE(bench.sentAttempts.size() == 2);
+        waitAtBusyEngines(milliseconds(14'500));
+        CHECK(memory.longestUnusedMs() < MaxUnusedMs);
+    }
+}
+
 TEST_CASE("Memory is released again after orders that are carried out late",
           "[Gateway][ForwardController]")
 {
