Slots in the prediction of prompts, spreading of dispatches that cross

Cause: EngineLoad knew no slots, and all hosts computed the same best engine, so that hosts that dispatched within one report delay (about 9 ms) chose the same one.

Change: SlotQueue predicts the wait for a slot from the mean answer time of ended prompts; CrossingDispatches estimates from the reports how many dispatches are unseen; hosts choose at random among engines whose loss is nearly equal, the wider the more dispatches cross. Prompts over the slots do not advance their prefill until one ahead ends. The fixed spare slots are gone.

--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -55,7 +55,7 @@
     , log(log)
     , random(incarnation)
     , fleet(ServerFleetTimings{}, log, promptSenderHash(this->identity))
-    , promptPlacement(PromptPlacementSettings{}, settings.failureDomain, this->fleet)
+    , promptPlacement(PromptPlacementSettings{}, settings.failureDomain, this->fleet, this->random)
     , servicePlacement(settings.failureDomain, this->fleet, this->random)
     , retryAllowance(retryBoundOf(settings))
     , crashGuard(CrashLimits{}, this->metrics, log)
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -368,6 +368,7 @@
     prompt.demand = item.demand;
     prompt.prefillEngines = item.helperHashes.size() + 1;
     prompt.dispatchedAt = this->loop.now() - running.age;
+    prompt.isReported = isNew;
     if (!isNew)
         prompt.prefillLeft = running.prefillLeft;
     prompt.memoryTokens = item.demand.promptTokens + item.demand.outputTokens;
--- a/src/gateway/engine_load.cpp
+++ b/src/gateway/engine_load.cpp
@@ -100,12 +100,18 @@
                         this->entries.end());
 }
 
-void EngineLoad::remove(const PromptKey &key, TimePoint /*now*/)
+std::optional<Duration> EngineLoad::remove(const PromptKey &key, TimePoint now)
 {
+    std::optional<Duration> answerTime;
+    for (const Entry &entry : this->entries) {
+        if (entry.prompt.key == key && entry.decoding)
+            answerTime = now - entry.decodingSince;
+    }
     this->entries.erase(
             std::remove_if(this->entries.begin(), this->entries.end(),
                            [&key](const Entry &entry) { return entry.prompt.key == key; }),
             this->entries.end());
+    return answerTime;
 }
 
 void EngineLoad::removeSilent(const PromptKey &key, TimePoint now)
@@ -139,8 +145,12 @@
     this->updatedAt = now;
     if (timeBudget < Duration::zero())
         timeBudget = Duration::zero();
+    std::size_t promptsAhead = 0;
     for (Entry &entry : this->entries) {
-        if (entry.decoding || entry.prefillLeft <= Duration::zero())
+        // Prompts over the slots wait until one of those ahead ends.
+        const bool hasSlot = entry.prompt.isHelper || promptsAhead < engine.slots;
+        promptsAhead += entry.prompt.isHelper ? 0 : 1;
+        if (entry.decoding || !hasSlot || entry.prefillLeft <= Duration::zero())
             continue;
         const Duration processed = std::min(timeBudget, entry.prefillLeft);
         entry.prefillLeft -= processed;
@@ -159,7 +169,6 @@
                                            return helperDone || entry.expiresAt < now;
                                        }),
                         this->entries.end());
-    static_cast<void>(engine);
 }
 
 double EngineLoad::stepMs(const EngineProfile &engine) const
--- a/src/gateway/engine_load.h
+++ b/src/gateway/engine_load.h
@@ -28,6 +28,7 @@
     PromptDemand demand;            ///< At the time of dispatch.
     std::size_t prefillEngines = 1; ///< Engines that share the prefill evenly.
     bool isHelper = false;          ///< This engine only does a share of the prefill.
+    bool isReported = false;        ///< Dispatched by another host a moment ago.
     std::uint64_t memoryTokens = 0; ///< KV cache held on this engine until the prompt ends.
     TimePoint dispatchedAt;
     /// Prefill that remains if the prompt was dispatched earlier; zero if it is being decoded.
@@ -51,8 +52,8 @@
     /// Records that the first event of a prompt arrived, so that its prefill is complete.
     void onFirstEvent(const PromptKey &key, TimePoint now);
 
-    /// Removes a prompt that ended.
-    void remove(const PromptKey &key, TimePoint now);
+    /// Removes a prompt that ended; returns the time since its first event, if it got one.
+    std::optional<Duration> remove(const PromptKey &key, TimePoint now);
 
     /// Removes a prompt whose host gave it up because it got no event. The engine has more work
     /// than this estimate knows of, so a wait as long as that of the prompt is added to
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -1,6 +1,7 @@
 #include "gateway/prompt_placement.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dotterel {
 
@@ -8,8 +9,11 @@
 
 /// Loss of an infeasible placement, larger than any real loss.
 constexpr double InfeasibleLoss = 1e6;
-/// Loss for each prompt ahead in the queue for a slot, as a fraction of the prompt's value.
+/// Loss for each prompt ahead in the queue for a slot while other engines have free ones, as a
+/// fraction of the prompt's value. It delays the prompts that come to that engine later.
 constexpr double QueuePositionCost = 0.25;
+/// Numbers of unseen prompts on an engine that are told apart.
+constexpr std::size_t MaxUnseenPrompts = 4;
 /// Bounds of the retry delay suggested to a refused caller.
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration MaxRetryAfter = std::chrono::seconds(4);
@@ -17,10 +21,11 @@
 } // namespace
 
 PromptPlacement::PromptPlacement(const PromptPlacementSettings &settings, std::string failureDomain,
-                                 const ServerFleet &fleet)
+                                 const ServerFleet &fleet, RandomSource &random)
     : settings(settings)
     , failureDomain(std::move(failureDomain))
     , fleet(fleet)
+    , random(random)
 {}
 
 PromptPlacementResult PromptPlacement::place(const ServerPool &pool, const PromptDemand &demand,
@@ -31,12 +36,13 @@
     result.hasUsableServer = !candidateList.empty();
     if (candidateList.empty())
         return result;
-    std::optional<PromptPlan> best;
-    for (const Candidate &candidate : candidateList) {
-        const PromptPlan plan = this->planSingle(pool, demand, candidate, now);
-        if (!best || plan.expectedLoss < best->expectedLoss)
-            best = plan;
-    }
+    const double crossings = this->crossingDispatches.expected(now);
+    // Those that cross are spread in turn, so that an engine gets less than one on average.
+    const double unseenPrompts = crossings / (1.0 + crossings);
+    std::vector<PromptPlan> plans;
+    for (const Candidate &candidate : candidateList)
+        plans.push_back(this->planSingle(pool, demand, candidate, unseenPrompts, now));
+    std::optional<PromptPlan> best = this->choose(plans, demand, crossings);
     const Duration prefill = prefillTime(*pool.engine, demand.promptTokens, 1);
     result.shortestTimeToFirstEvent = prefill;
     if (pool.engine->supportsSplitPrefill && prefill >= this->settings.minSharedPrefill) {
@@ -100,7 +106,41 @@
                     std::max(0.0, freeTokens * this->settings.reservableFraction));
         (excluded.count(server->id) > 0 ? excludedCandidates : result).push_back(candidate);
     }
-    return result.empty() ? excludedCandidates : result;
+    if (result.empty())
+        result = std::move(excludedCandidates);
+    const std::size_t slots = pool.engine->slots;
+    const auto hasFreeSlot = [slots](const Candidate &candidate) {
+        return candidate.load->promptCount() < slots;
+    };
+    if (std::none_of(result.begin(), result.end(), hasFreeSlot))
+        return result;
+    for (Candidate &candidate : result) {
+        if (!hasFreeSlot(candidate))
+            candidate.overSlotsCost =
+                    QueuePositionCost
+                    * static_cast<double>(candidate.load->promptCount() + 1 - slots);
+    }
+    return result;
+}
+
+const PromptPlan &PromptPlacement::choose(std::vector<PromptPlan> &plans,
+                                          const PromptDemand &demand, double crossings)
+{
+    std::sort(plans.begin(), plans.end(), [](const PromptPlan &left, const PromptPlan &right) {
+        return left.expectedLoss < right.expectedLoss;
+    });
+    const double tolerance = demand.value
+                             * std::min(this->settings.maxToleratedLoss,
+                                        this->settings.toleratedLossPerCrossing * crossings);
+    // Each host takes the best engine with the probability at which one dispatch of those that
+    // cross is expected to go there.
+    for (const PromptPlan &plan : plans) {
+        if (plan.expectedLoss > plans.front().expectedLoss + tolerance)
+            break;
+        if (this->random.nextDouble() * (1.0 + crossings) < 1.0)
+            return plan;
+    }
+    return plans.front();
 }
 
 double PromptPlacement::maxAcceptableLoss(const PromptDemand &demand) const
@@ -119,21 +159,15 @@
            + refusedBeforeAllowance;
 }
 
-double PromptPlacement::serverCost(const ServerPool &pool, const PromptDemand &demand,
-                                   const Candidate &candidate) const
+double PromptPlacement::serverCost(const PromptDemand &demand, const Candidate &candidate) const
 {
-    const std::size_t slots = pool.engine->slots;
-    const std::size_t spareSlots = std::min(this->settings.spareSlotsPerEngine, slots - 1);
-    const std::size_t promptCount = candidate.load->promptCount();
-    double cost = candidate.positionCost + candidate.failureRate * demand.value;
-    if (promptCount + spareSlots >= slots)
-        cost += demand.value * QueuePositionCost
-                * static_cast<double>(promptCount + spareSlots + 1 - slots);
-    return cost;
+    return candidate.positionCost
+           + (candidate.failureRate + candidate.overSlotsCost) * demand.value;
 }
 
 PromptPlan PromptPlacement::planSingle(const ServerPool &pool, const PromptDemand &demand,
-                                       const Candidate &candidate, TimePoint now) const
+                                       const Candidate &candidate, double unseenPrompts,
+                                       TimePoint now) const
 {
     const EngineProfile &engine = *pool.engine;
     const double lateValueFraction = this->settings.valueModel.lateValueFraction;
@@ -141,12 +175,26 @@
     PromptPlan plan;
     plan.server = candidate.server->id;
     plan.memoryTokens = demand.promptTokens + demand.outputTokens;
-    plan.timeToFirstEvent = candidate.load->predictTimeToFirstEvent(engine, prefill, false);
-    plan.latenessLoss = latenessLoss(demand, plan.timeToFirstEvent, lateValueFraction);
+    const Duration timeWithSlot = candidate.load->predictTimeToFirstEvent(engine, prefill, false);
+    // The number of unseen prompts on the engine has a Poisson distribution.
+    double probability = std::exp(-unseenPrompts);
+    double remaining = 1.0;
+    double meanWaitSeconds = 0;
+    for (std::size_t unseen = 0; unseen <= MaxUnseenPrompts; ++unseen) {
+        const double share = unseen == MaxUnseenPrompts ? remaining : probability;
+        const Duration wait = this->slotQueue.wait(engine, demand.outputTokens,
+                                                   candidate.load->promptCount() + unseen);
+        plan.latenessLoss += share * latenessLoss(demand, timeWithSlot + wait, lateValueFraction);
+        meanWaitSeconds += share * toSeconds(wait);
+        remaining -= share;
+        probability *= unseenPrompts / static_cast<double>(unseen + 1);
+    }
+    plan.slotWait = fromSeconds(meanWaitSeconds);
+    plan.timeToFirstEvent = timeWithSlot + plan.slotWait;
     plan.interferenceLoss = candidate.load->interferenceLoss(engine, prefill, demand.promptTokens,
                                                              false, lateValueFraction, now);
     plan.expectedLoss =
-            plan.latenessLoss + plan.interferenceLoss + this->serverCost(pool, demand, candidate);
+            plan.latenessLoss + plan.interferenceLoss + this->serverCost(demand, candidate);
     if (!candidate.fitsMemory)
         plan.expectedLoss += InfeasibleLoss;
     return plan;
@@ -172,17 +220,21 @@
     double primaryCost = InfeasibleLoss;
     double primaryInterference = 0;
     Duration primaryTime = Duration::zero();
+    Duration primarySlotWait = Duration::zero();
     for (const Candidate &candidate : candidates) {
+        const Duration slotWait =
+                this->slotQueue.wait(engine, demand.outputTokens, candidate.load->promptCount());
         const Duration timeToFirst =
-                candidate.load->predictTimeToFirstEvent(engine, prefillShare, false);
+                candidate.load->predictTimeToFirstEvent(engine, prefillShare, false) + slotWait;
         const double interference = candidate.load->interferenceLoss(
                 engine, prefillShare, demand.promptTokens, false, lateValueFraction, now);
         const double cost = latenessLoss(demand, timeToFirst, lateValueFraction) + interference
-                            + this->serverCost(pool, demand, candidate);
+                            + this->serverCost(demand, candidate);
         if (cost < primaryCost && (candidate.fitsMemory || candidate.reservableTokens > 0)) {
             primaryCost = cost;
             primary = &candidate;
             primaryTime = timeToFirst;
+            primarySlotWait = slotWait;
             primaryInterference = interference;
         }
         const double failureCost = candidate.failureRate * demand.value;
@@ -203,6 +255,7 @@
     PromptPlan plan;
     plan.server = primary->server->id;
     plan.timeToFirstEvent = primaryTime;
+    plan.slotWait = primarySlotWait;
     plan.interferenceLoss = primaryInterference;
     double cost = primaryCost - latenessLoss(demand, primaryTime, lateValueFraction);
     for (const HelperOption &option : helpers) {
@@ -256,6 +309,8 @@
                                    const EnginePrompt &prompt, TimePoint now)
 {
     this->loads[server].add(engine, prompt, now);
+    if (prompt.isReported && !prompt.isHelper)
+        this->crossingDispatches.onReported(now);
 }
 
 void PromptPlacement::onFirstEvent(const PromptKey &key, TimePoint now)
@@ -266,8 +321,10 @@
 
 void PromptPlacement::onEnded(const PromptKey &key, TimePoint now)
 {
-    for (auto &[server, load] : this->loads)
-        load.remove(key, now);
+    for (auto &[server, load] : this->loads) {
+        if (const std::optional<Duration> answerTime = load.remove(key, now))
+            this->slotQueue.onAnswered(*answerTime);
+    }
 }
 
 void PromptPlacement::onSilent(const PromptKey &key, TimePoint now)
--- a/src/gateway/prompt_placement.h
+++ b/src/gateway/prompt_placement.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "core/random_source.h"
+#include "gateway/crossing_dispatches.h"
 #include "gateway/engine_load.h"
 #include "gateway/server_fleet.h"
+#include "gateway/slot_queue.h"
 
 #include <map>
 #include <optional>
@@ -44,8 +46,11 @@
     /// Fraction of an engine's memory that prompts may claim, since answers grow while they are
     /// decoded.
     double usableMemoryFraction = 0.95;
-    /// Slots of an engine left free for prompts that other hosts have not reported yet.
-    std::size_t spareSlotsPerEngine = 2;
+    /// Hosts that place at the same time choose among engines whose loss exceeds the lowest one by
+    /// at most this fraction of the prompt's value for each dispatch that is expected to cross.
+    double toleratedLossPerCrossing = 0.05;
+    /// Bound of the tolerated loss, as a fraction of the prompt's value.
+    double maxToleratedLoss = 0.2;
 };
 
 /// An engine that does a share of the prefill for another one.
@@ -61,7 +66,8 @@
     ServerId server;
     std::uint64_t memoryTokens = 0; ///< Held on the server; the helpers hold the rest.
     std::vector<PrefillHelper> helpers;
-    Duration timeToFirstEvent = Duration::zero();
+    Duration timeToFirstEvent = Duration::zero(); ///< Includes slotWait.
+    Duration slotWait = Duration::zero();         ///< Expected wait for a slot of the server.
     double expectedLoss = 0; ///< Loss of value of this prompt and of others on the engines.
     double latenessLoss = 0; ///< Part of expectedLoss: this prompt's first event is late.
     double interferenceLoss =
@@ -82,12 +88,14 @@
 /// Places prompts of very different lengths so that the expected loss of value is minimal: the
 /// value of the prompt itself if its first event is late, and that of the streams that its prefill
 /// would stall. Designed for load that changes within a second between many short prompts and many
-/// very long ones. Performs no I/O.
+/// very long ones. All hosts see nearly the same load, so that those that place at the same time
+/// would choose the same engine; they choose at random among nearly equal ones, the more the more
+/// dispatches cross. Performs no I/O.
 class PromptPlacement
 {
 public:
     PromptPlacement(const PromptPlacementSettings &settings, std::string failureDomain,
-                    const ServerFleet &fleet);
+                    const ServerFleet &fleet, RandomSource &random);
 
     /// Chooses servers of \a pool for \a demand; those in \a excluded only if no other is usable.
     PromptPlacementResult place(const ServerPool &pool, const PromptDemand &demand,
@@ -131,6 +139,7 @@
         EngineLoad *load = nullptr;
         double positionCost = 0;
         double failureRate = 0;
+        double overSlotsCost = 0; ///< As a fraction of the prompt's value.
         bool fitsMemory = true;
         std::uint64_t reservableTokens = 0;
     };
@@ -138,20 +147,26 @@
     std::vector<Candidate> candidates(const ServerPool &pool, const PromptDemand &demand,
                                       const std::set<ServerId> &excluded, TimePoint now);
     PromptPlan planSingle(const ServerPool &pool, const PromptDemand &demand,
-                          const Candidate &candidate, TimePoint now) const;
+                          const Candidate &candidate, double unseenPrompts, TimePoint now) const;
+    /// Returns one of \a plans, which is not empty: that with the lowest loss or one nearly as
+    /// good.
+    const PromptPlan &choose(std::vector<PromptPlan> &plans, const PromptDemand &demand,
+                             double crossings);
     std::optional<PromptPlan> planShared(const ServerPool &pool, const PromptDemand &demand,
                                          const std::vector<Candidate> &candidates,
                                          std::size_t engineCount, TimePoint now) const;
     bool distributeMemory(const PromptDemand &demand, const std::vector<Candidate> &candidates,
                           PromptPlan &plan) const;
     double maxAcceptableLoss(const PromptDemand &demand) const;
-    double serverCost(const ServerPool &pool, const PromptDemand &demand,
-                      const Candidate &candidate) const;
+    double serverCost(const PromptDemand &demand, const Candidate &candidate) const;
 
     PromptPlacementSettings settings;
     std::string failureDomain;
     const ServerFleet &fleet;
+    RandomSource &random;
     std::map<ServerId, EngineLoad> loads;
+    SlotQueue slotQueue;
+    CrossingDispatches crossingDispatches;
 };
 
 } // namespace dotterel
--- a/tests/gateway/test_prompt_placement.cpp
+++ b/tests/gateway/test_prompt_placement.cpp
@@ -17,7 +17,7 @@
 {
     explicit EngineSimulation(std::size_t servers)
         : fleet(ServerFleetTimings{}, this->log)
-        , placement(PromptPlacementSettings{}, "centro-a", this->fleet)
+        , placement(PromptPlacementSettings{}, "centro-a", this->fleet, this->random)
     {
         for (std::size_t index = 0; index < servers; ++index) {
             GatewayServer server;
@@ -93,6 +93,7 @@
 
     TimePoint now{std::chrono::seconds(100)};
     NullEventLog log;
+    SeededRandom random{5};
     ServerPool pool{"engines", 374, dataSheetEngine()};
     ServerFleet fleet;
     PromptPlacement placement;
--- a/tests/support/forward_bench.cpp
+++ b/tests/support/forward_bench.cpp
@@ -44,7 +44,7 @@
 
 ForwardBench::ForwardBench(std::uint32_t hostHash)
     : fleet(ServerFleetTimings{}, this->log, hostHash)
-    , promptPlacement(PromptPlacementSettings{}, "centro-a", this->fleet)
+    , promptPlacement(PromptPlacementSettings{}, "centro-a", this->fleet, this->random)
     , servicePlacement("centro-a", this->fleet, this->random)
     , retryBudget(RetryBudgetLimits{})
     , crashGuard(CrashLimits{}, this->metrics, this->log)
