--- a/src/gateway/forward_memory.cpp
+++ b/src/gateway/forward_memory.cpp
@@ -52,12 +52,19 @@
     const Duration unusedTimeLeft = call.reservedAt + MaxUnusedTime + UnusedExpiryMargin - now;
     const Duration lifetime =
             isUsed ? ReservationLifetime : std::min(ReservationLifetime, unusedTimeLeft);
+    std::vector<MemoryReservation> ordered;
     for (MemoryReservation &reservation : call.reservations) {
-        const GatewayServer *server = this->fleet.find(reservation.server);
-        if (server == nullptr || !this->fleet.tryContact(reservation.server, now))
+        if (this->fleet.find(reservation.server) == nullptr
+            || !this->fleet.tryContact(reservation.server, now))
             continue;
         ++reservation.unansweredOrders;
         reservation.orderedAt = now;
+        ordered.push_back(reservation);
+    }
+    // Iterates over copies, since a response that arrives before all orders are sent may change
+    // call.reservations.
+    for (const MemoryReservation &reservation : ordered) {
+        const GatewayServer *server = this->fleet.find(reservation.server);
         this->effects.sendReservationRequest({reservation.id, reservation.server, server->endpoint,
                                               reservation.tokens, lifetime});
         this->countAgainstLimit(reservation.server, now);
