--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -111,6 +111,8 @@
              "This host reaches no server of a pool; its requests go through other hosts."},
             {Event::ServiceReachable, "service_reachable", Severity::Info,
              "This host reaches servers of a pool again."},
+            {Event::ServerSuspicionLifted, "server_suspicion_lifted", Severity::Info,
+             "A backend server that other hosts reported as silent sends to another host."},
             {Event::AllocationReleased, "allocation_released", Severity::Warning,
              "An orphaned allocation of engine memory was released."},
             {Event::AllocationReserveFailed, "allocation_reserve_failed", Severity::Info,
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -55,6 +55,7 @@
     , log(log)
     , random(incarnation)
     , fleet(ServerFleetTimings{}, log, promptSenderHash(this->identity))
+    , silenceReplies(SilenceReplySettings{}, this->random)
     , promptPlacement(PromptPlacementSettings{}, settings.failureDomain, this->fleet)
     , servicePlacement(settings.failureDomain, this->fleet, this->random)
     , retryAllowance(retryBoundOf(settings))
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -13,6 +13,7 @@
 #include "gateway/host_entries.h"
 #include "gateway/host_entry_reconciler.h"
 #include "gateway/prompt_update_peers.h"
+#include "gateway/silence_replies.h"
 #include "state/settings.h"
 
 #include <functional>
@@ -110,6 +111,9 @@
     /// Splits the limits of servers over the hosts that this one is in touch with.
     void shareLimits(std::size_t liveHosts);
     void recordSilenceReport(std::uint32_t server, std::uint32_t senderHash);
+    void recordWorkingServer(std::uint32_t server);
+    /// Sends the due contradictions of silence reports, and schedules the next one.
+    void sendSilenceReplies();
     void addRemotePrompt(std::uint32_t server, const EnginePrompt &prompt);
     const EngineProfile *engineProfileOf(const ServerId &server) const;
     void registerHostEntry();
@@ -148,6 +152,7 @@
     SeededRandom random;
     std::shared_ptr<const RouteTable> routes = std::make_shared<RouteTable>();
     ServerFleet fleet;
+    SilenceReplies silenceReplies;
     PromptPlacement promptPlacement;
     ServicePlacement servicePlacement;
     RetryBudget retryAllowance;
@@ -191,6 +196,7 @@
     std::optional<TimePoint> controllerTimerDue;
     EventLoop::TimerHandle controllerTimer;
     EventLoop::TimerHandle registrationTimer;
+    EventLoop::TimerHandle silenceReplyTimer;
     EventLoop::TimerHandle objectRequestTimer;
     EventLoop::TimerHandle drainTimer;
 };
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -349,6 +349,8 @@
         this->recordLimit(update.senderHash, notice);
     if (!update.poolsOutOfReach.empty())
         this->relayPeers.onOutOfReach(update.senderHash, update.poolsOutOfReach, now);
+    for (const std::uint32_t server : update.workingServers)
+        this->recordWorkingServer(server);
     for (const RunningPrompt &running : update.running)
         this->addRemoteDispatch(update.senderHash, running, false);
     if (update.joinedAt) {
@@ -410,8 +412,35 @@
 void GatewayHost::recordSilenceReport(std::uint32_t server, std::uint32_t senderHash)
 {
     const auto id = this->serversByHash.find(server);
-    if (id != this->serversByHash.end())
-        this->fleet.onSilenceReported(id->second, senderHash, this->loop.now());
+    if (id == this->serversByHash.end())
+        return;
+    const TimePoint now = this->loop.now();
+    this->silenceReplies.onReport(id->second, this->fleet.lastOwnSign(id->second), now);
+    this->fleet.onSilenceReported(id->second, senderHash, now);
+    this->sendSilenceReplies();
+}
+
+void GatewayHost::recordWorkingServer(std::uint32_t server)
+{
+    const auto id = this->serversByHash.find(server);
+    if (id == this->serversByHash.end())
+        return;
+    this->silenceReplies.onReply(id->second, this->loop.now());
+    this->fleet.onSilenceContradicted(id->second, this->loop.now());
+}
+
+void GatewayHost::sendSilenceReplies()
+{
+    std::vector<std::uint32_t> hashes;
+    for (const ServerId &server : this->silenceReplies.takeDue(this->loop.now()))
+        hashes.push_back(hash32(server));
+    if (!hashes.empty())
+        this->promptUpdates.announceWorking(hashes);
+    const std::optional<TimePoint> next = this->silenceReplies.nextDue();
+    this->silenceReplyTimer.reset();
+    if (next)
+        this->silenceReplyTimer = this->loop.after(*next - this->loop.now(),
+                                                   [this] { this->sendSilenceReplies(); });
 }
 
 } // namespace dotterel
--- a/src/entry_host/prompt_update_channel.cpp
+++ b/src/entry_host/prompt_update_channel.cpp
@@ -121,6 +121,16 @@
         this->socket.send(peer, bytes);
 }
 
+void PromptUpdateChannel::announceWorking(const std::vector<std::uint32_t> &serverHashes)
+{
+    PromptUpdateBatch batch;
+    batch.senderHash = this->pending.senderHash;
+    batch.workingServers = serverHashes;
+    const std::string bytes = encodePromptUpdates(batch);
+    for (const Endpoint &peer : this->peers)
+        this->socket.send(peer, bytes);
+}
+
 void PromptUpdateChannel::sendRunning(const Endpoint &peer,
                                       const std::vector<RunningPrompt> &prompts)
 {
--- a/src/entry_host/prompt_update_channel.h
+++ b/src/entry_host/prompt_update_channel.h
@@ -39,6 +39,9 @@
     /// Tells the peers of which pools, by the hashes of their names, this host reaches no server.
     void announceOutOfReach(const std::vector<std::uint32_t> &poolHashes);
 
+    /// Tells the peers that the servers with these hashes of their ids work.
+    void announceWorking(const std::vector<std::uint32_t> &serverHashes);
+
     /// Sends \a limits to \a peer.
     void sendLimits(const Endpoint &peer, const std::vector<ServerLimitNotice> &limits);
 
--- a/src/gateway/prompt_updates.cpp
+++ b/src/gateway/prompt_updates.cpp
@@ -20,6 +20,7 @@
 constexpr const char *LeavingKey = "leaving";
 constexpr const char *LimitsKey = "limits";
 constexpr const char *OutOfReachKey = "unreached";
+constexpr const char *WorkingKey = "working";
 
 std::int64_t toMs(Duration duration)
 {
@@ -122,6 +123,17 @@
     return notice;
 }
 
+/// Decodes the list of hashes \a key, if it is there.
+std::vector<std::uint32_t> decodeHashes(const nlohmann::json &json, const char *key)
+{
+    const auto list = json.find(key);
+    if (list == json.end())
+        return {};
+    if (list->size() > MaxUpdates)
+        throw nlohmann::json::other_error::create(507, "more than 1000 hashes", &json);
+    return list->get<std::vector<std::uint32_t>>();
+}
+
 /// Decodes the fields that hosts of earlier versions do not send.
 void decodeExtension(const nlohmann::json &json, PromptUpdateBatch &batch)
 {
@@ -141,12 +153,8 @@
         for (const nlohmann::json &row : *limits)
             batch.limits.push_back(decodeLimit(row));
     }
-    if (const auto pools = json.find(OutOfReachKey); pools != json.end()) {
-        if (pools->size() > MaxUpdates)
-            throw nlohmann::json::other_error::create(507, "more than 1000 pools", &json);
-        for (const nlohmann::json &pool : *pools)
-            batch.poolsOutOfReach.push_back(pool.get<std::uint32_t>());
-    }
+    batch.poolsOutOfReach = decodeHashes(json, OutOfReachKey);
+    batch.workingServers = decodeHashes(json, WorkingKey);
     const auto running = json.find(RunningKey);
     if (running == json.end())
         return;
@@ -178,6 +186,8 @@
         extension[LimitsKey].push_back(encodeLimit(notice));
     if (!batch.poolsOutOfReach.empty())
         extension[OutOfReachKey] = batch.poolsOutOfReach;
+    if (!batch.workingServers.empty())
+        extension[WorkingKey] = batch.workingServers;
     for (const RunningPrompt &prompt : batch.running)
         extension[RunningKey].push_back(encodeRunning(prompt));
     if (!extension.empty())
--- a/src/gateway/prompt_updates.h
+++ b/src/gateway/prompt_updates.h
@@ -65,6 +65,9 @@
     /// Hashes of the names of the pools of which the sender reaches no server. Hosts of earlier
     /// versions ignore it.
     std::vector<std::uint32_t> poolsOutOfReach;
+    /// Hashes of the ids of servers that work although a host reported them as silent. Hosts of
+    /// earlier versions ignore it.
+    std::vector<std::uint32_t> workingServers;
     std::vector<RunningPrompt> running; ///< Reply to joinedAt, a part of the sender's prompts.
 };
 
--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -269,14 +269,43 @@
     if (reported.size() >= this->timings.maxReportedServers && reported.count(server) == 0)
         return;
     reported[server] = now;
+    const auto found = this->records.find(server);
+    const bool wasSuspected = found != this->records.end() && found->second.suspectedUntil > now;
     this->onAttemptOutcome(server, AttemptOutcome::Silent, now);
+    if (found != this->records.end() && !wasSuspected)
+        found->second.suspectedByReport = true;
+}
+
+void ServerFleet::onSilenceContradicted(const ServerId &server, TimePoint now)
+{
+    const auto found = this->records.find(server);
+    if (found == this->records.end())
+        return;
+    Record &record = found->second;
+    // No sign of life: the other host may have received its last bytes just before a crash.
+    record.lastContradiction = now;
+    const bool isTakenBack = record.suspectedUntil > now && record.suspectedForSilence
+                             && record.suspectedByReport;
+    if (!isTakenBack)
+        return;
+    record.suspectedUntil = TimePoint();
+    record.suspicions = std::max(0, record.suspicions - 1);
+    this->log.write(Event::ServerSuspicionLifted, {{"server", server}});
 }
 
 void ServerFleet::onSignOfLife(const ServerId &server, TimePoint now)
 {
     const auto found = this->records.find(server);
-    if (found != this->records.end())
-        found->second.lastAnswer = now;
+    if (found == this->records.end())
+        return;
+    found->second.lastAnswer = now;
+    found->second.lastOwnSign = now;
+}
+
+std::optional<TimePoint> ServerFleet::lastOwnSign(const ServerId &server) const
+{
+    const auto found = this->records.find(server);
+    return found == this->records.end() ? std::nullopt : found->second.lastOwnSign;
 }
 
 std::optional<TimePoint> ServerFleet::lastSignOfLife(const ServerId &server) const
@@ -287,10 +316,10 @@
 
 bool ServerFleet::maySuspectForSilence(const Record &record, TimePoint now) const
 {
-    const bool answeredRecently =
-            record.lastAnswer && now - *record.lastAnswer < this->timings.recentAnswerWindow;
-    if (answeredRecently)
-        return false;
+    for (const auto &sign : {record.lastAnswer, record.lastContradiction}) {
+        if (sign && now - *sign < this->timings.recentAnswerWindow)
+            return false;
+    }
     std::size_t schedulable = 0;
     std::size_t silent = 0;
     for (const auto &[id, other] : this->records) {
@@ -319,6 +348,7 @@
             std::min(this->timings.maxSuspicion, this->timings.initialSuspicion * (1 << doublings));
     record.suspectedUntil = now + suspicionTime;
     record.suspectedForSilence = outcome == AttemptOutcome::Silent;
+    record.suspectedByReport = false;
     this->log.write(Event::ServerDown,
                     {{"server", record.server.id},
                      {"source", std::string(attemptOutcomeName(outcome))},
--- a/src/gateway/server_fleet.h
+++ b/src/gateway/server_fleet.h
@@ -114,6 +114,10 @@
     /// Records that the host \a senderHash got no response from \a server.
     void onSilenceReported(const ServerId &server, std::uint32_t senderHash, TimePoint now);
 
+    /// Records that another host gets bytes from \a server. Takes back a suspicion that rests on the
+    /// reports of other hosts alone: what this host has seen itself may concern its own path.
+    void onSilenceContradicted(const ServerId &server, TimePoint now);
+
     /// Records that \a server sent bytes for any request, which shows that it works.
     void onSignOfLife(const ServerId &server, TimePoint now);
 
@@ -137,6 +141,9 @@
     /// Returns when \a server last sent anything; nullopt if never.
     std::optional<TimePoint> lastSignOfLife(const ServerId &server) const;
 
+    /// Returns when \a server last sent bytes to this host; nullopt if never.
+    std::optional<TimePoint> lastOwnSign(const ServerId &server) const;
+
     /// Returns the server, or nullptr if it is unknown. The server need not be usable.
     const GatewayServer *find(const ServerId &server) const;
 
@@ -186,8 +193,11 @@
         /// Latest failure that extended the suspicion.
         std::optional<TimePoint> lastCountedFailure;
         std::optional<TimePoint> lastAnswer; ///< Latest sign of life, for any request.
+        std::optional<TimePoint> lastOwnSign; ///< Latest bytes that this host received.
         TimePoint suspectedUntil;
+        std::optional<TimePoint> lastContradiction; ///< Of reports that the server is silent.
         bool suspectedForSilence = false;   ///< Reason of the latest suspicion.
+        bool suspectedByReport = false;     ///< The latest suspicion rests on a report alone.
         bool announcedLeaving = false;      ///< Announced in an answer.
         TimePoint pausedUntil;              ///< The server wants no requests before.
         std::size_t contactsInPause = 0;    ///< Messages sent to it in the current pause.
--- a/tests/gateway/test_prompt_updates.cpp
+++ b/tests/gateway/test_prompt_updates.cpp
@@ -82,6 +82,13 @@
         batch.limits[0].limit = -1.0;
         CHECK_FALSE(decodePromptUpdates(encodePromptUpdates(batch)));
     }
+    SECTION("servers that work although a host reported them as silent")
+    {
+        batch.workingServers = {7, 8};
+        const auto decoded = decodePromptUpdates(encodePromptUpdates(batch));
+        REQUIRE(decoded);
+        CHECK(decoded->workingServers == std::vector<std::uint32_t>{7, 8});
+    }
     SECTION("running prompts, with their age and remaining prefill")
     {
         batch.running = {{dispatchOf(4), milliseconds(1'200), milliseconds(300)}};
--- a/tests/gateway/test_server_fleet.cpp
+++ b/tests/gateway/test_server_fleet.cpp
@@ -295,6 +295,21 @@
         fleet.onAttemptOutcome("s1", AttemptOutcome::Silent, now + milliseconds(200));
         CHECK(fleet.usable("app", now + milliseconds(200)).size() == ServerCount);
     }
+    SECTION("reports are taken back when a host tells that the server sends to it")
+    {
+        fleet.onSilenceReported("s1", 1, now);
+        REQUIRE(fleet.usable("app", now).size() == ServerCount - 1);
+        fleet.onSilenceContradicted("s1", now + milliseconds(20));
+        CHECK(fleet.usable("app", now + milliseconds(20)).size() == ServerCount);
+
+        SECTION("but not what this host has seen itself, which may be its own path")
+        {
+            const TimePoint later = now + seconds(1);
+            fleet.onAttemptOutcome("s1", AttemptOutcome::Silent, later);
+            fleet.onSilenceContradicted("s1", later + milliseconds(20));
+            CHECK(fleet.usable("app", later + milliseconds(20)).size() == ServerCount - 1);
+        }
+    }
     SECTION("servers that are really dark are left at the first sign")
     {
         for (const char *id : {"s1", "s2", "s3"})
