Pass prompt updates on inside failure domains of many hosts

Change: two hosts of each other domain, drawn anew for each batch among those whose own updates arrived within a second, get it and pass it on. Hosts of earlier versions and small domains get it directly.

--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -28,6 +28,9 @@
     /// Sets the address at which this host accepts links. Must be called before the first tick.
     void setAddress(const Endpoint &address) { this->self.peerEndpoint = address; }
 
+    /// Announces that this host passes prompt updates on. Must be called before the first tick.
+    void setForwardsUpdates() { this->self.forwardsUpdates = true; }
+
     /// Sets the port on which this host takes over requests. Must be called before the first tick.
     void setRelayPort(std::uint16_t port) { this->self.relayPort = port; }
 
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -82,8 +82,9 @@
     , entryKeeper(this->identity)
     , membershipDriver(loop, settings.heartbeatInterval, this->membership, this->peerMesh,
                        this->hostList, *this)
+    , updateRoutes(UpdateRouteSettings{}, settings.failureDomain, this->random)
     , promptUpdates(
-              loop, this->peerMesh.endpoint(), promptSenderHash(this->identity),
+              loop, this->peerMesh.endpoint(), promptSenderHash(this->identity), this->updateRoutes,
               [this](const PromptUpdateBatch &update) { this->onPromptUpdates(update); },
               this->metrics, log)
     , promptUpdatePeers(this->peerMesh.endpoint(), loop.now())
@@ -115,6 +116,7 @@
                       })
     , operatorApi(loop, settings.operators, *this, this->metrics)
 {
+    this->membership.setForwardsUpdates();
     this->membership.setRelayPort(this->relayListener.server().endpoint().port);
     this->partGuard.setTrialDuty([this](const std::string &key) {
         return isTaskAssigned(this->identity, this->membership.liveMembers(), key, 1);
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -170,6 +170,7 @@
     CollectionHostList hostList;
     HostEntryReconciler entryKeeper;
     MembershipDriver membershipDriver;
+    UpdateRoutes updateRoutes;
     PromptUpdateChannel promptUpdates;
     PromptUpdatePeers promptUpdatePeers;
     CollectionFeed configurationFeed;
@@ -178,6 +179,7 @@
     OperatorApi operatorApi;
     std::unordered_map<std::uint32_t, ServerId> serversByHash;
     std::size_t listedHosts = 0;           ///< Hosts on the platform's list, with this one.
+    std::vector<UpdatePeer> liveUpdatePeers; ///< Live hosts at the last heartbeat.
     std::set<HostId> sameDomainHosts;      ///< Live hosts in this host's failure domain.
     std::set<std::uint32_t> promptSenders; ///< Hashes of the hosts at the last heartbeat.
     std::uint64_t nextMemoryRequestId = 1;
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -133,6 +133,7 @@
 void GatewayHost::beforeHeartbeat()
 {
     std::vector<Endpoint> peers;
+    std::vector<UpdatePeer> updatePeers;
     std::set<std::uint32_t> liveSenders;
     const std::vector<MemberRecord> live = this->membership.liveMembers();
     this->sameDomainHosts.clear();
@@ -144,6 +145,8 @@
         if (member.identity.host == this->identity.host)
             continue;
         peers.push_back(member.peerEndpoint);
+        updatePeers.push_back({member.peerEndpoint, member.identity.failureDomain, sender,
+                               member.forwardsUpdates && !member.leaving});
         if (this->promptSenders.count(sender) > 0)
             continue;
         this->promptUpdates.sendRunning(member.peerEndpoint,
@@ -160,6 +163,7 @@
     }
     this->promptSenders = std::move(liveSenders);
     this->promptUpdatePeers.setLive(peers);
+    this->liveUpdatePeers = std::move(updatePeers);
     this->updatePromptPeers();
     this->retryAllowance.setHostCount(
             std::max<std::size_t>(live.size(), this->settings.sharedHosts));
@@ -171,7 +175,9 @@
 void GatewayHost::updatePromptPeers()
 {
     const TimePoint now = this->loop.now();
-    this->promptUpdates.setPeers(this->promptUpdatePeers.endpoints(now));
+    const std::vector<Endpoint> endpoints = this->promptUpdatePeers.endpoints(now);
+    this->promptUpdates.setPeers(endpoints);
+    this->updateRoutes.setPeers(this->liveUpdatePeers, endpoints);
     if (this->promptUpdatePeers.takeAnnouncement(now))
         this->promptUpdates.announceJoin();
 }
--- a/src/entry_host/prompt_update_channel.cpp
+++ b/src/entry_host/prompt_update_channel.cpp
@@ -1,5 +1,7 @@
 #include "entry_host/prompt_update_channel.h"
 
+#include "core/hashing.h"
+
 #include <algorithm>
 
 namespace dotterel {
@@ -18,9 +20,10 @@
 } // namespace
 
 PromptUpdateChannel::PromptUpdateChannel(EventLoop &loop, const Endpoint &endpoint,
-                                         std::uint32_t sender, Listener listener, Metrics &metrics,
-                                         EventLog &log)
+                                         std::uint32_t sender, UpdateRoutes &routes,
+                                         Listener listener, Metrics &metrics, EventLog &log)
     : loop(loop)
+    , routes(routes)
     , listener(std::move(listener))
     , metrics(metrics)
     , log(log)
@@ -70,8 +73,13 @@
     if (!this->peers.empty()) {
         const std::string bytes = encodePromptUpdates(this->pending);
         // A lost update is corrected when the prompt expires, so a full send queue is not an error.
-        for (const Endpoint &peer : this->peers)
+        const UpdateReceivers receivers = this->routes.receivers(this->loop.now());
+        for (const Endpoint &peer : receivers.direct)
             this->socket.send(peer, bytes);
+        const std::string wrapped =
+                receivers.forwarders.empty() ? std::string() : wrapForForwarding(bytes);
+        for (const Endpoint &peer : receivers.forwarders)
+            this->socket.send(peer, wrapped);
     }
     this->pending.updates.clear();
     this->pending.limits.clear();
@@ -146,6 +154,29 @@
 
 void PromptUpdateChannel::onDatagram(std::string_view bytes)
 {
+    const std::optional<std::string> forwarded = unwrapForwarded(bytes);
+    if (!forwarded)
+        return this->receive(bytes);
+    for (const Endpoint &peer : this->routes.domainPeers())
+        this->socket.send(peer, *forwarded);
+    this->receive(*forwarded);
+}
+
+bool PromptUpdateChannel::isRepeated(std::string_view bytes)
+{
+    const std::uint64_t hash = hash64(bytes);
+    if (std::find(this->recentHashes.begin(), this->recentHashes.end(), hash)
+        != this->recentHashes.end())
+        return true;
+    this->recentHashes.at(this->nextHash) = hash;
+    this->nextHash = (this->nextHash + 1) % this->recentHashes.size();
+    return false;
+}
+
+void PromptUpdateChannel::receive(std::string_view bytes)
+{
+    if (this->isRepeated(bytes))
+        return;
     const tl::expected<PromptUpdateBatch, std::string> update = decodePromptUpdates(bytes);
     if (!update) {
         this->metrics.count(Counter::PeerFramesRejected, 1);
@@ -153,8 +184,10 @@
                         {{"channel", std::string("prompt_updates")}, {"error", update.error()}});
         return;
     }
-    if (update->senderHash != this->pending.senderHash)
-        this->listener(*update);
+    if (update->senderHash == this->pending.senderHash)
+        return;
+    this->routes.onReceived(update->senderHash, this->loop.now());
+    this->listener(*update);
 }
 
 } // namespace dotterel
--- a/src/entry_host/prompt_update_channel.h
+++ b/src/entry_host/prompt_update_channel.h
@@ -4,16 +4,18 @@
 #include "core/identity.h"
 #include "core/metrics.h"
 #include "gateway/prompt_updates.h"
+#include "gateway/update_routes.h"
 #include "protocol/peer_message.h"
 #include "transport/datagram_socket.h"
 
+#include <array>
 #include <functional>
 #include <vector>
 
 namespace dotterel {
 
 /// Exchanges prompt updates with the other entry hosts over UDP: updates are batched for a few
-/// milliseconds and sent to every host.
+/// milliseconds and sent to every host, directly or through hosts that pass them on.
 class PromptUpdateChannel
 {
 public:
@@ -21,7 +23,7 @@
 
     /// Binds a UDP socket to \a endpoint. Throws std::runtime_error if that fails.
     PromptUpdateChannel(EventLoop &loop, const Endpoint &endpoint, std::uint32_t sender,
-                        Listener listener, Metrics &metrics, EventLog &log);
+                        UpdateRoutes &routes, Listener listener, Metrics &metrics, EventLog &log);
 
     /// Sets the hosts to send to, without this one.
     void setPeers(std::vector<Endpoint> endpoints) { this->peers = std::move(endpoints); }
@@ -55,14 +57,22 @@
     void scheduleFlush();
     void flush();
     void onDatagram(std::string_view bytes);
+    void receive(std::string_view bytes);
+    /// Returns true if the same datagram arrived a short time ago, through another forwarder.
+    bool isRepeated(std::string_view bytes);
+
+    static constexpr std::size_t RememberedDatagrams = 64;
 
     EventLoop &loop;
+    UpdateRoutes &routes;
     Listener listener;
     Metrics &metrics;
     EventLog &log;
     DatagramSocket socket;
     PromptUpdateBatch pending;
     std::vector<Endpoint> peers;
+    std::array<std::uint64_t, RememberedDatagrams> recentHashes{};
+    std::size_t nextHash = 0; ///< Index of the oldest one.
     EventLoop::TimerHandle flushTimer;
     bool flushScheduled = false;
 };
--- a/src/gateway/prompt_updates.cpp
+++ b/src/gateway/prompt_updates.cpp
@@ -197,6 +197,27 @@
     return bytes;
 }
 
+std::string wrapForForwarding(std::string_view batch)
+{
+    const std::vector<std::uint8_t> payload(batch.begin(), batch.end());
+    std::string bytes;
+    nlohmann::json::to_cbor(nlohmann::json::array({nlohmann::json::binary(payload)}), bytes);
+    return bytes;
+}
+
+std::optional<std::string> unwrapForwarded(std::string_view bytes)
+{
+    // A CBOR array of one item; a batch has two or three.
+    constexpr char ArrayOfOne = '\x81';
+    if (bytes.empty() || bytes.front() != ArrayOfOne)
+        return std::nullopt;
+    const nlohmann::json json = parseCbor(bytes);
+    if (!json.is_array() || json.size() != 1 || !json.at(0).is_binary())
+        return std::nullopt;
+    const auto &payload = json.at(0).get_binary();
+    return std::string(payload.begin(), payload.end());
+}
+
 tl::expected<PromptUpdateBatch, std::string> decodePromptUpdates(std::string_view bytes)
 {
     const nlohmann::json json = parseCbor(bytes);
--- a/src/gateway/prompt_updates.h
+++ b/src/gateway/prompt_updates.h
@@ -77,6 +77,13 @@
 /// Returns \a batch as CBOR.
 std::string encodePromptUpdates(const PromptUpdateBatch &batch);
 
+/// Returns a datagram that asks its receiver to pass \a batch, an encoded batch, on to the other
+/// hosts of its failure domain.
+std::string wrapForForwarding(std::string_view batch);
+
+/// Returns the batch in the output of wrapForForwarding(); nullopt if \a bytes are anything else.
+std::optional<std::string> unwrapForwarded(std::string_view bytes);
+
 /// Decodes the output of encodePromptUpdates(). The error describes why \a bytes are invalid.
 tl::expected<PromptUpdateBatch, std::string> decodePromptUpdates(std::string_view bytes);
 
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -70,7 +70,8 @@
     return nlohmann::json::array({record.identity.host, record.identity.incarnation,
                                   record.identity.failureDomain, record.peerEndpoint.address,
                                   record.peerEndpoint.port, record.refutationCounter, flags,
-                                  record.configurationVersion, record.relayPort});
+                                  record.configurationVersion, record.relayPort,
+                                  record.forwardsUpdates});
 }
 
 MemberRecord decodeMemberRecord(const nlohmann::json &json)
@@ -86,10 +87,13 @@
     record.state = static_cast<MemberState>(flags & (LeavingFlag - 1));
     record.leaving = (flags & LeavingFlag) != 0;
     record.configurationVersion = decodeUnsigned<std::uint64_t>(json.at(7));
-    // Members of earlier versions take over no requests.
+    // Members of earlier versions take over no requests and pass on no updates.
     constexpr std::size_t RelayPortColumn = 8;
+    constexpr std::size_t ForwardsUpdatesColumn = 9;
     if (json.size() > RelayPortColumn)
         record.relayPort = decodeUnsigned<std::uint16_t>(json.at(RelayPortColumn));
+    if (json.size() > ForwardsUpdatesColumn)
+        record.forwardsUpdates = json.at(ForwardsUpdatesColumn).get<bool>();
     return record;
 }
 
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -36,6 +36,8 @@
     bool leaving = false; ///< The member drains: it accepts no new requests.
     /// Port, at the same address, on which the member takes over requests; 0 if it does not.
     std::uint16_t relayPort = 0;
+    /// The member passes prompt updates on inside its failure domain.
+    bool forwardsUpdates = false;
     std::uint64_t configurationVersion = 0; ///< Active at the last direct message from the member.
 };
 
--- a/tests/gateway/test_prompt_updates.cpp
+++ b/tests/gateway/test_prompt_updates.cpp
@@ -102,6 +102,20 @@
     }
 }
 
+TEST_CASE("A batch that is to be passed on arrives unchanged", "[Gateway][PromptUpdates]")
+{
+    PromptUpdateBatch batch;
+    batch.senderHash = 9;
+    batch.workingServers = {7};
+    const std::string bytes = encodePromptUpdates(batch);
+    CHECK(unwrapForwarded(wrapForForwarding(bytes)) == bytes);
+    CHECK_FALSE(unwrapForwarded(bytes));
+    CHECK_FALSE(unwrapForwarded(""));
+    CHECK_FALSE(unwrapForwarded(cbor(nlohmann::json::array({4}))));
+    // Hosts of earlier versions never get one; they would reject it.
+    CHECK_FALSE(decodePromptUpdates(wrapForForwarding(bytes)));
+}
+
 TEST_CASE("An invalid batch from a peer is rejected with an error", "[Gateway][PromptUpdates]")
 {
     using nlohmann::json;
