--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -13,6 +13,7 @@
 #include "gateway/host_entries.h"
 #include "gateway/host_entry_reconciler.h"
 #include "gateway/prompt_update_peers.h"
+#include "gateway/silence_replies.h"
 #include "state/settings.h"
 
 #include <functional>
@@ -110,6 +111,9 @@
     /// Splits the limits of servers over the hosts that this one is in touch with.
     void shareLimits(std::size_t liveHosts);
     void recordSilenceReport(std::uint32_t server, std::uint32_t senderHash);
+    void recordWorkingServer(std::uint32_t server);
+    /// Sends the due contradictions of silence reports, and schedules the next one.
+    void sendSilenceReplies();
     void addRemotePrompt(std::uint32_t server, const EnginePrompt &prompt);
     const EngineProfile *engineProfileOf(const ServerId &server) const;
     void registerHostEntry();
@@ -148,6 +152,7 @@
     SeededRandom random;
     std::shared_ptr<const RouteTable> routes = std::make_shared<RouteTable>();
     ServerFleet fleet;
+    SilenceReplies silenceReplies;
     PromptPlacement promptPlacement;
     ServicePlacement servicePlacement;
     RetryBudget retryAllowance;
@@ -165,6 +170,7 @@
     CollectionHostList hostList;
     HostEntryReconciler entryKeeper;
     MembershipDriver membershipDriver;
+    UpdateRoutes updateRoutes;
     PromptUpdateChannel promptUpdates;
     PromptUpdatePeers promptUpdatePeers;
     CollectionFeed configurationFeed;
@@ -173,6 +179,7 @@
     OperatorApi operatorApi;
     std::unordered_map<std::uint32_t, ServerId> serversByHash;
     std::size_t listedHosts = 0;           ///< Hosts on the platform's list, with this one.
+    std::vector<UpdatePeer> liveUpdatePeers; ///< Live hosts at the last heartbeat.
     std::set<HostId> sameDomainHosts;      ///< Live hosts in this host's failure domain.
     std::set<std::uint32_t> promptSenders; ///< Hashes of the hosts at the last heartbeat.
     std::uint64_t nextMemoryRequestId = 1;
@@ -191,6 +198,7 @@
     std::optional<TimePoint> controllerTimerDue;
     EventLoop::TimerHandle controllerTimer;
     EventLoop::TimerHandle registrationTimer;
+    EventLoop::TimerHandle silenceReplyTimer;
     EventLoop::TimerHandle objectRequestTimer;
     EventLoop::TimerHandle drainTimer;
 };
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -133,6 +133,7 @@
 void GatewayHost::beforeHeartbeat()
 {
     std::vector<Endpoint> peers;
+    std::vector<UpdatePeer> updatePeers;
     std::set<std::uint32_t> liveSenders;
     const std::vector<MemberRecord> live = this->membership.liveMembers();
     this->sameDomainHosts.clear();
@@ -144,6 +145,8 @@
         if (member.identity.host == this->identity.host)
             continue;
         peers.push_back(member.peerEndpoint);
+        updatePeers.push_back({member.peerEndpoint, member.identity.failureDomain, sender,
+                               member.forwardsUpdates && !member.leaving});
         if (this->promptSenders.count(sender) > 0)
             continue;
         this->promptUpdates.sendRunning(member.peerEndpoint,
@@ -160,6 +163,7 @@
     }
     this->promptSenders = std::move(liveSenders);
     this->promptUpdatePeers.setLive(peers);
+    this->liveUpdatePeers = std::move(updatePeers);
     this->updatePromptPeers();
     this->retryAllowance.setHostCount(
             std::max<std::size_t>(live.size(), this->settings.sharedHosts));
@@ -171,7 +175,9 @@
 void GatewayHost::updatePromptPeers()
 {
     const TimePoint now = this->loop.now();
-    this->promptUpdates.setPeers(this->promptUpdatePeers.endpoints(now));
+    const std::vector<Endpoint> endpoints = this->promptUpdatePeers.endpoints(now);
+    this->promptUpdates.setPeers(endpoints);
+    this->updateRoutes.setPeers(this->liveUpdatePeers, endpoints);
     if (this->promptUpdatePeers.takeAnnouncement(now))
         this->promptUpdates.announceJoin();
 }
@@ -349,6 +355,8 @@
         this->recordLimit(update.senderHash, notice);
     if (!update.poolsOutOfReach.empty())
         this->relayPeers.onOutOfReach(update.senderHash, update.poolsOutOfReach, now);
+    for (const std::uint32_t server : update.workingServers)
+        this->recordWorkingServer(server);
     for (const RunningPrompt &running : update.running)
         this->addRemoteDispatch(update.senderHash, running, false);
     if (update.joinedAt) {
@@ -411,8 +419,35 @@
 void GatewayHost::recordSilenceReport(std::uint32_t server, std::uint32_t senderHash)
 {
     const auto id = this->serversByHash.find(server);
-    if (id != this->serversByHash.end())
-        this->fleet.onSilenceReported(id->second, senderHash, this->loop.now());
+    if (id == this->serversByHash.end())
+        return;
+    const TimePoint now = this->loop.now();
+    this->silenceReplies.onReport(id->second, this->fleet.lastOwnSign(id->second), now);
+    this->fleet.onSilenceReported(id->second, senderHash, now);
+    this->sendSilenceReplies();
+}
+
+void GatewayHost::recordWorkingServer(std::uint32_t server)
+{
+    const auto id = this->serversByHash.find(server);
+    if (id == this->serversByHash.end())
+        return;
+    this->silenceReplies.onReply(id->second, this->loop.now());
+    this->fleet.onSilenceContradicted(id->second, this->loop.now());
+}
+
+void GatewayHost::sendSilenceReplies()
+{
+    std::vector<std::uint32_t> hashes;
+    for (const ServerId &server : this->silenceReplies.takeDue(this->loop.now()))
+        hashes.push_back(hash32(server));
+    if (!hashes.empty())
+        this->promptUpdates.announceWorking(hashes);
+    const std::optional<TimePoint> next = this->silenceReplies.nextDue();
+    this->silenceReplyTimer.reset();
+    if (next)
+        this->silenceReplyTimer = this->loop.after(*next - this->loop.now(),
+                                                   [this] { this->sendSilenceReplies(); });
 }
 
 } // namespace dotterel
--- a/src/gateway/prompt_updates.h
+++ b/src/gateway/prompt_updates.h
@@ -65,6 +65,9 @@
     /// Hashes of the names of the pools of which the sender reaches no server. Hosts of earlier
     /// versions ignore it.
     std::vector<std::uint32_t> poolsOutOfReach;
+    /// Hashes of the ids of servers that work although a host reported them as silent. Hosts of
+    /// earlier versions ignore it.
+    std::vector<std::uint32_t> workingServers;
     std::vector<RunningPrompt> running; ///< Reply to joinedAt, a part of the sender's prompts.
 };
 
@@ -74,6 +77,13 @@
 /// Returns \a batch as CBOR.
 std::string encodePromptUpdates(const PromptUpdateBatch &batch);
 
+/// Returns a datagram that asks its receiver to pass \a batch, an encoded batch, on to the other
+/// hosts of its failure domain.
+std::string wrapForForwarding(std::string_view batch);
+
+/// Returns the batch in the output of wrapForForwarding(); nullopt if \a bytes are anything else.
+std::optional<std::string> unwrapForwarded(std::string_view bytes);
+
 /// Decodes the output of encodePromptUpdates(). The error describes why \a bytes are invalid.
 tl::expected<PromptUpdateBatch, std::string> decodePromptUpdates(std::string_view bytes);
 
--- a/tests/gateway/test_prompt_updates.cpp
+++ b/tests/gateway/test_prompt_updates.cpp
@@ -82,6 +82,13 @@
         batch.limits[0].limit = -1.0;
         CHECK_FALSE(decodePromptUpdates(encodePromptUpdates(batch)));
     }
+    SECTION("servers that work although a host reported them as silent")
+    {
+        batch.workingServers = {7, 8};
+        const auto decoded = decodePromptUpdates(encodePromptUpdates(batch));
+        REQUIRE(decoded);
+        CHECK(decoded->workingServers == std::vector<std::uint32_t>{7, 8});
+    }
     SECTION("running prompts, with their age and remaining prefill")
     {
         batch.running = {{dispatchOf(4), milliseconds(1'200), milliseconds(300)}};
@@ -95,6 +102,20 @@
     }
 }
 
+TEST_CASE("A batch that is to be passed on arrives unchanged", "[Gateway][PromptUpdates]")
+{
+    PromptUpdateBatch batch;
+    batch.senderHash = 9;
+    batch.workingServers = {7};
+    const std::string bytes = encodePromptUpdates(batch);
+    CHECK(unwrapForwarded(wrapForForwarding(bytes)) == bytes);
+    CHECK_FALSE(unwrapForwarded(bytes));
+    CHECK_FALSE(unwrapForwarded(""));
+    CHECK_FALSE(unwrapForwarded(cbor(nlohmann::json::array({4}))));
+    // Hosts of earlier versions never get one; they would reject it.
+    CHECK_FALSE(decodePromptUpdates(wrapForForwarding(bytes)));
+}
+
 TEST_CASE("An invalid batch from a peer is rejected with an error", "[Gateway][PromptUpdates]")
 {
     using nlohmann::json;
