--- a/src/core/event_log.h
+++ b/src/core/event_log.h
@@ -63,7 +63,7 @@
     ServerLimitInvalid = 605,
     ServiceOutOfReach = 606,
     ServiceReachable = 607,
-    ServerSuspicionLifted = 620,
+    ServerSuspicionLifted = 608,
     AllocationReleased = 700,
     AllocationReserveFailed = 701,
     CrashSuspect = 800,
