A failure domain out of service gets nothing new

Cause: operators can ask that nothing more be sent to the servers of a failure domain (rule EVAC); nothing in the code knew of it.

ServerFleet leaves their servers out in isSchedulable(), so that no way to a server is forgotten; a prompt that waits for engine memory is placed again. With all domains out requests are refused at once as not run, with a delay of 2 to 2.5 s.

--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -111,6 +111,15 @@
              "This host reaches no server of a pool; its requests go through other hosts."},
             {Event::ServiceReachable, "service_reachable", Severity::Info,
              "This host reaches servers of a pool again."},
+            {Event::DomainOutOfService, "domain_out_of_service", Severity::Info,
+             "Operators put a failure domain out of service; nothing new is sent to its backend "
+             "servers."},
+            {Event::DomainInService, "domain_in_service", Severity::Info,
+             "A failure domain is in service again."},
+            {Event::DomainEntryLost, "domain_entry_lost", Severity::Warning,
+             "The platform was restored from a copy that lacks the entry of a failure domain that "
+             "is out of service; the domain stays out for a while, so that the entry can be "
+             "written again."},
             {Event::AllocationReleased, "allocation_released", Severity::Warning,
              "An orphaned allocation of engine memory was released."},
             {Event::AllocationReserveFailed, "allocation_reserve_failed", Severity::Info,
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -82,6 +82,7 @@
     LiveMembers,
     BackendServersUsable,
     BackendServersLimited,
+    FailureDomainsOutOfService,
     PoolsOutOfReach,
     QueuedBytes,
     CrashSuspectsKnown,
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -130,6 +130,8 @@
     void requestReservation(const MemoryReservation &reservation, TimePoint now);
     /// Plans again without the engines that granted no memory, or refuses the request. \a refusedBy
     /// is the engine that refused; empty if engines did not respond.
+    /// Returns true if a server of \a plan is in a failure domain that is out of service.
+    bool isPlanOutOfService(const PromptPlan &plan) const;
     void onMemoryUnavailable(ForwardCall &call, const ServerId &refusedBy, TimePoint now);
     void releaseReservations(ForwardCall &call, TimePoint now);
     /// Renews granted reservations. Refuses the request and returns false if they were not granted
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -19,6 +19,9 @@
 /// Retry delay sent to callers if no server is usable or no retry is allowed. Failed servers are
 /// replaced, or considered usable again, within about this time.
 constexpr Duration NoServerRetryAfter = std::chrono::milliseconds(500);
+/// Retry delay if all servers of a pool are in failure domains that operators have put out of
+/// service. Operators take at least seconds to put one back.
+constexpr Duration OutOfServiceRetryAfter = std::chrono::seconds(2);
 /// Maximum jitter added to the retry delay, as a fraction of it. It spreads the retries of callers
 /// that were refused at the same time.
 constexpr double RetryAfterJitter = 0.25;
@@ -348,7 +351,9 @@
 
 Duration ForwardController::delayWithoutServer(const std::string &pool, TimePoint now)
 {
-    const std::optional<Duration> pause = this->fleet.pauseLeft(pool, now);
+    std::optional<Duration> pause = this->fleet.pauseLeft(pool, now);
+    if (this->fleet.isOutOfService(pool, now))
+        pause = OutOfServiceRetryAfter;
     if (!pause)
         return NoServerRetryAfter;
     // All callers of the pool are refused until the same moment.
--- a/src/gateway/forward_memory.cpp
+++ b/src/gateway/forward_memory.cpp
@@ -73,12 +73,28 @@
                         [](const MemoryReservation &reservation) { return reservation.granted; });
     if (!allGranted)
         return;
+    // A failure domain may have gone out of service while the engines answered.
+    if (this->isPlanOutOfService(*call.pendingPlan)) {
+        this->releaseReservations(call, now);
+        return this->dispatch(call, now);
+    }
     const PromptPlan plan = *call.pendingPlan;
     call.pendingPlan.reset();
     call.reservationsDue = now + RenewInterval;
     this->sendPrompt(call, plan, now);
 }
 
+bool ForwardController::isPlanOutOfService(const PromptPlan &plan) const
+{
+    const auto isOut = [this](const ServerId &id) {
+        const GatewayServer *server = this->fleet.find(id);
+        return server != nullptr && this->fleet.isOutOfService(*server);
+    };
+    return isOut(plan.server)
+           || std::any_of(plan.helpers.begin(), plan.helpers.end(),
+                          [&isOut](const PrefillHelper &helper) { return isOut(helper.server); });
+}
+
 void ForwardController::onMemoryUnavailable(ForwardCall &call, const ServerId &refusedBy,
                                             TimePoint now)
 {
--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -391,7 +391,8 @@
 
 bool ServerFleet::isSchedulable(const Record &record, TimePoint now) const
 {
-    return record.pausedUntil <= now && !this->isLeavingOrGone(record, now);
+    return record.pausedUntil <= now && !this->isLeavingOrGone(record, now)
+           && !this->isOutOfService(record.server);
 }
 
 bool ServerFleet::isLeavingOrGone(const Record &record, TimePoint now) const
--- a/src/gateway/server_fleet.h
+++ b/src/gateway/server_fleet.h
@@ -154,12 +154,24 @@
     /// Returns the requests per second that the limited servers of \a pool take from all hosts.
     double limitedRate(const std::string &pool, TimePoint now) const;
 
-    /// Returns the number of servers of \a pool that are not leaving, suspected or not.
+    /// Returns the number of servers of \a pool that are neither leaving nor out of service,
+    /// suspected or not.
     std::size_t size(const std::string &pool, TimePoint now) const;
 
     /// Returns true if \a server is known and may get requests; it may be suspected.
     bool isUsable(const ServerId &server, TimePoint now) const;
 
+    /// Sets the failure domains to whose servers nothing new is sent. Their servers stay known, and
+    /// requests that run there go on.
+    void setDomainsOutOfService(std::set<std::string> domains);
+
+    /// Returns true if \a server is in a failure domain that is out of service.
+    bool isOutOfService(const GatewayServer &server) const;
+
+    /// Returns true if \a pool has servers and all of them are in failure domains that are out of
+    /// service.
+    bool isOutOfService(const std::string &pool, TimePoint now) const;
+
     /// Returns the estimated probability that an attempt at \a server fails.
     double failureRate(const ServerId &server, TimePoint now) const;
 
@@ -224,6 +236,7 @@
     std::map<ServerId, Departure> departures;
     std::map<ServerId, TimePoint> disappearances;     ///< Shown by entries; see disappearedAt().
     std::map<ServerId, TimePoint> refusedConnections; ///< Likewise, shown by connections.
+    std::set<std::string> domainsOutOfService;
     /// Servers that each other host reported as silent, with the time of the latest report.
     std::map<std::uint32_t, std::map<ServerId, TimePoint>> silenceReports;
 };
--- a/src/gateway/server_fleet_pools.cpp
+++ b/src/gateway/server_fleet_pools.cpp
@@ -21,7 +21,8 @@
 {
     std::optional<Duration> shortest;
     for (const auto &[id, record] : this->records) {
-        if (record.server.pool != pool || this->isLeavingOrGone(record, now))
+        if (record.server.pool != pool || this->isLeavingOrGone(record, now)
+            || this->isOutOfService(record.server))
             continue;
         if (record.pausedUntil <= now)
             return std::nullopt;
@@ -70,11 +71,34 @@
 {
     return static_cast<std::size_t>(
             std::count_if(this->records.begin(), this->records.end(), [&](const auto &entry) {
-                return entry.second.server.pool == pool
-                       && !this->isLeavingOrGone(entry.second, now);
+                return entry.second.server.pool == pool && !this->isLeavingOrGone(entry.second, now)
+                       && !this->isOutOfService(entry.second.server);
             }));
 }
 
+void ServerFleet::setDomainsOutOfService(std::set<std::string> domains)
+{
+    this->domainsOutOfService = std::move(domains);
+}
+
+bool ServerFleet::isOutOfService(const GatewayServer &server) const
+{
+    return this->domainsOutOfService.count(server.failureDomain) > 0;
+}
+
+bool ServerFleet::isOutOfService(const std::string &pool, TimePoint now) const
+{
+    bool hasServer = false;
+    for (const auto &[id, record] : this->records) {
+        if (record.server.pool != pool || this->isLeavingOrGone(record, now))
+            continue;
+        if (!this->isOutOfService(record.server))
+            return false;
+        hasServer = true;
+    }
+    return hasServer;
+}
+
 bool ServerFleet::isLimitLifting(const std::string &pool, TimePoint now) const
 {
     return std::any_of(this->records.begin(), this->records.end(), [&](const auto &entry) {
--- a/src/state/collection_store.cpp
+++ b/src/state/collection_store.cpp
@@ -8,10 +8,11 @@
 
 namespace {
 
-constexpr std::array<EnumName<Collection>, 3> CollectionNames = {{
+constexpr std::array<EnumName<Collection>, 4> CollectionNames = {{
         {Collection::Configuration, "configuration"},
         {Collection::Servers, "servers"},
         {Collection::Hosts, "hosts"},
+        {Collection::DomainsOutOfService, "domains_out_of_service"},
 }};
 
 } // namespace
--- a/src/state/collection_store.h
+++ b/src/state/collection_store.h
@@ -17,6 +17,8 @@
     Configuration,
     Servers, ///< Backend servers, which write their own entries.
     Hosts,   ///< Entry hosts.
+    /// Failure domains that operators have put out of service, one object each while they are.
+    DomainsOutOfService,
 };
 
 /// Required consistency of a list.
