Hosts follow which failure domains are out of service

Usually it is empty, so a list or an announcement makes it known, and a host is ready once it knows it.

--- a/src/entry_host/collection_feed.cpp
+++ b/src/entry_host/collection_feed.cpp
@@ -66,7 +66,7 @@
     this->callPending = false;
     // A host that does not watch the store still lists it once, since peers may not have the
     // collection either.
-    if (!this->watching && !this->localObjects.empty())
+    if (!this->watching && !this->isMissing())
         return;
     this->callPending = true;
     const CollectionRequest next = this->follower.nextRequest();
@@ -146,7 +146,7 @@
     }
     this->metrics.set(Gauge::PlatformRevision, static_cast<double>(current.revision));
     this->metrics.set(Gauge::PlatformEra, static_cast<double>(current.era));
-    if (current.era > knownEra && !this->localObjects.empty()) {
+    if (current.era > knownEra && !this->isMissing()) {
         this->enterEra(current.era, current.revision, "store");
         // The changes of a watch are not complete: it began in the earlier era.
         if (kind == CollectionRequest::Kind::Watch)
@@ -155,10 +155,11 @@
     this->reportOutdatedObjects(current);
     if (kind == CollectionRequest::Kind::List) {
         this->follower.onListed(current.revision, now);
-        this->publishChanges(this->localObjects.onListed(current));
+        this->known = true;
+        this->publishChanges(this->localObjects.onListed(current), false);
     } else {
         this->follower.onWatched(current.revision, now);
-        this->publishChanges(this->localObjects.onChanged(current.objects));
+        this->publishChanges(this->localObjects.onChanged(current.objects), false);
     }
     this->scheduleNextCall();
 }
@@ -216,7 +217,7 @@
 {
     if (era <= this->localObjects.era())
         return;
-    if (this->localObjects.empty())
+    if (this->isMissing())
         return this->localObjects.learnEra(era);
     this->enterEra(era, 0, source);
     this->restartCalls();
@@ -252,7 +253,14 @@
     }
 }
 
-void CollectionFeed::publishChanges(const std::vector<CollectionObject> &changes)
+bool CollectionFeed::isMissing() const
+{
+    // Only the list of domains out of service is usually empty.
+    const bool mayBeEmpty = this->localObjects.collection() == Collection::DomainsOutOfService;
+    return this->localObjects.empty() && !(mayBeEmpty && this->known);
+}
+
+void CollectionFeed::publishChanges(const std::vector<CollectionObject> &changes, bool fromPeer)
 {
     if (changes.empty())
         return;
@@ -260,6 +268,7 @@
     const TimePoint now = this->loop.now();
     ChangeContext context;
     context.mayHaveLapsed = this->follower.reconnectedWithin(ExpiryWindowAfterOutage, now);
+    context.fromPeer = fromPeer;
     context.mayBeRestored = this->follower.eraChangedWithin(ExpiryWindowAfterOutage, now);
     this->listener(changes, context);
 }
@@ -270,7 +279,8 @@
     for (const AnnouncedObject &object : announcement.objects)
         this->learnEra(object.era, "peer");
     this->publishChanges(
-            this->localObjects.onAnnounced(link, announcement, this->loop.now(), place));
+            this->localObjects.onAnnounced(link, announcement, this->loop.now(), place), true);
+    this->known = this->known || !this->nextRequestDue();
 }
 
 void CollectionFeed::onObjectOffer(const ObjectOffer &offer)
@@ -280,7 +290,8 @@
     for (const OfferedObject &object : offer.objects)
         objects.push_back({object.name, object.revision, object.removed, object.text, object.era,
                            object.version});
-    this->publishChanges(this->localObjects.onChanged(objects));
+    this->publishChanges(this->localObjects.onChanged(objects), true);
+    this->known = this->known || !this->nextRequestDue();
 }
 
 std::vector<std::pair<std::uint64_t, ObjectRequest>> CollectionFeed::takeDueRequests()
--- a/src/entry_host/collection_feed.h
+++ b/src/entry_host/collection_feed.h
@@ -21,6 +21,7 @@
     {
         bool mayHaveLapsed = false; ///< Removals may be entries that expired during an outage.
         bool mayBeRestored = false; ///< Entries may be older ones of a restored copy.
+        bool fromPeer = false;      ///< Learned from another host, not from the store.
     };
     /// Receives objects that changed on this host.
     using Listener =
@@ -71,6 +72,9 @@
     /// Returns this host's copy of the collection.
     const CollectionReplica &objects() const { return this->localObjects; }
 
+    /// Returns true once the collection was read as a whole, from the store or from a peer.
+    bool isKnown() const { return this->known; }
+
     /// Returns true while calls of this host to the store fail.
     bool isStoreUnavailable() const { return this->follower.isStoreUnreachable(); }
 
@@ -85,7 +89,9 @@
     void callStore(const CollectionRequest &step);
     void onPage(CollectionRequest::Kind kind, const CollectionStore::PageResult &page);
     void reportOutdatedObjects(const CollectionPage &page);
-    void publishChanges(const std::vector<CollectionObject> &changes);
+    void publishChanges(const std::vector<CollectionObject> &changes, bool fromPeer);
+    /// Returns true if this host has nothing of the collection, so that the store is asked further.
+    bool isMissing() const;
 
     EventLoop &loop;
     CollectionStore &store;
@@ -106,6 +112,7 @@
     bool watchContinues = false;  ///< The previous watch ended without a change.
     std::uint64_t callNumber = 0; ///< Responses to earlier calls are ignored.
     HostEvents hostEvents;
+    bool known = false;
     bool eraRejected = false; ///< Logged; until a response states a valid era.
     std::shared_ptr<bool> alive =
             std::make_shared<bool>(true); ///< False for callbacks that run after destruction.
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -61,6 +61,7 @@
     , crashGuard(CrashLimits{}, this->metrics, log)
     , partGuard(PromptPartLimits{}, this->metrics, log)
     , reach(log)
+    , domainService(DomainServiceTimings{}, log)
     , relayPeers(settings.failureDomain, this->random)
     , controller(protocol, this->fleet, this->promptPlacement, this->servicePlacement,
                  this->retryAllowance, this->crashGuard, this->partGuard, this->reach,
@@ -93,9 +94,7 @@
                   this->applyConfigurationObjects(objects);
               },
               [this](const ObjectAnnouncement &message) { this->peerMesh.broadcast(message); },
-              {[this] { this->serverFeed.renewWatch("other_watch_silent"); },
-               [this](std::uint64_t era) { this->onPlatformEra(era, this->serverFeed); }},
-              this->metrics, log)
+              this->feedEvents(Collection::Configuration), this->metrics, log)
     , serverFeed(
               loop, store, Collection::Servers, this->random,
               [this](const std::vector<CollectionObject> &objects,
@@ -103,9 +102,15 @@
                   this->applyServerObjects(objects, context);
               },
               [this](const ObjectAnnouncement &message) { this->peerMesh.broadcast(message); },
-              {[this] { this->configurationFeed.renewWatch("other_watch_silent"); },
-               [this](std::uint64_t era) { this->onPlatformEra(era, this->configurationFeed); }},
-              this->metrics, log)
+              this->feedEvents(Collection::Servers), this->metrics, log)
+    , domainFeed(
+              loop, store, Collection::DomainsOutOfService, this->random,
+              [this](const std::vector<CollectionObject> &objects,
+                     const CollectionFeed::ChangeContext &context) {
+                  this->applyDomainObjects(objects, context);
+              },
+              [this](const ObjectAnnouncement &message) { this->peerMesh.broadcast(message); },
+              this->feedEvents(Collection::DomainsOutOfService), this->metrics, log)
     , readinessServer(loop, settings.readiness, MaxReadinessRequestBytes,
                       [this](const HttpExchangePtr &exchange) {
                           const bool ready =
@@ -113,6 +118,7 @@
                           exchange->reply(ready ? StatusOk : StatusUnavailable, {}, "");
                       })
     , operatorApi(loop, settings.operators, *this, this->metrics)
+    , startedAt(loop.now())
 {
     this->membership.setRelayPort(this->relayListener.server().endpoint().port);
     this->partGuard.setTrialDuty([this](const std::string &key) {
@@ -128,8 +134,8 @@
                      {"operators", this->operators().text()},
                      {"peers", this->peerMesh.endpoint().text()},
                      {"relay", this->relayListener.server().endpoint().text()}});
-    this->configurationFeed.start();
-    this->serverFeed.start();
+    for (CollectionFeed *feed : this->activeFeeds())
+        feed->start();
     this->registerHostEntry();
 }
 
@@ -389,7 +395,7 @@
 bool GatewayHost::isReady() const
 {
     return !this->shuttingDown && this->routes && this->routes->configuration()
-           && !this->fleet.all(this->loop.now()).empty();
+           && !this->fleet.all(this->loop.now()).empty() && this->knowsDomains();
 }
 
 HostStatus GatewayHost::status() const
@@ -407,6 +413,8 @@
     for (const GatewayServer *known : this->fleet.all(this->loop.now())) {
         const bool isLimited = this->fleet.limits().rate(known->id, this->loop.now()).has_value();
         const char *state = isLimited ? "limited" : "up";
+        if (this->fleet.isOutOfService(*known))
+            state = "out_of_service";
         status.servers.push_back({known->id, known->pool, known->draining ? "draining" : state});
     }
     return status;
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -10,6 +10,7 @@
 #include "entry_host/peer_mesh.h"
 #include "entry_host/prompt_update_channel.h"
 #include "entry_host/relay_listener.h"
+#include "gateway/domain_service.h"
 #include "gateway/host_entries.h"
 #include "gateway/host_entry_reconciler.h"
 #include "gateway/prompt_update_peers.h"
@@ -113,8 +114,20 @@
     void addRemotePrompt(std::uint32_t server, const EnginePrompt &prompt);
     const EngineProfile *engineProfileOf(const ServerId &server) const;
     void registerHostEntry();
-    /// Handles a change of the era of the store that one of the feeds noticed.
-    void onPlatformEra(std::uint64_t era, CollectionFeed &otherFeed);
+    /// Returns the feeds of the collections that this host follows.
+    std::vector<CollectionFeed *> activeFeeds();
+    /// Returns what the feed of \a collection tells the feeds of the others.
+    CollectionFeed::HostEvents feedEvents(Collection collection);
+    /// Handles a change of the era of the store that the feed of \a source noticed.
+    void onPlatformEra(std::uint64_t era, Collection source);
+    bool followsDomains() const;
+    /// Returns true if this host knows which failure domains are out of service, or has waited long
+    /// enough for it.
+    bool knowsDomains() const;
+    void applyDomainObjects(const std::vector<CollectionObject> &objects,
+                            const CollectionFeed::ChangeContext &context);
+    void onDomainServiceChanged();
+    void scheduleDomainTimer();
     void requestObjectsFromPeers();
     void updateStoreWatching(const std::vector<MemberRecord> &live);
     /// Renews the watches and the peer links if most links fell silent at once.
@@ -154,6 +167,7 @@
     CrashGuard crashGuard;
     PromptPartGuard partGuard;
     ServiceReach reach;
+    DomainService domainService;
     RelayPeers relayPeers;
     ForwardController controller;
     KeepAliveHttpClient httpClient;
@@ -169,9 +183,11 @@
     PromptUpdatePeers promptUpdatePeers;
     CollectionFeed configurationFeed;
     CollectionFeed serverFeed;
+    CollectionFeed domainFeed;
     HttpServer readinessServer;
     OperatorApi operatorApi;
     std::unordered_map<std::uint32_t, ServerId> serversByHash;
+    TimePoint startedAt;
     std::size_t listedHosts = 0;           ///< Hosts on the platform's list, with this one.
     std::set<HostId> sameDomainHosts;      ///< Live hosts in this host's failure domain.
     std::set<std::uint32_t> promptSenders; ///< Hashes of the hosts at the last heartbeat.
@@ -192,6 +208,7 @@
     EventLoop::TimerHandle controllerTimer;
     EventLoop::TimerHandle registrationTimer;
     EventLoop::TimerHandle objectRequestTimer;
+    EventLoop::TimerHandle domainTimer;
     EventLoop::TimerHandle drainTimer;
 };
 
--- a/src/entry_host/gateway_host_servers.cpp
+++ b/src/entry_host/gateway_host_servers.cpp
@@ -67,7 +67,7 @@
         hashes.push_back(hash32(pool));
         std::vector<const GatewayServer *> servers;
         for (const GatewayServer *server : this->fleet.all(this->loop.now())) {
-            if (server->pool == pool && !server->draining)
+            if (server->pool == pool && !server->draining && !this->fleet.isOutOfService(*server))
                 servers.push_back(server);
         }
         for (std::size_t count = 0; count < std::min(ProbedServers, servers.size()); ++count)
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -45,6 +45,9 @@
     // does.
     this->peerMesh.send(link, this->configurationFeed.objects().fullAnnouncement());
     this->peerMesh.send(link, this->serverFeed.objects().fullAnnouncement());
+    // An empty announcement tells the peer that no failure domain is out of service.
+    if (this->followsDomains() && this->domainFeed.isKnown())
+        this->peerMesh.send(link, this->domainFeed.objects().fullAnnouncement());
     this->sendCrashNotices(link);
 }
 
@@ -73,15 +76,6 @@
                                                                         : PeerLocality::OtherDomain;
 }
 
-CollectionFeed *GatewayHost::feedForCollection(std::uint8_t collection)
-{
-    if (collection == static_cast<std::uint8_t>(Collection::Configuration))
-        return &this->configurationFeed;
-    if (collection == static_cast<std::uint8_t>(Collection::Servers))
-        return &this->serverFeed;
-    return nullptr;
-}
-
 void GatewayHost::onHostList(const std::vector<HostListEntry> &hosts)
 {
     if (this->shuttingDown)
@@ -193,17 +187,8 @@
         turn = live.size() <= MaxHostsThatAllWatch
                        ? turnAmong(this->identity, live)
                        : turnAmongDomains(this->identity, live, domains, watchersPerDomain);
-    this->configurationFeed.setWatching(turn);
-    this->serverFeed.setWatching(turn);
-}
-
-void GatewayHost::onPlatformEra(std::uint64_t era, CollectionFeed &otherFeed)
-{
-    otherFeed.learnEra(era, "other_collection");
-    if (this->shuttingDown || era <= this->registeredEra)
-        return;
-    this->registeredEra = era;
-    this->registerHostEntry();
+    for (CollectionFeed *feed : this->activeFeeds())
+        feed->setWatching(turn);
 }
 
 void GatewayHost::checkPeerLinks()
@@ -226,14 +211,14 @@
 
 void GatewayHost::renewWatches(const char *reason)
 {
-    this->configurationFeed.renewWatch(reason);
-    this->serverFeed.renewWatch(reason);
+    for (CollectionFeed *feed : this->activeFeeds())
+        feed->renewWatch(reason);
 }
 
 void GatewayHost::requestObjectsFromPeers()
 {
     std::optional<TimePoint> nextDue;
-    for (CollectionFeed *feed : {&this->configurationFeed, &this->serverFeed}) {
+    for (CollectionFeed *feed : this->activeFeeds()) {
         for (const auto &[link, request] : feed->takeDueRequests())
             this->peerMesh.send(link, request);
         const std::optional<TimePoint> feedDue = feed->nextRequestDue();
--- a/src/protocol/host_status.h
+++ b/src/protocol/host_status.h
@@ -23,7 +23,7 @@
 {
     ServerId id;
     std::string pool;
-    std::string state; ///< "up", "limited", "draining" or "down".
+    std::string state; ///< "up", "limited", "out_of_service", "draining" or "down".
 };
 
 /// The status of one entry host, as served on its operator port.
--- a/src/state/settings.cpp
+++ b/src/state/settings.cpp
@@ -302,6 +302,10 @@
              "Gateway: retries allowed per window in addition to the ratio, over all entry hosts."},
             {"retry-window-seconds", &Settings::retryWindowSeconds, false, 1, MaxDurationSeconds,
              "Gateway: length of the window of `retry-slack`."},
+            {"domain-service-limit-ms", &Settings::domainServiceLimit, false, 0, MaxDurationMs,
+             "Gateway: time within which a failure domain that operators put out of service gets "
+             "no "
+             "more requests; 0 if hosts do not follow which domains are out of service."},
             {"shutdown-limit-seconds", &Settings::shutdownLimitSeconds, false, 1,
              MaxDurationSeconds, "Gateway: time from the termination signal to a forced exit."},
     };
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -46,6 +46,9 @@
     double retryRatio = 0.2;       ///< Retries per request of a pool, over all entry hosts.
     double retrySlack = 100;       ///< Retries per window in addition to the ratio.
     double retryWindowSeconds = 10;
+    /// Time within which a failure domain that operators put out of service gets no more requests;
+    /// 0 if the hosts do not follow which domains are out of service.
+    Duration domainServiceLimit = Duration::zero();
     double shutdownLimitSeconds = 8; ///< From the signal to a forced exit.
 };
 
--- a/tests/platform/test_store_incidents.cpp
+++ b/tests/platform/test_store_incidents.cpp
@@ -26,6 +26,10 @@
 /// time until a confirmed change must be in force on a host that is in touch.
 constexpr Duration ContactLimit = milliseconds(3'000);
 constexpr Duration ApplyLimit = milliseconds(2'000);
+/// Time until a failure domain that operators put out of service gets no more requests at hosts in
+/// touch, and our own goal for it while the store serves the hosts.
+constexpr Duration DomainServiceLimit = milliseconds(5'000);
+constexpr Duration DomainServiceGoal = milliseconds(1'000);
 
 /// Records the reasons of renewed watches.
 class RenewalLog : public EventLog
@@ -82,6 +86,7 @@
         settings.host = "h" + std::to_string(index);
         settings.failureDomain = "z" + std::to_string(index % 2);
         settings.heartbeatInterval = milliseconds(250);
+        settings.domainServiceLimit = DomainServiceLimit;
         host.gateway =
                 std::make_unique<GatewayHost>(this->loop, settings, ++this->incarnation,
                                               this->protocol, *host.store, "/ready", this->log);
@@ -138,6 +143,19 @@
         });
     }
 
+    void putOutOfService(const std::string &domain)
+    {
+        this->store.put("evacuations", domain, nlohmann::json::object());
+    }
+
+    void putInService(const std::string &domain) { this->store.remove("evacuations", domain); }
+
+    /// Returns how long it took until every host shows server s1 with \a state.
+    Duration timeUntilAllShow(const std::string &state, Duration limit = seconds(25))
+    {
+        return this->runUntil([&] { return this->allShowServer("s1", state); }, limit);
+    }
+
     void silenceStoreConnections()
     {
         for (Host &host : this->hosts)
@@ -306,3 +324,85 @@
         CHECK(fixture.log.reasons.count("peer_links_silent") == 0);
     }
 }
+
+TEST_CASE("A failure domain that is out of service is so at all hosts in time",
+          "[Platform][StoreIncidents][DomainService]")
+{
+    IncidentFixture fixture;
+    fixture.putOutOfService("z0");
+    CHECK(toSeconds(fixture.timeUntilAllShow("out_of_service")) < toSeconds(DomainServiceGoal));
+
+    SECTION("and in service again")
+    {
+        fixture.putInService("z0");
+        CHECK(toSeconds(fixture.timeUntilAllShow("up")) < toSeconds(DomainServiceGoal));
+    }
+    SECTION("at a host that starts, before it is ready")
+    {
+        fixture.startHost(0);
+        const GatewayHost &host = *fixture.hosts[0].gateway;
+        fixture.runUntil([&host] { return host.ready(); }, seconds(10));
+        REQUIRE(host.ready());
+        CHECK(fixture.allShowServer("s1", "out_of_service"));
+    }
+    SECTION("from peers while a host does not reach the store, also the end of it")
+    {
+        fixture.hosts[1].proxy->stopListening();
+        fixture.hosts[1].proxy->resetConnections();
+        fixture.runFor(milliseconds(500));
+        fixture.putInService("z0");
+        CHECK(toSeconds(fixture.timeUntilAllShow("up")) < toSeconds(DomainServiceGoal));
+        fixture.putOutOfService("z0");
+        CHECK(toSeconds(fixture.timeUntilAllShow("out_of_service")) < toSeconds(DomainServiceGoal));
+    }
+    SECTION("if it ends and begins while all connections to the store are silent")
+    {
+        fixture.silenceStoreConnections();
+        fixture.runFor(seconds(1));
+        fixture.putInService("z0");
+        CHECK(toSeconds(fixture.timeUntilAllShow("up")) < toSeconds(DomainServiceLimit));
+        fixture.silenceStoreConnections();
+        fixture.putOutOfService("z0");
+        CHECK(toSeconds(fixture.timeUntilAllShow("out_of_service"))
+              < toSeconds(DomainServiceLimit));
+    }
+    SECTION("if the store loses its history and the entry meanwhile")
+    {
+        fixture.store.setFault(soak::StoreFault::RejectRequests);
+        fixture.store.dropHistory();
+        fixture.runFor(seconds(2));
+        fixture.putInService("z0");
+        fixture.store.dropHistory();
+        fixture.store.setFault(soak::StoreFault::None);
+        CHECK(toSeconds(fixture.timeUntilAllShow("up")) < toSeconds(DomainServiceLimit));
+    }
+}
+
+TEST_CASE("Failure domains out of service survive a store that comes back from a copy",
+          "[Platform][StoreIncidents][DomainService]")
+{
+    IncidentFixture fixture;
+    const auto emptyCopy = fixture.store.copy();
+
+    SECTION("one that the copy lacks stays out, and ends when it is written again and removed")
+    {
+        fixture.putOutOfService("z0");
+        fixture.timeUntilAllShow("out_of_service");
+        fixture.store.restore(emptyCopy);
+        fixture.runFor(seconds(6));
+        CHECK(fixture.allShowServer("s1", "out_of_service"));
+        fixture.putOutOfService("z0");
+        fixture.runFor(seconds(1));
+        fixture.putInService("z0");
+        CHECK(toSeconds(fixture.timeUntilAllShow("up")) < toSeconds(DomainServiceGoal));
+    }
+    SECTION("hosts that knew of none hear of one that is written after the restore")
+    {
+        fixture.publishConfiguration(3);
+        fixture.runFor(seconds(1));
+        fixture.store.restore(emptyCopy);
+        fixture.putOutOfService("z0");
+        CHECK(toSeconds(fixture.timeUntilAllShow("out_of_service"))
+              < toSeconds(DomainServiceLimit));
+    }
+}
