--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -140,6 +140,8 @@
     void requestReservations(ForwardCall &call, TimePoint now);
     /// Plans again without the engines that granted no memory, or refuses the request. \a refusedBy
     /// is the engine that refused; empty if engines did not respond.
+    /// Returns true if a server of \a plan is in a failure domain that is out of service.
+    bool isPlanOutOfService(const PromptPlan &plan) const;
     void onMemoryUnavailable(ForwardCall &call, const ServerId &refusedBy, TimePoint now);
     void releaseReservations(ForwardCall &call, TimePoint now);
     void sendDueReleases(TimePoint now);
