Keep the requests of all hosts to servers that warm up within their rate

Cause: a server that has just started looks empty to every host, so all of them send it their next request. Change: ServerWarmUps knows who warms up until when, by the newest word of entries, responses and other hosts; an incarnation that appears while the host runs, and a server that refused a connection, warm up before they say so. ServerLimits keeps the rate in the token bucket that it keeps for named limits; counts travel as "warm_ups", which earlier versions skip, and prompts that hosts of earlier versions report are counted as they come. Events server_warming_up and server_warm, a gauge, a state in the status. Pools without a rate are served as before.

--- a/src/core/event_log.h
+++ b/src/core/event_log.h
@@ -63,6 +63,8 @@
     ServerLimitInvalid = 605,
     ServiceOutOfReach = 606,
     ServiceReachable = 607,
+    ServerWarmingUp = 608,
+    ServerWarm = 609,
     AllocationReleased = 700,
     AllocationReserveFailed = 701,
     CrashSuspect = 800,
--- a/src/core/metric_catalogue.cpp
+++ b/src/core/metric_catalogue.cpp
@@ -72,6 +72,7 @@
         {Gauge::LiveMembers, "Live entry hosts, including this one."},
         {Gauge::BackendServersUsable, "Configured backend servers."},
         {Gauge::BackendServersLimited, "Backend servers that name a limit of requests."},
+        {Gauge::BackendServersWarmingUp, "Backend servers that warm up."},
         {Gauge::PoolsOutOfReach, "Pools of which this host reaches no server."},
         {Gauge::QueuedBytes, "Response bytes buffered for callers that have not read them yet."},
         {Gauge::CrashSuspectsKnown, "Requests that are suspected of crashing backend servers."},
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -82,6 +82,7 @@
     LiveMembers,
     BackendServersUsable,
     BackendServersLimited,
+    BackendServersWarmingUp,
     PoolsOutOfReach,
     QueuedBytes,
     CrashSuspectsKnown,
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -344,6 +344,11 @@
     this->promptUpdates.enqueueLimit(notice);
 }
 
+void GatewayHost::publishServerWarmUp(const ServerWarmUpNotice &notice)
+{
+    this->promptUpdates.enqueueWarmUp(notice);
+}
+
 void GatewayHost::sendReservationRequest(const MemoryReservationRequest &order)
 {
     const std::uint64_t id = this->nextMemoryRequestId++;
@@ -406,7 +411,8 @@
         status.members.push_back({member.identity, member.configurationVersion, member.leaving});
     for (const GatewayServer *known : this->fleet.all(this->loop.now())) {
         const bool isLimited = this->fleet.limits().rate(known->id, this->loop.now()).has_value();
-        const char *state = isLimited ? "limited" : "up";
+        const bool isWarmingUp = this->fleet.isWarmingUp(known->id, this->loop.now());
+        const char *state = isWarmingUp ? "warming_up" : isLimited ? "limited" : "up";
         status.servers.push_back({known->id, known->pool, known->draining ? "draining" : state});
     }
     return status;
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -79,6 +79,7 @@
     void publishPromptUpdate(const PromptUpdate &item) override;
     void publishServerLeaving(const ServerLeavingNotice &notice) override;
     void publishServerLimit(const ServerLimitNotice &notice) override;
+    void publishServerWarmUp(const ServerWarmUpNotice &notice) override;
     void publishCrashNotice(const CrashNotice &notice) override;
 
     // PeerListener
@@ -104,9 +105,14 @@
     void onPromptUpdates(const PromptUpdateBatch &update);
     void updatePromptPeers();
     void addRemoteDispatch(std::uint32_t senderHash, const RunningPrompt &running, bool isNew);
+    /// Counts the requests of hosts of earlier versions to servers that warm up.
+    void countRemoteDispatch(std::uint32_t senderHash, const PromptUpdate &dispatch);
     void recordFirstEvent(std::uint32_t server);
     void recordLeaving(const ServerLeavingNotice &notice);
     void recordLimit(std::uint32_t senderHash, const ServerLimitNotice &notice);
+    void recordWarmUp(std::uint32_t senderHash, const ServerWarmUpNotice &notice);
+    /// Tells a host that just joined what servers take.
+    void sendServerLimits(const Endpoint &peer);
     /// Splits the limits of servers over the hosts that this one is in touch with.
     void shareLimits(std::size_t liveHosts);
     void recordSilenceReport(std::uint32_t server, std::uint32_t senderHash);
--- a/src/entry_host/gateway_host_servers.cpp
+++ b/src/entry_host/gateway_host_servers.cpp
@@ -24,6 +24,21 @@
     this->controller.setHostCount(allHosts);
     this->metrics.set(Gauge::BackendServersLimited,
                       static_cast<double>(this->fleet.limits().limitedServers()));
+    this->metrics.set(Gauge::BackendServersWarmingUp,
+                      static_cast<double>(this->fleet.settleWarmUps(this->loop.now())));
+}
+
+void GatewayHost::sendServerLimits(const Endpoint &peer)
+{
+    this->promptUpdates.sendLimits(peer, this->fleet.limits().notices());
+    this->promptUpdates.sendWarmUps(peer, this->fleet.warmUpNotices(this->loop.now()));
+}
+
+void GatewayHost::recordWarmUp(std::uint32_t senderHash, const ServerWarmUpNotice &notice)
+{
+    const auto id = this->serversByHash.find(notice.serverHash);
+    if (id != this->serversByHash.end())
+        this->fleet.onWarmUpNotice(id->second, senderHash, notice, this->loop.now());
 }
 
 void GatewayHost::recordLimit(std::uint32_t senderHash, const ServerLimitNotice &notice)
@@ -41,6 +56,17 @@
         this->promptUpdates.enqueueLimit(*later);
 }
 
+void GatewayHost::countRemoteDispatch(std::uint32_t senderHash, const PromptUpdate &dispatch)
+{
+    std::vector<std::uint32_t> servers = dispatch.helperHashes;
+    servers.push_back(dispatch.serverHash);
+    for (const std::uint32_t server : servers) {
+        const auto id = this->serversByHash.find(server);
+        if (id != this->serversByHash.end())
+            this->fleet.limits().onRequestElsewhere(id->second, senderHash, this->loop.now());
+    }
+}
+
 void GatewayHost::updateRelayPeers(const std::vector<MemberRecord> &live)
 {
     std::vector<RelayPeer> peers;
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -148,7 +148,7 @@
             continue;
         this->promptUpdates.sendRunning(member.peerEndpoint,
                                         this->controller.runningPrompts(this->loop.now()));
-        this->promptUpdates.sendLimits(member.peerEndpoint, this->fleet.limits().notices());
+        this->sendServerLimits(member.peerEndpoint);
     }
     this->updateStoreWatching(live);
     this->checkPeerLinks();
@@ -264,6 +264,7 @@
             continue;
         this->routes =
                 std::make_shared<RouteTable>(std::make_shared<const GatewayConfiguration>(*parsed));
+        this->fleet.setPools(parsed->pools);
         this->controller.setRouteTable(this->routes);
         this->callerServer.setLimits(this->callerServerLimits());
         this->relayListener.server().setLimits(this->relayServerLimits());
@@ -286,7 +287,7 @@
             this->fleet.remove(object.name, context.mayHaveLapsed, now);
             continue;
         }
-        const auto parsed = this->protocol.parseServer(object.name, object.text);
+        auto parsed = this->protocol.parseServer(object.name, object.text);
         if (!parsed) {
             this->log.write(Event::ObjectRejected,
                             {{"collection", std::string("servers")},
@@ -298,6 +299,9 @@
         }
         if (context.mayBeRestored)
             this->fleet.doubtIfDeparted(*parsed, now);
+        // A copy of the store cannot show that the server is warm now.
+        if (context.mayBeRestored && parsed->warmUpLeft == Duration::zero())
+            parsed->warmUpLeft.reset();
         const GatewayServer *known = this->fleet.find(parsed->id);
         if (known == nullptr || known->incarnation != parsed->incarnation)
             this->reach.onServerStarted(parsed->pool, now);
@@ -323,12 +327,18 @@
 void GatewayHost::onPromptUpdates(const PromptUpdateBatch &update)
 {
     const TimePoint now = this->loop.now();
+    // A host that counts its requests is known as such before its dispatches are read.
+    for (const ServerLimitNotice &notice : update.limits)
+        this->recordLimit(update.senderHash, notice);
+    for (const ServerWarmUpNotice &notice : update.warmUps)
+        this->recordWarmUp(update.senderHash, notice);
     for (const PromptUpdate &item : update.updates) {
         const PromptKey key{update.senderHash, item.sequence};
         switch (item.kind) {
         case PromptUpdateKind::Dispatched:
             this->addRemoteDispatch(update.senderHash, {item, Duration::zero(), Duration::zero()},
                                     true);
+            this->countRemoteDispatch(update.senderHash, item);
             break;
         case PromptUpdateKind::FirstEvent:
             this->promptPlacement.onFirstEvent(key, now);
@@ -345,8 +355,6 @@
     }
     for (const ServerLeavingNotice &notice : update.leavingServers)
         this->recordLeaving(notice);
-    for (const ServerLimitNotice &notice : update.limits)
-        this->recordLimit(update.senderHash, notice);
     if (!update.poolsOutOfReach.empty())
         this->relayPeers.onOutOfReach(update.senderHash, update.poolsOutOfReach, now);
     for (const RunningPrompt &running : update.running)
@@ -355,7 +363,7 @@
         this->promptUpdatePeers.onJoined(*update.joinedAt, now);
         this->updatePromptPeers();
         this->promptUpdates.sendRunning(*update.joinedAt, this->controller.runningPrompts(now));
-        this->promptUpdates.sendLimits(*update.joinedAt, this->fleet.limits().notices());
+        this->sendServerLimits(*update.joinedAt);
     }
 }
 
--- a/src/entry_host/prompt_update_channel.cpp
+++ b/src/entry_host/prompt_update_channel.cpp
@@ -41,15 +41,25 @@
 
 void PromptUpdateChannel::enqueueLimit(const ServerLimitNotice &notice)
 {
-    std::vector<ServerLimitNotice> &limits = this->pending.limits;
-    const auto earlier = std::find_if(limits.begin(), limits.end(), [&](const auto &candidate) {
+    this->enqueueServerNotice(this->pending.limits, notice);
+}
+
+void PromptUpdateChannel::enqueueWarmUp(const ServerWarmUpNotice &notice)
+{
+    this->enqueueServerNotice(this->pending.warmUps, notice);
+}
+
+template <typename Notice>
+void PromptUpdateChannel::enqueueServerNotice(std::vector<Notice> &notices, const Notice &notice)
+{
+    const auto earlier = std::find_if(notices.begin(), notices.end(), [&](const auto &candidate) {
         return candidate.serverHash == notice.serverHash;
     });
-    if (earlier != limits.end())
+    if (earlier != notices.end())
         *earlier = notice;
     else
-        limits.push_back(notice);
-    if (limits.size() >= MaxItemsPerDatagram)
+        notices.push_back(notice);
+    if (notices.size() >= MaxItemsPerDatagram)
         return this->flush();
     this->scheduleFlush();
 }
@@ -65,7 +75,8 @@
 void PromptUpdateChannel::flush()
 {
     this->flushScheduled = false;
-    if (this->pending.updates.empty() && this->pending.limits.empty())
+    if (this->pending.updates.empty() && this->pending.limits.empty()
+        && this->pending.warmUps.empty())
         return;
     if (!this->peers.empty()) {
         const std::string bytes = encodePromptUpdates(this->pending);
@@ -75,17 +86,33 @@
     }
     this->pending.updates.clear();
     this->pending.limits.clear();
+    this->pending.warmUps.clear();
 }
 
 void PromptUpdateChannel::sendLimits(const Endpoint &peer,
                                      const std::vector<ServerLimitNotice> &limits)
 {
-    for (std::size_t begin = 0; begin < limits.size(); begin += MaxItemsPerDatagram) {
+    this->sendServerNotices(peer, limits, &PromptUpdateBatch::limits);
+}
+
+void PromptUpdateChannel::sendWarmUps(const Endpoint &peer,
+                                      const std::vector<ServerWarmUpNotice> &warmUps)
+{
+    this->sendServerNotices(peer, warmUps, &PromptUpdateBatch::warmUps);
+}
+
+template <typename Notice>
+void PromptUpdateChannel::sendServerNotices(const Endpoint &peer,
+                                            const std::vector<Notice> &notices,
+                                            std::vector<Notice> PromptUpdateBatch::*member)
+{
+    for (std::size_t begin = 0; begin < notices.size(); begin += MaxItemsPerDatagram) {
         PromptUpdateBatch batch;
         batch.senderHash = this->pending.senderHash;
-        const std::size_t end = std::min(limits.size(), begin + MaxItemsPerDatagram);
-        batch.limits.assign(limits.begin() + static_cast<std::ptrdiff_t>(begin),
-                            limits.begin() + static_cast<std::ptrdiff_t>(end));
+        const std::size_t end = std::min(notices.size(), begin + MaxItemsPerDatagram);
+        (batch.*member)
+                .assign(notices.begin() + static_cast<std::ptrdiff_t>(begin),
+                        notices.begin() + static_cast<std::ptrdiff_t>(end));
         this->socket.send(peer, encodePromptUpdates(batch));
     }
 }
--- a/src/entry_host/prompt_update_channel.h
+++ b/src/entry_host/prompt_update_channel.h
@@ -32,15 +32,17 @@
     /// Tells the peers that a backend server leaves.
     void announceLeaving(const ServerLeavingNotice &notice);
 
-    /// Tells the peers of the limit of a server with the next batch, which replaces an earlier
-    /// notice about it.
+    /// Tells the peers of the limit or warm-up of a server with the next batch, which replaces an
+    /// earlier notice about it.
     void enqueueLimit(const ServerLimitNotice &notice);
+    void enqueueWarmUp(const ServerWarmUpNotice &notice);
 
     /// Tells the peers of which pools, by the hashes of their names, this host reaches no server.
     void announceOutOfReach(const std::vector<std::uint32_t> &poolHashes);
 
-    /// Sends \a limits to \a peer.
+    /// Sends \a limits or \a warmUps to \a peer.
     void sendLimits(const Endpoint &peer, const std::vector<ServerLimitNotice> &limits);
+    void sendWarmUps(const Endpoint &peer, const std::vector<ServerWarmUpNotice> &warmUps);
 
     /// Sends \a prompts, which are in flight, to \a peer.
     void sendRunning(const Endpoint &peer, const std::vector<RunningPrompt> &prompts);
@@ -49,6 +51,11 @@
     void enqueue(const PromptUpdate &item);
 
 private:
+    template <typename Notice>
+    void enqueueServerNotice(std::vector<Notice> &notices, const Notice &notice);
+    template <typename Notice>
+    void sendServerNotices(const Endpoint &peer, const std::vector<Notice> &notices,
+                           std::vector<Notice> PromptUpdateBatch::*member);
     void scheduleFlush();
     void flush();
     void onDatagram(std::string_view bytes);
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -188,6 +188,7 @@
     /// Counts a message to \a server against the limit that it names.
     void countAgainstLimit(const ServerId &server, TimePoint now);
     void publishLimit(const ServerId &server);
+    void publishWarmUp(const ServerId &server, TimePoint now);
     /// Refuses a request for which no server of \a pool is usable.
     void refuseWithoutServer(ForwardCall &call, TimePoint now, const std::string &detail);
     /// Returns the retry delay for a caller if \a pool has no usable server.
--- a/src/gateway/forward_effects.h
+++ b/src/gateway/forward_effects.h
@@ -62,6 +62,9 @@
     /// Tells the other hosts of a server that names a limit.
     virtual void publishServerLimit(const ServerLimitNotice &notice) = 0;
 
+    /// Tells the other hosts of a server that warms up.
+    virtual void publishServerWarmUp(const ServerWarmUpNotice &notice) = 0;
+
     /// Sends a crash notice about a request fingerprint to the other hosts.
     virtual void publishCrashNotice(const CrashNotice &notice) = 0;
 };
--- a/src/gateway/forward_limits.cpp
+++ b/src/gateway/forward_limits.cpp
@@ -55,8 +55,17 @@
 
 void ForwardController::countAgainstLimit(const ServerId &server, TimePoint now)
 {
-    if (this->fleet.limits().onSent(server, now))
-        this->publishLimit(server);
+    if (!this->fleet.limits().onSent(server, now))
+        return;
+    this->publishLimit(server);
+    if (this->fleet.isWarmingUp(server, now))
+        this->publishWarmUp(server, now);
+}
+
+void ForwardController::publishWarmUp(const ServerId &server, TimePoint now)
+{
+    if (const std::optional<ServerWarmUpNotice> notice = this->fleet.warmUpNotice(server, now))
+        this->effects.publishServerWarmUp(*notice);
 }
 
 void ForwardController::publishLimit(const ServerId &server)
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -71,6 +71,9 @@
         this->metrics.count(Counter::ServerLimitChanges, 1);
         this->publishLimit(server);
     }
+    if (metadata.warmUpLeft
+        && this->fleet.onWarmUpAnswer(server, *metadata.warmUpLeft, sentAt, now))
+        this->publishWarmUp(server, now);
     if (!metadata.requestedPause)
         return;
     this->metrics.count(Counter::ServerPauses, 1);
@@ -321,7 +324,8 @@
         this->recordPathFailure(*call, wasSilent, wasSilent ? call->attempt->sentAt : now, now);
     }
     if (connectFailed && now - call->attempt->sentAt < ConnectTimeout) {
-        this->fleet.onConnectionRefused(server, now);
+        if (this->fleet.onConnectionRefused(server, now))
+            this->publishWarmUp(server, now);
         if (this->reach.isOutOfReach(call->pool))
             this->fleet.forgetRefusedConnections(call->pool);
     }
--- a/src/gateway/prompt_updates.cpp
+++ b/src/gateway/prompt_updates.cpp
@@ -15,10 +15,13 @@
 constexpr std::size_t MaxUpdates = 1'000;
 /// Longer than the deadline of any prompt.
 constexpr Duration MaxRunningAge = std::chrono::minutes(10);
+/// Longer than a host remembers the warm-up of a server that is still there.
+constexpr Duration MaxWarmUpAge = std::chrono::hours(24 * 365);
 constexpr const char *JoinedKey = "joined";
 constexpr const char *RunningKey = "running";
 constexpr const char *LeavingKey = "leaving";
 constexpr const char *LimitsKey = "limits";
+constexpr const char *WarmUpsKey = "warm_ups";
 constexpr const char *OutOfReachKey = "unreached";
 
 std::int64_t toMs(Duration duration)
@@ -122,6 +125,28 @@
     return notice;
 }
 
+nlohmann::json encodeWarmUp(const ServerWarmUpNotice &notice)
+{
+    return {notice.serverHash, notice.incarnation, toMs(notice.left), toMs(notice.age),
+            notice.sent};
+}
+
+ServerWarmUpNotice decodeWarmUp(const nlohmann::json &row)
+{
+    ServerWarmUpNotice notice;
+    std::size_t column = 0;
+    notice.serverHash = row.at(column++).get<std::uint32_t>();
+    notice.incarnation = row.at(column++).get<std::uint64_t>();
+    notice.left = durationFromMs(row.at(column++));
+    notice.age = durationFromMs(row.at(column++));
+    notice.sent = row.at(column++).get<std::uint64_t>();
+    const bool plausible = notice.left >= Duration::zero() && notice.left <= MaxWarmUpAge
+                           && notice.age >= Duration::zero() && notice.age <= MaxWarmUpAge;
+    if (!plausible)
+        throw nlohmann::json::other_error::create(508, "implausible warm-up of a server", &row);
+    return notice;
+}
+
 /// Decodes the fields that hosts of earlier versions do not send.
 void decodeExtension(const nlohmann::json &json, PromptUpdateBatch &batch)
 {
@@ -141,6 +166,12 @@
         for (const nlohmann::json &row : *limits)
             batch.limits.push_back(decodeLimit(row));
     }
+    if (const auto warmUps = json.find(WarmUpsKey); warmUps != json.end()) {
+        if (warmUps->size() > MaxUpdates)
+            throw nlohmann::json::other_error::create(509, "more than 1000 warm-ups", &json);
+        for (const nlohmann::json &row : *warmUps)
+            batch.warmUps.push_back(decodeWarmUp(row));
+    }
     if (const auto pools = json.find(OutOfReachKey); pools != json.end()) {
         if (pools->size() > MaxUpdates)
             throw nlohmann::json::other_error::create(507, "more than 1000 pools", &json);
@@ -176,6 +207,8 @@
         extension[LeavingKey].push_back({notice.serverHash, notice.incarnation});
     for (const ServerLimitNotice &notice : batch.limits)
         extension[LimitsKey].push_back(encodeLimit(notice));
+    for (const ServerWarmUpNotice &notice : batch.warmUps)
+        extension[WarmUpsKey].push_back(encodeWarmUp(notice));
     if (!batch.poolsOutOfReach.empty())
         extension[OutOfReachKey] = batch.poolsOutOfReach;
     for (const RunningPrompt &prompt : batch.running)
--- a/src/gateway/prompt_updates.h
+++ b/src/gateway/prompt_updates.h
@@ -62,6 +62,8 @@
     std::vector<ServerLeavingNotice> leavingServers;
     /// Servers that name limits. Hosts of earlier versions ignore it.
     std::vector<ServerLimitNotice> limits;
+    /// Servers that warm up. Hosts of earlier versions ignore it.
+    std::vector<ServerWarmUpNotice> warmUps;
     /// Hashes of the names of the pools of which the sender reaches no server. Hosts of earlier
     /// versions ignore it.
     std::vector<std::uint32_t> poolsOutOfReach;
--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -42,6 +42,7 @@
     : timings(timings)
     , log(log)
     , serverLimits(ServerLimitSettings{}, hostHash, log)
+    , warmUps(log)
 {}
 
 bool ServerFleet::put(const GatewayServer &server, TimePoint now)
@@ -57,12 +58,16 @@
         // The entry may have expired and be written again; the recorded health still applies.
         record.expiresAt.reset();
         record.removedAt.reset();
+        if (this->warmUps.onEntry(server, false, now))
+            this->applyWarmUp(server, now);
         return false;
     }
     const bool restarted = found != this->records.end();
     if (restarted)
         this->recordDisappearance(found->second, now);
     this->serverLimits.forget(server.id);
+    this->warmUps.forget(server.id);
+    const bool hasStarted = this->hasStartedNow(server, now);
     Record record;
     record.server = server;
     record.rank = static_cast<double>(hash64(server.id)) / HashRange;
@@ -75,6 +80,8 @@
     if (departed && departure->second.doubtedUntil)
         record.suspectedUntil = *departure->second.doubtedUntil;
     this->records[server.id] = record;
+    if (this->warmUps.onEntry(server, hasStarted, now))
+        this->applyWarmUp(server, now);
     this->log.write(Event::ServerUp, {{"server", server.id},
                                       {"pool", server.pool},
                                       {"endpoint", server.endpoint.text()},
@@ -111,6 +118,7 @@
         this->recordDisappearance(record, now);
     if (leaving) {
         this->serverLimits.forget(server);
+        this->warmUps.forget(server);
         this->records.erase(found);
         return;
     }
@@ -124,8 +132,10 @@
     for (auto record = this->records.begin(); record != this->records.end();) {
         const std::optional<TimePoint> removedAt = record->second.removedAt;
         const bool isGone = removedAt && now - *removedAt > this->timings.expiredEntryGrace;
-        if (isGone)
+        if (isGone) {
             this->serverLimits.forget(record->first);
+            this->warmUps.forget(record->first);
+        }
         record = isGone ? this->records.erase(record) : std::next(record);
     }
 }
@@ -155,11 +165,17 @@
         this->disappearances[record.server.id] = now;
 }
 
-void ServerFleet::onConnectionRefused(const ServerId &server, TimePoint now)
+bool ServerFleet::onConnectionRefused(const ServerId &server, TimePoint now)
 {
     const auto found = this->records.find(server);
-    if (found != this->records.end() && !this->isLeaving(found->second))
-        this->refusedConnections[server] = now;
+    if (found == this->records.end() || this->isLeaving(found->second))
+        return false;
+    this->refusedConnections[server] = now;
+    const bool isNews = this->warmUps.onConnectionRefused(found->second.server,
+                                                          this->timings.maxSuspicion, now);
+    if (isNews)
+        this->applyWarmUp(found->second.server, now);
+    return isNews;
 }
 
 std::optional<TimePoint> ServerFleet::disappearedAt(const ServerId &server) const
--- a/src/gateway/server_fleet.h
+++ b/src/gateway/server_fleet.h
@@ -3,6 +3,7 @@
 #include "core/event_log.h"
 #include "gateway/gateway_configuration.h"
 #include "gateway/server_limits.h"
+#include "gateway/server_warm_up.h"
 
 #include <map>
 #include <optional>
@@ -77,6 +78,9 @@
     /// \a hostHash differs between the hosts that share the servers.
     ServerFleet(const ServerFleetTimings &timings, EventLog &log, std::uint32_t hostHash = 0);
 
+    /// Sets the pools that the servers belong to.
+    void setPools(const std::map<std::string, ServerPool> &pools);
+
     /// Adds a server or updates its entry. A server that was leaving keeps leaving until it has
     /// another incarnation, since a store restored from a copy shows an earlier entry of it.
     /// Returns true if the server restarted.
@@ -117,8 +121,9 @@
     /// Records that \a server sent bytes for any request, which shows that it works.
     void onSignOfLife(const ServerId &server, TimePoint now);
 
-    /// Records that \a server actively refused a connection.
-    void onConnectionRefused(const ServerId &server, TimePoint now);
+    /// Records that \a server actively refused a connection. Returns true if it may be starting and
+    /// that is news for the other hosts.
+    bool onConnectionRefused(const ServerId &server, TimePoint now);
 
     /// Returns when \a server was last found to be gone although it had not said that it leaves:
     /// it refused a connection, its entry was removed or replaced, or another server had its
@@ -170,6 +175,27 @@
     ServerLimits &limits() { return this->serverLimits; }
     const ServerLimits &limits() const { return this->serverLimits; }
 
+    /// Handles a response of \a server to a request sent at \a sentAt that says how long its
+    /// warm-up takes. Returns true if that is news for the other hosts.
+    bool onWarmUpAnswer(const ServerId &server, Duration left, TimePoint sentAt, TimePoint now);
+
+    /// Handles what the host \a senderHash tells of the warm-up of \a server.
+    void onWarmUpNotice(const ServerId &server, std::uint32_t senderHash,
+                        const ServerWarmUpNotice &notice, TimePoint now);
+
+    /// Returns what to tell the other hosts about the warm-up of \a server; nullopt if it is over
+    /// and they need not be told.
+    std::optional<ServerWarmUpNotice> warmUpNotice(const ServerId &server, TimePoint now) const;
+
+    /// Returns what to tell a host that knows no warm-ups yet.
+    std::vector<ServerWarmUpNotice> warmUpNotices(TimePoint now) const;
+
+    /// Returns true if \a server warms up.
+    bool isWarmingUp(const ServerId &server, TimePoint now) const;
+
+    /// Logs which warm-ups have ended. Returns the number of servers that warm up.
+    std::size_t settleWarmUps(TimePoint now) { return this->warmUps.settle(now); }
+
     /// Returns all known servers, except those whose removed entries were not written again in
     /// time.
     std::vector<const GatewayServer *> all(TimePoint now) const;
@@ -215,10 +241,13 @@
     bool maySuspectForSilence(const Record &record, TimePoint now) const;
     bool isSchedulable(const Record &record, TimePoint now) const;
     bool isLeavingOrGone(const Record &record, TimePoint now) const;
+    bool hasStartedNow(const GatewayServer &server, TimePoint now) const;
+    void applyWarmUp(const GatewayServer &server, TimePoint now);
 
     ServerFleetTimings timings;
     EventLog &log;
     ServerLimits serverLimits;
+    ServerWarmUps warmUps;
     std::map<ServerId, Record> records;
     /// Departed servers, whose entries a restored store may show again.
     std::map<ServerId, Departure> departures;
--- a/src/gateway/server_limits.cpp
+++ b/src/gateway/server_limits.cpp
@@ -67,12 +67,7 @@
         if (record.limit != notice.limit)
             this->change(server, record, notice.limit, "host", now);
     }
-    // The first notice of a host tells no more than that it may have sent one request just now.
-    const auto [known, isFirst] = record.sentByHost.emplace(senderHash, notice.sent);
-    const std::uint64_t news = isFirst ? std::min<std::uint64_t>(notice.sent, 1)
-                                       : notice.sent - std::min(notice.sent, known->second);
-    known->second = std::max(known->second, notice.sent);
-    this->take(record, news, now);
+    this->countElsewhere(record, senderHash, notice.sent, now);
     if (notice.revision >= record.revision)
         return false;
     if (record.correctedAt && now - *record.correctedAt < this->settings.correctionInterval)
@@ -81,6 +76,56 @@
     return true;
 }
 
+void ServerLimits::countElsewhere(Record &record, std::uint32_t senderHash, std::uint64_t sent,
+                                  TimePoint now)
+{
+    // The first notice of a host tells no more than that it may have sent one request just now.
+    const auto [known, isFirst] = record.sentByHost.emplace(senderHash, sent);
+    const std::uint64_t news =
+            isFirst ? std::min<std::uint64_t>(sent, 1) : sent - std::min(sent, known->second);
+    known->second = std::max(known->second, sent);
+    this->take(record, news, now);
+}
+
+void ServerLimits::onSentElsewhere(const ServerId &server, std::uint64_t incarnation,
+                                   std::uint32_t senderHash, std::uint64_t sent, TimePoint now)
+{
+    const auto found = this->records.find(server);
+    if (found != this->records.end() && found->second.incarnation == incarnation)
+        this->countElsewhere(found->second, senderHash, sent, now);
+}
+
+void ServerLimits::onRequestElsewhere(const ServerId &server, std::uint32_t senderHash,
+                                      TimePoint now)
+{
+    const auto found = this->records.find(server);
+    if (found != this->records.end() && found->second.sentByHost.count(senderHash) == 0
+        && this->warmUpRate(found->second, now))
+        this->take(found->second, 1, now);
+}
+
+std::uint64_t ServerLimits::sentCount(const ServerId &server) const
+{
+    const auto found = this->records.find(server);
+    return found == this->records.end() ? 0 : found->second.sent;
+}
+
+void ServerLimits::setWarmUp(const ServerId &server, std::uint64_t incarnation,
+                             const WarmUpTerm &term, TimePoint now)
+{
+    Record &record = this->records[server];
+    if (record.incarnation != incarnation) {
+        record = Record();
+        record.incarnation = incarnation;
+    }
+    const bool wasWarmingUp = record.warmUp && record.warmUp->until > now;
+    const double tokens = this->level(record, now);
+    // What the server got just before it turned cold leaves nothing for the first moments.
+    record.tokens = wasWarmingUp || term.until <= now ? tokens : std::min(tokens, 0.0);
+    record.refilledAt = now;
+    record.warmUp = term;
+}
+
 void ServerLimits::change(const ServerId &server, Record &record, std::optional<double> limit,
                           const char *source, TimePoint now)
 {
@@ -108,14 +153,36 @@
 }
 
 std::optional<double> ServerLimits::rate(const Record &record, TimePoint now) const
+{
+    const std::optional<double> limit = this->limitRate(record, now);
+    const std::optional<double> warmUp = this->warmUpRate(record, now);
+    if (limit && warmUp)
+        return std::min(*limit, *warmUp);
+    return limit ? limit : warmUp;
+}
+
+std::optional<double> ServerLimits::limitRate(const Record &record, TimePoint now) const
 {
     if (record.limit)
         return std::max(*record.limit, this->settings.minRate) * this->fleetShare;
-    const Duration sinceChange = now - record.changedAt;
-    if (sinceChange >= this->settings.rampTime)
+    return this->rampRate(record.lastLimit, now - record.changedAt);
+}
+
+std::optional<double> ServerLimits::warmUpRate(const Record &record, TimePoint now) const
+{
+    if (!record.warmUp)
         return std::nullopt;
-    const double doublings = toSeconds(sinceChange) / toSeconds(this->settings.rampDoubling);
-    return std::max(record.lastLimit, this->settings.minRampRate) * std::exp2(doublings)
+    if (record.warmUp->until > now)
+        return std::max(record.warmUp->rate, this->settings.minRate) * this->fleetShare;
+    return this->rampRate(record.warmUp->rate, now - record.warmUp->until);
+}
+
+std::optional<double> ServerLimits::rampRate(double earlierRate, Duration sinceEnd) const
+{
+    if (sinceEnd >= this->settings.rampTime)
+        return std::nullopt;
+    const double doublings = toSeconds(sinceEnd) / toSeconds(this->settings.rampDoubling);
+    return std::max(earlierRate, this->settings.minRampRate) * std::exp2(doublings)
            * this->fleetShare;
 }
 
@@ -156,7 +223,11 @@
 bool ServerLimits::isLifting(const ServerId &server, TimePoint now) const
 {
     const auto found = this->records.find(server);
-    return found != this->records.end() && !found->second.limit && this->rate(found->second, now);
+    if (found == this->records.end() || found->second.limit)
+        return false;
+    const std::optional<WarmUpTerm> &warmUp = found->second.warmUp;
+    const bool isWarmingUp = warmUp && warmUp->until > now;
+    return !isWarmingUp && this->rate(found->second, now);
 }
 
 bool ServerLimits::onSent(const ServerId &server, TimePoint now)
@@ -182,7 +253,7 @@
 std::optional<ServerLimitNotice> ServerLimits::notice(const ServerId &server) const
 {
     const auto found = this->records.find(server);
-    if (found == this->records.end())
+    if (found == this->records.end() || found->second.revision == 0)
         return std::nullopt;
     return this->notice(server, found->second);
 }
--- a/src/gateway/server_limits.h
+++ b/src/gateway/server_limits.h
@@ -3,6 +3,7 @@
 #include "core/event_log.h"
 #include "core/identity.h"
 #include "core/time.h"
+#include "gateway/server_warm_up.h"
 
 #include <cstdint>
 #include <map>
@@ -43,10 +44,11 @@
     Duration correctionInterval = std::chrono::milliseconds(250);
 };
 
-/// Keeps the requests of all hosts within the limits that servers name in their answers, for one
-/// incarnation of a server each. Every host counts in one token bucket for each limited server what
-/// it sends and what the others tell that they sent, so that the rate of the fleet is the limit,
-/// and requests that crossed on the way are paid back. Performs no I/O.
+/// Keeps the requests of all hosts within the limits that servers name in their answers and within
+/// the rates of their warm-ups, for one incarnation of a server each. Every host counts in one
+/// token bucket for each limited server what it sends and what the others tell that they sent, so
+/// that the rate of the fleet is the limit, and requests that crossed on the way are paid back.
+/// Performs no I/O.
 class ServerLimits
 {
 public:
@@ -68,6 +70,22 @@
     bool onNotice(const ServerId &server, std::uint32_t senderHash, const ServerLimitNotice &notice,
                   TimePoint now);
 
+    /// Keeps \a server within the rate of its warm-up, which may be over.
+    void setWarmUp(const ServerId &server, std::uint64_t incarnation, const WarmUpTerm &term,
+                   TimePoint now);
+
+    /// Handles the number of requests that the host \a senderHash has sent to \a server since it
+    /// keeps count.
+    void onSentElsewhere(const ServerId &server, std::uint64_t incarnation,
+                         std::uint32_t senderHash, std::uint64_t sent, TimePoint now);
+
+    /// Handles a request to \a server of the host \a senderHash, in case that it does not tell its
+    /// number, as hosts of earlier versions do not while a server warms up.
+    void onRequestElsewhere(const ServerId &server, std::uint32_t senderHash, TimePoint now);
+
+    /// Returns the number of requests that this host has sent to \a server since it keeps count.
+    std::uint64_t sentCount(const ServerId &server) const;
+
     /// Returns true if a request may be sent to \a server.
     bool mayReceive(const ServerId &server, TimePoint now) const;
 
@@ -77,14 +95,16 @@
     /// Returns the rate at which \a server takes requests of all hosts; nullopt without a limit.
     std::optional<double> rate(const ServerId &server, TimePoint now) const;
 
-    /// Returns true if \a server has lifted its limit and is on the way back to its share.
+    /// Returns true if \a server has lifted its limit, or has warmed up, and is on the way back to
+    /// its share.
     bool isLifting(const ServerId &server, TimePoint now) const;
 
     /// Records a request, of any kind, that this host sends to \a server. Returns true if the other
     /// hosts have to be told.
     bool onSent(const ServerId &server, TimePoint now);
 
-    /// Returns what to tell the other hosts about \a server; nullopt if there is nothing.
+    /// Returns what to tell the other hosts about the limit of \a server; nullopt if it never named
+    /// one.
     std::optional<ServerLimitNotice> notice(const ServerId &server) const;
 
     /// Returns what to tell a host that knows no limits yet.
@@ -102,7 +122,8 @@
         std::uint64_t incarnation = 0;
         std::uint64_t revision = 0;
         std::optional<double> limit;
-        double lastLimit = 0; ///< The latest one, if it was lifted.
+        double lastLimit = 0;             ///< The latest one, if it was lifted.
+        std::optional<WarmUpTerm> warmUp; ///< The latest one, which may be over.
         TimePoint changedAt;
         double tokens = 0; ///< Below zero if hosts sent at the same moment.
         TimePoint refilledAt;
@@ -114,8 +135,13 @@
 
     void change(const ServerId &server, Record &record, std::optional<double> limit,
                 const char *source, TimePoint now);
+    void countElsewhere(Record &record, std::uint32_t senderHash, std::uint64_t sent,
+                        TimePoint now);
     void take(Record &record, std::uint64_t count, TimePoint now);
     std::optional<double> rate(const Record &record, TimePoint now) const;
+    std::optional<double> limitRate(const Record &record, TimePoint now) const;
+    std::optional<double> warmUpRate(const Record &record, TimePoint now) const;
+    std::optional<double> rampRate(double earlierRate, Duration sinceEnd) const;
     double level(const Record &record, TimePoint now) const;
     /// Returns the number of tokens from which on this host takes one.
     double threshold(const ServerId &server, const Record &record) const;
--- a/tests/gateway/test_prompt_updates.cpp
+++ b/tests/gateway/test_prompt_updates.cpp
@@ -82,6 +82,22 @@
         batch.limits[0].limit = -1.0;
         CHECK_FALSE(decodePromptUpdates(encodePromptUpdates(batch)));
     }
+    SECTION("servers that warm up, and those that have")
+    {
+        batch.warmUps = {{7, 3, milliseconds(2'400), milliseconds(70), 41}, {8, 4, {}, {}, 0}};
+        const auto decoded = decodePromptUpdates(encodePromptUpdates(batch));
+        REQUIRE(decoded);
+        REQUIRE(decoded->warmUps.size() == 2);
+        CHECK(decoded->warmUps[0].serverHash == 7);
+        CHECK(decoded->warmUps[0].incarnation == 3);
+        CHECK(decoded->warmUps[0].left == milliseconds(2'400));
+        CHECK(decoded->warmUps[0].age == milliseconds(70));
+        CHECK(decoded->warmUps[0].sent == 41);
+        CHECK(decoded->warmUps[1].left == Duration::zero());
+
+        batch.warmUps[0].left = milliseconds(-1);
+        CHECK_FALSE(decodePromptUpdates(encodePromptUpdates(batch)));
+    }
     SECTION("running prompts, with their age and remaining prefill")
     {
         batch.running = {{dispatchOf(4), milliseconds(1'200), milliseconds(300)}};
--- a/tests/gateway/test_server_limits_sizes.cpp
+++ b/tests/gateway/test_server_limits_sizes.cpp
@@ -51,3 +51,40 @@
         }
     }
 }
+
+TEST_CASE("Requests to each server that warms up, by fleet and servers that return at once",
+          "[Gateway][ServerWarmUp]")
+{
+    /// The users' rule: one and a half times the rate, and 5 requests, in one second.
+    const auto allowedIn1Second = [](double rate) {
+        return static_cast<std::size_t>(1.5 * rate + 5);
+    };
+    constexpr Duration WarmUpTime = seconds(3);
+    constexpr std::size_t ServerCount = 54;
+    std::printf("%6s %8s %8s %14s %10s %8s %8s\n", "hosts", "warming", "rate/s", "most in 1 s",
+                "allowed", "served", "refused");
+    for (const std::size_t hosts : {6, 18, 82, 195}) {
+        for (const std::size_t returning : {1, 18}) {
+            for (const double rate : {3.0, 14.0}) {
+                CAPTURE(hosts, returning, rate);
+                LimitedFleet fleet(hosts, ServerCount, LimitedLoad::Prompts);
+                fleet.setWarmUp(WarmUpTime, rate);
+                fleet.play(seconds(1), 150);
+                // Prompts prefer some engines to others while there is room.
+                const std::size_t first = fleet.busiest(fleet.now - seconds(1));
+                for (std::size_t index = 0; index < returning; ++index)
+                    fleet.restartServer((first + index) % ServerCount);
+                fleet.served = 0;
+                fleet.refused = 0;
+                fleet.play(WarmUpTime, 150);
+                std::size_t most = 0;
+                for (std::size_t server = 0; server < ServerCount; ++server)
+                    most = std::max(most, fleet.mostIn1SecondOfWarmUps(server));
+                CHECK(most <= allowedIn1Second(rate));
+                CHECK(fleet.refused == 0);
+                std::printf("%6zu %8zu %8.1f %14zu %10zu %8zu %8zu\n", hosts, returning, rate, most,
+                            allowedIn1Second(rate), fleet.served, fleet.refused);
+            }
+        }
+    }
+}
--- a/tests/support/forward_bench.cpp
+++ b/tests/support/forward_bench.cpp
@@ -78,6 +78,7 @@
 
 void ForwardBench::applyConfiguration()
 {
+    this->fleet.setPools(this->configuration.pools);
     this->controller.setRouteTable(std::make_shared<RouteTable>(
             std::make_shared<const GatewayConfiguration>(this->configuration)));
 }
@@ -199,6 +200,11 @@
     this->leavingNotices.push_back(notice);
 }
 
+void ForwardBench::publishServerWarmUp(const ServerWarmUpNotice &notice)
+{
+    this->warmUpNotices.push_back(notice);
+}
+
 void ForwardBench::publishServerLimit(const ServerLimitNotice &notice)
 {
     this->limitNotices.push_back(notice);
--- a/tests/support/forward_bench.h
+++ b/tests/support/forward_bench.h
@@ -79,6 +79,7 @@
     std::vector<PromptUpdate> promptUpdates;
     std::vector<ServerLeavingNotice> leavingNotices;
     std::vector<ServerLimitNotice> limitNotices;
+    std::vector<ServerWarmUpNotice> warmUpNotices;
     std::vector<CrashNotice> crashNotices;
     std::size_t queuedBytes = 0;  ///< Number of bytes reported as queued for a caller.
     std::vector<bool> pauseCalls; ///< Arguments of pauseAttempt(), in order.
@@ -102,6 +103,7 @@
     void publishPromptUpdate(const PromptUpdate &item) override;
     void publishServerLeaving(const ServerLeavingNotice &notice) override;
     void publishServerLimit(const ServerLimitNotice &notice) override;
+    void publishServerWarmUp(const ServerWarmUpNotice &notice) override;
     void publishCrashNotice(const CrashNotice &notice) override;
 
     HttpCallId nextCall = 1;
