--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -83,6 +83,7 @@
     BackendServersUsable,
     BackendServersLimited,
     FailureDomainsOutOfService,
+    BackendServersWarmingUp,
     PoolsOutOfReach,
     QueuedBytes,
     CrashSuspectsKnown,
