Take accepted and reset connections for a failure of the path

A host whose connections to servers were accepted and reset took each loss for a crash of the server and stayed with its own path: marked requests got a 502 for ever.

A new connection that is lost within 50 ms, with no byte of a response, counts as a failure of the path; a retry of that request takes the hop to another host. A pool with such a failure and no word from any server since is probed with each heartbeat (two servers), so that the first failure is enough to find out; an answered probe is contact.

--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -133,6 +133,7 @@
     KeepAliveHttpServer &serverOf(HttpCallId &call);
     /// Tells the other hosts which pools are out of reach, and probes some of their servers.
     void checkReach();
+    void probePool(const std::string &pool);
     void probeServer(const GatewayServer &server);
     void updateRelayPeers(const std::vector<MemberRecord> &live);
     ResponseLimits heldResponseLimits() const;
--- a/src/entry_host/gateway_host_servers.cpp
+++ b/src/entry_host/gateway_host_servers.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// Servers of a pool that are probed with each heartbeat while it is out of reach.
+/// Servers of a pool that are probed with each heartbeat while it is out of reach, or may be.
 constexpr std::size_t ProbedServers = 2;
 constexpr Duration ProbeConnectTimeout = std::chrono::milliseconds(400);
 constexpr Duration ProbeTimeout = std::chrono::milliseconds(800);
@@ -60,22 +60,29 @@
 {
     const std::vector<std::string> pools = this->reach.outOfReach();
     this->metrics.set(Gauge::PoolsOutOfReach, static_cast<double>(pools.size()));
+    for (const std::string &pool : this->reach.doubted())
+        this->probePool(pool);
     if (pools.empty())
         return;
     std::vector<std::uint32_t> hashes;
     for (const std::string &pool : pools) {
         hashes.push_back(hash32(pool));
-        std::vector<const GatewayServer *> servers;
-        for (const GatewayServer *server : this->fleet.all(this->loop.now())) {
-            if (server->pool == pool && !server->draining)
-                servers.push_back(server);
-        }
-        for (std::size_t count = 0; count < std::min(ProbedServers, servers.size()); ++count)
-            this->probeServer(*servers[this->nextProbe++ % servers.size()]);
+        this->probePool(pool);
     }
     this->promptUpdates.announceOutOfReach(hashes);
 }
 
+void GatewayHost::probePool(const std::string &pool)
+{
+    std::vector<const GatewayServer *> servers;
+    for (const GatewayServer *server : this->fleet.all(this->loop.now())) {
+        if (server->pool == pool && !server->draining)
+            servers.push_back(server);
+    }
+    for (std::size_t count = 0; count < std::min(ProbedServers, servers.size()); ++count)
+        this->probeServer(*servers[this->nextProbe++ % servers.size()]);
+}
+
 void GatewayHost::probeServer(const GatewayServer &server)
 {
     const std::uint64_t id = this->nextProbe;
@@ -84,13 +91,18 @@
     request.timeout = ProbeTimeout;
     this->probes[id] = std::make_unique<HttpFetch>(
             this->httpClient, request,
-            [this, id, pool = server.pool](const std::optional<HttpResponse> &response,
-                                           const HttpFailure & /*failure*/) {
+            [this, id, pool = server.pool, server = server.id, sentAt = this->loop.now()](
+                    const std::optional<HttpResponse> &response, const HttpFailure & /*failure*/) {
                 // The fetch is still on the call stack, so it must not be destroyed here.
                 const std::shared_ptr<HttpFetch> finishedFetch = std::move(this->probes[id]);
                 this->probes.erase(id);
                 this->loop.disposeLater(finishedFetch);
-                this->reach.onProbe(pool, response.has_value(), this->loop.now());
+                const TimePoint now = this->loop.now();
+                this->reach.onProbe(pool, response.has_value(), now);
+                if (response)
+                    this->reach.onContact(pool, now);
+                else
+                    this->reach.onFailure(pool, server, this->fleet.size(pool, now), sentAt, now);
             });
 }
 
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -122,7 +122,8 @@
     void onRelayFailed(ForwardCall &call, std::string_view outcome, Verdict verdict, TimePoint now);
     void refuseOutOfReach(ForwardCall &call, TimePoint now);
     /// Records that the attempt was refused a connection or, from \a since on, got no answer.
-    void recordPathFailure(ForwardCall &call, bool wasSilent, TimePoint since, TimePoint now);
+    /// \a usedAttempt tells whether the failure cost more than a refused connection.
+    void recordPathFailure(ForwardCall &call, bool usedAttempt, TimePoint since, TimePoint now);
     /// Holds the prompt if that is expected to find a better place for it; returns true if it is
     /// held.
     bool hold(ForwardCall &call, const PromptPlacementResult &decision, TimePoint now);
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -11,7 +11,8 @@
 /// Hosts that are asked for one request.
 constexpr std::size_t MaxRelayAttempts = 3;
 /// Failed connects of one request, with no word from the pool meanwhile, after which another host
-/// is asked. A silent attempt weighs as many, since it costs as much time as the caller can spare.
+/// is asked. An attempt that was silent or reset weighs as many: it costs as much time as the
+/// caller can spare, or one of the attempts that the route allows.
 constexpr std::size_t PathFailuresBeforeRelay = 2;
 constexpr Duration RelayConnectTimeout = std::chrono::milliseconds(400);
 constexpr Duration TransportTimeoutMargin = std::chrono::seconds(1);
@@ -50,13 +51,13 @@
     this->dispatch(call, now);
 }
 
-void ForwardController::recordPathFailure(ForwardCall &call, bool wasSilent, TimePoint since,
+void ForwardController::recordPathFailure(ForwardCall &call, bool usedAttempt, TimePoint since,
                                           TimePoint now)
 {
     const std::size_t poolSize = this->fleet.size(call.pool, now);
     this->reach.onFailure(call.pool, call.attempt->server, poolSize, since, now);
     if (!this->reach.hasHeardSince(call.pool, since))
-        call.pathFailures += wasSilent ? PathFailuresBeforeRelay : 1;
+        call.pathFailures += usedAttempt ? PathFailuresBeforeRelay : 1;
 }
 
 bool ForwardController::relay(ForwardCall &call, TimePoint now)
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -17,6 +17,9 @@
 /// The loss of a connection that was closed before the request was sent shows within a round trip.
 /// A connection that is lost later was lost while the request was at the server.
 constexpr Duration MaxStaleDetectionTime = std::chrono::milliseconds(20);
+/// A new connection that is lost this early, with no byte of a response, may have been reset by the
+/// path to the server, in whose place something else accepted it.
+constexpr Duration MaxPathResetTime = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -312,6 +315,13 @@
     Verdict verdict = failure.verdict;
     if (call->attempt->status != 0 && call->attempt->metadata.notRun)
         verdict = Verdict::NotRun;
+    const TimePoint sentAt = call->attempt->sentAt;
+    const bool resetAtOnce = !failure.reusedConnection
+                             && failure.kind == HttpFailureKind::ConnectionLost
+                             && call->attempt->status == 0 && now - sentAt < MaxPathResetTime;
+    // The one retry that a route may allow has to take another path.
+    if (resetAtOnce)
+        this->recordPathFailure(*call, true, sentAt, now);
     if (!connectFailed && !lostAtOnce)
         return this->onResponseBroken(*call, "broken", verdict, now);
     this->logFailedAttempt(*call, connectFailed ? "unreachable" : "lost_at_once", verdict, now);
--- a/src/gateway/service_reach.cpp
+++ b/src/gateway/service_reach.cpp
@@ -110,4 +110,14 @@
     return pools;
 }
 
+std::vector<std::string> ServiceReach::doubted() const
+{
+    std::vector<std::string> pools;
+    for (const auto &[pool, record] : this->records) {
+        if (!record.lostAt && !record.failedServers.empty())
+            pools.push_back(pool);
+    }
+    return pools;
+}
+
 } // namespace dotterel
--- a/src/gateway/service_reach.h
+++ b/src/gateway/service_reach.h
@@ -23,7 +23,8 @@
     /// Records that a server of \a pool has sent something.
     void onContact(const std::string &pool, TimePoint now);
 
-    /// Records that \a server, one of \a poolSize servers, refused a connection or kept silent.
+    /// Records that \a server, one of \a poolSize servers, refused a connection, reset it at once
+    /// or kept silent.
     /// \a since is when that began. What another server of the pool sent since then shows
     /// that the pool is in reach.
     void onFailure(const std::string &pool, const ServerId &server, std::size_t poolSize,
@@ -47,6 +48,10 @@
     /// Returns the pools that are out of reach.
     std::vector<std::string> outOfReach() const;
 
+    /// Returns the pools of which servers failed since the last contact, and which may be out of
+    /// reach.
+    std::vector<std::string> doubted() const;
+
 private:
     struct Record
     {
--- a/tests/entry_host/test_partitioned_hosts.cpp
+++ b/tests/entry_host/test_partitioned_hosts.cpp
@@ -61,6 +61,15 @@
             proxy->setFault(heal ? LinkFault::None : LinkFault::DropAllBytes);
     }
 
+    /// Cuts \a host off from all servers: connections are accepted and reset; \a heal ends that.
+    void resetAll(std::size_t host, bool heal = false)
+    {
+        for (const auto &proxy : this->proxies[host]) {
+            proxy->setFault(heal ? LinkFault::None : LinkFault::ResetAccepted);
+            proxy->resetConnections();
+        }
+    }
+
     /// Sends a request to \a host and returns the status of its response.
     std::string request(std::size_t host, const std::string &target)
     {
@@ -226,4 +235,35 @@
             CHECK(fleet.servedOf(RequestCount, 0, "/lookups/1") == RequestCount);
         }
     }
+    SECTION("connections are accepted and reset")
+    {
+        fleet.resetAll(0);
+        // A request that was sent may have run; the host finds out meanwhile.
+        fleet.request(0, "/orders/first");
+        fleet.runFor(milliseconds(1'000));
+        CHECK(fleet.servedOf(RequestCount, 0, "/orders/1") == RequestCount);
+        CHECK(fleet.servedOf(RequestCount, 0, "/lookups/1") == RequestCount);
+        CHECK(fleet.servedOf(RequestCount, 1, "/orders/1") == RequestCount);
+
+        SECTION("at two of three hosts")
+        {
+            fleet.resetAll(1);
+            fleet.request(1, "/orders/first");
+            fleet.runFor(milliseconds(1'000));
+            CHECK(fleet.servedOf(RequestCount, 1, "/orders/2") == RequestCount);
+            CHECK(fleet.servedOf(RequestCount, 0, "/orders/2") == RequestCount);
+        }
+        SECTION("and heal")
+        {
+            fleet.resetAll(0, true);
+            fleet.runFor(milliseconds(1'500));
+            CHECK(fleet.servedOf(RequestCount, 0, "/orders/2") == RequestCount);
+        }
+    }
+    SECTION("connections are accepted and reset: a lookup is served at once")
+    {
+        fleet.runFor(milliseconds(300));
+        fleet.resetAll(0);
+        CHECK(fleet.servedOf(RequestCount, 0, "/lookups/1") == RequestCount);
+    }
 }
--- a/tests/platform/soak/loopback_proxy.cpp
+++ b/tests/platform/soak/loopback_proxy.cpp
@@ -108,6 +108,11 @@
 void LoopbackProxy::forward(Connection &connection, bufferevent *source)
 {
     evbuffer *input = bufferevent_get_input(source);
+    if (this->fault == LinkFault::ResetAccepted) {
+        resetOnClose(connection.client);
+        this->closeConnection(connection);
+        return;
+    }
     if (connection.silent) {
         evbuffer_drain(input, evbuffer_get_length(input));
         return;
--- a/tests/platform/soak/loopback_proxy.h
+++ b/tests/platform/soak/loopback_proxy.h
@@ -20,6 +20,7 @@
     DropClientBytes, ///< Bytes from the client are dropped.
     DropServerBytes, ///< Bytes from the server are dropped.
     DropAllBytes,    ///< All bytes are dropped, and no connection is closed or reset.
+    ResetAccepted,   ///< Connections are accepted and reset as soon as bytes arrive on them.
 };
 
 /// TCP proxy on the loopback interface that forwards connections to one address and injects faults.
