--- a/tests/gateway/test_prompt_updates.cpp
+++ b/tests/gateway/test_prompt_updates.cpp
@@ -88,6 +88,7 @@
         const auto decoded = decodePromptUpdates(encodePromptUpdates(batch));
         REQUIRE(decoded);
         CHECK(decoded->workingServers == std::vector<std::uint32_t>{7, 8});
+    }
     SECTION("servers that warm up, and those that have")
     {
         batch.warmUps = {{7, 3, milliseconds(2'400), milliseconds(70), 41}, {8, 4, {}, {}, 0}};
