Hosts watch domains out of service only once they have links

Cause: each host that starts has no links at its first heartbeat and began a watch of the collection, though few hosts need one.

Change: this feed lists at the start and may watch from 2 s on.

--- a/src/entry_host/collection_feed.cpp
+++ b/src/entry_host/collection_feed.cpp
@@ -38,7 +38,10 @@
                     {random.nextBelow(FirstTurns), FirstTurns})
     , turnsBeganAt(loop.now())
     , hostEvents(std::move(hostEvents))
-{}
+{
+    // A list is enough until the host knows whether it is one of those that watch.
+    this->watching = collection != Collection::DomainsOutOfService;
+}
 
 CollectionFeed::~CollectionFeed()
 {
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -120,6 +120,8 @@
     CollectionFeed::HostEvents feedEvents(Collection collection);
     /// Handles a change of the era of the store that the feed of \a source noticed.
     void onPlatformEra(std::uint64_t era, Collection source);
+    /// Sets this host's turn among those that watch the store; nullopt if it does not.
+    void setWatchTurn(const std::optional<WatchTurn> &turn);
     bool followsDomains() const;
     /// Returns true if this host knows which failure domains are out of service, or has waited long
     /// enough for it.
--- a/src/entry_host/gateway_host_domains.cpp
+++ b/src/entry_host/gateway_host_domains.cpp
@@ -7,6 +7,14 @@
 
 namespace dotterel {
 
+namespace {
+
+/// Time for the first links to other hosts, which tell a host whether it is one of those that watch
+/// which failure domains are out of service. Until then it has what it listed.
+constexpr Duration LinkPatience = std::chrono::seconds(2);
+
+} // namespace
+
 bool GatewayHost::followsDomains() const
 {
     return this->settings.domainServiceLimit > Duration::zero();
@@ -52,6 +60,14 @@
     this->registerHostEntry();
 }
 
+void GatewayHost::setWatchTurn(const std::optional<WatchTurn> &turn)
+{
+    this->configurationFeed.setWatching(turn);
+    this->serverFeed.setWatching(turn);
+    if (this->followsDomains() && this->loop.now() - this->startedAt >= LinkPatience)
+        this->domainFeed.setWatching(turn);
+}
+
 void GatewayHost::applyDomainObjects(const std::vector<CollectionObject> &objects,
                                      const CollectionFeed::ChangeContext &context)
 {
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -187,8 +187,7 @@
         turn = live.size() <= MaxHostsThatAllWatch
                        ? turnAmong(this->identity, live)
                        : turnAmongDomains(this->identity, live, domains, watchersPerDomain);
-    for (CollectionFeed *feed : this->activeFeeds())
-        feed->setWatching(turn);
+    this->setWatchTurn(turn);
 }
 
 void GatewayHost::checkPeerLinks()
--- a/tests/platform/test_store_incidents.cpp
+++ b/tests/platform/test_store_incidents.cpp
@@ -366,6 +366,15 @@
         CHECK(toSeconds(fixture.timeUntilAllShow("out_of_service"))
               < toSeconds(DomainServiceLimit));
     }
+    SECTION("as soon as the store is back after an outage")
+    {
+        fixture.store.setFault(soak::StoreFault::RejectRequests);
+        fixture.store.closeWatches();
+        fixture.runFor(seconds(6));
+        fixture.putInService("z0");
+        fixture.store.setFault(soak::StoreFault::None);
+        CHECK(toSeconds(fixture.timeUntilAllShow("up")) < toSeconds(DomainServiceGoal));
+    }
     SECTION("if the store loses its history and the entry meanwhile")
     {
         fixture.store.setFault(soak::StoreFault::RejectRequests);
