Probe servers that are said to have crashed before their request stays refused

Hosts that were cut off by reset connections accused the request that ran, and the whole fleet refused it, also after the cut: nobody but the accused request would have asked the servers, so no sign of life took the crashes back.

A host that refuses a request for crashes now probes the servers that are said to have crashed (100 ms after the first probe, doubled up to 5 s while none answers). A server that answers in the incarnation of its entry (its start time, where servers tell it) has lived on, and its crash is taken back; any other answer says nothing. The first refused request is not held.

In virtual time at most 54 probes of three servers in 60 s of refusals.

--- a/src/coordination/crash_guard.cpp
+++ b/src/coordination/crash_guard.cpp
@@ -32,6 +32,19 @@
     return weightOf(found->second);
 }
 
+std::vector<ServerId> CrashGuard::crashedServers(const std::string &fingerprint) const
+{
+    std::vector<ServerId> servers;
+    const auto found = this->records.find(fingerprint);
+    if (found == this->records.end())
+        return servers;
+    for (const Crash &crash : found->second.crashes) {
+        if (!crash.takenBack)
+            servers.push_back(crash.server);
+    }
+    return servers;
+}
+
 std::size_t CrashGuard::recordedCrashes(const std::string &fingerprint, TimePoint now) const
 {
     const auto found = this->records.find(fingerprint);
--- a/src/coordination/crash_guard.h
+++ b/src/coordination/crash_guard.h
@@ -68,6 +68,9 @@
     /// crash counts with its weight.
     std::size_t crashCount(const std::string &fingerprint, TimePoint now) const;
 
+    /// Returns the servers that crashed while running the suspect.
+    std::vector<ServerId> crashedServers(const std::string &fingerprint) const;
+
     /// Returns the number of these crashes, without weights.
     std::size_t recordedCrashes(const std::string &fingerprint, TimePoint now) const;
 
--- a/src/coordination/prompt_part_guard.h
+++ b/src/coordination/prompt_part_guard.h
@@ -97,6 +97,12 @@
         this->crashes.takeBackCrashes(livedOn);
     }
 
+    /// See CrashGuard.
+    std::vector<ServerId> crashedServers(const std::string &key) const
+    {
+        return this->crashes.crashedServers(key);
+    }
+
     /// What a notice of another host means for this one.
     struct NoticeResult
     {
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -69,6 +69,7 @@
     void cancelAttempt(ForwardAttemptId attempt) override;
     void pauseAttempt(ForwardAttemptId attempt, bool paused) override;
     void sendReservationRequest(const MemoryReservationRequest &order) override;
+    void probeServer(const GatewayServer &server) override;
     void sendResponse(HttpCallId call, int status, const HttpHeaders &headers,
                       std::string_view body) override;
     void startResponse(HttpCallId call, int status, const HttpHeaders &headers,
@@ -134,7 +135,6 @@
     /// Tells the other hosts which pools are out of reach, and probes some of their servers.
     void checkReach();
     void probePool(const std::string &pool);
-    void probeServer(const GatewayServer &server);
     void updateRelayPeers(const std::vector<MemberRecord> &live);
     ResponseLimits heldResponseLimits() const;
 
--- a/src/entry_host/gateway_host_servers.cpp
+++ b/src/entry_host/gateway_host_servers.cpp
@@ -80,29 +80,32 @@
             servers.push_back(server);
     }
     for (std::size_t count = 0; count < std::min(ProbedServers, servers.size()); ++count)
-        this->probeServer(*servers[this->nextProbe++ % servers.size()]);
+        this->probeServer(*servers[this->nextProbe % servers.size()]);
 }
 
 void GatewayHost::probeServer(const GatewayServer &server)
 {
-    const std::uint64_t id = this->nextProbe;
+    const std::uint64_t id = this->nextProbe++;
     HttpRequest request = this->protocol.probeRequest(server.endpoint);
     request.connectTimeout = ProbeConnectTimeout;
     request.timeout = ProbeTimeout;
     this->probes[id] = std::make_unique<HttpFetch>(
             this->httpClient, request,
-            [this, id, pool = server.pool, server = server.id, sentAt = this->loop.now()](
+            [this, id, server, sentAt = this->loop.now()](
                     const std::optional<HttpResponse> &response, const HttpFailure & /*failure*/) {
                 // The fetch is still on the call stack, so it must not be destroyed here.
                 const std::shared_ptr<HttpFetch> finishedFetch = std::move(this->probes[id]);
                 this->probes.erase(id);
                 this->loop.disposeLater(finishedFetch);
                 const TimePoint now = this->loop.now();
-                this->reach.onProbe(pool, response.has_value(), now);
+                this->reach.onProbe(server.pool, response.has_value(), now);
                 if (response)
-                    this->reach.onContact(pool, now);
+                    this->reach.onContact(server.pool, now);
                 else
-                    this->reach.onFailure(pool, server, this->fleet.size(pool, now), sentAt, now);
+                    this->reach.onFailure(server.pool, server.id,
+                                          this->fleet.size(server.pool, now), sentAt, now);
+                if (response && this->protocol.isProbeOfIncarnation(server, response->body))
+                    this->controller.onServerAlive(server.id, server.incarnation, now);
             });
 }
 
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -11,6 +11,7 @@
 #include "gateway/retry_budget.h"
 #include "gateway/return_schedule.h"
 #include "gateway/service_reach.h"
+#include "gateway/suspect_probes.h"
 
 #include <algorithm>
 #include <map>
@@ -80,6 +81,9 @@
     void onServerHeaders(const ServerId &server, int status, const HttpHeaders &headers,
                          TimePoint sentAt, TimePoint now);
 
+    /// \a server answered a probe, in the incarnation \a incarnation.
+    void onServerAlive(const ServerId &server, std::uint64_t incarnation, TimePoint now);
+
     /// The entries of servers have changed. Settles which attempts ended by a crash.
     void onServersChanged(TimePoint now);
 
@@ -219,6 +223,8 @@
     /// Returns the fingerprint of the request, or the key of a part of its prompt, for which it is
     /// refused since it crashes servers; empty if it is not.
     std::string refusedSuspect(ForwardCall &call, TimePoint now);
+    /// Probes the servers for whose crashes \a suspect is refused.
+    void probeCrashedServers(const std::string &suspect, TimePoint now);
     /// Takes back the crashes of servers that have been heard of since.
     void takeBackCrashes();
     void reportCrash(ForwardCall &call, const ServerId &server, std::string_view outcome,
@@ -269,6 +275,7 @@
     Metrics &metrics;
     EventLog &log;
     DoubtfulEnds doubtfulEnds;
+    SuspectProbes suspectProbes;
     ReturnSchedule returnSchedule;
     std::size_t hostCount = 1; ///< Hosts that share the servers.
     TimePoint nextSettling;    ///< Requests that arrive before do not settle doubtful ends.
--- a/src/gateway/forward_crashes.cpp
+++ b/src/gateway/forward_crashes.cpp
@@ -47,6 +47,29 @@
                                    : this->partGuard.refusedKey(this->promptPartKeys(call), now);
 }
 
+void ForwardController::probeCrashedServers(const std::string &suspect, TimePoint now)
+{
+    std::vector<ServerId> servers = this->crashGuard.crashedServers(suspect);
+    const std::vector<ServerId> byPart = this->partGuard.crashedServers(suspect);
+    servers.insert(servers.end(), byPart.begin(), byPart.end());
+    for (const ServerId &id : servers) {
+        const GatewayServer *server = this->fleet.find(id);
+        if (server != nullptr && this->suspectProbes.tryProbe(id, now))
+            this->effects.probeServer(*server);
+    }
+}
+
+void ForwardController::onServerAlive(const ServerId &server, std::uint64_t incarnation,
+                                      TimePoint now)
+{
+    const GatewayServer *known = this->fleet.find(server);
+    // A server that has restarted meanwhile says nothing about the one before.
+    if (known == nullptr || known->incarnation != incarnation)
+        return;
+    this->suspectProbes.onAlive(server);
+    this->fleet.onSignOfLife(server, now);
+}
+
 void ForwardController::takeBackCrashes()
 {
     const auto livedOn = [this](const ServerId &server, TimePoint crashedAt) {
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -77,8 +77,10 @@
     const bool isSettled = call.relay || this->reach.isConfirmed(call.pool);
     if (this->reach.isOutOfReach(call.pool) && isSettled)
         return this->refuseOutOfReach(call, now);
-    if (const std::string suspect = this->refusedSuspect(call, now); !suspect.empty())
+    if (const std::string suspect = this->refusedSuspect(call, now); !suspect.empty()) {
+        this->probeCrashedServers(suspect, now);
         return this->refuse(call, Reason::CrashesBackendServers, std::nullopt, now, suspect);
+    }
     const auto pool = call.configuration->pools.find(call.pool);
     if (pool == call.configuration->pools.end())
         return this->refuse(call, Reason::NoBackendServer, NoServerRetryAfter, now, call.pool);
--- a/src/gateway/forward_effects.h
+++ b/src/gateway/forward_effects.h
@@ -35,6 +35,9 @@
     /// Sends \a request to an engine and reports how the engine answered.
     virtual void sendReservationRequest(const MemoryReservationRequest &request) = 0;
 
+    /// Asks \a server for a sign of life without giving it work.
+    virtual void probeServer(const GatewayServer &server) = 0;
+
     /// Sends a complete response to a caller.
     virtual void sendResponse(HttpCallId call, int status, const HttpHeaders &headers,
                               std::string_view body) = 0;
--- a/src/gateway/gateway_protocol.h
+++ b/src/gateway/gateway_protocol.h
@@ -93,6 +93,11 @@
     /// Returns a request that any server at \a endpoint answers and none runs.
     virtual HttpRequest probeRequest(const Endpoint &endpoint) const = 0;
 
+    /// Returns true if \a body, the response to a probe of \a server, comes from the incarnation
+    /// that its entry names.
+    virtual bool isProbeOfIncarnation(const GatewayServer &server,
+                                      const std::string &body) const = 0;
+
     /// Returns the header and value that a server must echo in its response to the request.
     virtual std::pair<std::string, std::string>
     expectedEcho(const RequestMetadata &metadata) const = 0;
--- a/tests/entry_host/test_partitioned_hosts.cpp
+++ b/tests/entry_host/test_partitioned_hosts.cpp
@@ -5,6 +5,7 @@
 #include "support/raw_client.h"
 #include "support/scripted_server.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <functional>
 
@@ -82,6 +83,26 @@
         return begin == std::string::npos ? "closed" : client.received().substr(begin + 1, 3);
     }
 
+    /// Sends \a count requests to each of \a hosts before any of them is answered.
+    void requestAtOnce(std::size_t count, const std::vector<std::size_t> &hosts,
+                       const std::string &target)
+    {
+        std::vector<std::unique_ptr<RawClient>> clients;
+        for (const std::size_t host : hosts) {
+            for (std::size_t number = 0; number < count; ++number) {
+                clients.push_back(
+                        std::make_unique<RawClient>(this->loop, this->hosts[host]->callers()));
+                clients.back()->send("GET " + target + " HTTP/1.1\r\nHost: shop\r\nId: r1\r\n\r\n");
+            }
+        }
+        this->runUntil([&] {
+            return std::all_of(clients.begin(), clients.end(), [](const auto &client) {
+                return client->received().find("\r\n\r\n") != std::string::npos
+                       || client->closedByPeer();
+            });
+        });
+    }
+
     /// Returns how many of \a count requests to \a host were served, one after the other.
     std::size_t servedOf(std::size_t count, std::size_t host, const std::string &target)
     {
@@ -266,4 +287,20 @@
         fleet.resetAll(0);
         CHECK(fleet.servedOf(RequestCount, 0, "/lookups/1") == RequestCount);
     }
+    SECTION("two hosts take a cut for crashes under one request; no caller may pay for it")
+    {
+        fleet.resetAll(0);
+        fleet.resetAll(1);
+        fleet.requestAtOnce(6, {0, 1}, "/orders/same");
+        fleet.runFor(milliseconds(100));
+        fleet.request(2, "/orders/same"); // May be refused until servers have answered a probe.
+        fleet.runFor(milliseconds(200));
+        CHECK(fleet.servedOf(RequestCount, 2, "/orders/same") == RequestCount);
+        fleet.resetAll(0, true);
+        fleet.resetAll(1, true);
+        fleet.runFor(milliseconds(1'500));
+        fleet.request(0, "/orders/same");
+        fleet.runFor(milliseconds(200));
+        CHECK(fleet.servedOf(RequestCount, 0, "/orders/same") == RequestCount);
+    }
 }
--- a/tests/gateway/test_crashes_without_end.cpp
+++ b/tests/gateway/test_crashes_without_end.cpp
@@ -1,6 +1,7 @@
 #include "support/forward_bench.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace dotterel;
 using namespace dotterel::support;
@@ -88,4 +89,31 @@
         bench.advanceTime(seconds(3));
         CHECK_FALSE(bench.isSent());
     }
+    SECTION("servers that nobody else asks are probed before the request is refused again")
+    {
+        REQUIRE_FALSE(bench.isSent());
+        CHECK(std::set<ServerId>(bench.probedServers.begin(), bench.probedServers.end()).size()
+              == ServerCount);
+        SECTION("those that answer have lived on")
+        {
+            for (std::size_t server = 0; server < ServerCount; ++server)
+                bench.controller.onServerAlive("app-" + std::to_string(server), 0, bench.now);
+            CHECK(bench.isSent());
+        }
+        SECTION("those that restarted have not")
+        {
+            for (std::size_t server = 0; server < ServerCount; ++server)
+                bench.controller.onServerAlive("app-" + std::to_string(server), 1, bench.now);
+            CHECK_FALSE(bench.isSent());
+        }
+        SECTION("and few are sent if none answers")
+        {
+            const std::size_t before = bench.probedServers.size();
+            for (int second = 0; second < 60; ++second) {
+                bench.advanceTime(seconds(1));
+                CHECK_FALSE(bench.isSent());
+            }
+            CHECK(bench.probedServers.size() - before <= ServerCount * 18);
+        }
+    }
 }
--- a/tests/support/forward_bench.cpp
+++ b/tests/support/forward_bench.cpp
@@ -160,6 +160,11 @@
     this->reservationRequests.push_back(request);
 }
 
+void ForwardBench::probeServer(const GatewayServer &server)
+{
+    this->probedServers.push_back(server.id);
+}
+
 void ForwardBench::sendResponse(HttpCallId call, int status, const HttpHeaders &headers,
                                 std::string_view body)
 {
--- a/tests/support/forward_bench.h
+++ b/tests/support/forward_bench.h
@@ -76,6 +76,7 @@
     RelayPeers relayPeers;
     std::vector<SentAttempt> sentAttempts;
     std::vector<MemoryReservationRequest> reservationRequests;
+    std::vector<ServerId> probedServers;
     std::vector<PromptUpdate> promptUpdates;
     std::vector<ServerLeavingNotice> leavingNotices;
     std::vector<ServerLimitNotice> limitNotices;
@@ -92,6 +93,7 @@
     void cancelAttempt(ForwardAttemptId attempt) override;
     void pauseAttempt(ForwardAttemptId attempt, bool paused) override;
     void sendReservationRequest(const MemoryReservationRequest &request) override;
+    void probeServer(const GatewayServer &server) override;
     void sendResponse(HttpCallId call, int status, const HttpHeaders &headers,
                       std::string_view body) override;
     void startResponse(HttpCallId call, int status, const HttpHeaders &headers,
--- a/tests/support/plain_gateway_protocol.cpp
+++ b/tests/support/plain_gateway_protocol.cpp
@@ -82,6 +82,12 @@
     return headers;
 }
 
+bool PlainGatewayProtocol::isProbeOfIncarnation(const GatewayServer & /*server*/,
+                                                const std::string & /*body*/) const
+{
+    return true;
+}
+
 HttpRequest PlainGatewayProtocol::probeRequest(const Endpoint &endpoint) const
 {
     HttpRequest request;
