Judge the progress of a stream by its events, not by its bytes

Any byte of a stream reset its inactivity limit, so that a stalled one that sent a comment or a part of an event now and then held its caller until the caller left. The limit runs from the last complete event that is more than a comment. Slow but sound streams live on as before.

test_slow_streams: before, a stream that trickled parts of an event, or comments, was kept for the 2 s after which callers leave (streamAbandonTime, the bound of the test); now another server takes it over within them. A stream with an event every 1.5 s, also in parts and with comments between, is not cut, before and after.

--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -38,6 +38,7 @@
     EventStreamSplitter splitter;
     bool firstEventReceived = false;
     TimePoint firstEventAt;
+    TimePoint lastEventAt;       ///< When an event, other than a comment, was last complete.
     bool provedSound = false;    ///< The response went on for a while after its first event.
     PromptUpdate dispatchUpdate; ///< What the other hosts were told; prompts only.
 
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -147,6 +147,7 @@
     call.readingPaused = false;
     // Nothing was read during the pause, so the server cannot be blamed for it.
     call.attempt->lastDataAt = now;
+    call.attempt->lastEventAt = now;
     this->effects.pauseAttempt(call.attempt->id, false);
     this->scheduleTimer(call, now);
 }
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -25,8 +25,8 @@
 /// Limits on the inactivity of an attempt before it is retried at another server. Before the first
 /// event it is the longest of a minimum, a multiple of the latency goal and a multiple of the
 /// predicted time, all counted from dispatch; after it, a minimum or a multiple of the event gap
-/// goal, counted from the last received bytes. All limits are shorter than the time after which
-/// callers give up.
+/// goal, counted from the last event: a stalled server may still send a byte now and then. All
+/// limits are shorter than the time after which callers give up.
 constexpr int InactivityLatencyGoalFactor = 2;
 constexpr int InactivityPredictedTimeFactor = 3;
 constexpr int InactivityEventGapGoalFactor = 6;
@@ -315,7 +315,7 @@
     if (!route.isRetryable() || call.readingPaused)
         return call.deadline;
     if (route.kind == RouteKind::Stream && attempt.firstEventReceived)
-        return attempt.lastDataAt
+        return attempt.lastEventAt
                + std::max(MinStreamInactivityLimit,
                           route.eventGapGoal * InactivityEventGapGoalFactor);
     const Duration inactivityLimit =
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -21,6 +21,19 @@
 /// path to the server, in whose place something else accepted it.
 constexpr Duration MaxPathResetTime = std::chrono::milliseconds(50);
 
+/// Returns true if \a event consists of comments, which say nothing about the progress of a stream.
+bool isComment(std::string_view event)
+{
+    bool startsLine = true;
+    for (const char byte : event) {
+        const bool endsLine = byte == '\n' || byte == '\r';
+        if (startsLine && !endsLine && byte != ':')
+            return false;
+        startsLine = endsLine;
+    }
+    return true;
+}
+
 } // namespace
 
 void ForwardController::onAttemptHead(ForwardAttemptId id, int status, const HttpHeaders &headers,
@@ -141,9 +154,12 @@
         && now - attempt.firstEventAt >= SoundResponseTime)
         this->recordSoundParts(call, now);
     for (const StreamEvent &event : attempt.splitter.feed(bytes)) {
+        if (!isComment(event.bytes))
+            attempt.lastEventAt = now;
         if (!attempt.firstEventReceived) {
             attempt.firstEventReceived = true;
             attempt.firstEventAt = now;
+            attempt.lastEventAt = now;
             if (attempt.isPrompt) {
                 this->promptPlacement.onFirstEvent({this->senderHash, attempt.id}, now);
                 this->effects.publishPromptUpdate({PromptUpdateKind::FirstEvent,
