Do not act on reserved memory that has expired while the host was paused

A host that was stopped for some seconds sent a prompt with grants that it read after their lifetime, and renewed memory of a prompt that the engine had cut off meanwhile: new memory that nothing used.

test_reserved_memory, a pause of 5 s: both sections failed before.

--- a/src/gateway/forward_memory.cpp
+++ b/src/gateway/forward_memory.cpp
@@ -56,6 +56,9 @@
         const GatewayServer *server = this->fleet.find(reservation.server);
         if (server == nullptr || !this->fleet.tryContact(reservation.server, now))
             continue;
+        // The engine has cut a prompt off whose memory has expired; the memory would be new.
+        if (call.attempt && now - reservation.orderedAt >= ReservationLifetime)
+            continue;
         ++reservation.unansweredOrders;
         reservation.orderedAt = now;
         this->effects.sendReservationRequest({reservation.id, reservation.server, server->endpoint,
@@ -77,6 +80,9 @@
     for (MemoryReservation &reservation : call.reservations) {
         if (reservation.id != reservationId)
             continue;
+        // This host may have been paused since it sent the order.
+        const bool isExpired = now - reservation.orderedAt >= ReservationLifetime;
+        granted = granted && !(call.pendingPlan && isExpired);
         reservation.granted = granted;
         if (reservation.unansweredOrders > 0)
             --reservation.unansweredOrders;
--- a/tests/gateway/test_reserved_memory.cpp
+++ b/tests/gateway/test_reserved_memory.cpp
@@ -220,3 +220,31 @@
         CHECK_FALSE(bench.controller.isReleasingMemory());
     }
 }
+
+TEST_CASE("A host that was paused does not act on memory that has expired meanwhile",
+          "[Gateway][ForwardController]")
+{
+    ForwardBench bench;
+    addEngines(bench);
+    bench.request("/archives/", {{"Tokens", "450000,700"}});
+    const std::vector<MemoryReservationRequest> orders = bench.reservationRequests;
+    const auto grantAll = [&] {
+        for (const MemoryReservationRequest &order : orders)
+            bench.controller.onReservationResult(order.reservationId, true, bench.now);
+    };
+
+    SECTION("before it read the grants")
+    {
+        bench.now += milliseconds(5'000);
+        grantAll();
+        CHECK(bench.sentAttempts.empty());
+    }
+    SECTION("while the prompt was running")
+    {
+        grantAll();
+        REQUIRE(bench.sentAttempts.size() == 1);
+        bench.now += milliseconds(5'000);
+        bench.controller.onTimer(bench.now);
+        CHECK(bench.reservationRequests.size() == orders.size());
+    }
+}
