--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -28,8 +28,8 @@
 /// Limits on the inactivity of an attempt before it is retried at another server. Before the first
 /// event it is the longest of a minimum, a multiple of the latency goal and a multiple of the
 /// predicted time, all counted from dispatch; after it, a minimum or a multiple of the event gap
-/// goal, counted from the last received bytes. All limits are shorter than the time after which
-/// callers give up.
+/// goal, counted from the last event: a stalled server may still send a byte now and then. All
+/// limits are shorter than the time after which callers give up.
 constexpr int InactivityLatencyGoalFactor = 2;
 constexpr int InactivityPredictedTimeFactor = 3;
 constexpr int InactivityEventGapGoalFactor = 6;
@@ -80,8 +80,10 @@
     const bool isSettled = call.relay || this->reach.isConfirmed(call.pool);
     if (this->reach.isOutOfReach(call.pool) && isSettled)
         return this->refuseOutOfReach(call, now);
-    if (const std::string suspect = this->refusedSuspect(call, now); !suspect.empty())
+    if (const std::string suspect = this->refusedSuspect(call, now); !suspect.empty()) {
+        this->probeCrashedServers(suspect, now);
         return this->refuse(call, Reason::CrashesBackendServers, std::nullopt, now, suspect);
+    }
     const auto pool = call.configuration->pools.find(call.pool);
     if (pool == call.configuration->pools.end())
         return this->refuse(call, Reason::NoBackendServer, NoServerRetryAfter, now, call.pool);
@@ -316,7 +318,7 @@
     if (!route.isRetryable() || call.readingPaused)
         return call.deadline;
     if (route.kind == RouteKind::Stream && attempt.firstEventReceived)
-        return attempt.lastDataAt
+        return attempt.lastEventAt
                + std::max(MinStreamInactivityLimit,
                           route.eventGapGoal * InactivityEventGapGoalFactor);
     const Duration inactivityLimit =
--- a/src/gateway/forward_memory.cpp
+++ b/src/gateway/forward_memory.cpp
@@ -57,6 +57,9 @@
         if (this->fleet.find(reservation.server) == nullptr
             || !this->fleet.tryContact(reservation.server, now))
             continue;
+        // The engine has cut a prompt off whose memory has expired; the memory would be new.
+        if (call.attempt && now - reservation.orderedAt >= ReservationLifetime)
+            continue;
         ++reservation.unansweredOrders;
         reservation.orderedAt = now;
         ordered.push_back(reservation);
@@ -84,6 +87,9 @@
     for (MemoryReservation &reservation : call.reservations) {
         if (reservation.id != reservationId)
             continue;
+        // This host may have been paused since it sent the order.
+        const bool isExpired = now - reservation.orderedAt >= ReservationLifetime;
+        granted = granted && !(call.pendingPlan && isExpired);
         reservation.granted = granted;
         if (reservation.unansweredOrders > 0)
             --reservation.unansweredOrders;
