--- a/src/core/metric_catalogue.cpp
+++ b/src/core/metric_catalogue.cpp
@@ -108,6 +108,9 @@
             {RetriesMetric, MetricType::Counter, "reason", "Retries by reason."},
             {FirstTokenMetric, MetricType::Histogram, "prompt_tokens",
              "Time from the arrival of a request to its first token, by prompt length."},
+            {FirstTokenDelayMetric, MetricType::Histogram, "prompt_tokens",
+             "Time by which the first token of a prompt came later than predicted when it was sent "
+             "to an engine, by prompt length; 0 if it came sooner."},
             {LatencyMetric, MetricType::Histogram, "span",
              "Time from the arrival of a request to its complete response or its refusal, and the "
              "longest pause within a stream."},
--- a/src/core/metric_catalogue.h
+++ b/src/core/metric_catalogue.h
@@ -11,6 +11,7 @@
 inline constexpr const char *RefusalsMetric = "dotterel_refusals_total";
 inline constexpr const char *RetriesMetric = "dotterel_retries_total";
 inline constexpr const char *FirstTokenMetric = "dotterel_first_token_seconds";
+inline constexpr const char *FirstTokenDelayMetric = "dotterel_first_token_delay_seconds";
 inline constexpr const char *LatencyMetric = "dotterel_request_seconds";
 
 /// Prometheus type of a metric.
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -124,6 +124,9 @@
     /// Records the time from the arrival of a request to its first token.
     virtual void observeFirstToken(LengthBand band, Duration time) = 0;
 
+    /// Records by how much the first token came later than predicted at dispatch.
+    virtual void observeFirstTokenDelay(LengthBand band, Duration delay) = 0;
+
     /// Adds \a time to the histogram of \a span.
     virtual void observe(LatencySpan span, Duration time) = 0;
 };
@@ -137,6 +140,7 @@
     void count(Counter /*counter*/, std::uint64_t /*amount*/) override {}
     void set(Gauge /*gauge*/, double /*value*/) override {}
     void observeFirstToken(LengthBand /*band*/, Duration /*time*/) override {}
+    void observeFirstTokenDelay(LengthBand /*band*/, Duration /*delay*/) override {}
     void observe(LatencySpan /*span*/, Duration /*time*/) override {}
 };
 
--- a/src/core/prometheus_metrics.cpp
+++ b/src/core/prometheus_metrics.cpp
@@ -2,6 +2,7 @@
 
 #include "core/metric_catalogue.h"
 
+#include <algorithm>
 #include <map>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -36,6 +37,7 @@
     std::map<Counter, prometheus::Counter *> counters;
     std::map<Gauge, prometheus::Gauge *> gauges;
     std::map<LengthBand, prometheus::Histogram *> firstTokenTimes;
+    std::map<LengthBand, prometheus::Histogram *> firstTokenDelays;
     std::map<LatencySpan, prometheus::Histogram *> latencies;
 
     Instruments()
@@ -60,6 +62,14 @@
             this->firstTokenTimes[band] = &firstTokenFamily.Add(
                     {{"prompt_tokens", std::string(lengthBandName(band))}}, BucketBoundsSeconds);
         }
+        auto &delayFamily = prometheus::BuildHistogram()
+                                    .Name(FirstTokenDelayMetric)
+                                    .Help(helpText(FirstTokenDelayMetric))
+                                    .Register(this->registry);
+        for (const LengthBand band : allValues(lengthBandName)) {
+            this->firstTokenDelays[band] = &delayFamily.Add(
+                    {{"prompt_tokens", std::string(lengthBandName(band))}}, BucketBoundsSeconds);
+        }
         auto &latencyFamily = prometheus::BuildHistogram()
                                       .Name(LatencyMetric)
                                       .Help(helpText(LatencyMetric))
@@ -119,6 +129,12 @@
     this->instruments->firstTokenTimes.at(band)->Observe(toSeconds(time));
 }
 
+void PrometheusMetrics::observeFirstTokenDelay(LengthBand band, Duration delay)
+{
+    this->instruments->firstTokenDelays.at(band)->Observe(
+            toSeconds(std::max(Duration::zero(), delay)));
+}
+
 void PrometheusMetrics::observe(LatencySpan span, Duration time)
 {
     this->instruments->latencies.at(span)->Observe(toSeconds(time));
--- a/src/core/prometheus_metrics.h
+++ b/src/core/prometheus_metrics.h
@@ -19,6 +19,7 @@
     void count(Counter counter, std::uint64_t amount) override;
     void set(Gauge gauge, double value) override;
     void observeFirstToken(LengthBand band, Duration time) override;
+    void observeFirstTokenDelay(LengthBand band, Duration delay) override;
     void observe(LatencySpan span, Duration time) override;
 
     /// Returns all metrics in the Prometheus text format.
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -143,6 +143,9 @@
             attempt.firstEventAt = now;
             if (attempt.isPrompt) {
                 this->promptPlacement.onFirstEvent({this->senderHash, attempt.id}, now);
+                this->metrics.observeFirstTokenDelay(lengthBand(call.metadata.promptTokens),
+                                                     now - attempt.sentAt
+                                                             - attempt.predictedLatency);
                 this->effects.publishPromptUpdate({PromptUpdateKind::FirstEvent,
                                                    attempt.id,
                                                    hash32(attempt.server),
--- a/tests/core/test_tables.cpp
+++ b/tests/core/test_tables.cpp
@@ -92,8 +92,10 @@
         metrics.count(counter, 1);
     for (const Gauge gauge : allValues(gaugeName))
         metrics.set(gauge, 2);
-    for (const LengthBand band : allValues(lengthBandName))
+    for (const LengthBand band : allValues(lengthBandName)) {
         metrics.observeFirstToken(band, std::chrono::milliseconds(20));
+        metrics.observeFirstTokenDelay(band, std::chrono::milliseconds(20));
+    }
     const std::string text = metrics.text();
 
     SECTION("with TYPE and HELP lines for exactly the metrics of the catalogue")
--- /dev/null
+++ b/tests/gateway/test_engine_load.cpp
@@ -0,0 +1,99 @@
+#include "gateway/engine_load.h"
+
+#include "gateway/slot_queue.h"
+#include "support/forward_bench.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dotterel;
+using namespace dotterel::support;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// One engine in virtual time.
+struct EngineBench
+{
+    PromptKey add(std::uint64_t tokens)
+    {
+        EnginePrompt prompt;
+        prompt.key = {1, ++this->sequence};
+        prompt.demand.promptTokens = tokens;
+        prompt.demand.outputTokens = 1'000;
+        prompt.demand.callerTimeLeft = std::chrono::seconds(10);
+        prompt.dispatchedAt = this->now;
+        this->load.add(this->engine, prompt, this->now);
+        return prompt.key;
+    }
+
+    void advance(Duration time)
+    {
+        this->now += time;
+        this->load.advance(this->engine, this->now);
+    }
+
+    Duration predict(std::uint64_t tokens) const
+    {
+        return this->load.predictTimeToFirstEvent(this->engine,
+                                                  prefillTime(this->engine, tokens, 1), false);
+    }
+
+    TimePoint now{std::chrono::seconds(100)};
+    EngineProfile engine = dataSheetEngine();
+    EngineLoad load;
+    std::uint64_t sequence = 0;
+};
+
+} // namespace
+
+TEST_CASE("A prompt over the slots of an engine waits for one that ends", "[Gateway][EngineLoad]")
+{
+    EngineBench bench;
+    bench.engine.slots = 2;
+    const PromptKey first = bench.add(5'000);
+    const PromptKey second = bench.add(5'000);
+    const PromptKey third = bench.add(5'000);
+    bench.advance(milliseconds(300));
+    bench.load.onFirstEvent(first, bench.now);
+    bench.load.onFirstEvent(second, bench.now);
+    CHECK(bench.load.prefillLeft(second) == Duration::zero());
+    CHECK(bench.load.prefillLeft(third) == prefillTime(bench.engine, 5'000, 1));
+
+    SECTION("in order of arrival")
+    {
+        bench.advance(milliseconds(500));
+        CHECK(bench.load.remove(first, bench.now) == Duration(milliseconds(500)));
+        bench.advance(milliseconds(300));
+        CHECK(*bench.load.prefillLeft(third) <= milliseconds(1));
+    }
+    SECTION("which takes the mean answer time divided by the slots for each prompt ahead")
+    {
+        SlotQueue queue;
+        CHECK(queue.wait(bench.engine, 1'000, 2) == milliseconds(655));
+        queue.onAnswered(milliseconds(500));
+        CHECK(queue.wait(bench.engine, 1'000, 1) == Duration::zero());
+        CHECK(queue.wait(bench.engine, 1'000, 2) == milliseconds(250));
+        CHECK(queue.wait(bench.engine, 1'000, 3) == milliseconds(500));
+    }
+}
+
+TEST_CASE("A prompt that arrives during the pass of a long one waits for the end of that pass",
+          "[Gateway][EngineLoad]")
+{
+    // Short prompts that come shortly before the first event of a long one.
+    EngineBench bench;
+    const PromptKey stream = bench.add(5'000);
+    bench.advance(milliseconds(150));
+    bench.load.onFirstEvent(stream, bench.now);
+    const Duration longTime = bench.predict(45'000);
+    const PromptKey longPrompt = bench.add(45'000);
+    bench.advance(longTime - milliseconds(200));
+    const Duration prefill = prefillTime(bench.engine, 5'000, 1);
+    CHECK(bench.predict(5'000) >= milliseconds(200) + prefill);
+
+    SECTION("until the first event of the long one shows that it is over")
+    {
+        bench.load.onFirstEvent(longPrompt, bench.now);
+        CHECK(bench.predict(5'000) < milliseconds(200));
+    }
+}
