Count probes apart from requests in the scripted server

"A host that starts or was cut off learns which requests crash servers" counted every whole request at its server. Hosts now probe pools of which servers failed, so that it saw 36 instead of 4 although no request ran again. Probes are left out of the count; the check itself is unchanged.

--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -40,7 +40,8 @@
 
     Endpoint endpoint() const { return this->bound; }
 
-    /// Returns how many requests were read whole, head and body.
+    /// Returns how many requests were read whole, head and body; probes, which nobody runs, do not
+    /// count.
     std::size_t wholeRequests() const { return this->whole; }
 
     /// Returns the bytes of the last connection.
