--- a/src/gateway/engine_load.cpp
+++ b/src/gateway/engine_load.cpp
@@ -28,8 +28,6 @@
 /// How long a refused reservation says that an engine's memory is full. Prompts on engines end
 /// within a few seconds.
 constexpr Duration MemoryRefusalValidity = std::chrono::seconds(1);
-/// Prefill from which a prompt counts as long for the duration of passes.
-constexpr Duration MinLongPrefill = std::chrono::milliseconds(100);
 constexpr Duration MinPrefillLeft = std::chrono::milliseconds(1);
 
 Duration fromMs(double milliseconds)
@@ -71,9 +69,6 @@
     entry.prefillLeft = prompt.prefillLeft.value_or(
             prefillTime(engine, prompt.demand.promptTokens, prompt.prefillEngines));
     entry.predictedPrefillEnd = now + entry.prefillLeft;
-    entry.isLong = entry.prefillLeft >= MinLongPrefill;
-    entry.expectedFirstEvent =
-            now + this->predictTimeToFirstEvent(engine, entry.prefillLeft, prompt.isHelper);
     entry.expiresAt = prompt.dispatchedAt + prompt.demand.callerTimeLeft + ExpiryMargin;
     entry.decoding = prompt.prefillLeft == Duration::zero() && !prompt.isHelper;
     entry.decodingSince = now;
@@ -92,7 +87,6 @@
             continue;
         this->unknownWorkUntil = now;
         entry.prefillLeft = Duration::zero();
-        entry.isLong = false;
         if (!entry.decoding)
             entry.decodingSince = now;
         entry.decoding = !entry.prompt.isHelper;
@@ -171,8 +165,7 @@
                                            const bool helperDone =
                                                    entry.prompt.isHelper
                                                    && entry.prompt.memoryTokens == 0
-                                                   && entry.prefillLeft <= Duration::zero()
-                                                   && entry.expectedFirstEvent <= now;
+                                                   && entry.prefillLeft <= Duration::zero();
                                            return helperDone || entry.expiresAt < now;
                                        }),
                         this->entries.end());
@@ -247,32 +240,16 @@
                                              bool prioritized) const
 {
     const Duration queuedPrefill = prioritized ? Duration::zero() : this->queuedPrefillTime();
-    const Duration ownPass = ownPrefill + this->passTime(engine, Duration::zero(), 0);
-    Duration delay = queuedPrefill + ownPass;
+    Duration delay = queuedPrefill + ownPrefill + this->passTime(engine, Duration::zero(), 0);
     if (this->anyDecoding()) {
         const Duration runningPass =
                 this->passTime(engine, queuedPrefill, this->longestQueuedPrompt());
         delay += Duration(static_cast<Duration::rep>(static_cast<double>(runningPass.count())
                                                      * PassWaitFraction));
     }
-    if (!prioritized)
-        delay = std::max(delay, this->longPassDelay() + ownPass);
     return delay + this->overdueTime(this->updatedAt);
 }
 
-Duration EngineLoad::longPassDelay() const
-{
-    Duration passLeft = Duration::zero();
-    Duration otherPrefill = Duration::zero();
-    for (const Entry &entry : this->entries) {
-        if (entry.isLong && entry.expectedFirstEvent > this->updatedAt)
-            passLeft = std::max(passLeft, entry.expectedFirstEvent - this->updatedAt);
-        else if (!entry.decoding)
-            otherPrefill += entry.prefillLeft;
-    }
-    return passLeft == Duration::zero() ? passLeft : passLeft + otherPrefill;
-}
-
 double EngineLoad::interferenceLoss(const EngineProfile &engine, Duration prefill,
                                     std::uint64_t tokens, bool prioritized,
                                     double lateValueFraction, TimePoint now) const
--- a/src/gateway/engine_load.h
+++ b/src/gateway/engine_load.h
@@ -105,8 +105,6 @@
         EnginePrompt prompt;
         Duration prefillLeft = Duration::zero();
         bool decoding = false;
-        bool isLong = false;          ///< Its prefill makes a pass longer than the usual one.
-        TimePoint expectedFirstEvent; ///< Predicted when the prompt was added.
         TimePoint predictedPrefillEnd;
         TimePoint decodingSince;
         TimePoint expiresAt;
@@ -114,9 +112,6 @@
 
     double stepMs(const EngineProfile &engine) const;
     bool anyDecoding() const;
-    /// Returns the delay of a further prompt by long prompts in prefill: a pass goes on after the
-    /// prefill that it includes, and prompts that arrive meanwhile wait for its end.
-    Duration longPassDelay() const;
     Duration passTime(const EngineProfile &engine, Duration prefill,
                       std::uint64_t longestPrompt) const;
     std::uint64_t longestQueuedPrompt() const;
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -12,8 +12,6 @@
 /// Loss for each prompt ahead in the queue for a slot while other engines have free ones, as a
 /// fraction of the prompt's value. It delays the prompts that come to that engine later.
 constexpr double QueuePositionCost = 0.25;
-/// Engines among which each crossing dispatch is spread. More of them leave fewer that meet.
-constexpr double EnginesPerCrossing = 2.0;
 /// Numbers of unseen prompts on an engine that are told apart.
 constexpr std::size_t MaxUnseenPrompts = 4;
 /// Bounds of the retry delay suggested to a refused caller.
@@ -40,8 +38,9 @@
         return result;
     const double crossings = this->crossingDispatches.expected(now);
     // Those that cross are spread in turn, so that an engine gets less than one on average.
-    const double unseenPrompts = crossings / (1.0 + EnginesPerCrossing * crossings);
+    const double unseenPrompts = crossings / (1.0 + crossings);
     std::vector<PromptPlan> plans;
+    plans.reserve(candidateList.size());
     for (const Candidate &candidate : candidateList)
         plans.push_back(this->planSingle(pool, demand, candidate, unseenPrompts, now));
     std::optional<PromptPlan> best = this->choose(plans, demand, crossings);
@@ -134,12 +133,12 @@
     const double tolerance = demand.value
                              * std::min(this->settings.maxToleratedLoss,
                                         this->settings.toleratedLossPerCrossing * crossings);
-    // Each host takes the best engine with a probability at which less than one dispatch of those
-    // that cross is expected to go there.
+    // Each host takes the best engine with the probability at which one dispatch of those that
+    // cross is expected to go there.
     for (const PromptPlan &plan : plans) {
         if (plan.expectedLoss > plans.front().expectedLoss + tolerance)
             break;
-        if (this->random.nextDouble() * (1.0 + EnginesPerCrossing * crossings) < 1.0)
+        if (this->random.nextDouble() * (1.0 + crossings) < 1.0)
             return plan;
     }
     return plans.front();
