--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -76,6 +76,7 @@
     std::size_t pathFailures = 0;       ///< Signs that this host reaches no server of the pool.
     std::string pool;                   ///< Chosen for the first attempt and kept for retries.
     std::string workspace;
+    int priority = 0; ///< Of the workspace if it has one, else of the route; lower is more urgent.
     std::string fingerprint;           ///< Computed on first use.
     std::vector<std::string> partKeys; ///< See PromptPartGuard::keys(); computed on first use.
     TimePoint arrivedAt;
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -112,6 +112,7 @@
         this->refuse(call, Reason::UnknownRoute, std::nullopt, now, call.head.target);
         return false;
     }
+    call.priority = call.route->priority;
     if (!call.configuration->requiresApiKeys || call.route->allowsAnonymous)
         return true;
     const GatewayWorkspace *workspace = this->routeTable->findWorkspace(call.metadata.apiKey);
@@ -120,6 +121,7 @@
         return false;
     }
     call.workspace = workspace->name;
+    call.priority = workspace->priority.value_or(call.route->priority);
     return true;
 }
 
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -122,8 +122,9 @@
     demand.elapsed = waited + (now - call.arrivedAt);
     demand.callerTimeLeft =
             std::min(call.deadline - now, streamAbandonTime(route) - (now - call.arrivedAt));
-    demand.value = promptValue(this->promptPlacement.activeSettings().valueModel,
-                               demand.promptTokens, demand.outputTokens, route.eventGapGoal);
+    demand.value =
+            promptValue(this->promptPlacement.activeSettings().valueModel, demand.promptTokens,
+                        demand.outputTokens, route.eventGapGoal, call.priority);
     return demand;
 }
 
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -39,6 +39,8 @@
     if (this->routeTable && this->routeTable->configuration()) {
         call.configuration = this->routeTable->configuration();
         call.route = this->routeTable->findRoute(call.metadata.hostName, call.head.target);
+        // The workspace's own priority is known by its key, which stays at the origin.
+        call.priority = call.route != nullptr ? call.route->priority : 0;
     }
     // This host may have another configuration than the origin, which decided about the route.
     if (call.route == nullptr || call.configuration->pools.count(call.pool) == 0)
--- a/src/gateway/prompt_demand.cpp
+++ b/src/gateway/prompt_demand.cpp
@@ -1,6 +1,7 @@
 #include "gateway/prompt_demand.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dotterel {
 
@@ -28,13 +29,15 @@
 } // namespace
 
 double promptValue(const PromptValueModel &model, std::uint64_t promptTokens,
-                   std::uint64_t outputTokens, Duration maxEventGap)
+                   std::uint64_t outputTokens, Duration maxEventGap, int rank)
 {
     const double weightedTokens = static_cast<double>(promptTokens)
                                   + model.outputTokenWeight * static_cast<double>(outputTokens);
-    return weightedTokens
-           * (maxEventGap >= model.documentEventGap ? model.valuePerDocumentToken
-                                                    : model.valuePerPromptToken);
+    const double valuePerToken = maxEventGap >= model.documentEventGap ? model.valuePerDocumentToken
+                                                                       : model.valuePerPromptToken;
+    const int ranksApart =
+            std::clamp(rank - model.referenceRank, -model.mostRanksApart, model.mostRanksApart);
+    return weightedTokens * valuePerToken * std::pow(model.valueFractionPerRank, ranksApart);
 }
 
 double latenessLoss(const PromptDemand &demand, Duration timeToFirstEvent, double lateValueFraction)
--- a/src/gateway/prompt_demand.h
+++ b/src/gateway/prompt_demand.h
@@ -30,13 +30,20 @@
     double valuePerDocumentToken = 1.27e-4;
     /// Streams whose allowed event gap is at least this long are documents.
     Duration documentEventGap = std::chrono::seconds(1);
+    /// A prompt of the rank after this one is worth this fraction of one of the same size, and so
+    /// on for each further rank.
+    double valueFractionPerRank = 0.5;
+    int referenceRank = 1;  ///< At this rank the values above hold.
+    int mostRanksApart = 2; ///< Ranks further from the reference count as this far.
     double outputTokenWeight = 10.0;
     double lateValueFraction = 0.25; ///< Fraction of the value that a late answer keeps.
 };
 
-/// Returns the value of an answer in time to a prompt of the given size.
+/// Returns the value of an answer in time to a prompt of the given size. \a rank is the operators'
+/// priority, where lower is more urgent. It decides which prompts wait or are refused when demand
+/// exceeds the engines that are left; the fraction is bounded, so that no rank starves.
 double promptValue(const PromptValueModel &model, std::uint64_t promptTokens,
-                   std::uint64_t outputTokens, Duration maxEventGap);
+                   std::uint64_t outputTokens, Duration maxEventGap, int rank);
 
 /// Returns the expected loss of value if the first event of \a demand arrives \a timeToFirstEvent
 /// from now.
