Pace engines that start or recover by their first events, where a setting asks for it

Cause: the operators' wish: a server that has just started or recovered is flooded or left idle. In virtual time a restarted engine at one host got 0 of its 268 prompts in the 2 s that began 2 s after its warm-up, since what the earlier incarnation left unanswered was held against the new one. Change: ServerPace bounds the prompts of all hosts that wait for their first event at such an engine; the window opens with first events in time and shrinks with late ones and failures, for 2 s at most. Failures of an earlier incarnation do not count, and those of a recovered engine fade with its first events. Result (test_server_pace; 6, 18, 82, 195 hosts): a restarted engine has its share in the third second, nobody is refused.

--- a/src/core/event_log.h
+++ b/src/core/event_log.h
@@ -65,6 +65,8 @@
     ServiceReachable = 607,
     ServerWarmingUp = 608,
     ServerWarm = 609,
+    ServerPaceStarted = 610,
+    ServerPaceEnded = 611,
     AllocationReleased = 700,
     AllocationReserveFailed = 701,
     CrashSuspect = 800,
--- a/src/core/metric_catalogue.cpp
+++ b/src/core/metric_catalogue.cpp
@@ -73,6 +73,8 @@
         {Gauge::BackendServersUsable, "Configured backend servers."},
         {Gauge::BackendServersLimited, "Backend servers that name a limit of requests."},
         {Gauge::BackendServersWarmingUp, "Backend servers that warm up."},
+        {Gauge::BackendServersPaced,
+         "Engines that started or recovered and get few prompts until they have answered some."},
         {Gauge::PoolsOutOfReach, "Pools of which this host reaches no server."},
         {Gauge::QueuedBytes, "Response bytes buffered for callers that have not read them yet."},
         {Gauge::CrashSuspectsKnown, "Requests that are suspected of crashing backend servers."},
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -58,7 +58,7 @@
         {Counter::PromptsHeld, "prompts_held"},
 }};
 
-constexpr std::array<EnumName<Gauge>, 14> GaugeNames = {{
+constexpr std::array<EnumName<Gauge>, 15> GaugeNames = {{
         {Gauge::ConfigurationVersion, "configuration_version"},
         {Gauge::PlatformRevision, "platform_revision"},
         {Gauge::PlatformEra, "platform_era"},
@@ -67,6 +67,7 @@
         {Gauge::BackendServersUsable, "backend_servers_usable"},
         {Gauge::BackendServersLimited, "backend_servers_limited"},
         {Gauge::BackendServersWarmingUp, "backend_servers_warming_up"},
+        {Gauge::BackendServersPaced, "backend_servers_paced"},
         {Gauge::PoolsOutOfReach, "pools_out_of_reach"},
         {Gauge::QueuedBytes, "queued_bytes"},
         {Gauge::CrashSuspectsKnown, "crash_suspects_known"},
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -89,6 +89,7 @@
     CrashSuspectsRefused,
     PromptPartsSuspected,
     PromptPartsRefused,
+    BackendServersPaced,
 };
 
 /// Returns the external name of \a gauge.
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -32,6 +32,13 @@
 constexpr Duration RegistrationRetryInterval = std::chrono::seconds(1);
 constexpr std::size_t MaxIncomingFrameBytes = 2UL * 1024 * 1024;
 
+ServerFleetTimings fleetTimingsOf(const Settings &settings)
+{
+    ServerFleetTimings timings;
+    timings.pace.initialWindow = settings.serverPaceWindow;
+    return timings;
+}
+
 RetryBudgetLimits retryBoundOf(const Settings &settings)
 {
     RetryBudgetLimits bound;
@@ -54,7 +61,7 @@
     , readinessPath(std::move(readinessPath))
     , log(log)
     , random(incarnation)
-    , fleet(ServerFleetTimings{}, log, promptSenderHash(this->identity))
+    , fleet(fleetTimingsOf(settings), log, promptSenderHash(this->identity))
     , promptPlacement(PromptPlacementSettings{}, settings.failureDomain, this->fleet)
     , servicePlacement(settings.failureDomain, this->fleet, this->random)
     , retryAllowance(retryBoundOf(settings))
--- a/src/entry_host/gateway_host_servers.cpp
+++ b/src/entry_host/gateway_host_servers.cpp
@@ -26,6 +26,8 @@
                       static_cast<double>(this->fleet.limits().limitedServers()));
     this->metrics.set(Gauge::BackendServersWarmingUp,
                       static_cast<double>(this->fleet.settleWarmUps(this->loop.now())));
+    this->metrics.set(Gauge::BackendServersPaced,
+                      static_cast<double>(this->fleet.pace().settle(this->loop.now())));
 }
 
 void GatewayHost::sendServerLimits(const Endpoint &peer)
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -342,14 +342,17 @@
             break;
         case PromptUpdateKind::FirstEvent:
             this->promptPlacement.onFirstEvent(key, now);
+            this->fleet.onPromptFirstEvent(key, now);
             this->recordFirstEvent(item.serverHash);
             break;
         case PromptUpdateKind::Unanswered:
             this->promptPlacement.onSilent(key, now);
+            this->fleet.onPromptEnded(key);
             this->recordSilenceReport(item.serverHash, update.senderHash);
             break;
         case PromptUpdateKind::Ended:
             this->promptPlacement.onEnded(key, now);
+            this->fleet.onPromptEnded(key);
             break;
         }
     }
@@ -396,6 +399,8 @@
         return;
     if (const EngineProfile *engine = this->engineProfileOf(id->second))
         this->promptPlacement.onDispatched(id->second, *engine, prompt, this->loop.now());
+    if (!prompt.isHelper)
+        this->fleet.onPromptDispatched(id->second, prompt, this->loop.now());
 }
 
 void GatewayHost::recordFirstEvent(std::uint32_t server)
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -275,6 +275,7 @@
     prompt.dispatchedAt = now;
     prompt.memoryTokens = memoryTokens;
     this->promptPlacement.onDispatched(attempt.server, *pool.engine, prompt, now);
+    this->fleet.onPromptDispatched(attempt.server, prompt, now);
     PromptUpdate update;
     update.kind = PromptUpdateKind::Dispatched;
     update.sequence = attempt.id;
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -146,6 +146,7 @@
             attempt.firstEventAt = now;
             if (attempt.isPrompt) {
                 this->promptPlacement.onFirstEvent({this->senderHash, attempt.id}, now);
+                this->fleet.onPromptFirstEvent({this->senderHash, attempt.id}, now);
                 this->effects.publishPromptUpdate({PromptUpdateKind::FirstEvent,
                                                    attempt.id,
                                                    hash32(attempt.server),
@@ -353,13 +354,14 @@
         return;
     const ForwardAttempt &attempt = *call.attempt;
     if (!attempt.isRelayed())
-        this->fleet.onAttemptOutcome(attempt.server, outcome, now);
+        this->fleet.onAttemptOutcome(attempt.server, outcome, now, attempt.sentAt);
     if (attempt.isRelayed()) {
         this->relayPeers.onEnded(attempt.relayHost);
     } else if (attempt.isPrompt) {
         const bool noResponse =
                 outcome == AttemptOutcome::Unreachable || outcome == AttemptOutcome::Silent;
         const PromptKey key{this->senderHash, attempt.id};
+        this->fleet.onPromptEnded(key);
         if (outcome == AttemptOutcome::Silent)
             this->promptPlacement.onSilent(key, now);
         else
@@ -390,6 +392,7 @@
         this->relayPeers.onEnded(attempt.relayHost);
     } else if (attempt.isPrompt) {
         this->promptPlacement.onEnded({this->senderHash, attempt.id}, now);
+        this->fleet.onPromptEnded({this->senderHash, attempt.id});
         this->effects.publishPromptUpdate({PromptUpdateKind::Ended, attempt.id, 0, {}, {}, {}});
         this->releaseReservations(call, now);
     } else {
--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -43,6 +43,7 @@
     , log(log)
     , serverLimits(ServerLimitSettings{}, hostHash, log)
     , warmUps(log)
+    , serverPace(timings.pace, log)
 {}
 
 bool ServerFleet::put(const GatewayServer &server, TimePoint now)
@@ -82,6 +83,8 @@
     this->records[server.id] = record;
     if (this->warmUps.onEntry(server, hasStarted, now))
         this->applyWarmUp(server, now);
+    if (hasStarted)
+        this->serverPace.start(server.id, server.slots, PaceReason::Started, now);
     this->log.write(Event::ServerUp, {{"server", server.id},
                                       {"pool", server.pool},
                                       {"endpoint", server.endpoint.text()},
@@ -119,6 +122,7 @@
     if (leaving) {
         this->serverLimits.forget(server);
         this->warmUps.forget(server);
+        this->serverPace.forget(server);
         this->records.erase(found);
         return;
     }
@@ -135,6 +139,7 @@
         if (isGone) {
             this->serverLimits.forget(record->first);
             this->warmUps.forget(record->first);
+            this->serverPace.forget(record->first);
         }
         record = isGone ? this->records.erase(record) : std::next(record);
     }
@@ -209,12 +214,14 @@
         record->expiresAt = *record->removedAt + this->timings.expiredEntryGrace;
 }
 
-void ServerFleet::onAttemptOutcome(const ServerId &server, AttemptOutcome outcome, TimePoint now)
+void ServerFleet::onAttemptOutcome(const ServerId &server, AttemptOutcome outcome, TimePoint now,
+                                   std::optional<TimePoint> sentAt)
 {
     const auto found = this->records.find(server);
-    if (found == this->records.end())
+    if (found == this->records.end() || !this->concernsIncarnation(found->second, outcome, sentAt))
         return;
     Record &record = found->second;
+    this->updatePace(record, outcome, now);
     this->decayCounts(record, now);
     switch (outcome) {
     case AttemptOutcome::Answered:
@@ -351,15 +358,20 @@
 {
     std::vector<const Record *> chosen;
     std::vector<const Record *> suspected;
+    std::vector<const Record *> paced;
     bool hasSoundServer = false;
     for (const auto &[id, record] : this->records) {
         if (record.server.pool != pool || !this->isSchedulable(record, now))
             continue;
         const bool isSuspected = record.suspectedUntil > now;
         hasSoundServer = hasSoundServer || !isSuspected;
-        if (this->serverLimits.mayReceive(id, now))
-            (isSuspected ? suspected : chosen).push_back(&record);
+        if (!this->serverLimits.mayReceive(id, now))
+            continue;
+        const bool isPaced = !isSuspected && !this->serverPace.admits(id, now);
+        (isSuspected ? suspected : isPaced ? paced : chosen).push_back(&record);
     }
+    if (chosen.empty())
+        chosen = paced;
     if (!hasSoundServer)
         chosen = suspected;
     std::sort(chosen.begin(), chosen.end(),
--- a/src/gateway/server_fleet.h
+++ b/src/gateway/server_fleet.h
@@ -3,6 +3,7 @@
 #include "core/event_log.h"
 #include "gateway/gateway_configuration.h"
 #include "gateway/server_limits.h"
+#include "gateway/server_pace.h"
 #include "gateway/server_warm_up.h"
 
 #include <map>
@@ -55,6 +56,7 @@
     /// How long the departure of a server is remembered; longer than a restored copy of the store
     /// can be old.
     Duration departureMemory = std::chrono::minutes(10);
+    ServerPaceSettings pace;
 };
 
 /// Outcome of an attempt at a server.
@@ -97,8 +99,15 @@
     /// an outage learns of it only by the removals.
     void remove(const ServerId &server, bool mayHaveExpired, TimePoint now);
 
-    /// Records the outcome of an attempt at \a server.
-    void onAttemptOutcome(const ServerId &server, AttemptOutcome outcome, TimePoint now);
+    /// Records the outcome of an attempt at \a server, which was sent at \a sentAt as far as that
+    /// is known.
+    void onAttemptOutcome(const ServerId &server, AttemptOutcome outcome, TimePoint now,
+                          std::optional<TimePoint> sentAt = std::nullopt);
+
+    /// Records the dispatch, the first event and the end of a prompt of any host.
+    void onPromptDispatched(const ServerId &server, const EnginePrompt &prompt, TimePoint now);
+    void onPromptFirstEvent(const PromptKey &key, TimePoint now);
+    void onPromptEnded(const PromptKey &key) { this->serverPace.onEnded(key); }
 
     /// Records that \a server announced in an answer that it leaves. Returns true if that is news.
     bool onLeavingAnnounced(const ServerId &server, TimePoint now);
@@ -146,7 +155,8 @@
     const GatewayServer *find(const ServerId &server) const;
 
     /// Returns the servers of \a pool that may get requests, in the order that all hosts share.
-    /// Suspected servers are left out unless there is no other, and those whose limit is used up.
+    /// Suspected servers are left out unless there is no other, likewise those whose window is
+    /// full, and those whose limit is used up.
     std::vector<const GatewayServer *> usable(const std::string &pool, TimePoint now) const;
 
     /// Returns when the first server of \a pool may get a request if all of them are left out only
@@ -196,6 +206,9 @@
     /// Logs which warm-ups have ended. Returns the number of servers that warm up.
     std::size_t settleWarmUps(TimePoint now) { return this->warmUps.settle(now); }
 
+    /// Pace of servers that have just started or recovered.
+    ServerPace &pace() { return this->serverPace; }
+
     /// Returns all known servers, except those whose removed entries were not written again in
     /// time.
     std::vector<const GatewayServer *> all(TimePoint now) const;
@@ -243,11 +256,15 @@
     bool isLeavingOrGone(const Record &record, TimePoint now) const;
     bool hasStartedNow(const GatewayServer &server, TimePoint now) const;
     void applyWarmUp(const GatewayServer &server, TimePoint now);
+    bool concernsIncarnation(const Record &record, AttemptOutcome outcome,
+                             std::optional<TimePoint> sentAt) const;
+    void updatePace(const Record &record, AttemptOutcome outcome, TimePoint now);
 
     ServerFleetTimings timings;
     EventLog &log;
     ServerLimits serverLimits;
     ServerWarmUps warmUps;
+    ServerPace serverPace;
     std::map<ServerId, Record> records;
     /// Departed servers, whose entries a restored store may show again.
     std::map<ServerId, Departure> departures;
--- a/src/gateway/server_fleet_warm_up.cpp
+++ b/src/gateway/server_fleet_warm_up.cpp
@@ -1,4 +1,4 @@
-// The part of ServerFleet that joins warm-ups of servers with the limits that all hosts keep.
+// The part of ServerFleet that looks after servers that have just started or recovered.
 
 #include "gateway/server_fleet.h"
 
@@ -6,6 +6,14 @@
 
 namespace dotterel {
 
+namespace {
+
+/// Part of the failures of a server that remains with each first event in time on the way back: the
+/// window keeps it from a rush, so that what was before need not.
+constexpr double RemainingFailures = 0.5;
+
+} // namespace
+
 void ServerFleet::setPools(const std::map<std::string, ServerPool> &pools)
 {
     this->warmUps.setPools(pools);
@@ -79,4 +87,38 @@
     return known != nullptr && this->warmUps.isWarmingUp(*known, now);
 }
 
+bool ServerFleet::concernsIncarnation(const Record &record, AttemptOutcome outcome,
+                                      std::optional<TimePoint> sentAt) const
+{
+    // What an earlier incarnation left unanswered says nothing of this one.
+    const bool isEarlier = sentAt && *sentAt < record.knownSince;
+    return !isEarlier || outcome == AttemptOutcome::Leaving
+           || this->timings.pace.initialWindow == 0;
+}
+
+void ServerFleet::updatePace(const Record &record, AttemptOutcome outcome, TimePoint now)
+{
+    const GatewayServer &server = record.server;
+    if (outcome != AttemptOutcome::Answered && outcome != AttemptOutcome::Leaving)
+        this->serverPace.onSetback(server.id, now);
+    else if (outcome == AttemptOutcome::Answered && record.suspicions > 0
+             && !this->serverPace.window(server.id, now))
+        this->serverPace.start(server.id, server.slots, PaceReason::Recovered, now);
+}
+
+void ServerFleet::onPromptDispatched(const ServerId &server, const EnginePrompt &prompt,
+                                     TimePoint now)
+{
+    this->serverPace.onDispatched(server, prompt.key,
+                                  prompt.dispatchedAt + prompt.demand.firstEventTarget, now);
+}
+
+void ServerFleet::onPromptFirstEvent(const PromptKey &key, TimePoint now)
+{
+    const std::optional<ServerId> server = this->serverPace.onFirstEvent(key, now);
+    const auto found = server ? this->records.find(*server) : this->records.end();
+    if (found != this->records.end())
+        found->second.failures *= RemainingFailures;
+}
+
 } // namespace dotterel
--- a/src/state/settings.cpp
+++ b/src/state/settings.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint64_t MinMemoryMb = 32;
 constexpr std::uint64_t MaxMemoryMb = 1'000'000;
 constexpr std::uint64_t MaxSharedHosts = 10'000;
+constexpr std::uint64_t MaxServerPaceWindow = 1'000;
 constexpr std::uint64_t MaxRetrySlack = 1'000'000;
 constexpr const char *NameCharacters =
         "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
@@ -302,6 +303,9 @@
              "Gateway: retries allowed per window in addition to the ratio, over all entry hosts."},
             {"retry-window-seconds", &Settings::retryWindowSeconds, false, 1, MaxDurationSeconds,
              "Gateway: length of the window of `retry-slack`."},
+            {"server-pace-window", &Settings::serverPaceWindow, false, 0, MaxServerPaceWindow,
+             "Gateway: prompts that may wait for their first event at an engine that has just "
+             "started or recovered, until it has answered some; 0 if there is no such window."},
             {"shutdown-limit-seconds", &Settings::shutdownLimitSeconds, false, 1,
              MaxDurationSeconds, "Gateway: time from the termination signal to a forced exit."},
     };
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -46,6 +46,9 @@
     double retryRatio = 0.2;       ///< Retries per request of a pool, over all entry hosts.
     double retrySlack = 100;       ///< Retries per window in addition to the ratio.
     double retryWindowSeconds = 10;
+    /// Prompts that may wait for their first event at an engine that has just started or recovered;
+    /// 0 if there is no such window.
+    std::uint64_t serverPaceWindow = 0;
     double shutdownLimitSeconds = 8; ///< From the signal to a forced exit.
 };
 
--- a/tests/support/forward_bench.cpp
+++ b/tests/support/forward_bench.cpp
@@ -42,8 +42,8 @@
     return value == nullptr ? std::string() : *value;
 }
 
-ForwardBench::ForwardBench(std::uint32_t hostHash)
-    : fleet(ServerFleetTimings{}, this->log, hostHash)
+ForwardBench::ForwardBench(std::uint32_t hostHash, const ServerFleetTimings &timings)
+    : fleet(timings, this->log, hostHash)
     , promptPlacement(PromptPlacementSettings{}, "centro-a", this->fleet)
     , servicePlacement("centro-a", this->fleet, this->random)
     , retryBudget(RetryBudgetLimits{})
--- a/tests/support/forward_bench.h
+++ b/tests/support/forward_bench.h
@@ -36,7 +36,7 @@
 {
 public:
     /// \a hostHash differs between benches that share servers.
-    explicit ForwardBench(std::uint32_t hostHash = 1);
+    explicit ForwardBench(std::uint32_t hostHash = 1, const ServerFleetTimings &timings = {});
 
     /// Registers a server of \a pool.
     void addServer(const ServerId &id, const std::string &pool);
--- a/tests/support/limited_fleet.cpp
+++ b/tests/support/limited_fleet.cpp
@@ -48,7 +48,9 @@
 void LimitedFleet::startHost(std::size_t host)
 {
     this->hostHashes[host] = this->nextHostHash++;
-    this->hosts[host] = std::make_unique<ForwardBench>(this->hostHashes[host]);
+    ServerFleetTimings timings;
+    timings.pace.initialWindow = this->paceWindow;
+    this->hosts[host] = std::make_unique<ForwardBench>(this->hostHashes[host], timings);
     this->hosts[host]->random = SeededRandom(this->hostHashes[host]);
     this->hosts[host]->controller.setHostCount(this->hosts.size());
     this->hosts[host]->now = this->now;
@@ -85,6 +87,20 @@
         this->startHost(host);
 }
 
+void LimitedFleet::setPaceWindow(std::size_t window)
+{
+    this->paceWindow = window;
+    this->sharesPrompts = true;
+    for (std::size_t host = 0; host < this->hosts.size(); ++host)
+        this->startHost(host);
+}
+
+void LimitedFleet::slowDown(std::size_t server, Duration time, Duration duration)
+{
+    this->servers.at(server).slowTime = time;
+    this->servers.at(server).slowUntil = this->now + duration;
+}
+
 void LimitedFleet::restartServer(std::size_t server)
 {
     Server &restarted = this->servers.at(server);
@@ -158,10 +174,10 @@
         const ServerFleet &known = this->hosts[other]->fleet;
         for (const ServerLimitNotice &notice : known.limits().notices())
             this->notices.push_back({this->now + NoticeDelay, other, host, this->hostHashes[other],
-                                     notice, std::nullopt});
+                                     notice, std::nullopt, std::nullopt});
         for (const ServerWarmUpNotice &notice : known.warmUpNotices(this->now))
             this->notices.push_back({this->now + NoticeDelay, other, host, this->hostHashes[other],
-                                     std::nullopt, notice});
+                                     std::nullopt, notice, std::nullopt});
     }
 }
 
@@ -173,11 +189,17 @@
 void LimitedFleet::sendNotices(std::size_t host)
 {
     for (const ServerLimitNotice &notice : this->hosts[host]->limitNotices)
-        this->sendNotice(
-                {this->now + NoticeDelay, host, 0, this->hostHashes[host], notice, std::nullopt});
+        this->sendNotice({this->now + NoticeDelay, host, 0, this->hostHashes[host], notice,
+                          std::nullopt, std::nullopt});
     for (const ServerWarmUpNotice &notice : this->hosts[host]->warmUpNotices)
-        this->sendNotice(
-                {this->now + NoticeDelay, host, 0, this->hostHashes[host], std::nullopt, notice});
+        this->sendNotice({this->now + NoticeDelay, host, 0, this->hostHashes[host], std::nullopt,
+                          notice, std::nullopt});
+    if (this->sharesPrompts) {
+        for (const PromptUpdate &update : this->hosts[host]->promptUpdates)
+            this->sendNotice({this->now + NoticeDelay, host, 0, this->hostHashes[host],
+                              std::nullopt, std::nullopt, update});
+    }
+    this->hosts[host]->promptUpdates.clear();
     this->hosts[host]->limitNotices.clear();
     this->hosts[host]->warmUpNotices.clear();
 }
@@ -202,8 +224,39 @@
     }
 }
 
+void LimitedFleet::deliverPrompt(const PendingNotice &pending)
+{
+    const PromptUpdate &update = *pending.prompt;
+    ForwardBench &host = *this->hosts[pending.receiver];
+    const PromptKey key{pending.senderHash, update.sequence};
+    if (update.kind == PromptUpdateKind::FirstEvent) {
+        host.promptPlacement.onFirstEvent(key, this->now);
+        host.fleet.onPromptFirstEvent(key, this->now);
+    } else if (update.kind != PromptUpdateKind::Dispatched) {
+        host.promptPlacement.onEnded(key, this->now);
+        host.fleet.onPromptEnded(key);
+    }
+    for (const Server &server : this->servers) {
+        if (hash32(server.id) != update.serverHash)
+            continue;
+        if (update.kind == PromptUpdateKind::FirstEvent)
+            host.fleet.onAttemptOutcome(server.id, AttemptOutcome::Answered, this->now);
+        if (update.kind != PromptUpdateKind::Dispatched)
+            continue;
+        EnginePrompt prompt;
+        prompt.key = key;
+        prompt.demand = update.demand;
+        prompt.dispatchedAt = this->now;
+        host.promptPlacement.onDispatched(server.id, *host.configuration.pools["engines"].engine,
+                                          prompt, this->now);
+        host.fleet.onPromptDispatched(server.id, prompt, this->now);
+    }
+}
+
 void LimitedFleet::deliver(const PendingNotice &pending)
 {
+    if (pending.prompt)
+        return this->deliverPrompt(pending);
     const std::uint32_t hash =
             pending.limit ? pending.limit->serverHash : pending.warmUp->serverHash;
     ServerFleet &fleet = this->hosts[pending.receiver]->fleet;
@@ -272,7 +325,14 @@
             if (this->now >= this->servers[server].boundSince
                 && this->now < this->servers[server].warmAt)
                 this->servers[server].arrivedInWarmUp.push_back(this->now);
-            this->answers.push_back({this->now + ServiceTime, host, index, server});
+            const Server &asked = this->servers[server];
+            const PendingAnswer answer{
+                    this->now + (this->now < asked.slowUntil ? asked.slowTime : ServiceTime), host,
+                    index, server};
+            const auto later = std::find_if(
+                    this->answers.begin(), this->answers.end(),
+                    [&answer](const auto &other) { return other.dueAt > answer.dueAt; });
+            this->answers.insert(later, answer);
         }
     }
 }
--- a/tests/support/limited_fleet.h
+++ b/tests/support/limited_fleet.h
@@ -30,6 +30,13 @@
     /// States how long servers of all pools warm up, and at which rate.
     void setWarmUp(Duration warmUpTime, double rate);
 
+    /// Lets \a window prompts wait at an engine that starts or recovers, and tells all hosts of all
+    /// prompts.
+    void setPaceWindow(std::size_t window);
+
+    /// Makes a server answer after \a time until \a duration from now.
+    void slowDown(std::size_t server, Duration time, Duration duration);
+
     /// Starts another incarnation of a server, which warms up if the pools state it. Its entry
     /// reaches the hosts shortly after, and again while it warms up.
     void restartServer(std::size_t server);
@@ -80,6 +87,8 @@
         TimePoint warmAt;
         TimePoint boundSince; ///< When hosts may know of the latest warm-up.
         bool warmsUpInAnswers = false;
+        Duration slowTime = Duration::zero();
+        TimePoint slowUntil;
         std::optional<TimePoint> nextEntryAt; ///< The entry is written again.
     };
 
@@ -106,6 +115,7 @@
         std::uint32_t senderHash = 0;
         std::optional<ServerLimitNotice> limit;
         std::optional<ServerWarmUpNotice> warmUp;
+        std::optional<PromptUpdate> prompt;
     };
 
     void startHost(std::size_t host);
@@ -113,6 +123,7 @@
     void sendNotice(const PendingNotice &notice);
     void deliverDueNotices();
     void deliver(const PendingNotice &pending);
+    void deliverPrompt(const PendingNotice &pending);
     GatewayServer entryOf(const Server &server) const;
     void writeDueEntries();
     void deliverDueEntries();
@@ -131,6 +142,8 @@
     std::vector<PendingEntry> entries;
     Duration warmUpTime = Duration::zero();
     double warmUpRate = 0;
+    std::size_t paceWindow = 0;
+    bool sharesPrompts = false;
     std::vector<std::size_t> collectedAttempts; ///< Number of attempts of each host seen so far.
     std::vector<Server> servers;
     std::deque<PendingAnswer> answers;
