--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -116,6 +116,10 @@
             {Event::ServerWarm, "server_warm", Severity::Info, "A backend server has warmed up."},
             {Event::ServerSuspicionLifted, "server_suspicion_lifted", Severity::Info,
              "A backend server that other hosts reported as silent sends to another host."},
+            {Event::ServerPaceStarted, "server_pace_started", Severity::Info,
+             "An engine started or recovered; few prompts may wait for their first event there."},
+            {Event::ServerPaceEnded, "server_pace_ended", Severity::Info,
+             "An engine takes prompts without a window again."},
             {Event::DomainOutOfService, "domain_out_of_service", Severity::Info,
              "Operators put a failure domain out of service; nothing new is sent to its backend "
              "servers."},
--- a/src/core/event_log.h
+++ b/src/core/event_log.h
@@ -66,6 +66,8 @@
     ServerWarmingUp = 608,
     ServerWarm = 609,
     ServerSuspicionLifted = 610,
+    ServerPaceStarted = 611,
+    ServerPaceEnded = 612,
     DomainOutOfService = 620,
     DomainInService = 621,
     DomainEntryLost = 622,
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -68,6 +68,7 @@
         {Gauge::BackendServersLimited, "backend_servers_limited"},
         {Gauge::FailureDomainsOutOfService, "failure_domains_out_of_service"},
         {Gauge::BackendServersWarmingUp, "backend_servers_warming_up"},
+        {Gauge::BackendServersPaced, "backend_servers_paced"},
         {Gauge::PoolsOutOfReach, "pools_out_of_reach"},
         {Gauge::QueuedBytes, "queued_bytes"},
         {Gauge::CrashSuspectsKnown, "crash_suspects_known"},
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -49,6 +49,9 @@
     /// Time within which a failure domain that operators put out of service gets no more requests;
     /// 0 if the hosts do not follow which domains are out of service.
     Duration domainServiceLimit = Duration::zero();
+    /// Prompts that may wait for their first event at an engine that has just started or recovered;
+    /// 0 if there is no such window.
+    std::uint64_t serverPaceWindow = 0;
     double shutdownLimitSeconds = 8; ///< From the signal to a forced exit.
 };
 
