--- a/tests/support/overload_fleet.cpp
+++ b/tests/support/overload_fleet.cpp
@@ -79,8 +79,11 @@
             if (!burst.empty()) // The class asks for half, the others for their part of the rest.
                 share = promptClass.route.name == burst ? 0.5 : promptClass.share * 0.75;
             double prefill = 0; // Of a prompt, mean over its sizes.
-            for (const double size : Sizes)
-                prefill += toSeconds(prefillTime(profile, promptClass.promptTokens * size, 1)) / 10;
+            for (const double size : Sizes) {
+                const double tokens = static_cast<double>(promptClass.promptTokens) * size;
+                prefill +=
+                        toSeconds(prefillTime(profile, static_cast<std::uint64_t>(tokens), 1)) / 10;
+            }
             double expected = demand * share * static_cast<double>(this->engines.size())
                               * toSeconds(Tick) / prefill;
             for (; expected > 0; expected -= 1) {
