--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -58,7 +58,7 @@
         {Counter::PromptsHeld, "prompts_held"},
 }};
 
-constexpr std::array<EnumName<Gauge>, 15> GaugeNames = {{
+constexpr std::array<EnumName<Gauge>, 16> GaugeNames = {{
         {Gauge::ConfigurationVersion, "configuration_version"},
         {Gauge::PlatformRevision, "platform_revision"},
         {Gauge::PlatformEra, "platform_era"},
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -203,10 +203,10 @@
     OperatorApi operatorApi;
     std::unordered_map<std::uint32_t, ServerId> serversByHash;
     TimePoint startedAt;
-    std::size_t listedHosts = 0;           ///< Hosts on the platform's list, with this one.
+    std::size_t listedHosts = 0;             ///< Hosts on the platform's list, with this one.
     std::vector<UpdatePeer> liveUpdatePeers; ///< Live hosts at the last heartbeat.
-    std::set<HostId> sameDomainHosts;      ///< Live hosts in this host's failure domain.
-    std::set<std::uint32_t> promptSenders; ///< Hashes of the hosts at the last heartbeat.
+    std::set<HostId> sameDomainHosts;        ///< Live hosts in this host's failure domain.
+    std::set<std::uint32_t> promptSenders;   ///< Hashes of the hosts at the last heartbeat.
     std::uint64_t nextMemoryRequestId = 1;
     std::map<std::uint64_t, std::unique_ptr<HttpFetch>> memoryRequests;
     std::uint64_t nextProbe = 0; ///< Counts probes; selects the servers in turn.
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -443,8 +443,8 @@
     const std::optional<TimePoint> next = this->silenceReplies.nextDue();
     this->silenceReplyTimer.reset();
     if (next)
-        this->silenceReplyTimer = this->loop.after(*next - this->loop.now(),
-                                                   [this] { this->sendSilenceReplies(); });
+        this->silenceReplyTimer =
+                this->loop.after(*next - this->loop.now(), [this] { this->sendSilenceReplies(); });
 }
 
 } // namespace dotterel
--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -307,8 +307,8 @@
     Record &record = found->second;
     // No sign of life: the other host may have received its last bytes just before a crash.
     record.lastContradiction = now;
-    const bool isTakenBack = record.suspectedUntil > now && record.suspectedForSilence
-                             && record.suspectedByReport;
+    const bool isTakenBack =
+            record.suspectedUntil > now && record.suspectedForSilence && record.suspectedByReport;
     if (!isTakenBack)
         return;
     record.suspectedUntil = TimePoint();
--- a/src/gateway/server_fleet.h
+++ b/src/gateway/server_fleet.h
@@ -127,8 +127,8 @@
     /// Records that the host \a senderHash got no response from \a server.
     void onSilenceReported(const ServerId &server, std::uint32_t senderHash, TimePoint now);
 
-    /// Records that another host gets bytes from \a server. Takes back a suspicion that rests on the
-    /// reports of other hosts alone: what this host has seen itself may concern its own path.
+    /// Records that another host gets bytes from \a server. Takes back a suspicion that rests on
+    /// the reports of other hosts alone: what this host has seen itself may concern its own path.
     void onSilenceContradicted(const ServerId &server, TimePoint now);
 
     /// Records that \a server sent bytes for any request, which shows that it works.
@@ -243,11 +243,11 @@
         int suspicions = 0;
         /// Latest failure that extended the suspicion.
         std::optional<TimePoint> lastCountedFailure;
-        std::optional<TimePoint> lastAnswer; ///< Latest sign of life, for any request.
+        std::optional<TimePoint> lastAnswer;  ///< Latest sign of life, for any request.
         std::optional<TimePoint> lastOwnSign; ///< Latest bytes that this host received.
         TimePoint suspectedUntil;
         std::optional<TimePoint> lastContradiction; ///< Of reports that the server is silent.
-        bool suspectedForSilence = false;   ///< Reason of the latest suspicion.
+        bool suspectedForSilence = false;           ///< Reason of the latest suspicion.
         bool suspectedByReport = false;     ///< The latest suspicion rests on a report alone.
         bool announcedLeaving = false;      ///< Announced in an answer.
         TimePoint pausedUntil;              ///< The server wants no requests before.
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -67,11 +67,10 @@
 {
     const unsigned flags =
             static_cast<unsigned>(record.state) | (record.leaving ? LeavingFlag : 0U);
-    return nlohmann::json::array({record.identity.host, record.identity.incarnation,
-                                  record.identity.failureDomain, record.peerEndpoint.address,
-                                  record.peerEndpoint.port, record.refutationCounter, flags,
-                                  record.configurationVersion, record.relayPort,
-                                  record.forwardsUpdates});
+    return nlohmann::json::array(
+            {record.identity.host, record.identity.incarnation, record.identity.failureDomain,
+             record.peerEndpoint.address, record.peerEndpoint.port, record.refutationCounter, flags,
+             record.configurationVersion, record.relayPort, record.forwardsUpdates});
 }
 
 MemberRecord decodeMemberRecord(const nlohmann::json &json)
--- a/tests/gateway/test_crossing_dispatches.cpp
+++ b/tests/gateway/test_crossing_dispatches.cpp
@@ -112,7 +112,9 @@
     demand.firstEventTarget = milliseconds(targetMs);
     demand.maxEventGap = milliseconds(gapMs);
     demand.callerTimeLeft = std::chrono::seconds(10);
-    demand.value = promptValue(PromptValueModel{}, tokens, demand.outputTokens, demand.maxEventGap);
+    const PromptValueModel model;
+    demand.value = promptValue(model, tokens, demand.outputTokens, demand.maxEventGap,
+                               model.referenceRank);
     return demand;
 }
 
--- a/tests/gateway/test_update_routes.cpp
+++ b/tests/gateway/test_update_routes.cpp
@@ -60,7 +60,8 @@
         for (int batch = 0; batch < 200; ++batch) {
             const UpdateReceivers receivers = routes.receivers(now);
             used.insert(receivers.forwarders.begin(), receivers.forwarders.end());
-            CHECK(std::set<Endpoint>(receivers.forwarders.begin(), receivers.forwarders.end()).size()
+            CHECK(std::set<Endpoint>(receivers.forwarders.begin(), receivers.forwarders.end())
+                          .size()
                   == 4);
         }
         CHECK(used.size() == 2 * HostsPerDomain);
