--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -1,5 +1,7 @@
 #include "gateway/prompt_placement.h"
 
+#include "gateway/split_prefill_planner.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -7,8 +9,6 @@
 
 namespace {
 
-/// Loss of an infeasible placement, larger than any real loss.
-constexpr double InfeasibleLoss = 1e6;
 /// Loss for each prompt ahead in the queue for a slot while other engines have free ones, as a
 /// fraction of the prompt's value. It delays the prompts that come to that engine later.
 constexpr double QueuePositionCost = 0.25;
@@ -32,7 +32,8 @@
                                              const std::set<ServerId> &excluded, TimePoint now)
 {
     PromptPlacementResult result;
-    const std::vector<Candidate> candidateList = this->candidates(pool, demand, excluded, now);
+    const std::vector<PlacementCandidate> candidateList =
+            this->candidates(pool, demand, excluded, now);
     result.hasUsableServer = !candidateList.empty();
     if (candidateList.empty())
         return result;
@@ -41,7 +42,7 @@
     const double unseenPrompts = crossings / (1.0 + crossings);
     std::vector<PromptPlan> plans;
     plans.reserve(candidateList.size());
-    for (const Candidate &candidate : candidateList)
+    for (const PlacementCandidate &candidate : candidateList)
         plans.push_back(this->planSingle(pool, demand, candidate, unseenPrompts, now));
     std::optional<PromptPlan> best = this->choose(plans, demand, crossings);
     const Duration prefill = prefillTime(*pool.engine, demand.promptTokens, 1);
@@ -53,8 +54,9 @@
         const std::size_t maxEngines = std::min(engineLimit, candidateList.size());
         result.shortestTimeToFirstEvent =
                 prefillTime(*pool.engine, demand.promptTokens, maxEngines);
+        const SplitPrefillPlanner planner(this->settings, *pool.engine, this->slotQueue);
         for (std::size_t engineCount = 2; engineCount <= maxEngines; ++engineCount) {
-            const auto plan = this->planShared(pool, demand, candidateList, engineCount, now);
+            const auto plan = planner.plan(demand, candidateList, engineCount, now);
             if (plan && plan->expectedLoss < best->expectedLoss)
                 best = plan;
         }
@@ -66,25 +68,26 @@
     }
     // The caller may retry once the first engine has finished its outstanding prefill.
     Duration earliest = MaxRetryAfter;
-    for (const Candidate &candidate : candidateList)
+    for (const PlacementCandidate &candidate : candidateList)
         earliest = std::min(earliest, candidate.load->queuedPrefillTime());
     result.retryAfter = std::clamp(earliest, MinRetryAfter, MaxRetryAfter);
     return result;
 }
 
-std::vector<PromptPlacement::Candidate>
-PromptPlacement::candidates(const ServerPool &pool, const PromptDemand &demand,
-                            const std::set<ServerId> &excluded, TimePoint now)
+std::vector<PlacementCandidate> PromptPlacement::candidates(const ServerPool &pool,
+                                                            const PromptDemand &demand,
+                                                            const std::set<ServerId> &excluded,
+                                                            TimePoint now)
 {
     const bool isShort =
             prefillTime(*pool.engine, demand.promptTokens, 1) < this->settings.maxShortPrefill;
     const auto engineMemory = static_cast<double>(pool.engine->memoryTokens);
-    std::vector<Candidate> result;
-    std::vector<Candidate> excludedCandidates;
+    std::vector<PlacementCandidate> result;
+    std::vector<PlacementCandidate> excludedCandidates;
     const std::vector<const GatewayServer *> servers = this->fleet.usable(pool.name, now);
     double index = 0;
     for (const GatewayServer *server : servers) {
-        Candidate candidate;
+        PlacementCandidate candidate;
         candidate.server = server;
         candidate.load = &this->loads[server->id];
         candidate.load->advance(*pool.engine, now);
@@ -110,12 +113,12 @@
     if (result.empty())
         result = std::move(excludedCandidates);
     const std::size_t slots = pool.engine->slots;
-    const auto hasFreeSlot = [slots](const Candidate &candidate) {
+    const auto hasFreeSlot = [slots](const PlacementCandidate &candidate) {
         return candidate.load->promptCount() < slots;
     };
     if (std::none_of(result.begin(), result.end(), hasFreeSlot))
         return result;
-    for (Candidate &candidate : result) {
+    for (PlacementCandidate &candidate : result) {
         if (!hasFreeSlot(candidate))
             candidate.overSlotsCost =
                     QueuePositionCost
@@ -160,14 +163,8 @@
            + refusedBeforeAllowance;
 }
 
-double PromptPlacement::serverCost(const PromptDemand &demand, const Candidate &candidate) const
-{
-    return candidate.positionCost
-           + (candidate.failureRate + candidate.overSlotsCost) * demand.value;
-}
-
 PromptPlan PromptPlacement::planSingle(const ServerPool &pool, const PromptDemand &demand,
-                                       const Candidate &candidate, double unseenPrompts,
+                                       const PlacementCandidate &candidate, double unseenPrompts,
                                        TimePoint now) const
 {
     const EngineProfile &engine = *pool.engine;
@@ -194,118 +191,12 @@
     plan.timeToFirstEvent = timeWithSlot + plan.slotWait;
     plan.interferenceLoss = candidate.load->interferenceLoss(engine, prefill, demand.promptTokens,
                                                              false, lateValueFraction, now);
-    plan.expectedLoss =
-            plan.latenessLoss + plan.interferenceLoss + this->serverCost(demand, candidate);
+    plan.expectedLoss = plan.latenessLoss + plan.interferenceLoss + candidate.cost(demand);
     if (!candidate.fitsMemory)
         plan.expectedLoss += InfeasibleLoss;
     return plan;
 }
 
-std::optional<PromptPlan> PromptPlacement::planShared(const ServerPool &pool,
-                                                      const PromptDemand &demand,
-                                                      const std::vector<Candidate> &candidates,
-                                                      std::size_t engineCount, TimePoint now) const
-{
-    const EngineProfile &engine = *pool.engine;
-    const double lateValueFraction = this->settings.valueModel.lateValueFraction;
-    const Duration prefillShare = prefillTime(engine, demand.promptTokens, engineCount);
-    struct HelperOption
-    {
-        const Candidate *candidate;
-        Duration timeToFirst;
-        double interference;
-        double cost;
-    };
-    std::vector<HelperOption> helpers;
-    const Candidate *primary = nullptr;
-    double primaryCost = InfeasibleLoss;
-    double primaryInterference = 0;
-    Duration primaryTime = Duration::zero();
-    Duration primarySlotWait = Duration::zero();
-    for (const Candidate &candidate : candidates) {
-        const Duration slotWait =
-                this->slotQueue.wait(engine, demand.outputTokens, candidate.load->promptCount());
-        const Duration timeToFirst =
-                candidate.load->predictTimeToFirstEvent(engine, prefillShare, false) + slotWait;
-        const double interference = candidate.load->interferenceLoss(
-                engine, prefillShare, demand.promptTokens, false, lateValueFraction, now);
-        const double cost = latenessLoss(demand, timeToFirst, lateValueFraction) + interference
-                            + this->serverCost(demand, candidate);
-        if (cost < primaryCost && (candidate.fitsMemory || candidate.reservableTokens > 0)) {
-            primaryCost = cost;
-            primary = &candidate;
-            primaryTime = timeToFirst;
-            primarySlotWait = slotWait;
-            primaryInterference = interference;
-        }
-        const double failureCost = candidate.failureRate * demand.value;
-        const double helperInterference = candidate.load->interferenceLoss(
-                engine, prefillShare, demand.promptTokens, true, lateValueFraction, now);
-        helpers.push_back(
-                {&candidate, candidate.load->predictTimeToFirstEvent(engine, prefillShare, true),
-                 helperInterference, helperInterference + candidate.positionCost + failureCost});
-    }
-    if (primary == nullptr)
-        return std::nullopt;
-    // The outstanding prefill, in seconds, decides between helpers of similar cost.
-    std::sort(helpers.begin(), helpers.end(),
-              [](const HelperOption &left, const HelperOption &right) {
-                  return left.cost + toSeconds(left.candidate->load->queuedPrefillTime())
-                         < right.cost + toSeconds(right.candidate->load->queuedPrefillTime());
-              });
-    PromptPlan plan;
-    plan.server = primary->server->id;
-    plan.timeToFirstEvent = primaryTime;
-    plan.slotWait = primarySlotWait;
-    plan.interferenceLoss = primaryInterference;
-    double cost = primaryCost - latenessLoss(demand, primaryTime, lateValueFraction);
-    for (const HelperOption &option : helpers) {
-        if (plan.helpers.size() + 1 == engineCount)
-            break;
-        if (option.candidate == primary)
-            continue;
-        plan.helpers.push_back({option.candidate->server->id, 0});
-        plan.timeToFirstEvent = std::max(plan.timeToFirstEvent, option.timeToFirst);
-        plan.interferenceLoss += option.interference;
-        cost += option.cost + this->settings.extraEngineCost * demand.value;
-    }
-    if (plan.helpers.size() + 1 < engineCount || !this->distributeMemory(demand, candidates, plan))
-        return std::nullopt;
-    plan.latenessLoss = latenessLoss(demand, plan.timeToFirstEvent, lateValueFraction);
-    plan.expectedLoss = cost + plan.latenessLoss;
-    return plan;
-}
-
-bool PromptPlacement::distributeMemory(const PromptDemand &demand,
-                                       const std::vector<Candidate> &candidates,
-                                       PromptPlan &plan) const
-{
-    const auto candidateFor = [&candidates](const ServerId &server) -> const Candidate * {
-        for (const Candidate &candidate : candidates) {
-            if (candidate.server->id == server)
-                return &candidate;
-        }
-        return nullptr;
-    };
-    const Candidate *primary = candidateFor(plan.server);
-    const std::uint64_t neededTokens = demand.promptTokens + demand.outputTokens;
-    if (primary == nullptr)
-        return false;
-    if (primary->fitsMemory) {
-        plan.memoryTokens = neededTokens;
-        return true;
-    }
-    plan.memoryTokens = std::min(neededTokens, primary->reservableTokens);
-    std::uint64_t remainingTokens = neededTokens - plan.memoryTokens;
-    for (PrefillHelper &helper : plan.helpers) {
-        const Candidate *candidate = candidateFor(helper.server);
-        helper.memoryTokens =
-                std::min(remainingTokens, candidate == nullptr ? 0 : candidate->reservableTokens);
-        remainingTokens -= helper.memoryTokens;
-    }
-    return remainingTokens == 0;
-}
-
 void PromptPlacement::onDispatched(const ServerId &server, const EngineProfile &engine,
                                    const EnginePrompt &prompt, TimePoint now)
 {
