Large prompts reserve memory at the engine that runs them

Change: a prompt that needs more than a quarter of an engine's memory reserves it at the engine that runs it, before it is sent. An engine that refuses is left out for such prompts for a second, and the prompt is placed again at once.

--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -37,6 +37,15 @@
                      route.eventGapGoal * AbandonEventGapGoalFactor});
 }
 
+std::string ForwardCall::reservationIdAt(const ServerId &server) const
+{
+    for (const MemoryReservation &reservation : this->reservations) {
+        if (reservation.server == server)
+            return reservation.id;
+    }
+    return {};
+}
+
 bool ForwardAttempt::isDiscarded() const
 {
     return this->metadata.notRun || this->metadata.isWrongServer || impliesNotRun(this->status)
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -95,6 +95,9 @@
     TimePoint lastEventAt;                        ///< When the last event was forwarded.
     std::optional<std::uint64_t> lastEventId;     ///< Id of the last forwarded event.
     bool readingPaused = false;                   ///< Reading the response waits for a slow caller.
+
+    /// Returns the id of the memory reserved on \a server; empty if there is none.
+    std::string reservationIdAt(const ServerId &server) const;
 };
 
 /// No attempt is made if less time than this is left until the deadline.
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -141,6 +141,7 @@
                      TimePoint now);
 
     void reserveMemory(ForwardCall &call, const PromptPlan &plan, TimePoint now);
+    void addReservation(ForwardCall &call, const ServerId &server, std::uint64_t tokens);
     /// Asks for the memory of \a call, or renews it.
     void requestReservations(ForwardCall &call, TimePoint now);
     /// Plans again without the engines that granted no memory, or refuses the request. \a refusedBy
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -151,8 +151,9 @@
                             rejectionDetail(decision, call.demand));
     }
     const bool needsMemory =
-            std::any_of(decision.plan->helpers.begin(), decision.plan->helpers.end(),
-                        [](const PrefillHelper &helper) { return helper.memoryTokens > 0; });
+            decision.plan->reservesMemory
+            || std::any_of(decision.plan->helpers.begin(), decision.plan->helpers.end(),
+                           [](const PrefillHelper &helper) { return helper.memoryTokens > 0; });
     if (needsMemory)
         this->reserveMemory(call, *decision.plan, now);
     else
@@ -226,17 +227,13 @@
     metadata.remainingTime = call.deadline - now;
     metadata.expectedServer = server.id;
     metadata.workspace = call.workspace;
+    const std::string ownReservation = call.reservationIdAt(server.id);
+    if (!ownReservation.empty())
+        metadata.helpers.push_back({server.endpoint, ownReservation});
     for (const PrefillHelper &helper : helpers) {
-        const GatewayServer *helperServer = this->fleet.find(helper.server);
-        if (helperServer == nullptr)
-            continue;
-        const auto reservation = std::find_if(call.reservations.begin(), call.reservations.end(),
-                                              [&helper](const MemoryReservation &candidate) {
-                                                  return candidate.server == helper.server;
-                                              });
-        metadata.helpers.push_back({helperServer->endpoint, reservation == call.reservations.end()
-                                                                    ? std::string()
-                                                                    : reservation->id});
+        if (const GatewayServer *helperServer = this->fleet.find(helper.server))
+            metadata.helpers.push_back(
+                    {helperServer->endpoint, call.reservationIdAt(helper.server)});
     }
     metadata.resumeAfter = call.lastEventId ? call.lastEventId : call.metadata.resumeAfter;
     HttpRequest request;
--- a/src/gateway/forward_memory.cpp
+++ b/src/gateway/forward_memory.cpp
@@ -30,22 +30,28 @@
     call.pendingPlan = plan;
     call.reservedAt = now;
     call.reservationsDue = now + GrantTimeout;
+    if (plan.reservesMemory)
+        this->addReservation(call, plan.server, plan.memoryTokens);
     for (const PrefillHelper &helper : plan.helpers) {
-        if (helper.memoryTokens == 0)
-            continue;
-        const std::string reservationId = "d" + std::to_string(this->senderHash) + "-"
-                                          + std::to_string(this->nextReservationNumber++);
-        MemoryReservation reservation;
-        reservation.id = reservationId;
-        reservation.server = helper.server;
-        reservation.tokens = helper.memoryTokens;
-        call.reservations.push_back(reservation);
-        this->callsByReservation.emplace(reservationId, call.id);
+        if (helper.memoryTokens > 0)
+            this->addReservation(call, helper.server, helper.memoryTokens);
     }
     this->requestReservations(call, now);
     this->scheduleTimer(call, now);
 }
 
+void ForwardController::addReservation(ForwardCall &call, const ServerId &server,
+                                       std::uint64_t tokens)
+{
+    MemoryReservation reservation;
+    reservation.id = "d" + std::to_string(this->senderHash) + "-"
+                     + std::to_string(this->nextReservationNumber++);
+    reservation.server = server;
+    reservation.tokens = tokens;
+    call.reservations.push_back(reservation);
+    this->callsByReservation.emplace(reservation.id, call.id);
+}
+
 void ForwardController::requestReservations(ForwardCall &call, TimePoint now)
 {
     const bool isUsed = call.attempt && call.attempt->firstEventReceived;
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -61,6 +61,7 @@
                 best = plan;
         }
     }
+    best->reservesMemory = this->reservesMemory(*pool.engine, *best);
     result.bestPlan = best;
     if (best->expectedLoss <= this->maxAcceptableLoss(demand)) {
         result.plan = best;
@@ -82,6 +83,8 @@
     const bool isShort =
             prefillTime(*pool.engine, demand.promptTokens, 1) < this->settings.maxShortPrefill;
     const auto engineMemory = static_cast<double>(pool.engine->memoryTokens);
+    const bool isLarge = static_cast<double>(demand.promptTokens + demand.outputTokens)
+                         > engineMemory * this->settings.reservedMemoryFraction;
     std::vector<PlacementCandidate> result;
     std::vector<PlacementCandidate> excludedCandidates;
     const std::vector<const GatewayServer *> servers = this->fleet.usable(pool.name, now);
@@ -105,7 +108,9 @@
                 || claimedTokens <= engineMemory * this->settings.usableMemoryFraction;
         const double freeTokens = engineMemory * this->settings.usableMemoryFraction
                                   - static_cast<double>(candidate.load->memoryTokens());
-        if (!candidate.load->isMemoryRefused(now))
+        if (candidate.load->isMemoryRefused(now))
+            candidate.fitsMemory = candidate.fitsMemory && !isLarge;
+        else
             candidate.reservableTokens = static_cast<std::uint64_t>(
                     std::max(0.0, freeTokens * this->settings.reservableFraction));
         (excluded.count(server->id) > 0 ? excludedCandidates : result).push_back(candidate);
@@ -163,6 +168,13 @@
            + refusedBeforeAllowance;
 }
 
+bool PromptPlacement::reservesMemory(const EngineProfile &engine, const PromptPlan &plan) const
+{
+    const double reservedFrom =
+            static_cast<double>(engine.memoryTokens) * this->settings.reservedMemoryFraction;
+    return engine.memoryTokens > 0 && static_cast<double>(plan.memoryTokens) > reservedFrom;
+}
+
 PromptPlan PromptPlacement::planSingle(const ServerPool &pool, const PromptDemand &demand,
                                        const PlacementCandidate &candidate, double unseenPrompts,
                                        TimePoint now) const
--- a/src/gateway/prompt_placement.h
+++ b/src/gateway/prompt_placement.h
@@ -81,6 +81,7 @@
     /// good.
     const PromptPlan &choose(std::vector<PromptPlan> &plans, const PromptDemand &demand,
                              double crossings);
+    bool reservesMemory(const EngineProfile &engine, const PromptPlan &plan) const;
     double maxAcceptableLoss(const PromptDemand &demand) const;
 
     PromptPlacementSettings settings;
--- a/src/gateway/prompt_plan.h
+++ b/src/gateway/prompt_plan.h
@@ -24,6 +24,9 @@
     std::size_t maxPrefillEnginesOversized = 8;
     /// Fraction of the estimated free memory of an engine that may be reserved for such a prompt.
     double reservableFraction = 0.9;
+    /// A prompt that needs more than this fraction of an engine's memory reserves it before it is
+    /// sent.
+    double reservedMemoryFraction = 0.25;
     /// Prefill shorter than this is not shared, since the pass on a further engine takes as long.
     Duration minSharedPrefill = std::chrono::milliseconds(600);
     /// Weight of the cost of a server's position in the order that all hosts share. It concentrates
@@ -59,6 +62,7 @@
 {
     ServerId server;
     std::uint64_t memoryTokens = 0; ///< Held on the server; the helpers hold the rest.
+    bool reservesMemory = false;    ///< memoryTokens are reserved on the server before dispatch.
     std::vector<PrefillHelper> helpers;
     Duration timeToFirstEvent = Duration::zero(); ///< Includes slotWait.
     Duration slotWait = Duration::zero();         ///< Expected wait for a slot of the server.
