--- a/src/gateway/prompt_plan.h
+++ b/src/gateway/prompt_plan.h
@@ -79,6 +79,7 @@
     EngineLoad *load = nullptr;
     double positionCost = 0;
     double failureRate = 0;
+    std::size_t freeSlots = 0;
     double overSlotsCost = 0; ///< As a fraction of the prompt's value.
     bool fitsMemory = true;
     std::uint64_t reservableTokens = 0;
--- a/tests/gateway/test_forward_controller.cpp
+++ b/tests/gateway/test_forward_controller.cpp
@@ -250,6 +250,7 @@
         }
         SECTION("is replaced before the caller gives up, even if the other server is busy")
         {
+            bench.grantsMemory = true;
             bench.request("/archives/", {{"Tokens", "300000,700"}});
             bench.request("/archives/", {{"Tokens", "300000,700"}});
             const std::size_t sentBefore = bench.sentAttempts.size();
--- a/tests/gateway/test_prompt_hold.cpp
+++ b/tests/gateway/test_prompt_hold.cpp
@@ -79,6 +79,7 @@
     // Replays the onset of a phase: every engine writes an answer whose event gap a long prefill
     // would exceed. The answers end within a second, and the prompt has a target of 4 s.
     ForwardBench bench;
+    bench.grantsMemory = true;
     const std::string event = "id: 1\ndata: x\n\n";
     for (const char *id : {"engine-1", "engine-2"})
         bench.addServer(id, "engines");
--- a/tests/gateway/test_reserved_memory.cpp
+++ b/tests/gateway/test_reserved_memory.cpp
@@ -248,3 +248,60 @@
         CHECK(bench.reservationRequests.size() == orders.size());
     }
 }
+
+TEST_CASE("Hosts that choose the same engine for large prompts at once do not wait for its memory",
+          "[Gateway][ForwardController]")
+{
+    // Replays the onset of a phase of large prompts: six hosts get one each at the same moment and
+    // know nothing of the others. An engine has room for one.
+    constexpr std::uint64_t EngineTokens = 405'000;
+    constexpr std::size_t EngineCount = 8;
+    std::list<ForwardBench> hosts;
+    for (std::uint32_t number = 1; number <= 6; ++number) {
+        addEngines(hosts.emplace_back(number));
+        hosts.back().configuration.pools.at("engines").engine->supportsSplitPrefill = false;
+        hosts.back().applyConfiguration();
+    }
+    for (ForwardBench &host : hosts)
+        host.request("/archives/", {{"Tokens", "300000,700"}});
+    const auto sentNowhere = [&hosts] {
+        return std::all_of(hosts.begin(), hosts.end(),
+                           [](const ForwardBench &host) { return host.sentAttempts.empty(); });
+    };
+    CHECK(sentNowhere());
+
+    SECTION("each is sent to an engine of its own as soon as that has set memory aside")
+    {
+        std::map<ServerId, std::uint64_t> heldTokens;
+        for (ForwardBench &host : hosts) {
+            for (std::size_t index = 0; index < host.reservationRequests.size(); ++index) {
+                const MemoryReservationRequest order = host.reservationRequests[index];
+                if (order.tokens == 0)
+                    continue;
+                const bool fits = heldTokens[order.server] + order.tokens <= EngineTokens;
+                heldTokens[order.server] += fits ? order.tokens : 0;
+                host.controller.onReservationResult(order.reservationId, fits, host.now);
+            }
+        }
+        std::size_t sentCount = 0;
+        for (const ForwardBench &host : hosts)
+            sentCount += host.sentAttempts.size();
+        CHECK(sentCount >= hosts.size() - 1); // A host asks three engines at most.
+        CHECK(heldTokens.size() <= EngineCount);
+        for (const ForwardBench &host : hosts) {
+            for (const SentAttempt &attempt : host.sentAttempts)
+                CHECK_FALSE(attempt.header("Helper").empty());
+        }
+    }
+    SECTION("and none is sent to an engine that refused")
+    {
+        ForwardBench &host = hosts.front();
+        const MemoryReservationRequest order = host.reservationRequests.at(0);
+        host.controller.onReservationResult(order.reservationId, false, host.now);
+        const MemoryReservationRequest next = host.reservationRequests.back();
+        CHECK(next.server != order.server);
+        host.controller.onReservationResult(next.reservationId, true, host.now);
+        REQUIRE(host.sentAttempts.size() == 1);
+        CHECK(host.sentAttempts[0].header("Server") == next.server);
+    }
+}
--- a/tests/support/forward_bench.cpp
+++ b/tests/support/forward_bench.cpp
@@ -159,6 +159,8 @@
 void ForwardBench::sendReservationRequest(const MemoryReservationRequest &request)
 {
     this->reservationRequests.push_back(request);
+    if (this->grantsMemory && request.tokens > 0)
+        this->controller.onReservationResult(request.reservationId, true, this->now);
 }
 
 void ForwardBench::probeServer(const GatewayServer &server)
--- a/tests/support/forward_bench.h
+++ b/tests/support/forward_bench.h
@@ -82,6 +82,7 @@
     std::vector<ServerLimitNotice> limitNotices;
     std::vector<ServerWarmUpNotice> warmUpNotices;
     std::vector<CrashNotice> crashNotices;
+    bool grantsMemory = false;    ///< Engines reserve memory at once; otherwise the test answers.
     std::size_t queuedBytes = 0;  ///< Number of bytes reported as queued for a caller.
     std::vector<bool> pauseCalls; ///< Arguments of pauseAttempt(), in order.
     ForwardController controller;
