Value prompts by the expected length of their answers

Cause: the values were taken from tables in which an answer has its mean length; the code used the maximum that callers state, which is 2.5 times as much on short prompts, so that long ones weighed too little. Change: the caller's estimate of the length counts where it states one. Memory is still planned for the maximum.

--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -127,9 +127,11 @@
     demand.elapsed = waited + (now - call.arrivedAt);
     demand.callerTimeLeft =
             std::min(call.deadline - now, streamAbandonTime(route) - (now - call.arrivedAt));
+    const std::uint64_t expectedOutput = std::min(
+            demand.outputTokens, call.metadata.expectedOutputTokens.value_or(demand.outputTokens));
     demand.value =
             promptValue(this->promptPlacement.activeSettings().valueModel, demand.promptTokens,
-                        demand.outputTokens, route.eventGapGoal, call.priority);
+                        expectedOutput, route.eventGapGoal, call.priority);
     return demand;
 }
 
--- a/src/gateway/gateway_protocol.h
+++ b/src/gateway/gateway_protocol.h
@@ -20,7 +20,9 @@
     std::optional<Duration> callerTimeout; ///< Time after which the caller gives up.
     std::string apiKey;             ///< API key, identifies the workspace; empty if there is none.
     std::uint64_t promptTokens = 0; ///< 0 if the request is not a prompt.
-    std::uint64_t outputTokens = 0; ///< Expected length of the output.
+    std::uint64_t outputTokens = 0; ///< Maximum length of the output.
+    /// The caller's estimate of the length of the output, which may be far off.
+    std::optional<std::uint64_t> expectedOutputTokens;
     /// Ids of the parts of the prompt that other prompts may share, in order; a bounded number.
     std::vector<std::string> sharedPromptParts;
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last event the caller received.
--- a/src/gateway/prompt_plan.h
+++ b/src/gateway/prompt_plan.h
@@ -45,9 +45,9 @@
     double usableMemoryFraction = 0.95;
     /// Hosts that place at the same time choose among engines whose loss exceeds the lowest one by
     /// at most this fraction of the prompt's value for each dispatch that is expected to cross.
-    double toleratedLossPerCrossing = 0.05;
+    double toleratedLossPerCrossing = 0.01;
     /// Bound of the tolerated loss, as a fraction of the prompt's value.
-    double maxToleratedLoss = 0.2;
+    double maxToleratedLoss = 0.04;
 };
 
 /// An engine that does a share of the prefill for another one.
