Keep long prompts inside the failure domain of their host

Cause: a prompt that several engines share is lost with any of them. When one of three failure domains was cut off, most of the long prompts that ran had an engine there. Change: each engine in another domain costs a fiftieth of a long prompt's value.

--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -107,7 +107,9 @@
         candidate.positionCost =
                 this->settings.positionWeight * (isShort ? position : 1.0 - position);
         if (server->failureDomain != this->failureDomain)
-            candidate.positionCost += this->settings.otherDomainCost;
+            candidate.positionCost +=
+                    isShort ? this->settings.otherDomainCost
+                            : this->settings.otherDomainLongPromptCost * demand.value;
         candidate.failureRate = this->fleet.failureRate(server->id, now);
         const double claimedTokens = static_cast<double>(
                 candidate.load->memoryTokens() + demand.promptTokens + demand.outputTokens);
--- a/src/gateway/prompt_plan.h
+++ b/src/gateway/prompt_plan.h
@@ -40,6 +40,9 @@
     /// Cost of a server in another failure domain, in the unit of prompt values; a short prompt is
     /// worth about 1.
     double otherDomainCost = 0.003;
+    /// The same for each engine that a long prompt uses in another failure domain, as a fraction of
+    /// the prompt's value: a prompt that engines of several domains share is lost with any of them.
+    double otherDomainLongPromptCost = 0.02;
     /// Fraction of an engine's memory that prompts may claim, since answers grow while they are
     /// decoded.
     double usableMemoryFraction = 0.95;
