--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -1,6 +1,5 @@
 #include "gateway/prompt_placement.h"
 
-#include "gateway/dispatch_spread.h"
 #include "gateway/split_prefill_planner.h"
 
 #include <algorithm>
@@ -39,18 +38,13 @@
     if (candidateList.empty())
         return result;
     const double crossings = this->crossingDispatches.expected(now);
-    const DispatchSpread spread(crossings, candidateList);
-    std::vector<SpreadOption> options;
-    options.reserve(candidateList.size());
-    for (const PlacementCandidate &candidate : candidateList) {
-        const double unseenPrompts = spread.unseenPrompts(candidate.freeSlots);
-        options.push_back({this->planSingle(pool, demand, candidate, unseenPrompts, now),
-                           candidate.freeSlots});
-    }
-    const double tolerance = demand.value
-                             * std::min(this->settings.maxToleratedLoss,
-                                        this->settings.toleratedLossPerCrossing * crossings);
-    std::optional<PromptPlan> best = spread.choose(options, tolerance, this->random);
+    // Those that cross are spread in turn, so that an engine gets less than one on average.
+    const double unseenPrompts = crossings / (1.0 + crossings);
+    std::vector<PromptPlan> plans;
+    plans.reserve(candidateList.size());
+    for (const PlacementCandidate &candidate : candidateList)
+        plans.push_back(this->planSingle(pool, demand, candidate, unseenPrompts, now));
+    std::optional<PromptPlan> best = this->choose(plans, demand, crossings);
     const Duration prefill = prefillTime(*pool.engine, demand.promptTokens, 1);
     result.shortestTimeToFirstEvent = prefill;
     if (pool.engine->supportsSplitPrefill && prefill >= this->settings.minSharedPrefill) {
@@ -100,8 +94,6 @@
         candidate.server = server;
         candidate.load = &this->loads[server->id];
         candidate.load->advance(*pool.engine, now);
-        const std::size_t prompts = candidate.load->promptCount();
-        candidate.freeSlots = pool.engine->slots > prompts ? pool.engine->slots - prompts : 0;
         const double position = index / static_cast<double>(servers.size());
         index += 1;
         candidate.positionCost =
@@ -128,12 +120,13 @@
     if (result.empty())
         result = std::move(excludedCandidates);
     const std::size_t slots = pool.engine->slots;
-    const bool hasFreeSlot =
-            std::any_of(result.begin(), result.end(), [](const PlacementCandidate &candidate) {
-                return candidate.freeSlots > 0;
-            });
+    const auto hasFreeSlot = [slots](const PlacementCandidate &candidate) {
+        return candidate.load->promptCount() < slots;
+    };
+    if (std::none_of(result.begin(), result.end(), hasFreeSlot))
+        return result;
     for (PlacementCandidate &candidate : result) {
-        if (hasFreeSlot && candidate.freeSlots == 0)
+        if (!hasFreeSlot(candidate))
             candidate.overSlotsCost =
                     QueuePositionCost
                     * static_cast<double>(candidate.load->promptCount() + 1 - slots);
@@ -141,6 +134,26 @@
     return result;
 }
 
+const PromptPlan &PromptPlacement::choose(std::vector<PromptPlan> &plans,
+                                          const PromptDemand &demand, double crossings)
+{
+    std::sort(plans.begin(), plans.end(), [](const PromptPlan &left, const PromptPlan &right) {
+        return left.expectedLoss < right.expectedLoss;
+    });
+    const double tolerance = demand.value
+                             * std::min(this->settings.maxToleratedLoss,
+                                        this->settings.toleratedLossPerCrossing * crossings);
+    // Each host takes the best engine with the probability at which one dispatch of those that
+    // cross is expected to go there.
+    for (const PromptPlan &plan : plans) {
+        if (plan.expectedLoss > plans.front().expectedLoss + tolerance)
+            break;
+        if (this->random.nextDouble() * (1.0 + crossings) < 1.0)
+            return plan;
+    }
+    return plans.front();
+}
+
 double PromptPlacement::maxAcceptableLoss(const PromptDemand &demand) const
 {
     // A partly delivered answer is continued on any feasible server.
--- a/src/gateway/prompt_placement.h
+++ b/src/gateway/prompt_placement.h
@@ -77,6 +77,10 @@
     PromptPlan planSingle(const ServerPool &pool, const PromptDemand &demand,
                           const PlacementCandidate &candidate, double unseenPrompts,
                           TimePoint now) const;
+    /// Returns one of \a plans, which is not empty: that with the lowest loss or one nearly as
+    /// good.
+    const PromptPlan &choose(std::vector<PromptPlan> &plans, const PromptDemand &demand,
+                             double crossings);
     bool reservesMemory(const EngineProfile &engine, const PromptPlan &plan) const;
     double maxAcceptableLoss(const PromptDemand &demand) const;
 
--- a/src/gateway/prompt_plan.h
+++ b/src/gateway/prompt_plan.h
@@ -48,9 +48,9 @@
     double usableMemoryFraction = 0.95;
     /// Hosts that place at the same time choose among engines whose loss exceeds the lowest one by
     /// at most this fraction of the prompt's value for each dispatch that is expected to cross.
-    double toleratedLossPerCrossing = 0.01;
+    double toleratedLossPerCrossing = 0.05;
     /// Bound of the tolerated loss, as a fraction of the prompt's value.
-    double maxToleratedLoss = 0.04;
+    double maxToleratedLoss = 0.2;
 };
 
 /// An engine that does a share of the prefill for another one.
@@ -82,7 +82,6 @@
     EngineLoad *load = nullptr;
     double positionCost = 0;
     double failureRate = 0;
-    std::size_t freeSlots = 0;
     double overSlotsCost = 0; ///< As a fraction of the prompt's value.
     bool fitsMemory = true;
     std::uint64_t reservableTokens = 0;
