Test a planned stop of a gateway host under load

Change: test with callers that go on sending on new connections before and after the stop begins, and until the host listens no more.

--- a/tests/entry_host/test_gateway_host.cpp
+++ b/tests/entry_host/test_gateway_host.cpp
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 #include <functional>
+#include <list>
 
 using namespace dotterel;
 using namespace dotterel::support;
@@ -176,6 +177,55 @@
     }
 }
 
+TEST_CASE("A planned stop under load answers every request that was accepted",
+          "[EntryHost][GatewayHost]")
+{
+    GatewayHostFixture fixture;
+    ScriptedServer server(fixture.loop, {40, ServerResponse, ScriptEnd::Close});
+    fixture.configure("first");
+    fixture.addServer(server.endpoint());
+    const std::unique_ptr<GatewayHost> host = fixture.start("h1", fixture.store);
+    fixture.runUntil([&] { return host->ready(); });
+    const std::string request = "GET /orders/1 HTTP/1.1\r\nHost: shop\r\nId: r1\r\n\r\n";
+    const auto isAnswered = [](const RawClient &client) {
+        return client.received().find("done") != std::string::npos
+               || client.received().find("503") != std::string::npos;
+    };
+    // Requests on new connections, and a second one on each that stays open.
+    std::list<RawClient> clients;
+    const Endpoint callers = host->callers();
+    const auto sendFor = [&](Duration time) {
+        for (const TimePoint end = fixture.loop.now() + time; fixture.loop.now() < end;) {
+            clients.emplace_back(fixture.loop, callers).send(request);
+            fixture.runFor(milliseconds(5));
+        }
+    };
+    sendFor(milliseconds(300));
+    bool finished = false;
+    host->beginShutdown([&finished] { finished = true; });
+    sendFor(milliseconds(400));
+    const std::size_t sentCount = clients.size();
+
+    SECTION("also those that came after the stop had begun")
+    {
+        fixture.runUntil([&finished] { return finished; });
+        CHECK(sentCount > 50);
+        for (const RawClient &client : clients)
+            CHECK(isAnswered(client));
+    }
+    SECTION("until the host listens no more, and none is cut off half answered")
+    {
+        while (!finished)
+            sendFor(milliseconds(50));
+        std::size_t unanswered = 0;
+        for (const RawClient &client : clients) {
+            unanswered += isAnswered(client) ? 0 : 1;
+            CHECK((isAnswered(client) || client.received().empty()));
+        }
+        CHECK(clients.size() - unanswered >= sentCount);
+    }
+}
+
 TEST_CASE("A host that starts or was cut off learns which requests crash servers",
           "[EntryHost][GatewayHost]")
 {
