--- a/src/gateway/engine_load.cpp
+++ b/src/gateway/engine_load.cpp
@@ -72,12 +72,9 @@
     entry.expiresAt = prompt.dispatchedAt + prompt.demand.callerTimeLeft + ExpiryMargin;
     entry.decoding = prompt.prefillLeft == Duration::zero() && !prompt.isHelper;
     entry.decodingSince = now;
-    if (!prompt.isHelper) {
-        this->entries.push_back(entry);
-        return;
-    }
-    // Engines run the newest share of a shared prefill first, even ahead of earlier shares.
-    this->entries.insert(this->entries.begin(), entry);
+    const bool hasSlot = prompt.isHelper || this->promptCount() < engine.slots;
+    const bool runsFirst = prompt.isShare() && hasSlot && !entry.decoding;
+    this->entries.insert(runsFirst ? this->entries.begin() : this->entries.end(), entry);
 }
 
 void EngineLoad::onFirstEvent(const PromptKey &key, TimePoint now)
@@ -217,7 +214,8 @@
 {
     Duration maxOverdue = std::max(Duration::zero(), this->unknownWorkUntil - now);
     for (const Entry &entry : this->entries) {
-        if (entry.decoding || entry.prompt.isHelper || entry.prefillLeft > Duration::zero())
+        // The first event of a shared prefill may wait for any of its engines.
+        if (entry.decoding || entry.prompt.isShare() || entry.prefillLeft > Duration::zero())
             continue;
         maxOverdue = std::max(maxOverdue, now - entry.predictedPrefillEnd - OverdueTolerance);
     }
@@ -239,8 +237,10 @@
 Duration EngineLoad::predictTimeToFirstEvent(const EngineProfile &engine, Duration ownPrefill,
                                              bool prioritized) const
 {
-    const Duration queuedPrefill = prioritized ? Duration::zero() : this->queuedPrefillTime();
-    Duration delay = queuedPrefill + ownPrefill + this->passTime(engine, Duration::zero(), 0);
+    const Duration queuedPrefill = this->queuedPrefillTime();
+    Duration delay = ownPrefill + this->passTime(engine, Duration::zero(), 0);
+    if (!prioritized)
+        delay += queuedPrefill;
     if (this->anyDecoding()) {
         const Duration runningPass =
                 this->passTime(engine, queuedPrefill, this->longestQueuedPrompt());
@@ -271,7 +271,8 @@
         if (entry.decoding)
             continue;
         delay += entry.prefillLeft;
-        if (!prioritized)
+        const bool isDoneShare = entry.prompt.isShare() && entry.prefillLeft <= Duration::zero();
+        if (!prioritized || isDoneShare)
             continue;
         PromptDemand remaining = demand;
         const Duration sinceDispatch = now - entry.prompt.dispatchedAt;
--- a/src/gateway/engine_load.h
+++ b/src/gateway/engine_load.h
@@ -33,6 +33,10 @@
     TimePoint dispatchedAt;
     /// Prefill that remains if the prompt was dispatched earlier; zero if it is being decoded.
     std::optional<Duration> prefillLeft;
+
+    /// Returns true if this engine does only a part of the prefill. Engines run such a part ahead
+    /// of the prefill of whole prompts, the newest one first.
+    bool isShare() const { return this->isHelper || this->prefillEngines > 1; }
 };
 
 /// Returns the time that a prefill of \a tokens takes on \a prefillEngines otherwise idle engines.
@@ -41,8 +45,9 @@
 /// Estimated load of one engine, derived from the dispatches that hosts report to each other. An
 /// engine does chunked prefill for one prompt at a time and decodes the prompts whose prefill is
 /// complete in the same steps. While any prompt is decoded, events are sent only at the end of a
-/// pass, which consists of many steps. The estimate is corrected by each reported first event and
-/// end of a prompt. Performs no I/O.
+/// pass, which consists of many steps. Shares of prefills run ahead of everything else, so that
+/// long prompts that keep coming may starve earlier ones. The estimate is corrected by each
+/// reported first event and end of a prompt. Performs no I/O.
 class EngineLoad
 {
 public:
@@ -76,8 +81,7 @@
     void advance(const EngineProfile &engine, TimePoint now);
 
     /// Returns the predicted time to the first event of a further prompt whose prefill takes
-    /// \a ownPrefill. A helper's share of a prefill is \a prioritized: it runs ahead of all queued
-    /// prompts.
+    /// \a ownPrefill. A share of a prefill is \a prioritized: it runs ahead of all queued prompts.
     Duration predictTimeToFirstEvent(const EngineProfile &engine, Duration ownPrefill,
                                      bool prioritized) const;
 
--- a/src/gateway/split_prefill_planner.cpp
+++ b/src/gateway/split_prefill_planner.cpp
@@ -18,8 +18,10 @@
         Duration timeToFirst;
         double interference;
         double cost;
+        double order;
     };
     std::vector<HelperOption> helpers;
+    helpers.reserve(candidates.size());
     const PlacementCandidate *primary = nullptr;
     double primaryCost = InfeasibleLoss;
     double primaryInterference = 0;
@@ -28,10 +30,11 @@
     for (const PlacementCandidate &candidate : candidates) {
         const Duration slotWait =
                 this->slotQueue.wait(engine, demand.outputTokens, candidate.load->promptCount());
-        const Duration timeToFirst =
-                candidate.load->predictTimeToFirstEvent(engine, prefillShare, false) + slotWait;
+        const Duration shareTime =
+                candidate.load->predictTimeToFirstEvent(engine, prefillShare, true);
         const double interference = candidate.load->interferenceLoss(
-                engine, prefillShare, demand.promptTokens, false, lateValueFraction, now);
+                engine, prefillShare, demand.promptTokens, true, lateValueFraction, now);
+        const Duration timeToFirst = shareTime + slotWait;
         const double cost = latenessLoss(demand, timeToFirst, lateValueFraction) + interference
                             + candidate.cost(demand);
         if (cost < primaryCost && (candidate.fitsMemory || candidate.reservableTokens > 0)) {
@@ -41,20 +44,17 @@
             primarySlotWait = slotWait;
             primaryInterference = interference;
         }
-        const double failureCost = candidate.failureRate * demand.value;
-        const double helperInterference = candidate.load->interferenceLoss(
-                engine, prefillShare, demand.promptTokens, true, lateValueFraction, now);
-        helpers.push_back(
-                {&candidate, candidate.load->predictTimeToFirstEvent(engine, prefillShare, true),
-                 helperInterference, helperInterference + candidate.positionCost + failureCost});
+        const double helperCost =
+                interference + candidate.positionCost + candidate.failureRate * demand.value;
+        // The outstanding prefill, in seconds, decides between helpers of similar cost.
+        helpers.push_back({&candidate, shareTime, interference, helperCost,
+                           helperCost + toSeconds(candidate.load->queuedPrefillTime())});
     }
     if (primary == nullptr)
         return std::nullopt;
-    // The outstanding prefill, in seconds, decides between helpers of similar cost.
     std::sort(helpers.begin(), helpers.end(),
               [](const HelperOption &left, const HelperOption &right) {
-                  return left.cost + toSeconds(left.candidate->load->queuedPrefillTime())
-                         < right.cost + toSeconds(right.candidate->load->queuedPrefillTime());
+                  return left.order < right.order;
               });
     PromptPlan plan;
     plan.server = primary->server->id;
--- a/tests/gateway/test_engine_load.cpp
+++ b/tests/gateway/test_engine_load.cpp
@@ -14,13 +14,20 @@
 /// One engine in virtual time.
 struct EngineBench
 {
-    PromptKey add(std::uint64_t tokens)
+    PromptKey add(std::uint64_t tokens, std::size_t prefillEngines = 1, bool isHelper = false,
+                  std::uint64_t memoryTokens = 0)
     {
         EnginePrompt prompt;
         prompt.key = {1, ++this->sequence};
         prompt.demand.promptTokens = tokens;
         prompt.demand.outputTokens = 1'000;
+        prompt.demand.firstEventTarget = std::chrono::seconds(4);
+        prompt.demand.maxEventGap = milliseconds(800);
         prompt.demand.callerTimeLeft = std::chrono::seconds(10);
+        prompt.demand.value = 30;
+        prompt.prefillEngines = prefillEngines;
+        prompt.isHelper = isHelper;
+        prompt.memoryTokens = memoryTokens;
         prompt.dispatchedAt = this->now;
         this->load.add(this->engine, prompt, this->now);
         return prompt.key;
@@ -38,6 +45,18 @@
                                                   prefillTime(this->engine, tokens, 1), false);
     }
 
+    Duration shareTime(std::uint64_t tokens, std::size_t prefillEngines) const
+    {
+        return this->load.predictTimeToFirstEvent(
+                this->engine, prefillTime(this->engine, tokens, prefillEngines), true);
+    }
+    /// Loss of the prompts on the engine if it does a share of 400,000 tokens on four engines.
+    double shareLoss() const
+    {
+        return this->load.interferenceLoss(this->engine, prefillTime(this->engine, 400'000, 4),
+                                           400'000, true, 0.25, this->now);
+    }
+
     TimePoint now{std::chrono::seconds(100)};
     EngineProfile engine = dataSheetEngine();
     EngineLoad load;
@@ -97,3 +116,48 @@
         CHECK(bench.predict(5'000) < milliseconds(200));
     }
 }
+
+TEST_CASE("Shares of long prompts run ahead of all that came before", "[Gateway][EngineLoad]")
+{
+    // Long prompts that keep coming, each on several engines.
+    EngineBench bench;
+    const PromptKey whole = bench.add(90'000);
+    const PromptKey older = bench.add(300'000, 4);
+    const Duration wholeTime = prefillTime(bench.engine, 90'000, 1);
+    const Duration shareTime = prefillTime(bench.engine, 300'000, 4);
+    bench.advance(milliseconds(500));
+    CHECK(bench.load.prefillLeft(whole) == wholeTime);
+    CHECK(bench.load.prefillLeft(older) == shareTime - milliseconds(500));
+
+    SECTION("so that a share neither waits at the first engine nor at the others")
+    {
+        CHECK(bench.shareTime(200'000, 2)
+              < prefillTime(bench.engine, 200'000, 2) + milliseconds(50));
+        CHECK(bench.predict(5'000) > wholeTime + shareTime - milliseconds(500));
+    }
+    SECTION("and those before it wait until it is done")
+    {
+        const PromptKey newer = bench.add(200'000, 2, true);
+        bench.advance(prefillTime(bench.engine, 200'000, 2));
+        CHECK(bench.load.prefillLeft(newer) == std::nullopt);
+        CHECK(bench.load.prefillLeft(older) == shareTime - milliseconds(500));
+        bench.advance(shareTime);
+        CHECK(*bench.load.prefillLeft(whole) < wholeTime);
+    }
+    SECTION("which makes the older ones late")
+    {
+        CHECK(bench.shareLoss() > 20);
+    }
+}
+
+TEST_CASE("A share that is done loses nothing by further ones", "[Gateway][EngineLoad]")
+{
+    EngineBench bench;
+    const PromptKey giant = bench.add(300'000, 4, true, 200'000);
+    CHECK(bench.shareLoss() > 5);
+    bench.advance(prefillTime(bench.engine, 300'000, 4));
+    CHECK(bench.shareLoss() == 0);
+    bench.load.onFirstEvent(giant, bench.now);
+    CHECK(bench.shareLoss() == 0);
+    CHECK(bench.load.memoryTokens() == 200'000);
+}
