--- a/src/gateway/engine_load.cpp
+++ b/src/gateway/engine_load.cpp
@@ -277,6 +277,8 @@
         PromptDemand remaining = demand;
         const Duration sinceDispatch = now - entry.prompt.dispatchedAt;
         remaining.elapsed += sinceDispatch;
+        if (entry.prompt.reservesMemory)
+            remaining.callerTimeLeft = std::min(remaining.callerTimeLeft, MaxUnusedMemoryTime);
         remaining.callerTimeLeft -= sinceDispatch;
         loss += latenessLoss(remaining, delay + prefill, lateValueFraction)
                 - latenessLoss(remaining, delay, lateValueFraction);
--- a/src/gateway/engine_load.h
+++ b/src/gateway/engine_load.h
@@ -9,6 +9,10 @@
 
 namespace dotterel {
 
+/// How long engines set memory aside for a prompt that does not begin; then its host gives it up.
+/// Other prompts wait for that memory, and the engine that runs the prompt is too busy to use it.
+inline constexpr Duration MaxUnusedMemoryTime = std::chrono::seconds(8);
+
 /// Identifies a prompt across all hosts.
 struct PromptKey
 {
@@ -30,6 +34,7 @@
     bool isHelper = false;          ///< This engine only does a share of the prefill.
     bool isReported = false;        ///< Dispatched by another host a moment ago.
     std::uint64_t memoryTokens = 0; ///< KV cache held on this engine until the prompt ends.
+    bool reservesMemory = false;    ///< The prompt is given up after MaxUnusedMemoryTime.
     TimePoint dispatchedAt;
     /// Prefill that remains if the prompt was dispatched earlier; zero if it is being decoded.
     std::optional<Duration> prefillLeft;
--- a/src/gateway/forward_memory.cpp
+++ b/src/gateway/forward_memory.cpp
@@ -14,9 +14,6 @@
 /// Engines respond to reservation requests immediately. Only very large prompts need a reservation,
 /// for which a wait of this length is a small delay.
 constexpr Duration GrantTimeout = std::chrono::milliseconds(400);
-/// How long memory is set aside for a prompt that does not begin. Other prompts wait for that
-/// memory, and the engine that runs the prompt is too busy to use it.
-constexpr Duration MaxUnusedTime = std::chrono::seconds(8);
 /// Memory expires by itself this much later if no release reaches its engine.
 constexpr Duration UnusedExpiryMargin = std::chrono::milliseconds(500);
 /// Plans that are tried if engines refuse memory, each without the engines that refused before.
@@ -55,7 +52,8 @@
 void ForwardController::requestReservations(ForwardCall &call, TimePoint now)
 {
     const bool isUsed = call.attempt && call.attempt->firstEventReceived;
-    const Duration unusedTimeLeft = call.reservedAt + MaxUnusedTime + UnusedExpiryMargin - now;
+    const Duration unusedTimeLeft =
+            call.reservedAt + MaxUnusedMemoryTime + UnusedExpiryMargin - now;
     const Duration lifetime =
             isUsed ? ReservationLifetime : std::min(ReservationLifetime, unusedTimeLeft);
     std::vector<MemoryReservation> ordered;
@@ -176,13 +174,14 @@
         return false;
     }
     const bool isUnused = call.attempt && !call.attempt->firstEventReceived;
-    if (isUnused && now >= call.reservedAt + MaxUnusedTime) {
+    if (isUnused && now >= call.reservedAt + MaxUnusedMemoryTime) {
         this->giveUpUnusedMemory(call, now);
         return false;
     }
     call.reservationsDue = now + RenewInterval;
     if (isUnused)
-        call.reservationsDue = std::min(call.reservationsDue, call.reservedAt + MaxUnusedTime);
+        call.reservationsDue =
+                std::min(call.reservationsDue, call.reservedAt + MaxUnusedMemoryTime);
     this->requestReservations(call, now);
     return true;
 }
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -61,7 +61,7 @@
                 best = plan;
         }
     }
-    best->reservesMemory = this->reservesMemory(*pool.engine, *best);
+    best->reservesMemory = this->isLarge(*pool.engine, best->memoryTokens);
     result.bestPlan = best;
     if (best->expectedLoss <= this->maxAcceptableLoss(demand)) {
         result.plan = best;
@@ -83,8 +83,7 @@
     const bool isShort =
             prefillTime(*pool.engine, demand.promptTokens, 1) < this->settings.maxShortPrefill;
     const auto engineMemory = static_cast<double>(pool.engine->memoryTokens);
-    const bool isLarge = static_cast<double>(demand.promptTokens + demand.outputTokens)
-                         > engineMemory * this->settings.reservedMemoryFraction;
+    const bool isLarge = this->isLarge(*pool.engine, demand.promptTokens + demand.outputTokens);
     std::vector<PlacementCandidate> result;
     std::vector<PlacementCandidate> excludedCandidates;
     const std::vector<const GatewayServer *> servers = this->fleet.usable(pool.name, now);
@@ -170,11 +169,11 @@
            + refusedBeforeAllowance;
 }
 
-bool PromptPlacement::reservesMemory(const EngineProfile &engine, const PromptPlan &plan) const
+bool PromptPlacement::isLarge(const EngineProfile &engine, std::uint64_t tokens) const
 {
     const double reservedFrom =
             static_cast<double>(engine.memoryTokens) * this->settings.reservedMemoryFraction;
-    return engine.memoryTokens > 0 && static_cast<double>(plan.memoryTokens) > reservedFrom;
+    return engine.memoryTokens > 0 && static_cast<double>(tokens) > reservedFrom;
 }
 
 PromptPlan PromptPlacement::planSingle(const ServerPool &pool, const PromptDemand &demand,
@@ -214,7 +213,10 @@
 void PromptPlacement::onDispatched(const ServerId &server, const EngineProfile &engine,
                                    const EnginePrompt &prompt, TimePoint now)
 {
-    this->loads[server].add(engine, prompt, now);
+    EnginePrompt added = prompt;
+    added.reservesMemory =
+            this->isLarge(engine, prompt.demand.promptTokens + prompt.demand.outputTokens);
+    this->loads[server].add(engine, added, now);
     if (prompt.isReported && !prompt.isHelper)
         this->crossingDispatches.onReported(now);
 }
--- a/src/gateway/prompt_placement.h
+++ b/src/gateway/prompt_placement.h
@@ -81,7 +81,8 @@
     /// good.
     const PromptPlan &choose(std::vector<PromptPlan> &plans, const PromptDemand &demand,
                              double crossings);
-    bool reservesMemory(const EngineProfile &engine, const PromptPlan &plan) const;
+    /// Returns true if a prompt that takes \a tokens of an engine's memory reserves them.
+    bool isLarge(const EngineProfile &engine, std::uint64_t tokens) const;
     double maxAcceptableLoss(const PromptDemand &demand) const;
 
     PromptPlacementSettings settings;
--- a/tests/gateway/test_engine_load.cpp
+++ b/tests/gateway/test_engine_load.cpp
@@ -28,6 +28,7 @@
         prompt.prefillEngines = prefillEngines;
         prompt.isHelper = isHelper;
         prompt.memoryTokens = memoryTokens;
+        prompt.reservesMemory = this->reservesMemory;
         prompt.dispatchedAt = this->now;
         this->load.add(this->engine, prompt, this->now);
         return prompt.key;
@@ -61,6 +62,7 @@
     EngineProfile engine = dataSheetEngine();
     EngineLoad load;
     std::uint64_t sequence = 0;
+    bool reservesMemory = false;
 };
 
 } // namespace
@@ -161,3 +163,20 @@
     CHECK(bench.shareLoss() == 0);
     CHECK(bench.load.memoryTokens() == 200'000);
 }
+
+TEST_CASE("A prompt that would lose its reserved memory is not overtaken once more",
+          "[Gateway][EngineLoad]")
+{
+    // Newer shares overtook a late prompt until its memory was given up after 8 s.
+    EngineBench bench;
+    bench.reservesMemory = GENERATE(false, true);
+    bench.add(200'000);
+    bench.add(400'000, 4, true);
+    bench.advance(milliseconds(3'000));
+    bench.add(90'000, 2, true);
+    bench.advance(milliseconds(1'000));
+    if (bench.reservesMemory)
+        CHECK(bench.shareLoss() > 30 * 0.25 * 0.9);
+    else
+        CHECK(bench.shareLoss() < 30 * 0.25);
+}
