Share the prefill of giants by up to sixteen engines

Change: up to sixteen, no share below 300 ms unless memory needs it; the number is the one with the lowest loss, which counts the prompts that the shares delay and a cost for each engine.

--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -49,17 +49,20 @@
     result.shortestTimeToFirstEvent = prefill;
     if (pool.engine->supportsSplitPrefill && prefill >= this->settings.minSharedPrefill) {
         const bool exceedsOneEngine = best->expectedLoss >= InfeasibleLoss;
-        const std::size_t engineLimit = exceedsOneEngine ? this->settings.maxPrefillEnginesOversized
-                                                         : this->settings.maxPrefillEngines;
+        const auto usefulShares =
+                static_cast<std::size_t>(prefill / this->settings.minPrefillShare);
+        const std::size_t engineLimit =
+                exceedsOneEngine ? this->settings.maxPrefillEngines
+                                 : std::min(this->settings.maxPrefillEngines, usefulShares);
         const std::size_t maxEngines = std::min(engineLimit, candidateList.size());
-        result.shortestTimeToFirstEvent =
-                prefillTime(*pool.engine, demand.promptTokens, maxEngines);
         const SplitPrefillPlanner planner(this->settings, *pool.engine, this->slotQueue);
         for (std::size_t engineCount = 2; engineCount <= maxEngines; ++engineCount) {
             const auto plan = planner.plan(demand, candidateList, engineCount, now);
             if (plan && plan->expectedLoss < best->expectedLoss)
                 best = plan;
         }
+        result.shortestTimeToFirstEvent =
+                prefillTime(*pool.engine, demand.promptTokens, best->helpers.size() + 1);
     }
     best->reservesMemory = this->isLarge(*pool.engine, best->memoryTokens);
     result.bestPlan = best;
--- a/src/gateway/prompt_plan.h
+++ b/src/gateway/prompt_plan.h
@@ -18,10 +18,11 @@
     /// Added to maxLossFraction for a caller that was refused before: if it is refused again, it
     /// usually does not retry, and the time that it has waited is wasted.
     double refusedBeforeLossFraction = 0.3;
-    /// Maximum number of engines that share the prefill of one prompt.
-    std::size_t maxPrefillEngines = 4;
-    /// Like maxPrefillEngines, for prompts that exceed the memory of one engine.
-    std::size_t maxPrefillEnginesOversized = 8;
+    /// Maximum number of engines that share the prefill of one prompt; engines take no more.
+    std::size_t maxPrefillEngines = 16;
+    /// Shares of prompts that fit the memory of one engine are no shorter than this, since each
+    /// engine more is one more pass that may come late.
+    Duration minPrefillShare = std::chrono::milliseconds(300);
     /// Fraction of the estimated free memory of an engine that may be reserved for such a prompt.
     double reservableFraction = 0.9;
     /// A prompt that needs more than this fraction of an engine's memory reserves it before it is
