Price the engine time that a prompt takes from those that arrive meanwhile

Long prompts are placed where they stall nobody that is there, so that no engine is left for the short ones that come next. A step with a chunk takes 15 ms instead of 1.3 ms, so slots stay taken up to ten times as long, too. No late answer is late by a pause; all by their first event, and two thirds of the late questions are callers refused once who come back after 0.2 s of a 0.3 s target.

A prompt is now taken only if it earns more than its engine time earns with prompts that earn more for the time, as far as too few engines are left that could serve those in time. Zero below half of the engines' time. An eighth of first requests and returns goes unpriced, so that no class starves. A caller that cannot be back in time returns after the peak.

--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -74,6 +74,7 @@
     std::vector<std::string> partKeys; ///< See PromptPartGuard::keys(); computed on first use.
     TimePoint arrivedAt;
     TimePoint deadline;
+    double fairnessDraw = 1.0;          ///< See PromptDemand.
     PromptDemand demand;                ///< Computed at the latest dispatch of a prompt.
     std::size_t attemptsSent = 0;       ///< Attempts that reached a server; limited by the route.
     bool mayHaveRun = false;            ///< At least one attempt may have been executed.
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -92,6 +92,7 @@
     call.head = std::move(head);
     call.body = std::move(body);
     call.arrivedAt = now;
+    call.fairnessDraw = this->random.nextDouble();
     call.metadata = this->protocol.parseRequestHeaders(call.head.headers);
     if (!this->admit(call, now))
         return;
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -125,6 +125,7 @@
     demand.answerStarted =
             call.responseStarted || (call.relay && call.relay->resumeAfter.has_value());
     demand.elapsed = waited + (now - call.arrivedAt);
+    demand.fairnessDraw = call.fairnessDraw;
     demand.callerTimeLeft =
             std::min(call.deadline - now, streamAbandonTime(route) - (now - call.arrivedAt));
     const std::uint64_t expectedOutput = std::min(
--- a/src/gateway/prompt_demand.h
+++ b/src/gateway/prompt_demand.h
@@ -17,6 +17,7 @@
     Duration callerTimeLeft = Duration::zero(); ///< Until a caller that gets no event disconnects.
     bool answerStarted = false; ///< The caller has part of the answer; not sent to other hosts.
     bool refusedBefore = false; ///< The caller was refused before; not sent to other hosts.
+    double fairnessDraw = 1.0;  ///< Even in [0, 1), drawn per request; not sent to other hosts.
     double value = 1.0;         ///< Value of an answer in time, relative to other prompts.
 };
 
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -14,6 +14,16 @@
 constexpr double QueuePositionCost = 0.25;
 /// Numbers of unseen prompts on an engine that are told apart.
 constexpr std::size_t MaxUnseenPrompts = 4;
+/// Engine time has a price once recent prompts fill this fraction of it.
+constexpr double MinPricedUtilization = 0.5;
+/// An engine is open if a prompt there would get its first event within this fraction of its
+/// target.
+constexpr double OpenTargetFraction = 0.8;
+/// A caller that returns has to get its first event within this fraction of its target, if engines
+/// were idle.
+constexpr double ReturnTargetFraction = 0.5;
+/// Fraction of the prompts that are served at any price, so that no class or size starves.
+constexpr double UnpricedFraction = 0.12;
 /// Bounds of the retry delay suggested to a refused caller.
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration MaxRetryAfter = std::chrono::seconds(4);
@@ -63,7 +73,10 @@
     }
     best->reservesMemory = this->reservesMemory(*pool.engine, *best);
     result.bestPlan = best;
-    if (best->expectedLoss <= this->maxAcceptableLoss(demand)) {
+    const double price = this->priceOf(*pool.engine, demand, *best, candidateList, now);
+    const bool isUnpriced = demand.answerStarted || demand.fairnessDraw < UnpricedFraction;
+    if (best->expectedLoss <= this->maxAcceptableLoss(demand)
+        && (isUnpriced || demand.value - best->expectedLoss >= price)) {
         result.plan = best;
         return result;
     }
@@ -72,6 +85,11 @@
     for (const PlacementCandidate &candidate : candidateList)
         earliest = std::min(earliest, candidate.load->queuedPrefillTime());
     result.retryAfter = std::clamp(earliest, MinRetryAfter, MaxRetryAfter);
+    // While engine time has a price, a caller that would come back too late does so after the peak.
+    const double backSeconds =
+            toSeconds(demand.elapsed + result.retryAfter + result.shortestTimeToFirstEvent);
+    if (price > 0 && backSeconds > toSeconds(demand.firstEventTarget) * ReturnTargetFraction)
+        result.retryAfter = MaxRetryAfter;
     return result;
 }
 
@@ -170,6 +188,28 @@
            + refusedBeforeAllowance;
 }
 
+double PromptPlacement::priceOf(const EngineProfile &engine, const PromptDemand &demand,
+                                const PromptPlan &plan,
+                                const std::vector<PlacementCandidate> &candidateList,
+                                TimePoint now) const
+{
+    const auto engineCount = static_cast<double>(candidateList.size());
+    if (this->engineTimePrice.busyEngines(now) < MinPricedUtilization * engineCount)
+        return 0;
+    const double engineSeconds = engineSecondsOf(engine, demand);
+    const double earned = std::max(0.0, demand.value - plan.expectedLoss);
+    const DenserPrompts denser = this->engineTimePrice.denserPrompts(earned / engineSeconds, now);
+    const double limitSeconds = toSeconds(denser.firstEventTarget) * OpenTargetFraction;
+    const auto openEngines = static_cast<double>(std::count_if(
+            candidateList.begin(), candidateList.end(), [&](const PlacementCandidate &candidate) {
+                return candidate.load->promptCount() < engine.slots
+                       && toSeconds(candidate.load->predictTimeToFirstEvent(engine, denser.prefill,
+                                                                            false))
+                                  <= limitSeconds;
+            }));
+    return EngineTimePrice::price(denser, openEngines, engineSeconds);
+}
+
 bool PromptPlacement::reservesMemory(const EngineProfile &engine, const PromptPlan &plan) const
 {
     const double reservedFrom =
@@ -214,6 +254,8 @@
 void PromptPlacement::onDispatched(const ServerId &server, const EngineProfile &engine,
                                    const EnginePrompt &prompt, TimePoint now)
 {
+    if (!prompt.isHelper && !prompt.prefillLeft)
+        this->engineTimePrice.onDispatched(engine, prompt.demand, now);
     this->loads[server].add(engine, prompt, now);
     if (prompt.isReported && !prompt.isHelper)
         this->crossingDispatches.onReported(now);
--- a/src/gateway/prompt_placement.h
+++ b/src/gateway/prompt_placement.h
@@ -2,6 +2,7 @@
 
 #include "core/random_source.h"
 #include "gateway/crossing_dispatches.h"
+#include "gateway/engine_time_price.h"
 #include "gateway/prompt_plan.h"
 #include "gateway/slot_queue.h"
 
@@ -83,6 +84,9 @@
                              double crossings);
     bool reservesMemory(const EngineProfile &engine, const PromptPlan &plan) const;
     double maxAcceptableLoss(const PromptDemand &demand) const;
+    /// Returns what the engine time of \a plan earns with prompts that arrive meanwhile.
+    double priceOf(const EngineProfile &engine, const PromptDemand &demand, const PromptPlan &plan,
+                   const std::vector<PlacementCandidate> &candidateList, TimePoint now) const;
 
     PromptPlacementSettings settings;
     std::string failureDomain;
@@ -91,6 +95,7 @@
     std::map<ServerId, EngineLoad> loads;
     SlotQueue slotQueue;
     CrossingDispatches crossingDispatches;
+    EngineTimePrice engineTimePrice;
 };
 
 } // namespace dotterel
