--- a/src/gateway/prompt_placement.h
+++ b/src/gateway/prompt_placement.h
@@ -2,6 +2,7 @@
 
 #include "core/random_source.h"
 #include "gateway/crossing_dispatches.h"
+#include "gateway/engine_time_price.h"
 #include "gateway/prompt_plan.h"
 #include "gateway/slot_queue.h"
 
@@ -84,6 +85,9 @@
     /// Returns true if a prompt that takes \a tokens of an engine's memory reserves them.
     bool isLarge(const EngineProfile &engine, std::uint64_t tokens) const;
     double maxAcceptableLoss(const PromptDemand &demand) const;
+    /// Returns what the engine time of \a plan earns with prompts that arrive meanwhile.
+    double priceOf(const EngineProfile &engine, const PromptDemand &demand, const PromptPlan &plan,
+                   const std::vector<PlacementCandidate> &candidateList, TimePoint now) const;
 
     PromptPlacementSettings settings;
     std::string failureDomain;
@@ -92,6 +96,7 @@
     std::map<ServerId, EngineLoad> loads;
     SlotQueue slotQueue;
     CrossingDispatches crossingDispatches;
+    EngineTimePrice engineTimePrice;
 };
 
 } // namespace dotterel
