Count engines as open by their queues, and price no retries

A prefill of 300,000 tokens takes one engine longer than the target, so that no engine counted as open to it; nor did any to prompts whose target was nearly over. A prompt whose engine had failed was outpriced by its own first dispatch (test_reserved_memory).

Change: half of the target at most counts as prefill, targets count from the start, retries go unpriced, late prompts pay the price also if they are drawn to go unpriced.

--- a/src/gateway/engine_time_price.cpp
+++ b/src/gateway/engine_time_price.cpp
@@ -16,6 +16,8 @@
 constexpr double OpenDeviations = 2.0;
 /// Part of all engine time that prompts need for their target to count as the most urgent one.
 constexpr double MinUrgentShare = 0.03;
+/// Prompts count as denser if they earn this many times as much for the time.
+constexpr double MinDensityRatio = 1.02;
 constexpr double MinEngineSeconds = 1e-3;
 
 } // namespace
@@ -52,7 +54,7 @@
     bucket.prompts += 1;
     bucket.engineSeconds += seconds;
     bucket.value += demand.value;
-    bucket.targetSeconds += toSeconds(demand.firstEventTarget - demand.elapsed);
+    bucket.targetSeconds += toSeconds(demand.firstEventTarget);
     bucket.prefillSeconds += toSeconds(prefillTime(engine, demand.promptTokens, 1));
 }
 
@@ -71,7 +73,7 @@
     const double minSeconds =
             MinUrgentShare * this->busyEngines(this->updatedAt) * toSeconds(RatePeriod);
     for (const auto &[density, bucket] : this->buckets) {
-        if (bucket.value <= valuePerSecond * bucket.engineSeconds)
+        if (bucket.value <= valuePerSecond * bucket.engineSeconds * MinDensityRatio)
             continue;
         sum.engineSeconds += bucket.engineSeconds;
         sum.value += bucket.value;
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -74,7 +74,10 @@
     best->reservesMemory = this->reservesMemory(*pool.engine, *best);
     result.bestPlan = best;
     const double price = this->priceOf(*pool.engine, demand, *best, candidateList, now);
-    const bool isUnpriced = demand.answerStarted || demand.fairnessDraw < UnpricedFraction;
+    // A prompt that was taken once is not turned away for its price after a failure.
+    const bool isUnpriced =
+            demand.answerStarted || !excluded.empty()
+            || (demand.fairnessDraw < UnpricedFraction && demand.elapsed < demand.firstEventTarget);
     if (best->expectedLoss <= this->maxAcceptableLoss(demand)
         && (isUnpriced || demand.value - best->expectedLoss >= price)) {
         result.plan = best;
@@ -200,11 +203,12 @@
     const double earned = std::max(0.0, demand.value - plan.expectedLoss);
     const DenserPrompts denser = this->engineTimePrice.denserPrompts(earned / engineSeconds, now);
     const double limitSeconds = toSeconds(denser.firstEventTarget) * OpenTargetFraction;
+    // Several engines share a prefill that takes one of them too long.
+    const Duration prefill = std::min(denser.prefill, fromSeconds(limitSeconds / 2));
     const auto openEngines = static_cast<double>(std::count_if(
             candidateList.begin(), candidateList.end(), [&](const PlacementCandidate &candidate) {
                 return candidate.load->promptCount() < engine.slots
-                       && toSeconds(candidate.load->predictTimeToFirstEvent(engine, denser.prefill,
-                                                                            false))
+                       && toSeconds(candidate.load->predictTimeToFirstEvent(engine, prefill, false))
                                   <= limitSeconds;
             }));
     return EngineTimePrice::price(denser, openEngines, engineSeconds);
