Hosts take the places of a fresh engine in turn

Change: each host waits for its turn, a hash of host, engine and latest prompt spread over the time that the latest first event took (50 ms before the first), divided by the free places. Prompts of the last 20 ms count at the start, up to a window. A prompt that is overdue halves the window before its event. Nothing new is sent; older hosts send as before.

--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -43,7 +43,7 @@
     , log(log)
     , serverLimits(ServerLimitSettings{}, hostHash, log)
     , warmUps(log)
-    , serverPace(timings.pace, log)
+    , serverPace(timings.pace, log, hostHash)
 {}
 
 bool ServerFleet::put(const GatewayServer &server, TimePoint now)
--- a/src/gateway/server_pace.h
+++ b/src/gateway/server_pace.h
@@ -4,8 +4,10 @@
 #include "core/time.h"
 #include "gateway/engine_load.h"
 
+#include <deque>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace dotterel {
@@ -20,6 +22,13 @@
     Duration maxTime = std::chrono::seconds(2);
     /// A prompt without a first event counts as waiting until this long after it was due.
     Duration maxOverdue = std::chrono::seconds(1);
+    /// Hosts take a free place in turn, spread over the time that the latest first event took;
+    /// this is the spread before the first one. Prompts cross for about a tenth of it.
+    Duration initialTurn = std::chrono::milliseconds(50);
+    Duration maxTurn = std::chrono::seconds(1);
+    /// Hosts hear of an incarnation within this time of its start. The latest prompts that were
+    /// sent to the server in that time may have reached it; up to a window of them count.
+    Duration newsDelay = std::chrono::milliseconds(20);
 };
 
 /// Why a server is paced.
@@ -35,14 +44,19 @@
 /// takes its share. Such an engine looks empty to all hosts at once, and its estimate says nothing
 /// yet of how it works. The number of prompts that may wait for their first event starts small and
 /// grows by one with each first event in time, which doubles it in the time of one; it is halved by
-/// a late one, and falls to one with a failure. Hosts hear of the prompts of all hosts, so that
-/// their windows move alike. Performs no I/O.
+/// a late one, also before it comes, and falls to one with a failure. Hosts hear of the prompts of
+/// all hosts, so that their windows move alike. A free place is seen by all of them at once, and a
+/// prompt stays unknown to the others while its notice travels; hence hosts take places in turn, in
+/// an order drawn anew with each change and spread over the time that the latest first event took.
+/// Performs no I/O.
 class ServerPace
 {
 public:
-    ServerPace(const ServerPaceSettings &settings, EventLog &log)
+    /// \a hostHash differs between the hosts that share the servers; 0 if this one is alone.
+    ServerPace(const ServerPaceSettings &settings, EventLog &log, std::uint32_t hostHash = 0)
         : settings(settings)
         , log(log)
+        , hostHash(hostHash)
     {}
 
     /// Starts to pace \a server, which runs \a slots prompts at once.
@@ -61,7 +75,7 @@
     /// Records that \a server refused a request, failed it or did not answer.
     void onSetback(const ServerId &server, TimePoint now);
 
-    /// Returns true if \a server may get another prompt.
+    /// Returns true if \a server may get another prompt, from this host and now.
     bool admits(const ServerId &server, TimePoint now) const;
 
     /// Returns the number of prompts that may wait at \a server; nullopt if it is not paced.
@@ -87,16 +101,26 @@
         TimePoint startedAt;
         std::optional<TimePoint> endsAt; ///< Set by the first prompt.
         TimePoint setbackAt;             ///< Prompts from before it have had their effect.
+        Duration turn{0};                ///< Time over which the hosts' turns are spread.
+        TimePoint changedAt;             ///< When the turns were drawn.
+        double position = 0;             ///< Of this host's turn, from 0 to 1.
         std::vector<WaitingPrompt> waiting;
     };
 
     static bool isOver(const Record &record, TimePoint now);
+    std::size_t waitingCount(const Record &record, TimePoint now) const;
+    std::size_t windowOf(const Record &record, TimePoint now) const;
+    void rememberPrompt(const ServerId &server, const WaitingPrompt &prompt);
+    void forgetRecent(const PromptKey &key);
+    void drawTurn(const ServerId &server, Record &record, std::uint64_t sequence, TimePoint now);
     void shrink(Record &record, std::size_t window, TimePoint now);
     void end(std::map<ServerId, Record>::iterator record, TimePoint now);
 
     ServerPaceSettings settings;
     EventLog &log;
+    std::uint32_t hostHash;
     std::map<ServerId, Record> records;
+    std::deque<std::pair<ServerId, WaitingPrompt>> recentPrompts; ///< Within newsDelay.
 };
 
 } // namespace dotterel
--- a/tests/gateway/test_server_pace.cpp
+++ b/tests/gateway/test_server_pace.cpp
@@ -2,8 +2,10 @@
 
 #include "support/limited_fleet.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdio>
+#include <vector>
 
 using namespace dotterel;
 using namespace dotterel::support;
@@ -66,6 +68,16 @@
         CHECK_FALSE(pace.onFirstEvent({2, 1}, start + milliseconds(410)));
         CHECK(pace.window("llm-1", start + milliseconds(410)) == 4);
     }
+    SECTION("one that is due halves it before its first event comes")
+    {
+        for (std::uint64_t prompt = 2; prompt < 6; ++prompt) {
+            pace.onDispatched("llm-1", {1, prompt}, due, start + milliseconds(10));
+            pace.onFirstEvent({1, prompt}, start + milliseconds(20));
+        }
+        CHECK(pace.window("llm-1", start + milliseconds(300)) == 6);
+        CHECK(pace.window("llm-1", start + milliseconds(301)) == 3);
+        CHECK(pace.admits("llm-1", start + milliseconds(301)));
+    }
     SECTION("a failure leaves one, and an end without a first event frees its place")
     {
         pace.onSetback("llm-1", start + milliseconds(50));
@@ -91,6 +103,48 @@
     }
 }
 
+TEST_CASE("Hosts that see the same free place of an engine take it in turn",
+          "[Gateway][ServerPace]")
+{
+    constexpr std::uint32_t HostCount = 100;
+    NullEventLog log;
+    std::vector<ServerPace> hosts;
+    for (std::uint32_t host = 1; host <= HostCount; ++host)
+        hosts.emplace_back(pacedSettings(), log, host);
+    const TimePoint start{seconds(100)};
+    const auto admitting = [&hosts](TimePoint now) {
+        return std::count_if(hosts.begin(), hosts.end(),
+                             [now](const auto &host) { return host.admits("llm-1", now); });
+    };
+
+    SECTION("the turns are spread over the time that the latest first event took")
+    {
+        for (ServerPace &host : hosts) {
+            host.start("llm-1", 12, PaceReason::Started, start);
+            host.onDispatched("llm-1", {1, 1}, start + milliseconds(300), start);
+            host.onDispatched("llm-1", {2, 1}, start + milliseconds(300), start);
+            host.onFirstEvent({1, 1}, start + milliseconds(400));
+            host.onFirstEvent({2, 1}, start + milliseconds(400));
+        }
+        CHECK(admitting(start + milliseconds(420)) <= 10);
+        CHECK(admitting(start + milliseconds(800)) == HostCount);
+    }
+    SECTION("a host that hears of the start late counts what others have just sent")
+    {
+        for (ServerPace &host : hosts) {
+            host.onDispatched("llm-1", {1, 1}, start + milliseconds(300), start);
+            host.onDispatched("llm-1", {2, 1}, start + milliseconds(300), start);
+            host.onDispatched("llm-1", {3, 1}, start + milliseconds(300), start);
+            host.onEnded({3, 1});
+            host.start("llm-1", 12, PaceReason::Started, start + milliseconds(15));
+        }
+        CHECK(admitting(start + milliseconds(200)) == 0);
+        for (ServerPace &host : hosts)
+            host.onFirstEvent({2, 1}, start + milliseconds(200));
+        CHECK(admitting(start + milliseconds(300)) == HostCount);
+    }
+}
+
 TEST_CASE("An engine that had started was left idle for what an earlier incarnation left undone",
           "[Gateway][ServerPace]")
 {
