Lend retries between the hosts of a fleet

Cause: each host could only spend its part of the fleet's retry budget. In fleets of more than 53 hosts every host also kept at least one whole retry, so that a fleet of 195 hosts could spend 195 at once of a slack of 106.

Change: hosts keep fractions, ask a few others for tokens when a request lacks a retry, and get loans that the lender takes out of its own share. A token is never at two hosts, so late, lost and repeated messages, cuts and hosts of the earlier version cannot break the limit. Credit of requests fades within a window, as the rule counts requests of one window.

--- a/src/core/metric_catalogue.cpp
+++ b/src/core/metric_catalogue.cpp
@@ -53,6 +53,7 @@
          "Suspects of crashes that this host cleared since they ran to completion."},
         {Counter::CrashNoticesApplied,
          "Crash notices of other entry hosts that contained a new crash or clearance."},
+        {Counter::RetriesAwaited, "Retries that waited for other hosts to lend retry budget."},
         {Counter::RetriesWithheld, "Retries suppressed by the retry budget."},
         {Counter::StreamsTorn,
          "Streams that ended inside an event, or with their connection before their first event."},
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -62,6 +62,7 @@
     CrashSuspects,
     CrashSuspectsCleared,
     CrashNoticesApplied,
+    RetriesAwaited,  ///< Retries that waited for parts of other hosts' retry budgets.
     RetriesWithheld, ///< Retries that the retry budget did not allow.
     StreamsTorn,     ///< Streams whose framing was whole and whose events were not.
     ResponsesTooLarge,
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -83,6 +83,8 @@
     void publishServerLeaving(const ServerLeavingNotice &notice) override;
     void publishServerLimit(const ServerLimitNotice &notice) override;
     void publishServerWarmUp(const ServerWarmUpNotice &notice) override;
+    void sendRetryAsk(std::uint32_t host, const RetryAsk &ask) override;
+    void sendRetryLoan(std::uint32_t host, const RetryLoan &loan) override;
     void publishCrashNotice(const CrashNotice &notice) override;
 
     // PeerListener
@@ -107,6 +109,8 @@
                             const CollectionFeed::ChangeContext &context);
     void onPromptUpdates(const PromptUpdateBatch &update);
     void updatePromptPeers();
+    /// Returns where the host with this incarnation hash gets updates; nullptr if it is not live.
+    const Endpoint *updateEndpoint(std::uint32_t senderHash) const;
     void addRemoteDispatch(std::uint32_t senderHash, const RunningPrompt &running, bool isNew);
     /// Counts the requests of hosts of earlier versions to servers that warm up.
     void countRemoteDispatch(std::uint32_t senderHash, const PromptUpdate &dispatch);
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -158,6 +158,10 @@
     this->promptSenders = std::move(liveSenders);
     this->promptUpdatePeers.setLive(peers);
     this->liveUpdatePeers = std::move(updatePeers);
+    std::vector<std::uint32_t> lenders;
+    for (const UpdatePeer &peer : this->liveUpdatePeers)
+        lenders.push_back(peer.senderHash);
+    this->controller.setRetryLenders(std::move(lenders));
     this->updatePromptPeers();
     this->retryAllowance.setHostCount(
             std::max<std::size_t>(live.size(), this->settings.sharedHosts));
@@ -166,6 +170,27 @@
     this->checkReach();
 }
 
+const Endpoint *GatewayHost::updateEndpoint(std::uint32_t senderHash) const
+{
+    for (const UpdatePeer &peer : this->liveUpdatePeers) {
+        if (peer.senderHash == senderHash)
+            return &peer.endpoint;
+    }
+    return nullptr;
+}
+
+void GatewayHost::sendRetryAsk(std::uint32_t host, const RetryAsk &ask)
+{
+    if (const Endpoint *endpoint = this->updateEndpoint(host))
+        this->promptUpdates.sendRetryAsk(*endpoint, ask);
+}
+
+void GatewayHost::sendRetryLoan(std::uint32_t host, const RetryLoan &loan)
+{
+    if (const Endpoint *endpoint = this->updateEndpoint(host))
+        this->promptUpdates.sendRetryLoan(*endpoint, loan);
+}
+
 void GatewayHost::updatePromptPeers()
 {
     const TimePoint now = this->loop.now();
@@ -348,6 +373,12 @@
     }
     for (const ServerLeavingNotice &notice : update.leavingServers)
         this->recordLeaving(notice);
+    for (const RetryAsk &ask : update.retryAsks)
+        this->controller.onRetryAsk(update.senderHash, ask, now);
+    for (const RetryLoan &loan : update.retryLoans)
+        this->controller.onRetryLoan(update.senderHash, loan, now);
+    if (!update.retryLoans.empty())
+        this->scheduleControllerTimer();
     if (!update.poolsOutOfReach.empty())
         this->relayPeers.onOutOfReach(update.senderHash, update.poolsOutOfReach, now);
     for (const std::uint32_t server : update.workingServers)
--- a/src/entry_host/prompt_update_channel.cpp
+++ b/src/entry_host/prompt_update_channel.cpp
@@ -166,6 +166,22 @@
         this->socket.send(peer, bytes);
 }
 
+void PromptUpdateChannel::sendRetryAsk(const Endpoint &peer, const RetryAsk &ask)
+{
+    PromptUpdateBatch batch;
+    batch.senderHash = this->pending.senderHash;
+    batch.retryAsks.push_back(ask);
+    this->socket.send(peer, encodePromptUpdates(batch));
+}
+
+void PromptUpdateChannel::sendRetryLoan(const Endpoint &peer, const RetryLoan &loan)
+{
+    PromptUpdateBatch batch;
+    batch.senderHash = this->pending.senderHash;
+    batch.retryLoans.push_back(loan);
+    this->socket.send(peer, encodePromptUpdates(batch));
+}
+
 void PromptUpdateChannel::sendRunning(const Endpoint &peer,
                                       const std::vector<RunningPrompt> &prompts)
 {
--- a/src/entry_host/prompt_update_channel.h
+++ b/src/entry_host/prompt_update_channel.h
@@ -45,6 +45,10 @@
     /// Tells the peers that the servers with these hashes of their ids work.
     void announceWorking(const std::vector<std::uint32_t> &serverHashes);
 
+    /// Sends an ask for, or a loan of, retry budget to \a peer at once.
+    void sendRetryAsk(const Endpoint &peer, const RetryAsk &ask);
+    void sendRetryLoan(const Endpoint &peer, const RetryLoan &loan);
+
     /// Sends \a limits or \a warmUps to \a peer.
     void sendLimits(const Endpoint &peer, const std::vector<ServerLimitNotice> &limits);
     void sendWarmUps(const Endpoint &peer, const std::vector<ServerWarmUpNotice> &warmUps);
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/metrics.h"
 #include "gateway/event_stream_splitter.h"
 #include "gateway/forward_effects.h"
 #include "gateway/memory_releases.h"
@@ -55,6 +56,13 @@
     bool isDiscarded() const;
 };
 
+/// A retry that waits until the hosts of the fleet have lent enough of their budgets.
+struct AwaitedRetry
+{
+    RetryReason reason = RetryReason::ServerFailed;
+    TimePoint since;
+};
+
 /// One caller request, from its arrival to the end of its response.
 struct ForwardCall
 {
@@ -82,9 +90,10 @@
     /// Server whose reused connection was lost at once; empty if there is none.
     ServerId unverifiedServer;
     std::optional<ForwardAttempt> attempt;
-    std::optional<TimePoint> heldUntil;    ///< When the placement of a held prompt is repeated.
-    Duration heldTime = Duration::zero();  ///< Total time that the prompt was held.
-    std::optional<PromptPlan> pendingPlan; ///< Plan that waits for its memory reservations.
+    std::optional<TimePoint> heldUntil;       ///< When the placement of a held prompt is repeated.
+    Duration heldTime = Duration::zero();     ///< Total time that the prompt was held.
+    std::optional<AwaitedRetry> awaitedRetry; ///< Set while heldUntil is its next round.
+    std::optional<PromptPlan> pendingPlan;    ///< Plan that waits for its memory reservations.
     std::vector<MemoryReservation> reservations;
     std::size_t reservationRounds = 0; ///< Plans that failed for lack of memory.
     TimePoint reservedAt;              ///< When the memory of the plan in force was asked for.
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -68,6 +68,7 @@
     , promptHold(PromptHoldSettings{})
     , servicePlacement(servicePlacement)
     , retryBudget(retryBudget)
+    , retryLending(retryBudget, senderHash, random)
     , crashGuard(crashGuard)
     , partGuard(partGuard)
     , reach(reach)
@@ -173,25 +174,21 @@
             continue;
         if (call.heldUntil && now >= *call.heldUntil) {
             call.heldUntil.reset();
-            this->dispatch(call, now);
+            if (call.awaitedRetry)
+                this->tryAwaitedRetry(call, now);
+            else
+                this->dispatch(call, now);
             continue;
         }
         // An inactive server may still respond, so its attempt is cancelled only if a retry is
         // allowed.
-        if (call.attempt && now >= this->inactivityDeadline(call)
-            && this->mayRetry(call, Verdict::MayHaveRun, now)
-            && this->retryBudget.tryConsume(call.pool, now)) {
-            this->logFailedAttempt(call, "silent", Verdict::MayHaveRun, now);
-            this->doubtIfSilent(call, now);
-            this->effects.cancelAttempt(call.attempt->id);
-            const bool noResponse = call.attempt->status == 0;
-            if (!call.attempt->isRelayed())
-                this->recordPathFailure(call, true, call.attempt->lastDataAt, now);
-            this->endAttempt(call, noResponse ? AttemptOutcome::Silent : AttemptOutcome::Failed,
-                             now);
-            this->retryOrRefuse(
-                    call, {Verdict::MayHaveRun, RetryReason::FirstTokenTimeout, false, true}, now);
-            continue;
+        if (!call.awaitedRetry && this->isReplaceable(call, now)) {
+            if (this->tryConsumeRetry(call, now)) {
+                this->replaceSilentAttempt(call, now);
+                continue;
+            }
+            if (this->awaitRetry(call, RetryReason::FirstTokenTimeout, now))
+                continue;
         }
         this->scheduleTimer(call, now);
     }
@@ -304,6 +301,7 @@
         this->callsByAttempt.erase(call.attempt->id);
         this->totalHeldBytes -= call.attempt->heldBytes;
     }
+    this->endRetryWait(call);
     this->releaseReservations(call, now);
     this->calls.erase(call.id);
 }
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -8,7 +8,7 @@
 #include "gateway/prompt_placement.h"
 #include "gateway/relay_peers.h"
 #include "gateway/response_limits.h"
-#include "gateway/retry_budget.h"
+#include "gateway/retry_lending.h"
 #include "gateway/return_schedule.h"
 #include "gateway/service_reach.h"
 #include "gateway/suspect_probes.h"
@@ -90,6 +90,16 @@
     /// Applies a crash notice of another host. Returns true if it has to be passed on.
     bool onCrashNotice(const CrashNotice &notice, TimePoint now);
 
+    /// Sets the other hosts that share the retry budget, by the hashes of their incarnations.
+    void setRetryLenders(std::vector<std::uint32_t> hosts)
+    {
+        this->retryLending.setHosts(std::move(hosts));
+    }
+
+    /// The host \a host asks for a part of this host's retry budget, or has lent some of its own.
+    void onRetryAsk(std::uint32_t host, const RetryAsk &ask, TimePoint now);
+    void onRetryLoan(std::uint32_t host, const RetryLoan &loan, TimePoint now);
+
     /// An engine granted or rejected the memory reservation \a reservationId.
     void onReservationResult(const std::string &reservationId, bool granted, TimePoint now);
 
@@ -191,6 +201,22 @@
     };
     /// Retries a request after a failed attempt, or refuses it if no retry is possible.
     void retryOrRefuse(ForwardCall &call, const AttemptFailure &failure, TimePoint now);
+    /// Consumes a retry of the budget for \a call; returns false if the share of this host is
+    /// exhausted.
+    bool tryConsumeRetry(ForwardCall &call, TimePoint now);
+    /// Waits for other hosts to lend a retry; returns false if there is no use in it.
+    bool awaitRetry(ForwardCall &call, RetryReason reason, TimePoint now);
+    /// Retries a request that waited, if the budget allows it now. Otherwise goes on waiting, or
+    /// gives up.
+    void tryAwaitedRetry(ForwardCall &call, TimePoint now);
+    void endRetryWait(ForwardCall &call);
+    void askForRetries(const std::string &pool, TimePoint now);
+    /// Returns the name of the pool with this hash; empty if there is none.
+    std::string poolByHash(std::uint32_t hash) const;
+    /// Returns true if the attempt has been inactive for too long and may be replaced.
+    bool isReplaceable(const ForwardCall &call, TimePoint now) const;
+    /// Gives up an inactive attempt, whose replacement has been charged to the retry budget.
+    void replaceSilentAttempt(ForwardCall &call, TimePoint now);
     /// Handles an error status or an invalid response: retries if possible, otherwise forwards the
     /// response if it may be forwarded to callers, and refuses the request if not.
     void retryOrForward(ForwardCall &call, bool invalidResponse, TimePoint now);
@@ -268,6 +294,7 @@
     PromptHold promptHold;
     ServicePlacement &servicePlacement;
     RetryBudget &retryBudget;
+    RetryLending retryLending;
     CrashGuard &crashGuard;
     PromptPartGuard &partGuard;
     ServiceReach &reach;
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -367,6 +367,7 @@
 void ForwardController::retryOrRefuse(ForwardCall &call, const AttemptFailure &failure,
                                       TimePoint now)
 {
+    this->endRetryWait(call);
     const bool connected = failure.reason != RetryReason::ConnectFailed;
     if (!connected || failure.lostAtOnce) {
         // The request did not reach the server as far as is known, so it does not count against the
@@ -382,7 +383,9 @@
             reason = Reason::BackendFailed;
         return this->refuse(call, reason, this->delayWithoutServer(call.pool, now), now);
     }
-    if (connected && !failure.retryCharged && !this->retryBudget.tryConsume(call.pool, now)) {
+    if (connected && !failure.retryCharged && !this->tryConsumeRetry(call, now)) {
+        if (this->awaitRetry(call, failure.reason, now))
+            return;
         this->metrics.count(Counter::RetriesWithheld, 1);
         return this->refuse(call, Reason::RetryBudgetExhausted, NoServerRetryAfter, now);
     }
--- a/src/gateway/forward_effects.h
+++ b/src/gateway/forward_effects.h
@@ -67,6 +67,11 @@
     /// Tells the other hosts of a server that warms up.
     virtual void publishServerWarmUp(const ServerWarmUpNotice &notice) = 0;
 
+    /// Asks the host \a host, by the hash of its incarnation, for a part of its retry budget, or
+    /// lends it one. Sent at once, as requests wait for it.
+    virtual void sendRetryAsk(std::uint32_t host, const RetryAsk &ask) = 0;
+    virtual void sendRetryLoan(std::uint32_t host, const RetryLoan &loan) = 0;
+
     /// Sends a crash notice about a request fingerprint to the other hosts.
     virtual void publishCrashNotice(const CrashNotice &notice) = 0;
 };
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -154,7 +154,10 @@
         const Reason reason = call.mayHaveRun ? Reason::BackendFailed : Reason::ServiceOutOfReach;
         return this->refuse(call, reason, this->delayWithoutServer(call.pool, now), now);
     }
-    if (verdict != Verdict::NotRun && !this->retryBudget.tryConsume(call.pool, now)) {
+    this->endRetryWait(call);
+    if (verdict != Verdict::NotRun && !this->tryConsumeRetry(call, now)) {
+        if (this->awaitRetry(call, RetryReason::ServerFailed, now))
+            return;
         this->metrics.count(Counter::RetriesWithheld, 1);
         return this->refuse(call, Reason::RetryBudgetExhausted, std::nullopt, now);
     }
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -249,10 +249,10 @@
     const int status = call.attempt->status;
     this->logFailedAttempt(call, invalidResponse ? "spoiled" : "failed", Verdict::Ran, now);
     // An error status of the server is a valid response; it is replaced only if a retry is allowed.
-    const bool retry =
-            this->mayRetry(call, Verdict::Ran, now) && this->retryBudget.tryConsume(call.pool, now);
+    const bool allowed = this->mayRetry(call, Verdict::Ran, now);
+    const bool charged = allowed && this->tryConsumeRetry(call, now);
     const bool forwardable = !invalidResponse && !impliesNotRun(status) && !call.responseStarted;
-    if (!retry && forwardable) {
+    if (!charged && forwardable) {
         this->effects.sendResponse(call.id, status,
                                    this->protocol.forwardedResponseHeaders(call.attempt->headers),
                                    call.attempt->unforwardedBody);
@@ -260,11 +260,11 @@
         return this->finish(call, status, now);
     }
     this->endAttempt(call, AttemptOutcome::Failed, now);
-    if (!retry) {
+    if (!allowed) {
         call.mayHaveRun = true;
         return this->refuse(call, Reason::BackendFailed, std::nullopt, now);
     }
-    this->retryOrRefuse(call, {Verdict::Ran, RetryReason::ServerFailed, false, true}, now);
+    this->retryOrRefuse(call, {Verdict::Ran, RetryReason::ServerFailed, false, charged}, now);
 }
 
 void ForwardController::completeStream(ForwardCall &call, TimePoint now)
--- a/src/gateway/prompt_updates.cpp
+++ b/src/gateway/prompt_updates.cpp
@@ -24,6 +24,8 @@
 constexpr const char *WarmUpsKey = "warm_ups";
 constexpr const char *OutOfReachKey = "unreached";
 constexpr const char *WorkingKey = "working";
+constexpr const char *RetryAsksKey = "retry_asks";
+constexpr const char *RetryLoansKey = "retry_loans";
 
 std::int64_t toMs(Duration duration)
 {
@@ -159,6 +161,34 @@
     return notice;
 }
 
+double decodeAmount(const nlohmann::json &json)
+{
+    const auto amount = json.get<double>();
+    if (!(std::isfinite(amount) && amount >= 0))
+        throw nlohmann::json::other_error::create(510, "implausible part of a budget", &json);
+    return amount;
+}
+
+/// Decodes the notices about the retry budget.
+void decodeRetryNotices(const nlohmann::json &json, PromptUpdateBatch &batch)
+{
+    for (const char *key : {RetryAsksKey, RetryLoansKey}) {
+        if (json.contains(key) && json.at(key).size() > MaxUpdates)
+            throw nlohmann::json::other_error::create(511, "more than 1000 retry notices", &json);
+    }
+    if (const auto asks = json.find(RetryAsksKey); asks != json.end()) {
+        for (const nlohmann::json &row : *asks)
+            batch.retryAsks.push_back({row.at(0).get<std::uint32_t>(),
+                                       row.at(1).get<std::uint64_t>(), decodeAmount(row.at(2)),
+                                       decodeAmount(row.at(3))});
+    }
+    if (const auto loans = json.find(RetryLoansKey); loans != json.end()) {
+        for (const nlohmann::json &row : *loans)
+            batch.retryLoans.push_back({row.at(0).get<std::uint32_t>(),
+                                        row.at(1).get<std::uint64_t>(), decodeAmount(row.at(2))});
+    }
+}
+
 /// Decodes the fields that hosts of earlier versions do not send.
 void decodeExtension(const nlohmann::json &json, PromptUpdateBatch &batch)
 {
@@ -184,6 +214,7 @@
         for (const nlohmann::json &row : *warmUps)
             batch.warmUps.push_back(decodeWarmUp(row));
     }
+    decodeRetryNotices(json, batch);
     batch.poolsOutOfReach = decodeHashes(json, OutOfReachKey);
     batch.workingServers = decodeHashes(json, WorkingKey);
     const auto running = json.find(RunningKey);
@@ -221,6 +252,10 @@
         extension[OutOfReachKey] = batch.poolsOutOfReach;
     if (!batch.workingServers.empty())
         extension[WorkingKey] = batch.workingServers;
+    for (const RetryAsk &ask : batch.retryAsks)
+        extension[RetryAsksKey].push_back({ask.poolHash, ask.number, ask.tokens, ask.value});
+    for (const RetryLoan &loan : batch.retryLoans)
+        extension[RetryLoansKey].push_back({loan.poolHash, loan.number, loan.tokens});
     for (const RunningPrompt &prompt : batch.running)
         extension[RunningKey].push_back(encodeRunning(prompt));
     if (!extension.empty())
--- a/src/gateway/prompt_updates.h
+++ b/src/gateway/prompt_updates.h
@@ -2,6 +2,7 @@
 
 #include "core/identity.h"
 #include "gateway/engine_load.h"
+#include "gateway/retry_lending.h"
 #include "gateway/server_limits.h"
 #include "transport/endpoint.h"
 
@@ -70,6 +71,10 @@
     /// Hashes of the ids of servers that work although a host reported them as silent. Hosts of
     /// earlier versions ignore it.
     std::vector<std::uint32_t> workingServers;
+    /// Asks for parts of the receiver's retry budget, and loans of the sender's, for the receiver
+    /// only. Hosts of earlier versions ignore both.
+    std::vector<RetryAsk> retryAsks;
+    std::vector<RetryLoan> retryLoans;
     std::vector<RunningPrompt> running; ///< Reply to joinedAt, a part of the sender's prompts.
 };
 
--- a/src/gateway/retry_budget.h
+++ b/src/gateway/retry_budget.h
@@ -16,14 +16,18 @@
     Duration window = std::chrono::seconds(10); ///< Sliding window of the limit.
 };
 
-/// Share of this host in the retry budget of the fleet, kept as one token bucket for each pool.
-/// Hosts do not coordinate: each one spends its part of the slack plus a ratio of its own requests,
-/// and stays below its share so that the limit holds when the number of hosts is out of date.
+/// Share of this host in the retry budget of the fleet, for each pool. A retry costs one token. The
+/// host gets its part of the slack and a ratio of its own requests, and stays below both so that
+/// the limit holds when the number of hosts is out of date. Hosts may lend each other tokens: what
+/// one adds, another has taken, so that the fleet stays within the limit whatever gets lost.
 class RetryBudget
 {
 public:
     explicit RetryBudget(const RetryBudgetLimits &limits);
 
+    /// How long borrowed tokens last. The lender may have earned new ones by then.
+    static constexpr Duration LoanLifetime = std::chrono::milliseconds(100);
+
     /// Sets the number of hosts that share the limit.
     void setHostCount(std::size_t count) { this->hostCount = count == 0 ? 1 : count; }
 
@@ -33,19 +37,36 @@
     /// Adds the credit that a new request for \a pool earns.
     void onRequest(const std::string &pool, TimePoint now);
 
-    /// Consumes one retry for \a pool; returns false if the budget is exhausted.
+    /// Consumes one retry for \a pool; returns false if the share of this host is exhausted.
     bool tryConsume(const std::string &pool, TimePoint now);
 
+    /// Returns the number of tokens that this host has for \a pool.
+    double available(const std::string &pool, TimePoint now);
+
+    /// Takes at most \a tokens of \a pool out of the share; returns how many.
+    double lend(const std::string &pool, double tokens, TimePoint now);
+
+    /// Adds \a tokens that another host has lent.
+    void borrow(const std::string &pool, double tokens, TimePoint now);
+
+    /// Returns the part of the slack that one host saves up.
+    double slackShare() const;
+
 private:
     struct Bucket
     {
-        double tokens = 0;
+        double slack = 0;
+        double earned = 0;   ///< By requests of this host.
+        double borrowed = 0; ///< Until borrowedUntil.
+        TimePoint borrowedUntil;
         TimePoint refilledAt;
         bool initialized = false;
+
+        double total() const { return this->slack + this->earned + this->borrowed; }
+        double take(double tokens);
     };
 
     Bucket &refill(const std::string &pool, TimePoint now);
-    double bucketCapacity() const;
 
     RetryBudgetLimits limits;
     std::size_t hostCount = 1;
--- a/tests/gateway/test_prompt_updates.cpp
+++ b/tests/gateway/test_prompt_updates.cpp
@@ -105,6 +105,21 @@
         batch.warmUps[0].left = milliseconds(-1);
         CHECK_FALSE(decodePromptUpdates(encodePromptUpdates(batch)));
     }
+    SECTION("asks for retries, and loans")
+    {
+        batch.retryAsks = {{17, 3, 0.35, 2.5}};
+        batch.retryLoans = {{17, 9, 1.25}};
+        const auto decoded = decodePromptUpdates(encodePromptUpdates(batch));
+        REQUIRE(decoded);
+        REQUIRE(decoded->retryAsks.size() == 1);
+        CHECK(decoded->retryAsks[0].poolHash == 17);
+        CHECK(decoded->retryAsks[0].number == 3);
+        CHECK(decoded->retryAsks[0].tokens == 0.35);
+        CHECK(decoded->retryAsks[0].value == 2.5);
+        REQUIRE(decoded->retryLoans.size() == 1);
+        CHECK(decoded->retryLoans[0].number == 9);
+        CHECK(decoded->retryLoans[0].tokens == 1.25);
+    }
     SECTION("running prompts, with their age and remaining prefill")
     {
         batch.running = {{dispatchOf(4), milliseconds(1'200), milliseconds(300)}};
@@ -152,6 +167,9 @@
         CAPTURE(row.description);
         CHECK_FALSE(decodePromptUpdates(cbor(row.batch)));
     }
+    PromptUpdateBatch loan;
+    loan.retryLoans = {{17, 9, -1}};
+    CHECK_FALSE(decodePromptUpdates(encodePromptUpdates(loan)));
     PromptUpdateBatch batch;
     batch.running = {{dispatchOf(4), std::chrono::hours(2), milliseconds(300)}};
     CHECK_FALSE(decodePromptUpdates(encodePromptUpdates(batch)));
--- a/tests/support/forward_bench.cpp
+++ b/tests/support/forward_bench.cpp
@@ -207,6 +207,16 @@
     this->leavingNotices.push_back(notice);
 }
 
+void ForwardBench::sendRetryAsk(std::uint32_t host, const RetryAsk &ask)
+{
+    this->retryAsks.push_back({host, ask});
+}
+
+void ForwardBench::sendRetryLoan(std::uint32_t /*host*/, const RetryLoan &loan)
+{
+    this->retryLoans.push_back(loan);
+}
+
 void ForwardBench::publishServerWarmUp(const ServerWarmUpNotice &notice)
 {
     this->warmUpNotices.push_back(notice);
--- a/tests/support/forward_bench.h
+++ b/tests/support/forward_bench.h
@@ -81,6 +81,8 @@
     std::vector<ServerLeavingNotice> leavingNotices;
     std::vector<ServerLimitNotice> limitNotices;
     std::vector<ServerWarmUpNotice> warmUpNotices;
+    std::vector<RetryLending::AddressedAsk> retryAsks;
+    std::vector<RetryLoan> retryLoans;
     std::vector<CrashNotice> crashNotices;
     bool grantsMemory = false;    ///< Engines reserve memory at once; otherwise the test answers.
     std::size_t queuedBytes = 0;  ///< Number of bytes reported as queued for a caller.
@@ -107,6 +109,8 @@
     void publishServerLeaving(const ServerLeavingNotice &notice) override;
     void publishServerLimit(const ServerLimitNotice &notice) override;
     void publishServerWarmUp(const ServerWarmUpNotice &notice) override;
+    void sendRetryAsk(std::uint32_t host, const RetryAsk &ask) override;
+    void sendRetryLoan(std::uint32_t host, const RetryLoan &loan) override;
     void publishCrashNotice(const CrashNotice &notice) override;
 
     HttpCallId nextCall = 1;
