Count engines that do not answer requests for memory as silent

Change: an engine that answers nothing to an order within 400 ms, and sends nothing else, is suspected and counted by ServiceReach, so that another host is asked if nothing of the pool is heard. If no engine of its failure domain has sent anything since the order, the prompt's next plans avoid the domain. A host whose timer fires 100 ms late has been paused itself and concludes nothing.

Measured: virtual time only; the second plan asks engines of the other domain.

--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -135,9 +135,18 @@
     void onRelayComplete(ForwardCall &call, TimePoint now);
     void onRelayFailed(ForwardCall &call, std::string_view outcome, Verdict verdict, TimePoint now);
     void refuseOutOfReach(ForwardCall &call, TimePoint now);
-    /// Records that the attempt was refused a connection or, from \a since on, got no answer.
+    /// Records that \a server refused a connection or, from \a since on, gave no answer.
     /// \a usedAttempt tells whether the failure cost more than a refused connection.
-    void recordPathFailure(ForwardCall &call, bool usedAttempt, TimePoint since, TimePoint now);
+    void recordPathFailure(ForwardCall &call, const ServerId &server, bool usedAttempt,
+                           TimePoint since, TimePoint now);
+    /// Records that the engine of \a reservation did not answer the order to reserve memory, if
+    /// that shows anything about it.
+    void recordUnansweredOrder(ForwardCall &call, const MemoryReservation &reservation,
+                               TimePoint now);
+    /// Excludes the servers of \a domain from the next plans if none has sent anything to this host
+    /// since \a since.
+    void avoidSilentDomain(ForwardCall &call, const std::string &domain, TimePoint since,
+                           TimePoint now);
     /// Holds the prompt if that is expected to find a better place for it; returns true if it is
     /// held.
     bool hold(ForwardCall &call, const PromptPlacementResult &decision, TimePoint now);
--- a/src/gateway/forward_memory.cpp
+++ b/src/gateway/forward_memory.cpp
@@ -21,6 +21,8 @@
 constexpr Duration UnusedExpiryMargin = std::chrono::milliseconds(500);
 /// Plans that are tried if engines refuse memory, each without the engines that refused before.
 constexpr std::size_t MaxReservationRounds = 6;
+/// A timer that fires later than this shows that this host was paused or is overloaded.
+constexpr Duration MaxTimerDelay = std::chrono::milliseconds(100);
 constexpr Duration MemoryRetryAfter = std::chrono::seconds(1);
 
 } // namespace
@@ -151,24 +153,65 @@
                                             TimePoint now)
 {
     std::string servers;
+    std::vector<MemoryReservation> unanswered;
     for (const MemoryReservation &reservation : call.reservations) {
         servers += reservation.server + (reservation.granted ? " granted " : " not granted ");
         const bool unavailable =
                 refusedBy.empty() ? !reservation.granted : reservation.server == refusedBy;
         if (unavailable)
             this->promptPlacement.onMemoryRefused(reservation.server, now);
+        if (unavailable && refusedBy.empty())
+            unanswered.push_back(reservation);
     }
     this->log.write(Event::AllocationReserveFailed,
                     {{"request", call.metadata.requestId},
                      {"prompt_tokens", static_cast<std::int64_t>(call.metadata.promptTokens)},
                      {"round", static_cast<std::int64_t>(call.reservationRounds)},
                      {"servers", servers}});
+    for (const MemoryReservation &reservation : unanswered)
+        this->recordUnansweredOrder(call, reservation, now);
     this->releaseReservations(call, now);
     if (++call.reservationRounds < MaxReservationRounds)
         return this->dispatch(call, now);
     this->refuse(call, Reason::MemoryUnavailable, MemoryRetryAfter, now);
 }
 
+void ForwardController::recordUnansweredOrder(ForwardCall &call,
+                                              const MemoryReservation &reservation, TimePoint now)
+{
+    const ServerId &server = reservation.server;
+    const TimePoint orderedAt = reservation.orderedAt;
+    const GatewayServer *known = this->fleet.find(server);
+    if (known == nullptr || orderedAt == TimePoint() || now - orderedAt < GrantTimeout)
+        return;
+    // This host itself may have been paused, and has not read the answers yet.
+    if (now - orderedAt > GrantTimeout + MaxTimerDelay)
+        return;
+    call.triedServers.insert(server);
+    // An engine that sends anything else is only slow at granting.
+    const std::optional<TimePoint> lastSign = this->fleet.lastOwnSign(server);
+    if (lastSign && *lastSign > orderedAt)
+        return;
+    this->avoidSilentDomain(call, known->failureDomain, orderedAt, now);
+    this->fleet.onAttemptOutcome(server, AttemptOutcome::Silent, now, orderedAt);
+    this->recordPathFailure(call, server, true, orderedAt, now);
+}
+
+void ForwardController::avoidSilentDomain(ForwardCall &call, const std::string &domain,
+                                          TimePoint since, TimePoint now)
+{
+    std::vector<ServerId> servers;
+    for (const GatewayServer *server : this->fleet.all(now)) {
+        if (server->failureDomain != domain || server->pool != call.pool)
+            continue;
+        const std::optional<TimePoint> lastSign = this->fleet.lastOwnSign(server->id);
+        if (lastSign && *lastSign > since)
+            return;
+        servers.push_back(server->id);
+    }
+    call.triedServers.insert(servers.begin(), servers.end());
+}
+
 bool ForwardController::onReservationsDue(ForwardCall &call, TimePoint now)
 {
     if (call.pendingPlan) {
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -53,11 +53,11 @@
     this->dispatch(call, now);
 }
 
-void ForwardController::recordPathFailure(ForwardCall &call, bool usedAttempt, TimePoint since,
-                                          TimePoint now)
+void ForwardController::recordPathFailure(ForwardCall &call, const ServerId &server,
+                                          bool usedAttempt, TimePoint since, TimePoint now)
 {
     const std::size_t poolSize = this->fleet.size(call.pool, now);
-    this->reach.onFailure(call.pool, call.attempt->server, poolSize, since, now);
+    this->reach.onFailure(call.pool, server, poolSize, since, now);
     if (!this->reach.hasHeardSince(call.pool, since))
         call.pathFailures += usedAttempt ? PathFailuresBeforeRelay : 1;
 }
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -344,14 +344,15 @@
                              && call->attempt->status == 0 && now - sentAt < MaxPathResetTime;
     // The one retry that a route may allow has to take another path.
     if (resetAtOnce)
-        this->recordPathFailure(*call, true, sentAt, now);
+        this->recordPathFailure(*call, call->attempt->server, true, sentAt, now);
     if (!connectFailed && !lostAtOnce)
         return this->onResponseBroken(*call, "broken", verdict, now);
     this->logFailedAttempt(*call, connectFailed ? "unreachable" : "lost_at_once", verdict, now);
     const ServerId server = call->attempt->server;
     if (connectFailed) {
         const bool wasSilent = now - call->attempt->sentAt >= ConnectTimeout;
-        this->recordPathFailure(*call, wasSilent, wasSilent ? call->attempt->sentAt : now, now);
+        this->recordPathFailure(*call, call->attempt->server, wasSilent,
+                                wasSilent ? call->attempt->sentAt : now, now);
     }
     if (connectFailed && now - call->attempt->sentAt < ConnectTimeout) {
         if (this->fleet.onConnectionRefused(server, now))
--- a/src/gateway/forward_retries.cpp
+++ b/src/gateway/forward_retries.cpp
@@ -116,7 +116,7 @@
     this->effects.cancelAttempt(call.attempt->id);
     const bool noResponse = call.attempt->status == 0;
     if (!call.attempt->isRelayed())
-        this->recordPathFailure(call, true, call.attempt->lastDataAt, now);
+        this->recordPathFailure(call, call.attempt->server, true, call.attempt->lastDataAt, now);
     this->endAttempt(call, noResponse ? AttemptOutcome::Silent : AttemptOutcome::Failed, now);
     this->retryOrRefuse(call, {Verdict::MayHaveRun, RetryReason::FirstTokenTimeout, false, true},
                         now);
--- a/tests/gateway/test_forward_prompts.cpp
+++ b/tests/gateway/test_forward_prompts.cpp
@@ -7,6 +7,7 @@
 using namespace dotterel;
 using namespace dotterel::support;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 TEST_CASE("A prompt stays at a busy engine and leaves a dark one", "[Gateway][ForwardController]")
 {
@@ -130,6 +131,91 @@
     }
 }
 
+TEST_CASE("Engines that do not answer a request for memory", "[Gateway][ForwardController]")
+{
+    // Replays a failure domain that is cut off while a large prompt arrives.
+    constexpr int EngineCount = 20;
+    ForwardBench bench;
+    for (int index = 0; index < EngineCount; ++index) {
+        const ServerId id = "e-" + std::to_string(index);
+        bench.addServer(id, "engines");
+        GatewayServer server = *bench.fleet.find(id);
+        server.failureDomain = index % 2 == 0 ? "centro-b" : "centro-c";
+        bench.fleet.put(server, bench.now);
+    }
+    const HttpCallId running = bench.request("/questions/", {{"Tokens", "500,100"}});
+    REQUIRE(bench.sentAttempts.size() == 1);
+    const HttpCallId call = bench.request("/archives/", {{"Tokens", "450000,700"}});
+    const std::vector<MemoryReservationRequest> first = bench.reservationRequests;
+    REQUIRE(first.size() >= 2);
+    const std::string silent = bench.fleet.find(first[0].server)->failureDomain;
+    const auto hearFrom = [&bench](const auto &includes) {
+        for (int index = 0; index < EngineCount; ++index) {
+            const ServerId id = "e-" + std::to_string(index);
+            if (includes(id))
+                bench.fleet.onSignOfLife(id, bench.now);
+        }
+        bench.reach.onContact("engines", bench.now);
+    };
+
+    SECTION("are left alone with their whole domain if nothing there sends anything")
+    {
+        bench.advanceTime(milliseconds(100));
+        hearFrom([&](const ServerId &id) { return bench.fleet.find(id)->failureDomain != silent; });
+        bench.advanceTime(milliseconds(310));
+        std::size_t asked = 0;
+        for (std::size_t index = first.size(); index < bench.reservationRequests.size(); ++index) {
+            const MemoryReservationRequest &request = bench.reservationRequests[index];
+            if (request.tokens == 0)
+                continue;
+            ++asked;
+            CHECK(bench.fleet.find(request.server)->failureDomain != silent);
+        }
+        CHECK(asked >= 2);
+        CHECK(bench.outcome(call).status == 0);
+    }
+    SECTION("are not suspected if they send events meanwhile")
+    {
+        bench.advanceTime(milliseconds(100));
+        hearFrom([](const ServerId & /*id*/) { return true; });
+        bench.advanceTime(milliseconds(310));
+        CHECK(bench.fleet.usable("engines", bench.now).size() == std::size_t{EngineCount});
+    }
+    SECTION("are not suspected if this host was paused")
+    {
+        bench.now += seconds(1);
+        bench.controller.onTimer(bench.now);
+        std::set<ServerId> usable;
+        for (const GatewayServer *server : bench.fleet.usable("engines", bench.now))
+            usable.insert(server->id);
+        for (const MemoryReservationRequest &request : first)
+            CHECK(usable.count(request.server) == 1);
+    }
+    SECTION("and pause for a second keep the work that runs there")
+    {
+        bench.controller.onAttemptHead(bench.sentAttempts[0].id, 200, {{"Signed", "s"}}, bench.now);
+        bench.controller.onAttemptData(bench.sentAttempts[0].id, "id: 1\ndata: x\n\n", bench.now);
+        bench.advanceTime(seconds(1));
+        CHECK_FALSE(bench.sentAttempts[0].cancelled);
+        CHECK_FALSE(bench.outcome(running).aborted);
+    }
+}
+
+TEST_CASE("A pause of this host for a second changes nothing for running work",
+          "[Gateway][ForwardController]")
+{
+    // Its timers fire before it has read what the engine sent meanwhile.
+    ForwardBench bench;
+    bench.addServer("e-1", "engines");
+    bench.addServer("e-2", "engines");
+    bench.request("/questions/", {{"Tokens", "500,100"}});
+    REQUIRE(bench.sentAttempts.size() == 1);
+    bench.now += seconds(1);
+    bench.controller.onTimer(bench.now);
+    CHECK_FALSE(bench.sentAttempts[0].cancelled);
+    CHECK(bench.fleet.usable("engines", bench.now).size() == 2);
+}
+
 TEST_CASE("A shared prompt that is refused is not sent to the same helper again",
           "[Gateway][ForwardController]")
 {
