--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -53,11 +53,11 @@
     this->dispatch(call, now);
 }
 
-void ForwardController::recordPathFailure(ForwardCall &call, bool usedAttempt, TimePoint since,
-                                          TimePoint now)
+void ForwardController::recordPathFailure(ForwardCall &call, const ServerId &server,
+                                          bool usedAttempt, TimePoint since, TimePoint now)
 {
     const std::size_t poolSize = this->fleet.size(call.pool, now);
-    this->reach.onFailure(call.pool, call.attempt->server, poolSize, since, now);
+    this->reach.onFailure(call.pool, server, poolSize, since, now);
     if (!this->reach.hasHeardSince(call.pool, since))
         call.pathFailures += usedAttempt ? PathFailuresBeforeRelay : 1;
 }
@@ -154,7 +154,10 @@
         const Reason reason = call.mayHaveRun ? Reason::BackendFailed : Reason::ServiceOutOfReach;
         return this->refuse(call, reason, this->delayWithoutServer(call.pool, now), now);
     }
-    if (verdict != Verdict::NotRun && !this->retryBudget.tryConsume(call.pool, now)) {
+    this->endRetryWait(call);
+    if (verdict != Verdict::NotRun && !this->tryConsumeRetry(call, now)) {
+        if (this->awaitRetry(call, RetryReason::ServerFailed, now))
+            return;
         this->metrics.count(Counter::RetriesWithheld, 1);
         return this->refuse(call, Reason::RetryBudgetExhausted, std::nullopt, now);
     }
