Judge the silence of servers only after what they sent during a pause of this host was read

Cause: a process that was paused for a second fires its timers before it reads the bytes that arrived meanwhile. It cancelled attempts that servers were answering, suspected those servers and ran the work again elsewhere. Change: if a timer fires more than 100 ms late, silence is judged 200 ms later at the earliest.

--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -158,6 +158,8 @@
 
 void ForwardController::onTimer(TimePoint now)
 {
+    if (!this->timers.empty() && now - this->timers.begin()->first > MaxTimerDelay)
+        this->resumedAt = now;
     while (!this->timers.empty() && this->timers.begin()->first <= now) {
         const HttpCallId id = this->timers.begin()->second;
         this->timers.erase(this->timers.begin());
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -288,6 +288,8 @@
     void settleDoubtfulEnds(TimePoint now);
     /// Returns the time from which an attempt without received bytes may be retried.
     TimePoint inactivityDeadline(const ForwardCall &call) const;
+    /// Returns that time for a host that was not paused.
+    TimePoint inactivityLimit(const ForwardCall &call) const;
     void scheduleTimer(const ForwardCall &call, TimePoint now);
     ForwardCall *findCall(ForwardAttemptId attempt);
     void logFailedAttempt(const ForwardCall &call, std::string_view outcome, Verdict verdict,
@@ -297,6 +299,9 @@
     /// takes one second, so that waiting for it is not worthwhile.
     static constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 
+    /// A timer that fires later than this shows that this host was paused or is overloaded.
+    static constexpr Duration MaxTimerDelay = std::chrono::milliseconds(100);
+
     const GatewayProtocol &protocol;
     ServerFleet &fleet;
     PromptPlacement &promptPlacement;
@@ -329,6 +334,7 @@
     std::map<std::string, HttpCallId> callsByReservation;
     MemoryReleases memoryReleases;
     std::set<std::pair<TimePoint, HttpCallId>> timers;
+    std::optional<TimePoint> resumedAt; ///< When this host last went on after a pause.
 };
 
 } // namespace dotterel
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -39,6 +39,9 @@
 constexpr double BusyServerPatienceFraction = 0.6;
 constexpr Duration MinStreamInactivityLimit = std::chrono::milliseconds(1'600);
 
+/// After a pause of this host, what servers sent meanwhile is read within this time.
+constexpr Duration ReadingTimeAfterPause = std::chrono::milliseconds(200);
+
 /// Describes the best plan for a prompt that was rejected.
 std::string rejectionDetail(const PromptPlacementResult &decision, const PromptDemand &demand)
 {
@@ -314,6 +317,12 @@
 }
 
 TimePoint ForwardController::inactivityDeadline(const ForwardCall &call) const
+{
+    const TimePoint limit = this->inactivityLimit(call);
+    return this->resumedAt ? std::max(limit, *this->resumedAt + ReadingTimeAfterPause) : limit;
+}
+
+TimePoint ForwardController::inactivityLimit(const ForwardCall &call) const
 {
     const ForwardAttempt &attempt = *call.attempt;
     const Route &route = *call.route;
--- a/src/gateway/forward_memory.cpp
+++ b/src/gateway/forward_memory.cpp
@@ -18,8 +18,6 @@
 constexpr Duration UnusedExpiryMargin = std::chrono::milliseconds(500);
 /// Plans that are tried if engines refuse memory, each without the engines that refused before.
 constexpr std::size_t MaxReservationRounds = 6;
-/// A timer that fires later than this shows that this host was paused or is overloaded.
-constexpr Duration MaxTimerDelay = std::chrono::milliseconds(100);
 constexpr Duration MemoryRetryAfter = std::chrono::seconds(1);
 
 } // namespace
