Check plans again once their memory is granted

Cause: granting memory takes about 20 ms, in which hosts know nothing of each other's plans.

Change: when all memory is granted, a plan that would now delay the prompts on its engines by a fifth of its own value more than when it was made is made anew, as after a refusal. Prompts that reserve memory count as lost if they begin after MaxUnusedMemoryTime.

--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -148,6 +148,8 @@
     /// is the engine that refused; empty if engines did not respond.
     /// Returns true if a server of \a plan is in a failure domain that is out of service.
     bool isPlanOutOfService(const PromptPlan &plan) const;
+    /// Returns true if the plan of \a call would delay prompts that other hosts have sent since.
+    bool hasPlanBecomeCostly(const ForwardCall &call, TimePoint now);
     void onMemoryUnavailable(ForwardCall &call, const ServerId &refusedBy, TimePoint now);
     void releaseReservations(ForwardCall &call, TimePoint now);
     void sendDueReleases(TimePoint now);
--- a/src/gateway/forward_memory.cpp
+++ b/src/gateway/forward_memory.cpp
@@ -108,8 +108,10 @@
                         [](const MemoryReservation &reservation) { return reservation.granted; });
     if (!allGranted)
         return;
-    // A failure domain may have gone out of service while the engines answered.
-    if (this->isPlanOutOfService(*call.pendingPlan)) {
+    // A failure domain may have gone out of service while the engines answered, or another host
+    // may have sent a prompt to them.
+    if (this->isPlanOutOfService(*call.pendingPlan) || this->hasPlanBecomeCostly(call, now)) {
+        ++call.reservationRounds;
         this->releaseReservations(call, now);
         return this->dispatch(call, now);
     }
@@ -145,6 +147,16 @@
                           [&isOut](const PrefillHelper &helper) { return isOut(helper.server); });
 }
 
+bool ForwardController::hasPlanBecomeCostly(const ForwardCall &call, TimePoint now)
+{
+    const auto pool = call.configuration->pools.find(call.pool);
+    // The last plan is carried out rather than refused.
+    return call.reservationRounds + 1 < MaxReservationRounds
+           && pool != call.configuration->pools.end() && pool->second.engine
+           && this->promptPlacement.hasBecomeCostly(pool->second, call.demand, *call.pendingPlan,
+                                                    now);
+}
+
 void ForwardController::onMemoryUnavailable(ForwardCall &call, const ServerId &refusedBy,
                                             TimePoint now)
 {
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -28,9 +28,12 @@
     , random(random)
 {}
 
-PromptPlacementResult PromptPlacement::place(const ServerPool &pool, const PromptDemand &demand,
+PromptPlacementResult PromptPlacement::place(const ServerPool &pool, const PromptDemand &requested,
                                              const std::set<ServerId> &excluded, TimePoint now)
 {
+    PromptDemand demand = requested;
+    if (this->isLarge(*pool.engine, demand.promptTokens + demand.outputTokens))
+        demand.callerTimeLeft = std::min(demand.callerTimeLeft, MaxUnusedMemoryTime);
     PromptPlacementResult result;
     const std::vector<PlacementCandidate> candidateList =
             this->candidates(pool, demand, excluded, now);
@@ -61,8 +64,10 @@
             if (plan && plan->expectedLoss < best->expectedLoss)
                 best = plan;
         }
+        const std::size_t expectedEngines = std::max(
+                best->helpers.size() + 1, std::min(this->settings.quietPrefillEngines, maxEngines));
         result.shortestTimeToFirstEvent =
-                prefillTime(*pool.engine, demand.promptTokens, best->helpers.size() + 1);
+                prefillTime(*pool.engine, demand.promptTokens, expectedEngines);
     }
     best->reservesMemory = this->isLarge(*pool.engine, best->memoryTokens);
     result.bestPlan = best;
@@ -78,6 +83,25 @@
     return result;
 }
 
+bool PromptPlacement::hasBecomeCostly(const ServerPool &pool, const PromptDemand &demand,
+                                      const PromptPlan &plan, TimePoint now)
+{
+    const EngineProfile &engine = *pool.engine;
+    const Duration prefill = prefillTime(engine, demand.promptTokens, plan.helpers.size() + 1);
+    double interference = 0;
+    const auto addLoss = [&](const ServerId &server) {
+        EngineLoad &load = this->loads[server];
+        load.advance(engine, now);
+        interference +=
+                load.interferenceLoss(engine, prefill, demand.promptTokens, !plan.helpers.empty(),
+                                      this->settings.valueModel.lateValueFraction, now);
+    };
+    addLoss(plan.server);
+    for (const PrefillHelper &helper : plan.helpers)
+        addLoss(helper.server);
+    return interference - plan.interferenceLoss > this->settings.maxToleratedLoss * demand.value;
+}
+
 std::vector<PlacementCandidate> PromptPlacement::candidates(const ServerPool &pool,
                                                             const PromptDemand &demand,
                                                             const std::set<ServerId> &excluded,
--- a/src/gateway/prompt_placement.h
+++ b/src/gateway/prompt_placement.h
@@ -36,10 +36,17 @@
     PromptPlacement(const PromptPlacementSettings &settings, std::string failureDomain,
                     const ServerFleet &fleet, RandomSource &random);
 
-    /// Chooses servers of \a pool for \a demand; those in \a excluded only if no other is usable.
-    PromptPlacementResult place(const ServerPool &pool, const PromptDemand &demand,
+    /// Chooses servers of \a pool for \a requested; those in \a excluded only if no other is
+    /// usable.
+    PromptPlacementResult place(const ServerPool &pool, const PromptDemand &requested,
                                 const std::set<ServerId> &excluded, TimePoint now);
 
+    /// Returns true if carrying \a plan out now would cost the prompts on its engines much more
+    /// than when it was made: another host sent a prompt there meanwhile, which \a plan would
+    /// overtake.
+    bool hasBecomeCostly(const ServerPool &pool, const PromptDemand &demand, const PromptPlan &plan,
+                         TimePoint now);
+
     /// Records a prompt that this host or another one dispatched to \a server.
     void onDispatched(const ServerId &server, const EngineProfile &engine,
                       const EnginePrompt &prompt, TimePoint now);
--- a/src/gateway/prompt_plan.h
+++ b/src/gateway/prompt_plan.h
@@ -23,6 +23,8 @@
     /// Shares of prompts that fit the memory of one engine are no shorter than this, since each
     /// engine more is one more pass that may come late.
     Duration minPrefillShare = std::chrono::milliseconds(300);
+    /// Engines that a prompt expects to share its prefill with at least, once streams have ended.
+    std::size_t quietPrefillEngines = 4;
     /// Fraction of the estimated free memory of an engine that may be reserved for such a prompt.
     double reservableFraction = 0.9;
     /// A prompt that needs more than this fraction of an engine's memory reserves it before it is
--- a/tests/gateway/test_reserved_memory.cpp
+++ b/tests/gateway/test_reserved_memory.cpp
@@ -305,3 +305,55 @@
         CHECK(host.sentAttempts[0].header("Server") == next.server);
     }
 }
+
+TEST_CASE("A plan that waited for memory does not overtake what other hosts sent meanwhile",
+          "[Gateway][ForwardController]")
+{
+    // Replays two long prompts at hosts that plan within the time in which engines set memory
+    // aside.
+    ForwardBench bench;
+    for (int number = 1; number <= 16; ++number)
+        bench.addServer("e-" + std::to_string(number), "engines");
+    bench.request("/archives/", {{"Tokens", "350000,700"}});
+    REQUIRE_FALSE(bench.reservationRequests.empty());
+    const MemoryReservationRequest first = bench.reservationRequests.front();
+    const auto grantAll = [&bench](std::size_t from) {
+        const std::size_t end = bench.reservationRequests.size();
+        for (std::size_t index = from; index < end; ++index) {
+            const MemoryReservationRequest order = bench.reservationRequests[index];
+            if (order.tokens > 0)
+                bench.controller.onReservationResult(order.reservationId, true, bench.now);
+        }
+        return end;
+    };
+    const auto report = [&bench](const ServerId &server) {
+        EnginePrompt prompt;
+        prompt.key = {77, 1};
+        prompt.demand.promptTokens = 250'000;
+        prompt.demand.outputTokens = 700;
+        prompt.demand.firstEventTarget = std::chrono::seconds(4);
+        prompt.demand.maxEventGap = std::chrono::seconds(1);
+        prompt.demand.callerTimeLeft = std::chrono::seconds(14);
+        prompt.demand.value = 30;
+        prompt.prefillEngines = 3;
+        prompt.dispatchedAt = bench.now;
+        bench.promptPlacement.onDispatched(server, dataSheetEngine(), prompt, bench.now);
+    };
+
+    SECTION("but takes other engines")
+    {
+        report(first.server);
+        const std::size_t asked = grantAll(0);
+        CHECK(bench.sentAttempts.empty());
+        REQUIRE(bench.reservationRequests.size() > asked - 1);
+        grantAll(1);
+        REQUIRE(bench.sentAttempts.size() == 1);
+        CHECK(bench.sentAttempts[0].header("Server") != first.server);
+    }
+    SECTION("and is carried out as it was made if none did")
+    {
+        grantAll(0);
+        REQUIRE(bench.sentAttempts.size() == 1);
+        CHECK(bench.sentAttempts[0].header("Server") == first.server);
+    }
+}
