Use more than four engines for giants only

Cause: with shares of at least 300 ms, prompts of 100,000 tokens took two or three times as many engines, each of which overtakes what its engines read.

Change: up to sixteen engines for prompts that exceed the memory of one engine, or whose prefill on four takes more than half of their target; four for the others.

--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -52,11 +52,12 @@
     result.shortestTimeToFirstEvent = prefill;
     if (pool.engine->supportsSplitPrefill && prefill >= this->settings.minSharedPrefill) {
         const bool exceedsOneEngine = best->expectedLoss >= InfeasibleLoss;
-        const auto usefulShares =
-                static_cast<std::size_t>(prefill / this->settings.minPrefillShare);
-        const std::size_t engineLimit =
-                exceedsOneEngine ? this->settings.maxPrefillEngines
-                                 : std::min(this->settings.maxPrefillEngines, usefulShares);
+        const bool isGiant =
+                prefillTime(*pool.engine, demand.promptTokens, this->settings.usualPrefillEngines)
+                > demand.firstEventTarget / 2;
+        const std::size_t engineLimit = exceedsOneEngine || isGiant
+                                                ? this->settings.maxPrefillEngines
+                                                : this->settings.usualPrefillEngines;
         const std::size_t maxEngines = std::min(engineLimit, candidateList.size());
         const SplitPrefillPlanner planner(this->settings, *pool.engine, this->slotQueue);
         for (std::size_t engineCount = 2; engineCount <= maxEngines; ++engineCount) {
@@ -65,7 +66,7 @@
                 best = plan;
         }
         const std::size_t expectedEngines = std::max(
-                best->helpers.size() + 1, std::min(this->settings.quietPrefillEngines, maxEngines));
+                best->helpers.size() + 1, std::min(this->settings.usualPrefillEngines, maxEngines));
         result.shortestTimeToFirstEvent =
                 prefillTime(*pool.engine, demand.promptTokens, expectedEngines);
     }
--- a/src/gateway/prompt_plan.h
+++ b/src/gateway/prompt_plan.h
@@ -20,11 +20,9 @@
     double refusedBeforeLossFraction = 0.3;
     /// Maximum number of engines that share the prefill of one prompt; engines take no more.
     std::size_t maxPrefillEngines = 16;
-    /// Shares of prompts that fit the memory of one engine are no shorter than this, since each
-    /// engine more is one more pass that may come late.
-    Duration minPrefillShare = std::chrono::milliseconds(300);
-    /// Engines that a prompt expects to share its prefill with at least, once streams have ended.
-    std::size_t quietPrefillEngines = 4;
+    /// The same for prompts that fit the memory of one engine and whose prefill takes less than
+    /// half of their target on that many: shares run ahead of other prompts on each engine.
+    std::size_t usualPrefillEngines = 4;
     /// Fraction of the estimated free memory of an engine that may be reserved for such a prompt.
     double reservableFraction = 0.9;
     /// A prompt that needs more than this fraction of an engine's memory reserves it before it is
