--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -38,9 +38,12 @@
     , random(random)
 {}
 
-PromptPlacementResult PromptPlacement::place(const ServerPool &pool, const PromptDemand &demand,
+PromptPlacementResult PromptPlacement::place(const ServerPool &pool, const PromptDemand &requested,
                                              const std::set<ServerId> &excluded, TimePoint now)
 {
+    PromptDemand demand = requested;
+    if (this->isLarge(*pool.engine, demand.promptTokens + demand.outputTokens))
+        demand.callerTimeLeft = std::min(demand.callerTimeLeft, MaxUnusedMemoryTime);
     PromptPlacementResult result;
     const std::vector<PlacementCandidate> candidateList =
             this->candidates(pool, demand, excluded, now);
@@ -59,11 +62,12 @@
     result.shortestTimeToFirstEvent = prefill;
     if (pool.engine->supportsSplitPrefill && prefill >= this->settings.minSharedPrefill) {
         const bool exceedsOneEngine = best->expectedLoss >= InfeasibleLoss;
-        const auto usefulShares =
-                static_cast<std::size_t>(prefill / this->settings.minPrefillShare);
-        const std::size_t engineLimit =
-                exceedsOneEngine ? this->settings.maxPrefillEngines
-                                 : std::min(this->settings.maxPrefillEngines, usefulShares);
+        const bool isGiant =
+                prefillTime(*pool.engine, demand.promptTokens, this->settings.usualPrefillEngines)
+                > demand.firstEventTarget / 2;
+        const std::size_t engineLimit = exceedsOneEngine || isGiant
+                                                ? this->settings.maxPrefillEngines
+                                                : this->settings.usualPrefillEngines;
         const std::size_t maxEngines = std::min(engineLimit, candidateList.size());
         const SplitPrefillPlanner planner(this->settings, *pool.engine, this->slotQueue);
         for (std::size_t engineCount = 2; engineCount <= maxEngines; ++engineCount) {
@@ -71,8 +75,10 @@
             if (plan && plan->expectedLoss < best->expectedLoss)
                 best = plan;
         }
+        const std::size_t expectedEngines = std::max(
+                best->helpers.size() + 1, std::min(this->settings.usualPrefillEngines, maxEngines));
         result.shortestTimeToFirstEvent =
-                prefillTime(*pool.engine, demand.promptTokens, best->helpers.size() + 1);
+                prefillTime(*pool.engine, demand.promptTokens, expectedEngines);
     }
     best->reservesMemory = this->isLarge(*pool.engine, best->memoryTokens);
     result.bestPlan = best;
@@ -99,6 +105,25 @@
     return result;
 }
 
+bool PromptPlacement::hasBecomeCostly(const ServerPool &pool, const PromptDemand &demand,
+                                      const PromptPlan &plan, TimePoint now)
+{
+    const EngineProfile &engine = *pool.engine;
+    const Duration prefill = prefillTime(engine, demand.promptTokens, plan.helpers.size() + 1);
+    double interference = 0;
+    const auto addLoss = [&](const ServerId &server) {
+        EngineLoad &load = this->loads[server];
+        load.advance(engine, now);
+        interference +=
+                load.interferenceLoss(engine, prefill, demand.promptTokens, !plan.helpers.empty(),
+                                      this->settings.valueModel.lateValueFraction, now);
+    };
+    addLoss(plan.server);
+    for (const PrefillHelper &helper : plan.helpers)
+        addLoss(helper.server);
+    return interference - plan.interferenceLoss > this->settings.maxToleratedLoss * demand.value;
+}
+
 std::vector<PlacementCandidate> PromptPlacement::candidates(const ServerPool &pool,
                                                             const PromptDemand &demand,
                                                             const std::set<ServerId> &excluded,
