Serve returned callers by what they still have; spread late returns

Prompts whose prefill on idle engines exceeds their target were refused for that alone. Late callers all returned after 0.2 to 0.25 s.

Change: a return may lose 0.3 of the value that it still has, or is served late if its first event comes within 0.3 of the time until the caller leaves and costs others less than 0.3 of what the late answer keeps. Plans that come after the caller leaves are rejected. What the prefill of a long prompt takes on idle engines counts as unavoidable. Retry-After of callers that will be late anyway is drawn from the third of their time for which they wait. An unanswered request for memory counts as two of the six rounds, since such prompts now ask on where they were refused as too late (test_forward_prompts: refused after the grant timeouts).

--- a/src/gateway/forward_memory.cpp
+++ b/src/gateway/forward_memory.cpp
@@ -21,6 +21,8 @@
 constexpr Duration UnusedExpiryMargin = std::chrono::milliseconds(500);
 /// Plans that are tried if engines refuse memory, each without the engines that refused before.
 constexpr std::size_t MaxReservationRounds = 6;
+/// As how many of them one counts in which an engine did not respond, since it takes GrantTimeout.
+constexpr std::size_t UnansweredRounds = 2;
 constexpr Duration MemoryRetryAfter = std::chrono::seconds(1);
 
 } // namespace
@@ -164,7 +166,8 @@
                      {"round", static_cast<std::int64_t>(call.reservationRounds)},
                      {"servers", servers}});
     this->releaseReservations(call, now);
-    if (++call.reservationRounds < MaxReservationRounds)
+    call.reservationRounds += refusedBy.empty() ? UnansweredRounds : 1;
+    if (call.reservationRounds < MaxReservationRounds)
         return this->dispatch(call, now);
     this->refuse(call, Reason::MemoryUnavailable, MemoryRetryAfter, now);
 }
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -17,6 +17,24 @@
 /// Bounds of the retry delay suggested to a refused caller.
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration MaxRetryAfter = std::chrono::seconds(4);
+/// A late answer to a caller that was refused before begins within this fraction of the time until
+/// the caller leaves. Queues of late prompts would make those late that can still be in time.
+constexpr double LateReturnFraction = 0.3;
+/// Loss of others for such an answer, as a fraction of the value that it keeps.
+constexpr double LateReturnMaxLoss = 0.3;
+/// Callers do not wait for longer than this fraction of the time that they have left.
+constexpr double MaxReturnFraction = 1.0 / 3;
+
+/// Returns true if \a plan answers a caller that was refused before, though late, soon and at
+/// little cost: a second refusal would lose it.
+bool servesReturnSoon(const PromptPlan &plan, const PromptDemand &demand)
+{
+    const double keptValue = std::max(0.0, demand.value - plan.latenessLoss);
+    return demand.refusedBefore
+           && toSeconds(plan.timeToFirstEvent)
+                      < toSeconds(demand.callerTimeLeft) * LateReturnFraction
+           && plan.expectedLoss - plan.latenessLoss <= LateReturnMaxLoss * keptValue;
+}
 
 } // namespace
 
@@ -63,7 +81,14 @@
     }
     best->reservesMemory = this->reservesMemory(*pool.engine, *best);
     result.bestPlan = best;
-    if (best->expectedLoss <= this->maxAcceptableLoss(demand)) {
+    // What a long prefill takes on idle engines, no other place and no return can spare.
+    const Duration unavoidableTime = prefill < this->settings.minSharedPrefill
+                                             ? Duration::zero()
+                                             : result.shortestTimeToFirstEvent;
+    const bool isServable = demand.answerStarted || best->timeToFirstEvent < demand.callerTimeLeft;
+    const bool isWorthIt = best->expectedLoss <= this->maxAcceptableLoss(demand, unavoidableTime)
+                           || servesReturnSoon(*best, demand);
+    if (isServable && isWorthIt) {
         result.plan = best;
         return result;
     }
@@ -72,6 +97,15 @@
     for (const PlacementCandidate &candidate : candidateList)
         earliest = std::min(earliest, candidate.load->queuedPrefillTime());
     result.retryAfter = std::clamp(earliest, MinRetryAfter, MaxRetryAfter);
+    // A caller that will be late anyway returns at any time until it would leave, rather than
+    // together with those that came at the same time.
+    const Duration latest = std::min(
+            MaxRetryAfter, fromSeconds(toSeconds(demand.callerTimeLeft) * MaxReturnFraction));
+    const bool isLateOnReturn = demand.elapsed + result.retryAfter + result.shortestTimeToFirstEvent
+                                >= demand.firstEventTarget;
+    if (isLateOnReturn && latest > result.retryAfter)
+        result.retryAfter +=
+                fromSeconds(toSeconds(latest - result.retryAfter) * this->random.nextDouble());
     return result;
 }
 
@@ -154,7 +188,8 @@
     return plans.front();
 }
 
-double PromptPlacement::maxAcceptableLoss(const PromptDemand &demand) const
+double PromptPlacement::maxAcceptableLoss(const PromptDemand &demand,
+                                          Duration unavoidableTime) const
 {
     // A partly delivered answer is continued on any feasible server.
     if (demand.answerStarted)
@@ -162,12 +197,11 @@
     // Value that is already lost, for example because a caller retries after its target time, is no
     // reason to refuse.
     const double unavoidableLoss =
-            latenessLoss(demand, Duration::zero(), this->settings.valueModel.lateValueFraction);
+            latenessLoss(demand, unavoidableTime, this->settings.valueModel.lateValueFraction);
     const double remainingValue = std::max(0.0, demand.value - unavoidableLoss);
-    const double refusedBeforeAllowance =
-            demand.refusedBefore ? this->settings.refusedBeforeLossFraction * demand.value : 0.0;
-    return unavoidableLoss + this->settings.maxLossFraction * remainingValue
-           + refusedBeforeAllowance;
+    const double maxLossFraction = demand.refusedBefore ? this->settings.maxLossFractionAfterRefusal
+                                                        : this->settings.maxLossFraction;
+    return unavoidableLoss + maxLossFraction * remainingValue;
 }
 
 bool PromptPlacement::reservesMemory(const EngineProfile &engine, const PromptPlan &plan) const
--- a/src/gateway/prompt_placement.h
+++ b/src/gateway/prompt_placement.h
@@ -82,7 +82,9 @@
     const PromptPlan &choose(std::vector<PromptPlan> &plans, const PromptDemand &demand,
                              double crossings);
     bool reservesMemory(const EngineProfile &engine, const PromptPlan &plan) const;
-    double maxAcceptableLoss(const PromptDemand &demand) const;
+    /// Returns the loss up to which \a demand is served. Its first event takes at least
+    /// \a unavoidableTime.
+    double maxAcceptableLoss(const PromptDemand &demand, Duration unavoidableTime) const;
 
     PromptPlacementSettings settings;
     std::string failureDomain;
--- a/src/gateway/prompt_plan.h
+++ b/src/gateway/prompt_plan.h
@@ -15,9 +15,9 @@
     /// A prompt is refused if serving it is expected to lose more than this fraction of its value,
     /// summed over all prompts: the engine time is then worth more to other prompts.
     double maxLossFraction = 0.6;
-    /// Added to maxLossFraction for a caller that was refused before: if it is refused again, it
-    /// usually does not retry, and the time that it has waited is wasted.
-    double refusedBeforeLossFraction = 0.3;
+    /// The same for a caller that was refused before, of the value that it still has. Most of that
+    /// is gone once it is late, while the place that it would take can serve a new one in time.
+    double maxLossFractionAfterRefusal = 0.3;
     /// Maximum number of engines that share the prefill of one prompt.
     std::size_t maxPrefillEngines = 4;
     /// Like maxPrefillEngines, for prompts that exceed the memory of one engine.
