Tell other hosts of refused prompts, so that returns are known

Cause: a refused caller returns after 0.2 s, nearly always to another host. Its timeout is still within the range of first attempts, so earlierWait() took it for a new one.

--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -67,7 +67,10 @@
     ResponsesTooLarge,
     RequestsRelayed,
     RelayedRequestsTaken,
-    PromptsHeld, ///< Prompts that waited at the host for a better place.
+    PromptsHeld,     ///< Prompts that waited at the host for a better place.
+    CallersReturned, ///< Prompts of callers that any host refused before.
+    ReturnsServed,
+    ReturnsRefused,
 };
 
 /// Returns the external name of \a counter.
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -83,6 +83,7 @@
     void publishServerLeaving(const ServerLeavingNotice &notice) override;
     void publishServerLimit(const ServerLimitNotice &notice) override;
     void publishServerWarmUp(const ServerWarmUpNotice &notice) override;
+    void publishRefusedPrompt(const RefusedPromptNotice &notice) override;
     void publishCrashNotice(const CrashNotice &notice) override;
 
     // PeerListener
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -346,6 +346,8 @@
             break;
         }
     }
+    for (const RefusedPromptNotice &notice : update.refusedPrompts)
+        this->controller.onPromptRefusedElsewhere(notice, now);
     for (const ServerLeavingNotice &notice : update.leavingServers)
         this->recordLeaving(notice);
     if (!update.poolsOutOfReach.empty())
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -6,6 +6,7 @@
 #include "gateway/forward_call.h"
 #include "gateway/prompt_hold.h"
 #include "gateway/prompt_placement.h"
+#include "gateway/refused_callers.h"
 #include "gateway/relay_peers.h"
 #include "gateway/response_limits.h"
 #include "gateway/retry_budget.h"
@@ -90,6 +91,12 @@
     /// Applies a crash notice of another host. Returns true if it has to be passed on.
     bool onCrashNotice(const CrashNotice &notice, TimePoint now);
 
+    /// Another host refused a prompt, whose caller may come here.
+    void onPromptRefusedElsewhere(const RefusedPromptNotice &notice, TimePoint now)
+    {
+        this->refusedCallers.onRefused(notice, now);
+    }
+
     /// An engine granted or rejected the memory reservation \a reservationId.
     void onReservationResult(const std::string &reservationId, bool granted, TimePoint now);
 
@@ -157,6 +164,11 @@
     /// not granted in time or are not used.
     bool onReservationsDue(ForwardCall &call, TimePoint now);
     std::string choosePool(const ForwardCall &call);
+    static std::uint64_t promptFingerprint(ForwardCall &call);
+    /// Finds out whether any host refused the prompt before.
+    void recognizeReturn(ForwardCall &call, TimePoint now);
+    /// Remembers a refused prompt and tells the other hosts, if its caller may return.
+    void rememberRefusal(ForwardCall &call, TimePoint now);
     PromptDemand makeDemand(const ForwardCall &call, TimePoint now) const;
     void recordPromptDispatch(ForwardCall &call, const ServerPool &pool, std::uint64_t memoryTokens,
                               TimePoint now);
@@ -281,6 +293,7 @@
     DoubtfulEnds doubtfulEnds;
     SuspectProbes suspectProbes;
     ReturnSchedule returnSchedule;
+    RefusedCallers refusedCallers;
     std::size_t hostCount = 1; ///< Hosts that share the servers.
     TimePoint nextSettling;    ///< Requests that arrive before do not settle doubtful ends.
     std::shared_ptr<const RouteTable> routeTable;
--- a/src/gateway/forward_effects.h
+++ b/src/gateway/forward_effects.h
@@ -67,6 +67,9 @@
     /// Tells the other hosts of a server that warms up.
     virtual void publishServerWarmUp(const ServerWarmUpNotice &notice) = 0;
 
+    /// Tells the other hosts of a prompt that was refused as not run.
+    virtual void publishRefusedPrompt(const RefusedPromptNotice &notice) = 0;
+
     /// Sends a crash notice about a request fingerprint to the other hosts.
     virtual void publishCrashNotice(const CrashNotice &notice) = 0;
 };
--- a/tests/support/forward_bench.h
+++ b/tests/support/forward_bench.h
@@ -81,6 +81,7 @@
     std::vector<ServerLeavingNotice> leavingNotices;
     std::vector<ServerLimitNotice> limitNotices;
     std::vector<ServerWarmUpNotice> warmUpNotices;
+    std::vector<RefusedPromptNotice> refusedPrompts;
     std::vector<CrashNotice> crashNotices;
     bool grantsMemory = false;    ///< Engines reserve memory at once; otherwise the test answers.
     std::size_t queuedBytes = 0;  ///< Number of bytes reported as queued for a caller.
@@ -107,6 +108,7 @@
     void publishServerLeaving(const ServerLeavingNotice &notice) override;
     void publishServerLimit(const ServerLimitNotice &notice) override;
     void publishServerWarmUp(const ServerWarmUpNotice &notice) override;
+    void publishRefusedPrompt(const RefusedPromptNotice &notice) override;
     void publishCrashNotice(const CrashNotice &notice) override;
 
     HttpCallId nextCall = 1;
