--- a/src/core/metric_catalogue.cpp
+++ b/src/core/metric_catalogue.cpp
@@ -63,10 +63,6 @@
          "Requests handed to another host since this one reaches no server of their pool."},
         {Counter::RelayedRequestsTaken, "Requests of other hosts that were taken over."},
         {Counter::PromptsHeld, "Prompts that waited at the entry host for a better place."},
-        {Counter::CallersReturned,
-         "Prompts that came back after any entry host had refused them as not run."},
-        {Counter::ReturnsServed, "Prompts that came back and were served."},
-        {Counter::ReturnsRefused, "Prompts that came back and were refused again."},
 };
 
 const std::vector<Meaning<Gauge>> GaugeMeanings = {
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -27,7 +27,7 @@
         {LengthBand::UpTo1M, "256k-1M"},
 }};
 
-constexpr std::array<EnumName<Counter>, 32> CounterNames = {{
+constexpr std::array<EnumName<Counter>, 29> CounterNames = {{
         {Counter::RequestsAdmitted, "requests_admitted"},
         {Counter::RequestsFinished, "requests_finished"},
         {Counter::ForeignBytesDropped, "foreign_bytes_dropped"},
@@ -57,9 +57,6 @@
         {Counter::RequestsRelayed, "requests_relayed"},
         {Counter::RelayedRequestsTaken, "relayed_requests_taken"},
         {Counter::PromptsHeld, "prompts_held"},
-        {Counter::CallersReturned, "callers_returned"},
-        {Counter::ReturnsServed, "returns_served"},
-        {Counter::ReturnsRefused, "returns_refused"},
 }};
 
 constexpr std::array<EnumName<Gauge>, 16> GaugeNames = {{
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -68,10 +68,7 @@
     ResponsesTooLarge,
     RequestsRelayed,
     RelayedRequestsTaken,
-    PromptsHeld,     ///< Prompts that waited at the host for a better place.
-    CallersReturned, ///< Prompts of callers that any host refused before.
-    ReturnsServed,
-    ReturnsRefused,
+    PromptsHeld, ///< Prompts that waited at the host for a better place.
 };
 
 /// Returns the external name of \a counter.
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -366,11 +366,6 @@
     this->promptUpdates.enqueueWarmUp(notice);
 }
 
-void GatewayHost::publishRefusedPrompt(const RefusedPromptNotice &notice)
-{
-    this->promptUpdates.enqueueRefused(notice);
-}
-
 void GatewayHost::sendReservationRequest(const MemoryReservationRequest &order)
 {
     const std::uint64_t id = this->nextMemoryRequestId++;
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -85,7 +85,6 @@
     void publishServerWarmUp(const ServerWarmUpNotice &notice) override;
     void sendRetryAsk(std::uint32_t host, const RetryAsk &ask) override;
     void sendRetryLoan(std::uint32_t host, const RetryLoan &loan) override;
-    void publishRefusedPrompt(const RefusedPromptNotice &notice) override;
     void publishCrashNotice(const CrashNotice &notice) override;
 
     // PeerListener
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -371,8 +371,6 @@
             break;
         }
     }
-    for (const RefusedPromptNotice &notice : update.refusedPrompts)
-        this->controller.onPromptRefusedElsewhere(notice, now);
     for (const ServerLeavingNotice &notice : update.leavingServers)
         this->recordLeaving(notice);
     for (const RetryAsk &ask : update.retryAsks)
--- a/src/entry_host/prompt_update_channel.cpp
+++ b/src/entry_host/prompt_update_channel.cpp
@@ -52,14 +52,6 @@
     this->enqueueServerNotice(this->pending.warmUps, notice);
 }
 
-void PromptUpdateChannel::enqueueRefused(const RefusedPromptNotice &notice)
-{
-    this->pending.refusedPrompts.push_back(notice);
-    if (this->pending.refusedPrompts.size() >= MaxItemsPerDatagram)
-        return this->flush();
-    this->scheduleFlush();
-}
-
 template <typename Notice>
 void PromptUpdateChannel::enqueueServerNotice(std::vector<Notice> &notices, const Notice &notice)
 {
@@ -87,7 +79,7 @@
 {
     this->flushScheduled = false;
     if (this->pending.updates.empty() && this->pending.limits.empty()
-        && this->pending.warmUps.empty() && this->pending.refusedPrompts.empty())
+        && this->pending.warmUps.empty())
         return;
     if (!this->peers.empty()) {
         const std::string bytes = encodePromptUpdates(this->pending);
@@ -103,7 +95,6 @@
     this->pending.updates.clear();
     this->pending.limits.clear();
     this->pending.warmUps.clear();
-    this->pending.refusedPrompts.clear();
 }
 
 void PromptUpdateChannel::sendLimits(const Endpoint &peer,
--- a/src/entry_host/prompt_update_channel.h
+++ b/src/entry_host/prompt_update_channel.h
@@ -39,9 +39,6 @@
     void enqueueLimit(const ServerLimitNotice &notice);
     void enqueueWarmUp(const ServerWarmUpNotice &notice);
 
-    /// Tells the peers of a prompt that was refused, with the next batch.
-    void enqueueRefused(const RefusedPromptNotice &notice);
-
     /// Tells the peers of which pools, by the hashes of their names, this host reaches no server.
     void announceOutOfReach(const std::vector<std::uint32_t> &poolHashes);
 
--- a/src/gateway/forward_call.cpp
+++ b/src/gateway/forward_call.cpp
@@ -24,8 +24,6 @@
 {
     if (call.relay)
         return call.relay->waited;
-    if (call.knownWait)
-        return *call.knownWait;
     const Duration routeTimeout = call.route->timeout;
     const Duration callerTimeout = call.metadata.callerTimeout.value_or(routeTimeout);
     if (toSeconds(callerTimeout) >= toSeconds(routeTimeout) * MinFirstTimeoutFraction)
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -78,10 +78,7 @@
     std::string pool;                   ///< Chosen for the first attempt and kept for retries.
     std::string workspace;
     int priority = 0; ///< Of the workspace if it has one, else of the route; lower is more urgent.
-    std::string fingerprint; ///< Computed on first use.
-    /// Hash of workspace, target and body of a prompt; computed on first use.
-    std::optional<std::uint64_t> promptFingerprint;
-    std::optional<Duration> knownWait; ///< Before the call arrived, if its refusal is known.
+    std::string fingerprint;           ///< Computed on first use.
     std::vector<std::string> partKeys; ///< See PromptPartGuard::keys(); computed on first use.
     TimePoint arrivedAt;
     TimePoint deadline;
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -249,14 +249,9 @@
              {"answer_begun", call.responseStarted},
              {"waited_ms", toMs(now - call.arrivedAt)},
              {"retry_after_ms", retryAfter ? toMs(*retryAfter) : -1},
-             {"waited_before_ms", call.knownWait ? toMs(*call.knownWait) : -1},
              {"configuration",
               call.configuration ? static_cast<std::int64_t>(call.configuration->version) : 0},
              {"detail", detail}});
-    if (call.knownWait)
-        this->metrics.count(Counter::ReturnsRefused, 1);
-    if (retryAfter)
-        this->rememberRefusal(call, now);
     if (call.responseStarted)
         this->effects.abortResponse(call.id);
     else
@@ -277,8 +272,6 @@
 void ForwardController::finish(ForwardCall &call, int status, TimePoint now)
 {
     this->metrics.count(Counter::RequestsFinished, 1);
-    if (call.knownWait && isSuccess(status))
-        this->metrics.count(Counter::ReturnsServed, 1);
     this->metrics.observe(LatencySpan::Answer, now - call.arrivedAt);
     if (call.timeToFirstEvent > Duration::zero())
         this->metrics.observe(LatencySpan::LongestPause, call.longestEventGap);
@@ -298,7 +291,6 @@
                      {"predicted_ms", toMs(attempt.predictedLatency)},
                      {"first_event_ms", toMs(call.timeToFirstEvent)},
                      {"longest_pause_ms", toMs(call.longestEventGap)},
-                     {"waited_before_ms", call.knownWait ? toMs(*call.knownWait) : -1},
                      {"took_ms", toMs(now - call.arrivedAt)}});
     if (isSuccess(status) && call.attempt && !call.attempt->isRelayed())
         this->recordSuccess(call, now);
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -6,7 +6,6 @@
 #include "gateway/forward_call.h"
 #include "gateway/prompt_hold.h"
 #include "gateway/prompt_placement.h"
-#include "gateway/refused_callers.h"
 #include "gateway/relay_peers.h"
 #include "gateway/response_limits.h"
 #include "gateway/retry_lending.h"
@@ -101,12 +100,6 @@
     void onRetryAsk(std::uint32_t host, const RetryAsk &ask, TimePoint now);
     void onRetryLoan(std::uint32_t host, const RetryLoan &loan, TimePoint now);
 
-    /// Another host refused a prompt, whose caller may come here.
-    void onPromptRefusedElsewhere(const RefusedPromptNotice &notice, TimePoint now)
-    {
-        this->refusedCallers.onRefused(notice, now);
-    }
-
     /// An engine granted or rejected the memory reservation \a reservationId.
     void onReservationResult(const std::string &reservationId, bool granted, TimePoint now);
 
@@ -185,11 +178,6 @@
     /// not granted in time or are not used.
     bool onReservationsDue(ForwardCall &call, TimePoint now);
     std::string choosePool(const ForwardCall &call);
-    static std::uint64_t promptFingerprint(ForwardCall &call);
-    /// Finds out whether any host refused the prompt before.
-    void recognizeReturn(ForwardCall &call, TimePoint now);
-    /// Remembers a refused prompt and tells the other hosts, if its caller may return.
-    void rememberRefusal(ForwardCall &call, TimePoint now);
     PromptDemand makeDemand(const ForwardCall &call, TimePoint now) const;
     void recordPromptDispatch(ForwardCall &call, const ServerPool &pool, std::uint64_t memoryTokens,
                               TimePoint now);
@@ -336,7 +324,6 @@
     DoubtfulEnds doubtfulEnds;
     SuspectProbes suspectProbes;
     ReturnSchedule returnSchedule;
-    RefusedCallers refusedCallers;
     std::size_t hostCount = 1; ///< Hosts that share the servers.
     TimePoint nextSettling;    ///< Requests that arrive before do not settle doubtful ends.
     std::shared_ptr<const RouteTable> routeTable;
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -115,42 +115,6 @@
     return pools.back().pool;
 }
 
-std::uint64_t ForwardController::promptFingerprint(ForwardCall &call)
-{
-    if (!call.promptFingerprint) {
-        const std::string caller = call.workspace + '\n' + call.head.target + '\n';
-        const std::uint64_t body = call.body ? hash64(*call.body) : 0;
-        call.promptFingerprint = hash64(caller + toHex(body));
-    }
-    return *call.promptFingerprint;
-}
-
-void ForwardController::recognizeReturn(ForwardCall &call, TimePoint now)
-{
-    if (call.knownWait || call.relay || this->refusedCallers.empty())
-        return;
-    const std::optional<Duration> wait =
-            this->refusedCallers.takeWait(promptFingerprint(call), call.deadline - now, now);
-    if (!wait)
-        return;
-    // The refusal may become known only while the prompt is held.
-    call.knownWait = std::max(Duration::zero(), *wait - (now - call.arrivedAt));
-    this->metrics.count(Counter::CallersReturned, 1);
-}
-
-void ForwardController::rememberRefusal(ForwardCall &call, TimePoint now)
-{
-    // The host at which a handed request arrived tells of it.
-    if (call.route == nullptr || call.relay || call.mayHaveRun || call.responseStarted
-        || call.metadata.promptTokens == 0 || call.deadline - now < MinAttemptTime)
-        return;
-    const RefusedPromptNotice notice{promptFingerprint(call),
-                                     earlierWait(call) + (now - call.arrivedAt),
-                                     call.deadline - now};
-    this->refusedCallers.onRefused(notice, now);
-    this->effects.publishRefusedPrompt(notice);
-}
-
 PromptDemand ForwardController::makeDemand(const ForwardCall &call, TimePoint now) const
 {
     const Route &route = *call.route;
@@ -177,7 +141,6 @@
 
 void ForwardController::dispatchPrompt(ForwardCall &call, const ServerPool &pool, TimePoint now)
 {
-    this->recognizeReturn(call, now);
     call.demand = this->makeDemand(call, now);
     const PromptPlacementResult decision =
             this->promptPlacement.place(pool, call.demand, call.triedServers, now);
--- a/src/gateway/forward_effects.h
+++ b/src/gateway/forward_effects.h
@@ -71,8 +71,6 @@
     /// lends it one. Sent at once, as requests wait for it.
     virtual void sendRetryAsk(std::uint32_t host, const RetryAsk &ask) = 0;
     virtual void sendRetryLoan(std::uint32_t host, const RetryLoan &loan) = 0;
-    /// Tells the other hosts of a prompt that was refused as not run.
-    virtual void publishRefusedPrompt(const RefusedPromptNotice &notice) = 0;
 
     /// Sends a crash notice about a request fingerprint to the other hosts.
     virtual void publishCrashNotice(const CrashNotice &notice) = 0;
--- a/src/gateway/forward_memory.cpp
+++ b/src/gateway/forward_memory.cpp
@@ -18,8 +18,6 @@
 constexpr Duration UnusedExpiryMargin = std::chrono::milliseconds(500);
 /// Plans that are tried if engines refuse memory, each without the engines that refused before.
 constexpr std::size_t MaxReservationRounds = 6;
-/// As how many of them one counts in which an engine did not respond, since it takes GrantTimeout.
-constexpr std::size_t UnansweredRounds = 2;
 constexpr Duration MemoryRetryAfter = std::chrono::seconds(1);
 
 } // namespace
@@ -181,8 +179,7 @@
     for (const MemoryReservation &reservation : unanswered)
         this->recordUnansweredOrder(call, reservation, now);
     this->releaseReservations(call, now);
-    call.reservationRounds += refusedBy.empty() ? UnansweredRounds : 1;
-    if (call.reservationRounds < MaxReservationRounds)
+    if (++call.reservationRounds < MaxReservationRounds)
         return this->dispatch(call, now);
     this->refuse(call, Reason::MemoryUnavailable, MemoryRetryAfter, now);
 }
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -19,29 +19,14 @@
 /// An engine is open if a prompt there would get its first event within this fraction of its
 /// target.
 constexpr double OpenTargetFraction = 0.8;
+/// A caller that returns has to get its first event within this fraction of its target, if engines
+/// were idle.
+constexpr double ReturnTargetFraction = 0.5;
 /// Fraction of the prompts that are served at any price, so that no class or size starves.
 constexpr double UnpricedFraction = 0.12;
 /// Bounds of the retry delay suggested to a refused caller.
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration MaxRetryAfter = std::chrono::seconds(4);
-/// A late answer to a caller that was refused before begins within this fraction of the time until
-/// the caller leaves. Queues of late prompts would make those late that can still be in time.
-constexpr double LateReturnFraction = 0.3;
-/// Loss of others for such an answer, as a fraction of the value that it keeps.
-constexpr double LateReturnMaxLoss = 0.3;
-/// Callers do not wait for longer than this fraction of the time that they have left.
-constexpr double MaxReturnFraction = 1.0 / 3;
-
-/// Returns true if \a plan answers a caller that was refused before, though late, soon and at
-/// little cost: a second refusal would lose it.
-bool servesReturnSoon(const PromptPlan &plan, const PromptDemand &demand)
-{
-    const double keptValue = std::max(0.0, demand.value - plan.latenessLoss);
-    return demand.refusedBefore
-           && toSeconds(plan.timeToFirstEvent)
-                      < toSeconds(demand.callerTimeLeft) * LateReturnFraction
-           && plan.expectedLoss - plan.latenessLoss <= LateReturnMaxLoss * keptValue;
-}
 
 } // namespace
 
@@ -98,18 +83,12 @@
     best->reservesMemory = this->isLarge(*pool.engine, best->memoryTokens);
     result.bestPlan = best;
     const double price = this->priceOf(*pool.engine, demand, *best, candidateList, now);
-    // A prompt that was taken once, or refused once, is not turned away for its price.
+    // A prompt that was taken once is not turned away for its price after a failure.
     const bool isUnpriced =
-            demand.answerStarted || !excluded.empty() || demand.refusedBefore
+            demand.answerStarted || !excluded.empty()
             || (demand.fairnessDraw < UnpricedFraction && demand.elapsed < demand.firstEventTarget);
-    // What a long prefill takes on idle engines, no other place and no return can spare.
-    const Duration unavoidableTime = prefill < this->settings.minSharedPrefill
-                                             ? Duration::zero()
-                                             : result.shortestTimeToFirstEvent;
-    const bool isServable = demand.answerStarted || best->timeToFirstEvent < demand.callerTimeLeft;
-    const bool isWorthIt = best->expectedLoss <= this->maxAcceptableLoss(demand, unavoidableTime)
-                           || servesReturnSoon(*best, demand);
-    if (isServable && isWorthIt && (isUnpriced || demand.value - best->expectedLoss >= price)) {
+    if (best->expectedLoss <= this->maxAcceptableLoss(demand)
+        && (isUnpriced || demand.value - best->expectedLoss >= price)) {
         result.plan = best;
         return result;
     }
@@ -118,15 +97,11 @@
     for (const PlacementCandidate &candidate : candidateList)
         earliest = std::min(earliest, candidate.load->queuedPrefillTime());
     result.retryAfter = std::clamp(earliest, MinRetryAfter, MaxRetryAfter);
-    // A caller that will be late anyway returns at any time until it would leave, rather than
-    // together with those that came at the same time.
-    const Duration latest = std::min(
-            MaxRetryAfter, fromSeconds(toSeconds(demand.callerTimeLeft) * MaxReturnFraction));
-    const bool isLateOnReturn = demand.elapsed + result.retryAfter + result.shortestTimeToFirstEvent
-                                >= demand.firstEventTarget;
-    if (isLateOnReturn && latest > result.retryAfter)
-        result.retryAfter +=
-                fromSeconds(toSeconds(latest - result.retryAfter) * this->random.nextDouble());
+    // While engine time has a price, a caller that would come back too late does so after the peak.
+    const double backSeconds =
+            toSeconds(demand.elapsed + result.retryAfter + result.shortestTimeToFirstEvent);
+    if (price > 0 && backSeconds > toSeconds(demand.firstEventTarget) * ReturnTargetFraction)
+        result.retryAfter = MaxRetryAfter;
     return result;
 }
 
@@ -227,8 +202,7 @@
     return plans.front();
 }
 
-double PromptPlacement::maxAcceptableLoss(const PromptDemand &demand,
-                                          Duration unavoidableTime) const
+double PromptPlacement::maxAcceptableLoss(const PromptDemand &demand) const
 {
     // A partly delivered answer is continued on any feasible server.
     if (demand.answerStarted)
@@ -236,7 +210,7 @@
     // Value that is already lost, for example because a caller retries after its target time, is no
     // reason to refuse.
     const double unavoidableLoss =
-            latenessLoss(demand, unavoidableTime, this->settings.valueModel.lateValueFraction);
+            latenessLoss(demand, Duration::zero(), this->settings.valueModel.lateValueFraction);
     const double remainingValue = std::max(0.0, demand.value - unavoidableLoss);
     const double refusedBeforeAllowance =
             demand.refusedBefore ? this->settings.refusedBeforeLossFraction * demand.value : 0.0;
--- a/src/gateway/prompt_placement.h
+++ b/src/gateway/prompt_placement.h
@@ -91,9 +91,7 @@
                              double crossings);
     /// Returns true if a prompt that takes \a tokens of an engine's memory reserves them.
     bool isLarge(const EngineProfile &engine, std::uint64_t tokens) const;
-    /// Returns the loss up to which \a demand is served. Its first event takes at least
-    /// \a unavoidableTime.
-    double maxAcceptableLoss(const PromptDemand &demand, Duration unavoidableTime) const;
+    double maxAcceptableLoss(const PromptDemand &demand) const;
     /// Returns what the engine time of \a plan earns with prompts that arrive meanwhile.
     double priceOf(const EngineProfile &engine, const PromptDemand &demand, const PromptPlan &plan,
                    const std::vector<PlacementCandidate> &candidateList, TimePoint now) const;
--- a/src/gateway/prompt_updates.cpp
+++ b/src/gateway/prompt_updates.cpp
@@ -15,8 +15,6 @@
 constexpr std::size_t MaxUpdates = 1'000;
 /// Longer than the deadline of any prompt.
 constexpr Duration MaxRunningAge = std::chrono::minutes(10);
-/// Longer than a caller that may return to another host waits.
-constexpr Duration MaxCallerTime = std::chrono::minutes(10);
 /// Longer than a host remembers the warm-up of a server that is still there.
 constexpr Duration MaxWarmUpAge = std::chrono::hours(24 * 365);
 constexpr const char *JoinedKey = "joined";
@@ -24,7 +22,6 @@
 constexpr const char *LeavingKey = "leaving";
 constexpr const char *LimitsKey = "limits";
 constexpr const char *WarmUpsKey = "warm_ups";
-constexpr const char *RefusedKey = "refused";
 constexpr const char *OutOfReachKey = "unreached";
 constexpr const char *WorkingKey = "working";
 constexpr const char *RetryAsksKey = "retry_asks";
@@ -192,25 +189,6 @@
     }
 }
 
-nlohmann::json encodeRefused(const RefusedPromptNotice &notice)
-{
-    return {notice.fingerprint, toMs(notice.waited), toMs(notice.timeLeft)};
-}
-
-RefusedPromptNotice decodeRefused(const nlohmann::json &row)
-{
-    RefusedPromptNotice notice;
-    notice.fingerprint = row.at(0).get<std::uint64_t>();
-    notice.waited = durationFromMs(row.at(1));
-    notice.timeLeft = durationFromMs(row.at(2));
-    const bool plausible = notice.waited >= Duration::zero() && notice.waited <= MaxCallerTime
-                           && notice.timeLeft >= Duration::zero()
-                           && notice.timeLeft <= MaxCallerTime;
-    if (!plausible)
-        throw nlohmann::json::other_error::create(510, "implausible refusal of a prompt", &row);
-    return notice;
-}
-
 /// Decodes the fields that hosts of earlier versions do not send.
 void decodeExtension(const nlohmann::json &json, PromptUpdateBatch &batch)
 {
@@ -237,12 +215,6 @@
             batch.warmUps.push_back(decodeWarmUp(row));
     }
     decodeRetryNotices(json, batch);
-    if (const auto refused = json.find(RefusedKey); refused != json.end()) {
-        if (refused->size() > MaxUpdates)
-            throw nlohmann::json::other_error::create(511, "more than 1000 refusals", &json);
-        for (const nlohmann::json &row : *refused)
-            batch.refusedPrompts.push_back(decodeRefused(row));
-    }
     batch.poolsOutOfReach = decodeHashes(json, OutOfReachKey);
     batch.workingServers = decodeHashes(json, WorkingKey);
     const auto running = json.find(RunningKey);
@@ -276,8 +248,6 @@
         extension[LimitsKey].push_back(encodeLimit(notice));
     for (const ServerWarmUpNotice &notice : batch.warmUps)
         extension[WarmUpsKey].push_back(encodeWarmUp(notice));
-    for (const RefusedPromptNotice &notice : batch.refusedPrompts)
-        extension[RefusedKey].push_back(encodeRefused(notice));
     if (!batch.poolsOutOfReach.empty())
         extension[OutOfReachKey] = batch.poolsOutOfReach;
     if (!batch.workingServers.empty())
--- a/src/gateway/prompt_updates.h
+++ b/src/gateway/prompt_updates.h
@@ -2,7 +2,6 @@
 
 #include "core/identity.h"
 #include "gateway/engine_load.h"
-#include "gateway/refused_callers.h"
 #include "gateway/retry_lending.h"
 #include "gateway/server_limits.h"
 #include "transport/endpoint.h"
@@ -66,9 +65,6 @@
     std::vector<ServerLimitNotice> limits;
     /// Servers that warm up. Hosts of earlier versions ignore it.
     std::vector<ServerWarmUpNotice> warmUps;
-    /// Prompts that the sender refused, whose callers may return to any host. Hosts of earlier
-    /// versions ignore it.
-    std::vector<RefusedPromptNotice> refusedPrompts;
     /// Hashes of the names of the pools of which the sender reaches no server. Hosts of earlier
     /// versions ignore it.
     std::vector<std::uint32_t> poolsOutOfReach;
--- a/tests/gateway/test_prompt_updates.cpp
+++ b/tests/gateway/test_prompt_updates.cpp
@@ -66,16 +66,6 @@
         CHECK(decoded->leavingServers[0].serverHash == 7);
         CHECK(decoded->leavingServers[0].incarnation == 1'700'000'000'000);
     }
-    SECTION("refused prompts, whose callers may return")
-    {
-        batch.refusedPrompts = {{0xfedcba9876543210, milliseconds(40), milliseconds(9'000)}};
-        const auto decoded = decodePromptUpdates(encodePromptUpdates(batch));
-        REQUIRE(decoded);
-        REQUIRE(decoded->refusedPrompts.size() == 1);
-        CHECK(decoded->refusedPrompts[0].fingerprint == 0xfedcba9876543210);
-        CHECK(decoded->refusedPrompts[0].waited == milliseconds(40));
-        CHECK(decoded->refusedPrompts[0].timeLeft == milliseconds(9'000));
-    }
     SECTION("limits of servers, named and lifted")
     {
         batch.limits = {{7, 3, 2, 1.8, 41}, {8, 4, 9, std::nullopt, 0}};
--- a/tests/support/forward_bench.cpp
+++ b/tests/support/forward_bench.cpp
@@ -227,11 +227,6 @@
     this->limitNotices.push_back(notice);
 }
 
-void ForwardBench::publishRefusedPrompt(const RefusedPromptNotice &notice)
-{
-    this->refusedPrompts.push_back(notice);
-}
-
 void ForwardBench::publishCrashNotice(const CrashNotice &notice)
 {
     this->crashNotices.push_back(notice);
--- a/tests/support/forward_bench.h
+++ b/tests/support/forward_bench.h
@@ -83,7 +83,6 @@
     std::vector<ServerWarmUpNotice> warmUpNotices;
     std::vector<RetryLending::AddressedAsk> retryAsks;
     std::vector<RetryLoan> retryLoans;
-    std::vector<RefusedPromptNotice> refusedPrompts;
     std::vector<CrashNotice> crashNotices;
     bool grantsMemory = false;    ///< Engines reserve memory at once; otherwise the test answers.
     std::size_t queuedBytes = 0;  ///< Number of bytes reported as queued for a caller.
@@ -112,7 +111,6 @@
     void publishServerWarmUp(const ServerWarmUpNotice &notice) override;
     void sendRetryAsk(std::uint32_t host, const RetryAsk &ask) override;
     void sendRetryLoan(std::uint32_t host, const RetryLoan &loan) override;
-    void publishRefusedPrompt(const RefusedPromptNotice &notice) override;
     void publishCrashNotice(const CrashNotice &notice) override;
 
     HttpCallId nextCall = 1;
--- a/tests/support/overload_fleet.cpp
+++ b/tests/support/overload_fleet.cpp
@@ -29,7 +29,6 @@
     : classes(std::move(promptClasses))
     , seenUpdates(hostCount)
     , seenReservations(hostCount)
-    , seenRefusals(hostCount)
 {
     for (std::size_t index = 0; index < engineCount; ++index)
         this->engines.push_back({"engine-" + std::to_string(index), {}, {}, 0});
@@ -101,7 +100,6 @@
                 if (caller.workspace.empty())
                     caller.workspace = Workspaces.front().first;
                 caller.firstSentAt = this->now;
-                caller.text = "prompt " + std::to_string(this->askedFor.size());
                 const double patience = 0.84 + 0.16 * this->random.nextDouble();
                 caller.deadline =
                         this->now + fromSeconds(toSeconds(promptClass.route.timeout) * patience);
@@ -128,8 +126,7 @@
             {{"Key", caller.workspace},
              {"Tokens", std::to_string(static_cast<std::uint64_t>(tokens)) + ","
                                 + std::to_string(promptClass.outputTokens)},
-             {"Patience-Ms", std::to_string((caller.deadline - this->now).count() / 1'000)}},
-            caller.text);
+             {"Patience-Ms", std::to_string((caller.deadline - this->now).count() / 1'000)}});
     this->callers.push_back(caller);
     this->deliverUpdates(caller.host);
 }
@@ -143,14 +140,6 @@
         if (request.tokens > 0)
             sender.controller.onReservationResult(request.reservationId, true, this->now);
     }
-    for (std::size_t &index = this->seenRefusals[host]; index < sender.refusedPrompts.size();
-         ++index) {
-        for (std::size_t other = 0; other < this->hosts.size(); ++other) {
-            if (other != host)
-                this->hosts[other]->controller.onPromptRefusedElsewhere(
-                        sender.refusedPrompts[index], this->now);
-        }
-    }
     for (std::size_t &index = this->seenUpdates[host]; index < sender.promptUpdates.size();
          ++index) {
         const PromptUpdate update = sender.promptUpdates[index];
--- a/tests/support/overload_fleet.h
+++ b/tests/support/overload_fleet.h
@@ -80,7 +80,6 @@
         std::size_t host = 0;
         HttpCallId call = 0;
         std::string workspace;
-        std::string text;
         double size = 1; ///< Relative to the class.
         bool isReturn = false;
         TimePoint firstSentAt;
@@ -114,7 +113,6 @@
     std::vector<std::unique_ptr<ForwardBench>> hosts;
     std::vector<std::size_t> seenUpdates;
     std::vector<std::size_t> seenReservations;
-    std::vector<std::size_t> seenRefusals;
     std::vector<Engine> engines;
     std::vector<Caller> callers;
     std::vector<std::pair<TimePoint, Caller>> returning;
