--- a/src/gateway/engine_time_price.cpp
+++ b/src/gateway/engine_time_price.cpp
@@ -14,6 +14,7 @@
 constexpr double BucketsPerOctave = 4.0;
 /// Engines kept open, in standard deviations of the number that random arrivals keep busy.
 constexpr double OpenDeviations = 2.0;
+constexpr double MaxOpenFraction = 0.2; ///< Of all engines.
 /// Part of all engine time that prompts need for their target to count as the most urgent one.
 constexpr double MinUrgentShare = 0.03;
 /// Prompts count as denser if they earn this many times as much for the time.
@@ -93,10 +94,13 @@
     return result;
 }
 
-double EngineTimePrice::price(const DenserPrompts &denser, double openEngines, double engineSeconds)
+double EngineTimePrice::price(const DenserPrompts &denser, double openEngines, double engineCount,
+                              double engineSeconds)
 {
-    // The number of engines that random arrivals keep busy varies by the root of its mean.
-    const double neededOpen = OpenDeviations * std::sqrt(denser.busyEngines);
+    // The number of engines that random arrivals keep busy varies by the root of its mean. A small
+    // pool cannot keep as many open.
+    const double neededOpen =
+            std::min(OpenDeviations * std::sqrt(denser.busyEngines), MaxOpenFraction * engineCount);
     if (neededOpen <= openEngines)
         return 0;
     // Few prompts that earn more do not fill the time.
--- a/src/gateway/engine_time_price.h
+++ b/src/gateway/engine_time_price.h
@@ -35,8 +35,10 @@
     /// Returns the recent prompts that earn more than \a valuePerSecond.
     DenserPrompts denserPrompts(double valuePerSecond, TimePoint now) const;
 
-    /// Returns what \a engineSeconds cost if \a openEngines could serve one of \a denser in time.
-    static double price(const DenserPrompts &denser, double openEngines, double engineSeconds);
+    /// Returns what \a engineSeconds cost if \a openEngines of \a engineCount could serve one of
+    /// \a denser in time.
+    static double price(const DenserPrompts &denser, double openEngines, double engineCount,
+                        double engineSeconds);
 
 private:
     /// Recent prompts of similar value for the time; all sums decay.
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -238,7 +238,7 @@
                        && toSeconds(candidate.load->predictTimeToFirstEvent(engine, prefill, false))
                                   <= limitSeconds;
             }));
-    return EngineTimePrice::price(denser, openEngines, engineSeconds);
+    return EngineTimePrice::price(denser, openEngines, engineCount, engineSeconds);
 }
 
 bool PromptPlacement::isLarge(const EngineProfile &engine, std::uint64_t tokens) const
--- a/tests/gateway/test_engine_time_price.cpp
+++ b/tests/gateway/test_engine_time_price.cpp
@@ -57,7 +57,7 @@
     {
         const DenserPrompts denser = price.denserPrompts(0, now);
         CHECK(denser.busyEngines == 0);
-        CHECK(EngineTimePrice::price(denser, 0, documentSeconds) == 0);
+        CHECK(EngineTimePrice::price(denser, 0, 40, documentSeconds) == 0);
     }
     SECTION("and the more, the fewer engines are open to them")
     {
@@ -66,12 +66,14 @@
         const double expected = 100 * engineSecondsOf(dataSheetEngine(), question());
         CHECK(denser.busyEngines == Approx(expected).epsilon(0.02));
         CHECK(toSeconds(denser.firstEventTarget) == Approx(0.3).epsilon(0.001));
-        CHECK(EngineTimePrice::price(denser, 0, documentSeconds)
+        CHECK(EngineTimePrice::price(denser, 0, 40, documentSeconds)
               == Approx(valuePerSecond(question()) * documentSeconds));
-        CHECK(EngineTimePrice::price(denser, 0, documentSeconds) > document().value);
-        CHECK(EngineTimePrice::price(denser, 2, documentSeconds)
-              < EngineTimePrice::price(denser, 1, documentSeconds));
-        CHECK(EngineTimePrice::price(denser, 8, documentSeconds) == 0);
+        CHECK(EngineTimePrice::price(denser, 0, 40, documentSeconds) > document().value);
+        CHECK(EngineTimePrice::price(denser, 2, 40, documentSeconds)
+              < EngineTimePrice::price(denser, 1, 40, documentSeconds));
+        CHECK(EngineTimePrice::price(denser, 8, 40, documentSeconds) == 0);
+        // A pool of ten keeps two open at most.
+        CHECK(EngineTimePrice::price(denser, 2, 10, documentSeconds) == 0);
     }
     SECTION("nothing for the densest prompts themselves")
     {
