--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -28,6 +28,25 @@
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration MaxRetryAfter = std::chrono::seconds(4);
 
+/// Returns true if \a demand is served at any price: an answer that has begun, or one of a fraction
+/// of all prompts that can be in time.
+bool isUnpriced(const PromptDemand &demand)
+{
+    const bool isDrawn =
+            demand.fairnessDraw < UnpricedFraction && demand.elapsed < demand.firstEventTarget;
+    return demand.answerStarted || isDrawn;
+}
+
+/// Returns when a refused caller may retry: once the first engine has finished its outstanding
+/// prefill.
+Duration returnDelay(const std::vector<PlacementCandidate> &candidates)
+{
+    Duration earliest = MaxRetryAfter;
+    for (const PlacementCandidate &candidate : candidates)
+        earliest = std::min(earliest, candidate.load->queuedPrefillTime());
+    return std::clamp(earliest, MinRetryAfter, MaxRetryAfter);
+}
+
 } // namespace
 
 PromptPlacement::PromptPlacement(const PromptPlacementSettings &settings, std::string failureDomain,
@@ -61,20 +80,9 @@
     const Duration prefill = prefillTime(*pool.engine, demand.promptTokens, 1);
     result.shortestTimeToFirstEvent = prefill;
     if (pool.engine->supportsSplitPrefill && prefill >= this->settings.minSharedPrefill) {
-        const bool exceedsOneEngine = best->expectedLoss >= InfeasibleLoss;
-        const bool isGiant =
-                prefillTime(*pool.engine, demand.promptTokens, this->settings.usualPrefillEngines)
-                > demand.firstEventTarget / 2;
-        const std::size_t engineLimit = exceedsOneEngine || isGiant
-                                                ? this->settings.maxPrefillEngines
-                                                : this->settings.usualPrefillEngines;
-        const std::size_t maxEngines = std::min(engineLimit, candidateList.size());
-        const SplitPrefillPlanner planner(this->settings, *pool.engine, this->slotQueue);
-        for (std::size_t engineCount = 2; engineCount <= maxEngines; ++engineCount) {
-            const auto plan = planner.plan(demand, candidateList, engineCount, now);
-            if (plan && plan->expectedLoss < best->expectedLoss)
-                best = plan;
-        }
+        const std::size_t maxEngines = std::min(
+                this->maxPrefillEngines(*pool.engine, demand, *best), candidateList.size());
+        this->considerShared(*pool.engine, demand, candidateList, maxEngines, *best, now);
         const std::size_t expectedEngines = std::max(
                 best->helpers.size() + 1, std::min(this->settings.usualPrefillEngines, maxEngines));
         result.shortestTimeToFirstEvent =
@@ -84,19 +92,13 @@
     result.bestPlan = best;
     const double price = this->priceOf(*pool.engine, demand, *best, candidateList, now);
     // A prompt that was taken once is not turned away for its price after a failure.
-    const bool isUnpriced =
-            demand.answerStarted || !excluded.empty()
-            || (demand.fairnessDraw < UnpricedFraction && demand.elapsed < demand.firstEventTarget);
-    if (best->expectedLoss <= this->maxAcceptableLoss(demand)
-        && (isUnpriced || demand.value - best->expectedLoss >= price)) {
+    const bool paysPrice =
+            !excluded.empty() || isUnpriced(demand) || demand.value - best->expectedLoss >= price;
+    if (paysPrice && best->expectedLoss <= this->maxAcceptableLoss(demand)) {
         result.plan = best;
         return result;
     }
-    // The caller may retry once the first engine has finished its outstanding prefill.
-    Duration earliest = MaxRetryAfter;
-    for (const PlacementCandidate &candidate : candidateList)
-        earliest = std::min(earliest, candidate.load->queuedPrefillTime());
-    result.retryAfter = std::clamp(earliest, MinRetryAfter, MaxRetryAfter);
+    result.retryAfter = returnDelay(candidateList);
     // While engine time has a price, a caller that would come back too late does so after the peak.
     const double backSeconds =
             toSeconds(demand.elapsed + result.retryAfter + result.shortestTimeToFirstEvent);
@@ -105,6 +107,30 @@
     return result;
 }
 
+std::size_t PromptPlacement::maxPrefillEngines(const EngineProfile &engine,
+                                               const PromptDemand &demand,
+                                               const PromptPlan &single) const
+{
+    const bool exceedsOneEngine = single.expectedLoss >= InfeasibleLoss;
+    const bool isGiant =
+            prefillTime(engine, demand.promptTokens, this->settings.usualPrefillEngines)
+            > demand.firstEventTarget / 2;
+    return exceedsOneEngine || isGiant ? this->settings.maxPrefillEngines
+                                       : this->settings.usualPrefillEngines;
+}
+
+void PromptPlacement::considerShared(const EngineProfile &engine, const PromptDemand &demand,
+                                     const std::vector<PlacementCandidate> &candidateList,
+                                     std::size_t maxEngines, PromptPlan &best, TimePoint now) const
+{
+    const SplitPrefillPlanner planner(this->settings, engine, this->slotQueue);
+    for (std::size_t engineCount = 2; engineCount <= maxEngines; ++engineCount) {
+        const auto plan = planner.plan(demand, candidateList, engineCount, now);
+        if (plan && plan->expectedLoss < best.expectedLoss)
+            best = *plan;
+    }
+}
+
 bool PromptPlacement::hasBecomeCostly(const ServerPool &pool, const PromptDemand &demand,
                                       const PromptPlan &plan, TimePoint now)
 {
--- a/src/gateway/prompt_placement.h
+++ b/src/gateway/prompt_placement.h
@@ -89,6 +89,15 @@
     /// good.
     const PromptPlan &choose(std::vector<PromptPlan> &plans, const PromptDemand &demand,
                              double crossings);
+    /// Returns the number of engines that may share the prefill of \a demand, whose best plan on
+    /// one engine is \a single.
+    std::size_t maxPrefillEngines(const EngineProfile &engine, const PromptDemand &demand,
+                                  const PromptPlan &single) const;
+    /// Replaces \a best by the plan with the lowest loss on up to \a maxEngines that share the
+    /// prefill, if that is lower.
+    void considerShared(const EngineProfile &engine, const PromptDemand &demand,
+                        const std::vector<PlacementCandidate> &candidateList,
+                        std::size_t maxEngines, PromptPlan &best, TimePoint now) const;
     /// Returns true if a prompt that takes \a tokens of an engine's memory reserves them.
     bool isLarge(const EngineProfile &engine, std::uint64_t tokens) const;
     double maxAcceptableLoss(const PromptDemand &demand) const;
