Test of lending retries without copies of functions

Cause: the test took 33 s, over three minutes with sanitizers: each message of its network was a function that was copied several times. Change: messages are values. Hosts, network, draws and bounds are the same.

--- a/tests/gateway/test_retry_lending.cpp
+++ b/tests/gateway/test_retry_lending.cpp
@@ -4,9 +4,10 @@
 
 #include <catch2/catch.hpp>
 #include <deque>
-#include <functional>
 #include <memory>
 #include <set>
+#include <unordered_map>
+#include <variant>
 
 using namespace dotterel;
 using std::chrono::milliseconds;
@@ -91,7 +92,7 @@
             while (!this->network.empty() && this->network.front().due <= this->now) {
                 const Message message = this->network.front();
                 this->network.pop_front();
-                message.deliver();
+                this->deliver(message);
             }
         }
     }
@@ -129,8 +130,10 @@
     };
     struct Message
     {
+        std::size_t from;
+        std::size_t to;
+        std::variant<RetryAsk, RetryLoan> notice;
         TimePoint due;
-        std::function<void()> deliver;
     };
 
     void spend(std::uint64_t request)
@@ -139,13 +142,26 @@
         this->spentValues.push_back(this->values[request]);
     }
 
-    void send(std::size_t from, std::size_t to, const std::function<void()> &deliver)
+    void send(Message message)
     {
-        if (to >= this->hosts() || from % this->parts != to % this->parts
+        if (message.to >= this->hosts() || message.from % this->parts != message.to % this->parts
             || this->random.nextDouble() < this->loss)
             return;
-        for (std::size_t copy = 0; copy < this->repeats; ++copy)
-            this->network.push_back({this->now + this->delay, deliver});
+        message.due = this->now + this->delay;
+        this->network.insert(this->network.end(), this->repeats, message);
+    }
+
+    void deliver(const Message &message)
+    {
+        RetryLending &receiver = *this->lending[message.to];
+        const auto sender = static_cast<std::uint32_t>(message.from);
+        if (const auto *loan = std::get_if<RetryLoan>(&message.notice)) {
+            receiver.onLoan(Pool, sender, *loan, this->now);
+            return;
+        }
+        const auto &ask = std::get<RetryAsk>(message.notice);
+        if (const auto loan = receiver.onAsk(Pool, sender, ask, this->now))
+            this->send({message.to, message.from, *loan, {}});
     }
 
     void serve()
@@ -168,19 +184,8 @@
         this->waits = left;
         for (const std::size_t host : waitingHosts) {
             for (const RetryLending::AddressedAsk &ask :
-                 this->lending[host]->takeAsks(Pool, this->now)) {
-                const std::size_t lender = ask.host;
-                this->send(host, lender, [this, host, lender, ask] {
-                    const auto loan = this->lending[lender]->onAsk(
-                            Pool, static_cast<std::uint32_t>(host), ask.ask, this->now);
-                    if (!loan)
-                        return;
-                    this->send(lender, host, [this, host, lender, loan] {
-                        this->lending[host]->onLoan(Pool, static_cast<std::uint32_t>(lender), *loan,
-                                                    this->now);
-                    });
-                });
-            }
+                 this->lending[host]->takeAsks(Pool, this->now))
+                this->send({host, ask.host, ask.ask, {}});
         }
     }
 
@@ -189,7 +194,7 @@
     std::vector<std::unique_ptr<RetryLending>> lending;
     std::size_t allHosts;
     std::uint64_t nextRequest = 1;
-    std::map<std::uint64_t, double> values;
+    std::unordered_map<std::uint64_t, double> values;
     std::vector<Wait> waits;
     std::deque<Message> network;
 };
