--- a/src/gateway/server_limits.cpp
+++ b/src/gateway/server_limits.cpp
@@ -120,7 +120,7 @@
     }
     const bool wasWarmingUp = record.warmUp && record.warmUp->until > now;
     const double tokens = this->level(record, now);
-    // What the server got just before it turned cold leaves nothing for the first moments.
+    // What the server got just before its warm-up leaves nothing for the first moments.
     record.tokens = wasWarmingUp || term.until <= now ? tokens : std::min(tokens, 0.0);
     record.refilledAt = now;
     record.warmUp = term;
--- a/src/gateway/server_warm_up.cpp
+++ b/src/gateway/server_warm_up.cpp
@@ -71,7 +71,7 @@
                              TimePoint now)
 {
     const auto found = this->records.find(server.id);
-    // The answer to an earlier request may have been written before the server turned cold.
+    // The answer to an earlier request may have been written before the warm-up began.
     if (left == Duration::zero()
         && (found == this->records.end() || sentAt <= found->second.heardAt))
         return false;
