Log attempts whose end leaves a crash in doubt, and how the doubt is settled

Whether an attempt that ended was held in doubt, dropped or settled could not be told from logs or metrics: crash_suspect names only those that turned out to be crashes. Events crash_doubted and crash_doubt_settled, two counters. No change of logic.

--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -141,6 +141,10 @@
              "A suspect was cleared: the crashes counted for it so far are forgotten."},
             {Event::CrashLearned, "crash_learned", Severity::Info,
              "Another entry host reported crashes, or the clearance, of a suspect."},
+            {Event::CrashDoubted, "crash_doubted", Severity::Info,
+             "An attempt ended without showing whether its backend server crashed."},
+            {Event::CrashDoubtSettled, "crash_doubt_settled", Severity::Info,
+             "Whether the backend server of a doubted attempt crashed is decided."},
     };
     return table;
 }
--- a/src/core/event_log.h
+++ b/src/core/event_log.h
@@ -77,6 +77,8 @@
     CrashRefused = 801,
     CrashCleared = 802,
     CrashLearned = 803,
+    CrashDoubted = 804,
+    CrashDoubtSettled = 805,
 };
 
 /// Static properties of an Event.
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -62,9 +62,11 @@
     CrashSuspects,
     CrashSuspectsCleared,
     CrashNoticesApplied,
-    RetriesAwaited,  ///< Retries that waited for parts of other hosts' retry budgets.
-    RetriesWithheld, ///< Retries that the retry budget did not allow.
-    StreamsTorn,     ///< Streams whose framing was whole and whose events were not.
+    CrashDoubts,          ///< Attempts whose end does not show whether their server crashed.
+    CrashDoubtsConfirmed, ///< Those whose server turned out to have crashed.
+    RetriesAwaited,       ///< Retries that waited for parts of other hosts' retry budgets.
+    RetriesWithheld,      ///< Retries that the retry budget did not allow.
+    StreamsTorn,          ///< Streams whose framing was whole and whose events were not.
     ResponsesTooLarge,
     RequestsRelayed,
     RelayedRequestsTaken,
--- a/src/gateway/forward_crashes.cpp
+++ b/src/gateway/forward_crashes.cpp
@@ -189,6 +189,12 @@
     end.server = call.attempt->server;
     end.since = since;
     end.endedAt = now;
+    this->metrics.count(Counter::CrashDoubts, 1);
+    this->log.write(Event::CrashDoubted,
+                    {{"request", end.request},
+                     {"server", end.server},
+                     {"cause", std::string(doubtfulEndName(kind))},
+                     {"ran_ms", (now - call.attempt->sentAt).count() / 1'000}});
     this->doubtfulEnds.add(std::move(end));
 }
 
@@ -215,7 +221,13 @@
     for (const auto &[end, crashed] : this->doubtfulEnds.settle(tracesOf, now)) {
         const CrashContext context{end.request, std::string(doubtfulEndName(end.kind)),
                                    now - end.endedAt};
+        this->log.write(Event::CrashDoubtSettled, {{"request", end.request},
+                                                   {"server", end.server},
+                                                   {"cause", context.cause},
+                                                   {"crashed", static_cast<std::int64_t>(crashed)},
+                                                   {"after_ms", context.age.count() / 1'000}});
         if (crashed) {
+            this->metrics.count(Counter::CrashDoubtsConfirmed, 1);
             this->effects.publishCrashNotice(
                     this->crashGuard.onServerCrashed(end.fingerprint, end.server, now, context));
             this->publishNotices(this->partGuard.onServerCrashed(end.partKeys, end.hasBegun,
