--- a/tests/gateway/test_crashes_without_end.cpp
+++ b/tests/gateway/test_crashes_without_end.cpp
@@ -117,3 +117,23 @@
         }
     }
 }
+
+TEST_CASE("The refusal of the next server at an address took a crash back",
+          "[Gateway][CrashSuspects]")
+{
+    CutBench bench;
+    bench.loseAll();
+    REQUIRE_FALSE(bench.isSent());
+    bench.advanceTime(seconds(2));
+    for (std::size_t server = 0; server < ServerCount; ++server) {
+        bench.request("/orders/other" + std::to_string(server));
+        const ForwardAttemptId attempt = bench.sentAttempts.back().id;
+        // The body arrives before the end of the response is known.
+        bench.controller.onAttemptHead(attempt, 421, {}, bench.now);
+        bench.controller.onAttemptData(attempt, "another server", bench.now);
+        bench.advanceTime(milliseconds(10));
+        bench.controller.onAttemptComplete(attempt, bench.now);
+    }
+    bench.addServer("app-next", "app");
+    CHECK_FALSE(bench.isSent());
+}
