Hold attempts that are given up in doubt, whenever that happens

Cause: an attempt that is given up less than 500 ms after its last byte was dropped without a trace. A server that goes on with the run and ends accuses nobody; callers who leave after 20 to 75 ms thus hide all crashes of their request.

Every attempt that is given up before it has shown a sound run is now a doubtful end. The server may go on with the run for the latency goal of its route (at most 1 s), so a sign of life within that time proves nothing, and the crash is not dated before its end, or livedOn() would take it back. A success of the same request since drops the doubt.

--- a/src/gateway/doubtful_ends.h
+++ b/src/gateway/doubtful_ends.h
@@ -16,6 +16,7 @@
 enum class DoubtfulEndKind {
     LostAtOnce, ///< A reused connection was lost at once; the server may have closed it before.
     Silence,    ///< Nothing came any more until the attempt was given up.
+    GivenUp,    ///< The attempt was given up before a response could be expected.
     /// A success that only the end of its connection delimits, which a crash may have caused.
     EndedInOrder,
 };
@@ -35,6 +36,8 @@
     ServerId server;
     TimePoint since; ///< A crash that ended the attempt is not earlier than this.
     TimePoint endedAt;
+    /// How long the server may have gone on with the run after endedAt.
+    Duration runOutTime = Duration::zero();
 };
 
 /// What is known of the server of a doubtful end.
@@ -67,6 +70,7 @@
     {
         DoubtfulEnd end;
         bool crashed = false;
+        TimePoint crashedAt; ///< The latest time at which it can have crashed; if it did.
     };
 
     explicit DoubtfulEnds(const DoubtfulEndLimits &limits);
@@ -81,6 +85,9 @@
     std::vector<Settled> settle(const std::function<ServerTraces(const ServerId &)> &tracesOf,
                                 TimePoint now);
 
+    /// Removes the ends of a request that has run to completion since.
+    void dismiss(std::string_view fingerprint);
+
 private:
     std::optional<bool> judge(const DoubtfulEnd &end, const ServerTraces &traces,
                               TimePoint now) const;
--- a/src/gateway/forward_attempt_ends.cpp
+++ b/src/gateway/forward_attempt_ends.cpp
@@ -128,7 +128,7 @@
 {
     if (!call.attempt)
         return;
-    this->doubtIfSilent(call, now);
+    this->doubtGivenUp(call, now);
     // The server may still run the request despite the cancellation.
     call.mayHaveRun = true;
     this->effects.cancelAttempt(call.attempt->id);
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -285,8 +285,9 @@
     void clearSuspect(const std::string &fingerprint, const CrashContext &context, TimePoint now);
     /// Remembers that the attempt ended in a way that does not show whether its server crashed.
     void doubtEnd(ForwardCall &call, DoubtfulEndKind kind, TimePoint since, TimePoint now);
-    /// Does so if the attempt, which is given up, got nothing from its server for some time.
-    void doubtIfSilent(ForwardCall &call, TimePoint now);
+    /// Does so for an attempt that is given up, unless it has shown that it does its server no
+    /// harm.
+    void doubtGivenUp(ForwardCall &call, TimePoint now);
     void settleDoubtfulEnds(TimePoint now);
     /// Returns the time from which an attempt without received bytes may be retried.
     TimePoint inactivityDeadline(const ForwardCall &call) const;
--- a/src/gateway/forward_crashes.cpp
+++ b/src/gateway/forward_crashes.cpp
@@ -14,6 +14,8 @@
 /// An attempt that is given up after this time without bytes may be at a server that has crashed
 /// without its connections showing it.
 constexpr Duration MinDoubtfulSilence = std::chrono::milliseconds(500);
+/// A server does not go on longer than this with a run that was given up.
+constexpr Duration MaxRunOutTime = std::chrono::seconds(1);
 
 } // namespace
 
@@ -163,8 +165,10 @@
     if (call.attempt->firstEventReceived && !endMayBeCrash)
         this->recordSoundParts(call, now);
     if (endMayBeCrash)
-        this->doubtEnd(call, DoubtfulEndKind::EndedInOrder, now, now);
-    else if (!this->crashGuard.empty())
+        return this->doubtEnd(call, DoubtfulEndKind::EndedInOrder, now, now);
+    if (!this->doubtfulEnds.empty())
+        this->doubtfulEnds.dismiss(this->requestFingerprint(call));
+    if (!this->crashGuard.empty())
         this->clearSuspect(this->requestFingerprint(call), {call.metadata.requestId, "success"},
                            now);
 }
@@ -189,6 +193,9 @@
     end.server = call.attempt->server;
     end.since = since;
     end.endedAt = now;
+    const bool wasGivenUp = kind == DoubtfulEndKind::Silence || kind == DoubtfulEndKind::GivenUp;
+    if (wasGivenUp && call.deadline > now)
+        end.runOutTime = std::min({call.route->latencyGoal, call.deadline - now, MaxRunOutTime});
     this->metrics.count(Counter::CrashDoubts, 1);
     this->log.write(Event::CrashDoubted,
                     {{"request", end.request},
@@ -198,11 +205,18 @@
     this->doubtfulEnds.add(std::move(end));
 }
 
-void ForwardController::doubtIfSilent(ForwardCall &call, TimePoint now)
+void ForwardController::doubtGivenUp(ForwardCall &call, TimePoint now)
 {
-    if (call.attempt && !call.attempt->isRelayed() && !call.readingPaused
-        && now - call.attempt->lastDataAt >= MinDoubtfulSilence)
-        this->doubtEnd(call, DoubtfulEndKind::Silence, call.attempt->lastDataAt, now);
+    if (!call.attempt || call.attempt->isRelayed() || call.readingPaused)
+        return;
+    const ForwardAttempt &attempt = *call.attempt;
+    if (now - attempt.lastDataAt >= MinDoubtfulSilence)
+        return this->doubtEnd(call, DoubtfulEndKind::Silence, attempt.lastDataAt, now);
+    const bool isStream = call.route->kind == RouteKind::Stream;
+    const bool hasRun = attempt.firstEventReceived ? now - attempt.firstEventAt > MaxBeginningTime
+                                                   : attempt.status != 0 && !isStream;
+    if (!hasRun)
+        this->doubtEnd(call, DoubtfulEndKind::GivenUp, attempt.sentAt, now);
 }
 
 void ForwardController::onServersChanged(TimePoint now)
@@ -218,14 +232,15 @@
     const auto tracesOf = [this](const ServerId &server) {
         return ServerTraces{this->fleet.lastSignOfLife(server), this->fleet.disappearedAt(server)};
     };
-    for (const auto &[end, crashed] : this->doubtfulEnds.settle(tracesOf, now)) {
+    for (const auto &[end, crashed, crashedAt] : this->doubtfulEnds.settle(tracesOf, now)) {
         const CrashContext context{end.request, std::string(doubtfulEndName(end.kind)),
-                                   now - end.endedAt};
-        this->log.write(Event::CrashDoubtSettled, {{"request", end.request},
-                                                   {"server", end.server},
-                                                   {"cause", context.cause},
-                                                   {"crashed", static_cast<std::int64_t>(crashed)},
-                                                   {"after_ms", context.age.count() / 1'000}});
+                                   now - std::min(crashedAt, now)};
+        this->log.write(Event::CrashDoubtSettled,
+                        {{"request", end.request},
+                         {"server", end.server},
+                         {"cause", context.cause},
+                         {"crashed", static_cast<std::int64_t>(crashed)},
+                         {"after_ms", (now - end.endedAt).count() / 1'000}});
         if (crashed) {
             this->metrics.count(Counter::CrashDoubtsConfirmed, 1);
             this->effects.publishCrashNotice(
--- a/src/gateway/forward_retries.cpp
+++ b/src/gateway/forward_retries.cpp
@@ -112,7 +112,7 @@
 void ForwardController::replaceSilentAttempt(ForwardCall &call, TimePoint now)
 {
     this->logFailedAttempt(call, "silent", Verdict::MayHaveRun, now);
-    this->doubtIfSilent(call, now);
+    this->doubtGivenUp(call, now);
     this->effects.cancelAttempt(call.attempt->id);
     const bool noResponse = call.attempt->status == 0;
     if (!call.attempt->isRelayed())
