Take the refusal of another server for no sign of life of the one that was asked

Cause: onAttemptData() takes any byte for a sign of life of the server that was asked, also the body of the 421 by which the next server at its address refuses. takeBackCrashes() then takes its crash back, unless the host had seen a refused connection; when all servers of a pool end, those are forgotten. The load that such an answer states was counted for the wrong server as well.

The refusal now counts as contact with the pool only. 'The refusal of the next server at an address took a crash back' failed before.

--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -50,7 +50,7 @@
     }
     this->reach.onContact(call->pool, now);
     this->recordAnnouncements(attempt.server, attempt.metadata, attempt.sentAt, now);
-    if (attempt.metadata.load)
+    if (attempt.metadata.load && !attempt.metadata.isWrongServer)
         this->servicePlacement.onLoadReported(attempt.server, *attempt.metadata.load, now);
     if (!attempt.metadata.notRun && !attempt.metadata.isWrongServer)
         call->mayHaveRun = true;
@@ -99,7 +99,8 @@
     attempt.lastDataAt = now;
     attempt.bodyBytes += bytes.size();
     if (!attempt.isRelayed()) {
-        this->fleet.onSignOfLife(attempt.server, now);
+        if (!attempt.metadata.isWrongServer)
+            this->fleet.onSignOfLife(attempt.server, now);
         this->reach.onContact(call->pool, now);
     }
     if (this->passesOnEvents(*call))
