Bound the JSON of other programs, and check its numbers by field

Callers lose hosts, or an entry is taken with other numbers than it states.

Cause: each decoder parsed what servers, peers, operators and the store sent without a bound on depth or size, read numbers with a narrowing conversion (port 70000 became 4464, a double beyond 64 bits is undefined behaviour) and took '80x' for a port. Errors quoted input of any length.

parseJson() bounds depth (32) and size (16 MiB) before values are built, and shortens its reasons. toUnsigned(), requireInteger(), integerOr() and findNumber() name the field that is no integer, not finite or out of range. Entries of a host list are read one by one.

--- a/src/entry_host/draining_server_prober.cpp
+++ b/src/entry_host/draining_server_prober.cpp
@@ -1,6 +1,7 @@
 #include "entry_host/draining_server_prober.h"
 
 #include "core/hashing.h"
+#include "core/json_input.h"
 
 #include <nlohmann/json.hpp>
 
@@ -18,7 +19,7 @@
 {
     if (!response || response->status != StatusOk)
         return true;
-    const nlohmann::json json = nlohmann::json::parse(response->body, nullptr, false);
+    const nlohmann::json json = parseJsonOrDiscard(response->body);
     const bool isValid =
             json.is_object() && json.contains("draining") && json["draining"].is_boolean();
     return !isValid || json["draining"].get<bool>();
--- a/src/gateway/host_entries.cpp
+++ b/src/gateway/host_entries.cpp
@@ -1,5 +1,6 @@
 #include "gateway/host_entries.h"
 
+#include "core/json_input.h"
 #include <nlohmann/json.hpp>
 
 namespace dotterel {
@@ -21,14 +22,14 @@
 
 std::optional<HostListEntry> decodeHostEntry(const std::string &name, const std::string &text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = parseJsonOrDiscard(text);
     try {
         HostListEntry host;
         host.id = name;
         host.role = EntryRole;
         host.failureDomain = json.at("failure_domain").get<std::string>();
         host.address = json.at("address").get<std::string>();
-        host.peerPort = json.at("peer_port").get<std::uint16_t>();
+        host.peerPort = toUnsigned<std::uint16_t>(json.at("peer_port"));
         host.leaving = json.value("leaving", false);
         return host;
     } catch (const nlohmann::json::exception &) {
--- a/src/gateway/prompt_updates.cpp
+++ b/src/gateway/prompt_updates.cpp
@@ -1,6 +1,7 @@
 #include "gateway/prompt_updates.h"
 
 #include "core/hashing.h"
+#include "core/json_input.h"
 #include "protocol/cbor.h"
 
 #include <cmath>
@@ -34,6 +35,12 @@
 
 Duration durationFromMs(const nlohmann::json &json)
 {
+    constexpr std::int64_t MaxMs = 1'000'000'000'000;
+    const bool fits = json.is_number_unsigned()
+                              ? json.get<std::uint64_t>() <= MaxMs
+                              : json.is_number_integer() && json.get<std::int64_t>() >= -MaxMs;
+    if (!fits)
+        throw nlohmann::json::other_error::create(501, "duration out of range", &json);
     return std::chrono::milliseconds(json.get<std::int64_t>());
 }
 
@@ -64,23 +71,23 @@
     if (kind < 0 || kind > static_cast<int>(PromptUpdateKind::Unanswered))
         throw nlohmann::json::other_error::create(501, "unknown prompt update kind", &row);
     update.kind = static_cast<PromptUpdateKind>(kind);
-    update.sequence = row.at(1).get<std::uint64_t>();
+    update.sequence = toUnsigned<std::uint64_t>(row.at(1));
     if (update.kind == PromptUpdateKind::Ended)
         return update;
     std::size_t column = 2;
-    update.serverHash = row.at(column++).get<std::uint32_t>();
+    update.serverHash = toUnsigned<std::uint32_t>(row.at(column++));
     if (update.kind != PromptUpdateKind::Dispatched)
         return update;
-    update.demand.promptTokens = row.at(column++).get<std::uint64_t>();
-    update.demand.outputTokens = row.at(column++).get<std::uint64_t>();
+    update.demand.promptTokens = toUnsigned<std::uint64_t>(row.at(column++));
+    update.demand.outputTokens = toUnsigned<std::uint64_t>(row.at(column++));
     update.demand.firstEventTarget = durationFromMs(row.at(column++));
     update.demand.maxEventGap = durationFromMs(row.at(column++));
     update.demand.elapsed = durationFromMs(row.at(column++));
     update.demand.callerTimeLeft = durationFromMs(row.at(column++));
     update.demand.value = row.at(column++).get<double>() / ValueScale;
     while (column < row.size()) {
-        update.helperHashes.push_back(row.at(column++).get<std::uint32_t>());
-        update.helperMemoryTokens.push_back(row.at(column++).get<std::uint64_t>());
+        update.helperHashes.push_back(toUnsigned<std::uint32_t>(row.at(column++)));
+        update.helperMemoryTokens.push_back(toUnsigned<std::uint64_t>(row.at(column++)));
     }
     return update;
 }
@@ -117,10 +124,10 @@
 {
     constexpr std::size_t LimitColumn = 4;
     ServerLimitNotice notice;
-    notice.serverHash = row.at(0).get<std::uint32_t>();
-    notice.incarnation = row.at(1).get<std::uint64_t>();
-    notice.revision = row.at(2).get<std::uint64_t>();
-    notice.sent = row.at(3).get<std::uint64_t>();
+    notice.serverHash = toUnsigned<std::uint32_t>(row.at(0));
+    notice.incarnation = toUnsigned<std::uint64_t>(row.at(1));
+    notice.revision = toUnsigned<std::uint64_t>(row.at(2));
+    notice.sent = toUnsigned<std::uint64_t>(row.at(3));
     if (row.size() > LimitColumn)
         notice.limit = row.at(LimitColumn).get<double>();
     if (notice.limit && !(std::isfinite(*notice.limit) && *notice.limit >= 0))
@@ -149,11 +156,11 @@
 {
     ServerWarmUpNotice notice;
     std::size_t column = 0;
-    notice.serverHash = row.at(column++).get<std::uint32_t>();
-    notice.incarnation = row.at(column++).get<std::uint64_t>();
+    notice.serverHash = toUnsigned<std::uint32_t>(row.at(column++));
+    notice.incarnation = toUnsigned<std::uint64_t>(row.at(column++));
     notice.left = durationFromMs(row.at(column++));
     notice.age = durationFromMs(row.at(column++));
-    notice.sent = row.at(column++).get<std::uint64_t>();
+    notice.sent = toUnsigned<std::uint64_t>(row.at(column++));
     const bool plausible = notice.left >= Duration::zero() && notice.left <= MaxWarmUpAge
                            && notice.age >= Duration::zero() && notice.age <= MaxWarmUpAge;
     if (!plausible)
@@ -178,14 +185,15 @@
     }
     if (const auto asks = json.find(RetryAsksKey); asks != json.end()) {
         for (const nlohmann::json &row : *asks)
-            batch.retryAsks.push_back({row.at(0).get<std::uint32_t>(),
-                                       row.at(1).get<std::uint64_t>(), decodeAmount(row.at(2)),
-                                       decodeAmount(row.at(3))});
+            batch.retryAsks.push_back({toUnsigned<std::uint32_t>(row.at(0)),
+                                       toUnsigned<std::uint64_t>(row.at(1)),
+                                       decodeAmount(row.at(2)), decodeAmount(row.at(3))});
     }
     if (const auto loans = json.find(RetryLoansKey); loans != json.end()) {
         for (const nlohmann::json &row : *loans)
-            batch.retryLoans.push_back({row.at(0).get<std::uint32_t>(),
-                                        row.at(1).get<std::uint64_t>(), decodeAmount(row.at(2))});
+            batch.retryLoans.push_back({toUnsigned<std::uint32_t>(row.at(0)),
+                                        toUnsigned<std::uint64_t>(row.at(1)),
+                                        decodeAmount(row.at(2))});
     }
 }
 
@@ -193,14 +201,14 @@
 void decodeExtension(const nlohmann::json &json, PromptUpdateBatch &batch)
 {
     if (const auto joined = json.find(JoinedKey); joined != json.end())
-        batch.joinedAt =
-                Endpoint{joined->at(0).get<std::string>(), joined->at(1).get<std::uint16_t>()};
+        batch.joinedAt = Endpoint{joined->at(0).get<std::string>(),
+                                  toUnsigned<std::uint16_t>(joined->at(1))};
     if (const auto leaving = json.find(LeavingKey); leaving != json.end()) {
         if (leaving->size() > MaxUpdates)
             throw nlohmann::json::other_error::create(504, "more than 1000 leaving servers", &json);
         for (const nlohmann::json &row : *leaving)
             batch.leavingServers.push_back(
-                    {row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint64_t>()});
+                    {toUnsigned<std::uint32_t>(row.at(0)), toUnsigned<std::uint64_t>(row.at(1))});
     }
     if (const auto limits = json.find(LimitsKey); limits != json.end()) {
         if (limits->size() > MaxUpdates)
@@ -293,7 +301,7 @@
         return tl::unexpected(std::string("the datagram is not a CBOR array"));
     try {
         PromptUpdateBatch batch;
-        batch.senderHash = json.at(0).get<std::uint32_t>();
+        batch.senderHash = toUnsigned<std::uint32_t>(json.at(0));
         if (json.at(1).size() > MaxUpdates)
             return tl::unexpected(std::string("the datagram has more than 1000 updates"));
         for (const nlohmann::json &row : json.at(1))
--- a/src/protocol/engine_memory.cpp
+++ b/src/protocol/engine_memory.cpp
@@ -1,5 +1,6 @@
 #include "protocol/engine_memory.h"
 
+#include "core/json_input.h"
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -11,8 +12,12 @@
 
 Duration parseMilliseconds(const nlohmann::json &json)
 {
-    const std::int64_t durationMs = json.get<std::int64_t>();
-    return std::chrono::milliseconds(std::clamp<std::int64_t>(durationMs, 0, MaxDurationMs));
+    if (!json.is_number_integer())
+        throw nlohmann::json::other_error::create(501, "duration is no integer", &json);
+    if (json.is_number_unsigned())
+        return std::chrono::milliseconds(
+                std::min<std::uint64_t>(json.get<std::uint64_t>(), MaxDurationMs));
+    return Duration::zero();
 }
 
 } // namespace
@@ -21,13 +26,16 @@
 {
     std::vector<EngineAllocation> allocations;
     try {
-        for (const nlohmann::json &item : nlohmann::json::parse(text)) {
+        const nlohmann::json items = parseJsonOrDiscard(text);
+        if (!items.is_array())
+            return tl::unexpected(std::string("the allocations are not a JSON array"));
+        for (const nlohmann::json &item : items) {
             EngineAllocation allocation;
             allocation.id = item.at("id").get<AllocationId>();
             allocation.host = item.at("host").get<HostId>();
             allocation.incarnation = item.at("incarnation").get<Incarnation>();
             allocation.request = item.at("request").get<RequestId>();
-            allocation.tokens = item.at("tokens").get<std::uint64_t>();
+            allocation.tokens = toUnsigned<std::uint64_t>(item.at("tokens"));
             allocation.age = parseMilliseconds(item.at("age_ms"));
             allocation.timeToLive = parseMilliseconds(item.at("time_to_live_ms"));
             allocations.push_back(allocation);
--- a/src/protocol/engine_stream.cpp
+++ b/src/protocol/engine_stream.cpp
@@ -1,5 +1,6 @@
 #include "protocol/engine_stream.h"
 
+#include "core/json_input.h"
 #include <nlohmann/json.hpp>
 
 namespace dotterel {
@@ -11,14 +12,14 @@
 
 tl::expected<EngineEvent, std::string> parseEvent(std::string_view text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = parseJsonOrDiscard(text);
     if (!json.is_object())
         return tl::unexpected(std::string("the event data is not a JSON object"));
     try {
         const AttemptId attempt = json.at("attempt").get<std::string>();
         if (json.value("end", false))
-            return AnswerEnd{attempt, json.at("count").get<std::uint64_t>()};
-        return AnswerToken{attempt, json.at("index").get<std::uint64_t>(),
+            return AnswerEnd{attempt, toUnsigned<std::uint64_t>(json.at("count"))};
+        return AnswerToken{attempt, toUnsigned<std::uint64_t>(json.at("index")),
                            json.at("text").get<std::string>()};
     } catch (const nlohmann::json::exception &error) {
         return tl::unexpected(std::string(error.what()));
--- a/src/protocol/host_status.cpp
+++ b/src/protocol/host_status.cpp
@@ -1,5 +1,6 @@
 #include "protocol/host_status.h"
 
+#include "core/json_input.h"
 #include <nlohmann/json.hpp>
 
 namespace dotterel {
@@ -25,14 +26,14 @@
 {
     HostStatus status;
     status.identity = parseIdentity(json);
-    status.configurationVersion = json.at("configuration_version").get<std::uint64_t>();
+    status.configurationVersion = toUnsigned<std::uint64_t>(json.at("configuration_version"));
     status.shuttingDown = json.at("shutting_down").get<bool>();
     status.platformReachable = json.at("platform_reachable").get<bool>();
-    status.requestsInFlight = json.at("requests_in_flight").get<std::uint64_t>();
-    status.peerLinks = json.at("peer_links").get<std::uint64_t>();
+    status.requestsInFlight = toUnsigned<std::uint64_t>(json.at("requests_in_flight"));
+    status.peerLinks = toUnsigned<std::uint64_t>(json.at("peer_links"));
     for (const nlohmann::json &item : json.at("members")) {
         status.members.push_back({parseIdentity(item),
-                                  item.at("configuration_version").get<std::uint64_t>(),
+                                  toUnsigned<std::uint64_t>(item.at("configuration_version")),
                                   item.at("leaving").get<bool>()});
     }
     for (const nlohmann::json &item : json.at("backend_servers")) {
@@ -70,7 +71,7 @@
 tl::expected<HostStatus, std::string> hostStatusFromJson(std::string_view text)
 {
     try {
-        return parseStatus(nlohmann::json::parse(text));
+        return parseStatus(parseJsonOrDiscard(text));
     } catch (const nlohmann::json::exception &error) {
         return tl::unexpected(std::string(error.what()));
     }
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -1,6 +1,7 @@
 #include "protocol/peer_message.h"
 
 #include "core/enum_names.h"
+#include "core/json_input.h"
 #include "protocol/cbor.h"
 #include "protocol/crash_notice_codec.h"
 
@@ -43,15 +44,6 @@
         {MemberState::Left, "left"},
 }};
 
-template <typename Number>
-Number decodeUnsigned(const nlohmann::json &json)
-{
-    if (!json.is_number_unsigned()
-        || json.get<std::uint64_t>() > std::numeric_limits<Number>::max())
-        throw nlohmann::json::other_error::create(501, "number out of range", &json);
-    return json.get<Number>();
-}
-
 std::string decodeName(const nlohmann::json &json)
 {
     std::string name = json.get<std::string>();
@@ -76,21 +68,21 @@
 MemberRecord decodeMemberRecord(const nlohmann::json &json)
 {
     MemberRecord record;
-    record.identity = {decodeName(json.at(0)), decodeUnsigned<Incarnation>(json.at(1)),
+    record.identity = {decodeName(json.at(0)), toUnsigned<Incarnation>(json.at(1)),
                        decodeName(json.at(2))};
-    record.peerEndpoint = {decodeName(json.at(3)), decodeUnsigned<std::uint16_t>(json.at(4))};
-    record.refutationCounter = decodeUnsigned<std::uint64_t>(json.at(5));
-    const unsigned flags = decodeUnsigned<unsigned>(json.at(6));
+    record.peerEndpoint = {decodeName(json.at(3)), toUnsigned<std::uint16_t>(json.at(4))};
+    record.refutationCounter = toUnsigned<std::uint64_t>(json.at(5));
+    const unsigned flags = toUnsigned<unsigned>(json.at(6));
     if (flags >= 2 * LeavingFlag || (flags & (LeavingFlag - 1)) >= MemberStateNames.size())
         throw nlohmann::json::other_error::create(501, "unknown member state or flag", &json);
     record.state = static_cast<MemberState>(flags & (LeavingFlag - 1));
     record.leaving = (flags & LeavingFlag) != 0;
-    record.configurationVersion = decodeUnsigned<std::uint64_t>(json.at(7));
+    record.configurationVersion = toUnsigned<std::uint64_t>(json.at(7));
     // Members of earlier versions take over no requests and pass on no updates.
     constexpr std::size_t RelayPortColumn = 8;
     constexpr std::size_t ForwardsUpdatesColumn = 9;
     if (json.size() > RelayPortColumn)
-        record.relayPort = decodeUnsigned<std::uint16_t>(json.at(RelayPortColumn));
+        record.relayPort = toUnsigned<std::uint16_t>(json.at(RelayPortColumn));
     if (json.size() > ForwardsUpdatesColumn)
         record.forwardsUpdates = json.at(ForwardsUpdatesColumn).get<bool>();
     return record;
@@ -104,8 +96,8 @@
 
 ServerDrainNotice decodeServerNotice(const nlohmann::json &json)
 {
-    return {decodeName(json.at(0)), decodeUnsigned<std::uint64_t>(json.at(1)),
-            json.at(2).get<bool>(), json.at(3).get<bool>()};
+    return {decodeName(json.at(0)), toUnsigned<std::uint64_t>(json.at(1)), json.at(2).get<bool>(),
+            json.at(3).get<bool>()};
 }
 
 template <typename Item, typename Encoder>
@@ -191,7 +183,7 @@
 OrderOutcomeOffer decodeOrderOutcome(const nlohmann::json &json)
 {
     const nlohmann::json::binary_t &record = json.at("r").get_binary();
-    return {json.at("n").get<std::string>(), json.at("v").get<std::uint64_t>(),
+    return {json.at("n").get<std::string>(), toUnsigned<std::uint64_t>(json.at("v")),
             std::string(record.begin(), record.end())};
 }
 
@@ -232,7 +224,8 @@
 {
     LoadUpdate update;
     for (const nlohmann::json &row : json.at("l")) {
-        update.loads.push_back({row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint64_t>(),
+        update.loads.push_back({toUnsigned<std::uint32_t>(row.at(0)),
+                                toUnsigned<std::uint64_t>(row.at(1)),
                                 row.at(2).get<std::vector<std::uint64_t>>()});
     }
     return update;
@@ -264,17 +257,17 @@
 /// Decodes a column that hosts of earlier versions do not send.
 std::uint64_t decodeOptionalUnsigned(const nlohmann::json &row, std::size_t column)
 {
-    return column < row.size() ? decodeUnsigned<std::uint64_t>(row.at(column)) : 0;
+    return column < row.size() ? toUnsigned<std::uint64_t>(row.at(column)) : 0;
 }
 
 ObjectAnnouncement decodeObjectAnnouncement(const nlohmann::json &json)
 {
     ObjectAnnouncement announcement;
-    announcement.collection = json.at("k").get<std::uint8_t>();
+    announcement.collection = toUnsigned<std::uint8_t>(json.at("k"));
     for (const nlohmann::json &row : json.at("o"))
         announcement.objects.push_back({row.at(0).get<std::string>(),
-                                        decodeUnsigned<std::uint64_t>(row.at(1)),
-                                        row.at(2).get<bool>(), decodeOptionalUnsigned(row, 3),
+                                        toUnsigned<std::uint64_t>(row.at(1)), row.at(2).get<bool>(),
+                                        decodeOptionalUnsigned(row, 3),
                                         decodeOptionalUnsigned(row, 4)});
     return announcement;
 }
@@ -282,30 +275,29 @@
 ObjectOffer decodeObjectOffer(const nlohmann::json &json)
 {
     ObjectOffer offer;
-    offer.collection = json.at("k").get<std::uint8_t>();
+    offer.collection = toUnsigned<std::uint8_t>(json.at("k"));
     for (const nlohmann::json &row : json.at("o"))
-        offer.objects.push_back({row.at(0).get<std::string>(),
-                                 decodeUnsigned<std::uint64_t>(row.at(1)), row.at(2).get<bool>(),
-                                 row.at(3).get<std::string>(), decodeOptionalUnsigned(row, 4),
-                                 decodeOptionalUnsigned(row, 5)});
+        offer.objects.push_back({row.at(0).get<std::string>(), toUnsigned<std::uint64_t>(row.at(1)),
+                                 row.at(2).get<bool>(), row.at(3).get<std::string>(),
+                                 decodeOptionalUnsigned(row, 4), decodeOptionalUnsigned(row, 5)});
     return offer;
 }
 
 DispatchUpdate decodeDispatchUpdate(const nlohmann::json &json)
 {
     DispatchUpdate update;
-    update.senderHash = json.at("s").get<std::uint32_t>();
+    update.senderHash = toUnsigned<std::uint32_t>(json.at("s"));
     for (const nlohmann::json &row : json.at("e")) {
         DispatchEvent event;
         const int kind = std::clamp(row.at(0).get<int>(), 0, 2);
         event.kind = static_cast<DispatchEventKind>(kind);
-        event.sequence = row.at(1).get<std::uint64_t>();
+        event.sequence = toUnsigned<std::uint64_t>(row.at(1));
         if (event.kind == DispatchEventKind::Dispatched) {
-            event.serverHash = row.at(2).get<std::uint32_t>();
-            event.promptTokens = row.at(3).get<std::uint64_t>();
+            event.serverHash = toUnsigned<std::uint32_t>(row.at(2));
+            event.promptTokens = toUnsigned<std::uint64_t>(row.at(3));
             event.priority = row.at(4).get<std::int64_t>();
-            event.workspaceHash = row.at(5).get<std::uint32_t>();
-            event.contextTokens = row.size() > 6 ? row.at(6).get<std::uint64_t>() : 0;
+            event.workspaceHash = toUnsigned<std::uint32_t>(row.at(5));
+            event.contextTokens = row.size() > 6 ? toUnsigned<std::uint64_t>(row.at(6)) : 0;
         }
         update.events.push_back(event);
     }
@@ -316,7 +308,7 @@
 {
     Heartbeat heartbeat;
     heartbeat.sender = decodeMemberRecord(json.at("s"));
-    heartbeat.digest = decodeUnsigned<std::uint64_t>(json.at("g"));
+    heartbeat.digest = toUnsigned<std::uint64_t>(json.at("g"));
     heartbeat.changedRecords = decodeList<MemberRecord>(json, "m", decodeMemberRecord);
     heartbeat.notices = decodeList<ServerDrainNotice>(json, "n", decodeServerNotice);
     heartbeat.closesLink = json.contains("x");
@@ -326,7 +318,7 @@
 std::vector<std::uint64_t> decodeBuckets(const nlohmann::json &json)
 {
     std::vector<std::uint64_t> bucketDigests =
-            decodeList<std::uint64_t>(json, "b", decodeUnsigned<std::uint64_t>);
+            decodeList<std::uint64_t>(json, "b", toUnsigned<std::uint64_t>);
     if (bucketDigests.size() > MaxBuckets)
         throw nlohmann::json::other_error::create(501, "too many buckets", &json);
     return bucketDigests;
@@ -368,9 +360,9 @@
         if (type == MemberUpdateType)
             return decodeMemberUpdate(json);
         if (type == ConfigurationRequestType)
-            return ConfigurationRequest{decodeUnsigned<std::uint64_t>(json.at("v"))};
+            return ConfigurationRequest{toUnsigned<std::uint64_t>(json.at("v"))};
         if (type == ConfigurationOfferType)
-            return ConfigurationOffer{decodeUnsigned<std::uint64_t>(json.at("v")),
+            return ConfigurationOffer{toUnsigned<std::uint64_t>(json.at("v")),
                                       json.at("c").get<std::string>()};
         if (type == ConfigurationChunkRequestType)
             return ConfigurationChunkRequest{json.at("n").get<std::vector<std::string>>()};
@@ -388,7 +380,7 @@
         if (type == ObjectAnnouncementType)
             return decodeObjectAnnouncement(json);
         if (type == ObjectRequestType)
-            return ObjectRequest{json.at("k").get<std::uint8_t>(),
+            return ObjectRequest{toUnsigned<std::uint8_t>(json.at("k")),
                                  json.at("n").get<std::vector<std::string>>()};
         if (type == ObjectOfferType)
             return decodeObjectOffer(json);
--- a/src/state/configuration_codec.cpp
+++ b/src/state/configuration_codec.cpp
@@ -1,5 +1,6 @@
 #include "state/configuration_codec.h"
 
+#include "core/json_input.h"
 #include <nlohmann/json.hpp>
 #include <yaml-cpp/yaml.h>
 
@@ -180,8 +181,11 @@
 {
     Configuration configuration;
     try {
-        const nlohmann::json json = nlohmann::json::parse(text);
-        configuration.version = json.at("version").get<std::uint64_t>();
+        const auto parsed = parseJson(text);
+        if (!parsed)
+            return tl::unexpected(parsed.error());
+        const nlohmann::json &json = *parsed;
+        configuration.version = toUnsigned<std::uint64_t>(json.at("version"));
         for (const nlohmann::json &entry : json.at("workspaces")) {
             const std::string name = entry.at("name").get<std::string>();
             configuration.workspaces[name] = {name, entry.at("share").get<double>(),
@@ -204,9 +208,9 @@
             server.id = entry.at("id").get<std::string>();
             server.pool = entry.at("pool").get<std::string>();
             server.endpoint.address = entry.at("address").get<std::string>();
-            server.endpoint.port = entry.at("port").get<std::uint16_t>();
+            server.endpoint.port = toUnsigned<std::uint16_t>(entry.at("port"));
             server.failureDomain = entry.at("failureDomain").get<std::string>();
-            server.memoryTokens = entry.at("memoryTokens").get<std::uint64_t>();
+            server.memoryTokens = toUnsigned<std::uint64_t>(entry.at("memoryTokens"));
             server.honoursFencing = entry.at("honoursFencing").get<bool>();
             server.draining = entry.value("draining", false);
             configuration.servers[server.id] = server;
--- a/src/state/configuration_root.cpp
+++ b/src/state/configuration_root.cpp
@@ -1,6 +1,7 @@
 #include "state/configuration_root.h"
 
 #include "core/hashing.h"
+#include "core/json_input.h"
 #include "state/configuration_codec.h"
 
 #include <functional>
@@ -103,7 +104,7 @@
     if (!inlineConfiguration)
         return tl::unexpected(inlineConfiguration.error());
     try {
-        const nlohmann::json json = nlohmann::json::parse(text);
+        const nlohmann::json json = parseJsonOrDiscard(text);
         return ConfigurationRoot{*inlineConfiguration, json.value("nonce", std::string()),
                                  json.value("chunks", std::vector<std::string>())};
     } catch (const nlohmann::json::exception &error) {
--- a/src/state/http_object_store.cpp
+++ b/src/state/http_object_store.cpp
@@ -1,5 +1,6 @@
 #include "state/http_object_store.h"
 
+#include "core/json_input.h"
 #include <algorithm>
 #include <event2/http.h>
 #include <nlohmann/json.hpp>
@@ -62,14 +63,19 @@
     return versionFromHeader(*response);
 }
 
+constexpr IntegerRange PortRange = {0, 65'535};
+
 ObjectStore::ListResult parseObjects(const std::string &text)
 {
     std::vector<StoredObject> objects;
+    const nlohmann::json entries = parseJsonOrDiscard(text);
+    if (!entries.is_array())
+        return tl::unexpected(StoreError::Unavailable);
     try {
-        for (const nlohmann::json &entry : nlohmann::json::parse(text)) {
+        for (const nlohmann::json &entry : entries) {
             objects.push_back({entry.at("key").get<std::string>(),
                                entry.at("value").get<std::string>(),
-                               entry.at("version").get<std::uint64_t>()});
+                               toUnsigned<std::uint64_t>(entry.at("version"))});
         }
     } catch (const nlohmann::json::exception &) {
         return tl::unexpected(StoreError::Unavailable);
@@ -77,23 +83,32 @@
     return objects;
 }
 
+HostListEntry parseHost(const nlohmann::json &entry)
+{
+    HostListEntry host;
+    host.id = entry.at("id").get<std::string>();
+    host.role = entry.at("role").get<std::string>();
+    host.failureDomain = entry.at("failure_domain").get<std::string>();
+    host.address = entry.at("address").get<std::string>();
+    host.peerPort = static_cast<std::uint16_t>(integerOr(entry, "peer_port", 0, PortRange));
+    host.operatorPort = static_cast<std::uint16_t>(integerOr(entry, "operator_port", 0, PortRange));
+    host.leaving = entry.value("state", "live") == "leaving";
+    return host;
+}
+
 HostList::Result parseHosts(const std::string &text)
 {
+    const nlohmann::json entries = parseJsonOrDiscard(text);
+    if (!entries.is_array())
+        return tl::unexpected(StoreError::Unavailable);
     std::vector<HostListEntry> hosts;
-    try {
-        for (const nlohmann::json &entry : nlohmann::json::parse(text)) {
-            HostListEntry host;
-            host.id = entry.at("id").get<std::string>();
-            host.role = entry.at("role").get<std::string>();
-            host.failureDomain = entry.at("failure_domain").get<std::string>();
-            host.address = entry.at("address").get<std::string>();
-            host.peerPort = entry.value("peer_port", std::uint16_t{0});
-            host.operatorPort = entry.value("operator_port", std::uint16_t{0});
-            host.leaving = entry.value("state", "live") == "leaving";
-            hosts.push_back(host);
+    for (const nlohmann::json &entry : entries) {
+        // An entry that cannot be read costs itself only.
+        try {
+            hosts.push_back(parseHost(entry));
+        } catch (const nlohmann::json::exception &) {
+            continue;
         }
-    } catch (const nlohmann::json::exception &) {
-        return tl::unexpected(StoreError::Unavailable);
     }
     return hosts;
 }
