Read a page of the store object by object

Callers lost all hosts, or were sent to servers that had been removed (LOST): an entry with a value nested 100,000 deep ended each host with SIGSEGV, again and again while it lay there; one with 1e400, a lone surrogate or an integer beyond 64 bits stopped the following of all others.

Cause: the page was parsed as one document, and each value written out again by a recursive serializer. One value that the parser or the serializer refused discarded the page, which was then asked for again. Class: the defect of one part is taken for a defect of the whole.

An object that cannot be used keeps its name and revision and an empty text, so that mending and removal are followed; one without a readable name is left out. Each is logged once with a reason of bounded length, and counted (objects_rejected). A sound entry that turns odd loses its server.

A fuzz test of the reader runs beside the existing ones.

--- a/src/core/metric_catalogue.cpp
+++ b/src/core/metric_catalogue.cpp
@@ -37,6 +37,8 @@
          "Watches of platform collections that got no response within their time limit."},
         {Counter::OutdatedObjects,
          "Objects returned by the platform that are older than the known ones."},
+        {Counter::ObjectsRejected,
+         "Objects of the platform that could not be read and were left out."},
         {Counter::PlatformEraChanges,
          "Changes of the era of the platform, one per collection and change."},
         {Counter::WatchesRenewed,
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -27,7 +27,7 @@
         {LengthBand::UpTo1M, "256k-1M"},
 }};
 
-constexpr std::array<EnumName<Counter>, 31> CounterNames = {{
+constexpr std::array<EnumName<Counter>, 32> CounterNames = {{
         {Counter::RequestsAdmitted, "requests_admitted"},
         {Counter::RequestsFinished, "requests_finished"},
         {Counter::ForeignBytesDropped, "foreign_bytes_dropped"},
@@ -39,6 +39,7 @@
         {Counter::PlatformErrors, "platform_errors"},
         {Counter::PlatformWatchTimeouts, "platform_watch_timeouts"},
         {Counter::OutdatedObjects, "outdated_objects"},
+        {Counter::ObjectsRejected, "objects_rejected"},
         {Counter::PlatformEraChanges, "platform_era_changes"},
         {Counter::WatchesRenewed, "watches_renewed"},
         {Counter::ServerPauses, "server_pauses"},
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -51,6 +51,7 @@
     PlatformErrors,
     PlatformWatchTimeouts,
     OutdatedObjects,
+    ObjectsRejected,
     PlatformEraChanges,
     WatchesRenewed,
     ServerPauses,
--- a/src/entry_host/collection_feed.cpp
+++ b/src/entry_host/collection_feed.cpp
@@ -1,5 +1,7 @@
 #include "entry_host/collection_feed.h"
 
+#include <set>
+
 namespace dotterel {
 
 namespace {
@@ -156,6 +158,7 @@
             return this->scheduleNextCall();
     }
     this->reportOutdatedObjects(current);
+    this->reportUnidentifiedObjects(current);
     if (kind == CollectionRequest::Kind::List) {
         this->follower.onListed(current.revision, now);
         this->known = true;
@@ -256,6 +259,20 @@
     }
 }
 
+void CollectionFeed::reportUnidentifiedObjects(const CollectionPage &page)
+{
+    const std::string collection(collectionName(this->localObjects.collection()));
+    this->metrics.count(Counter::ObjectsRejected, page.unidentified.size());
+    // One line a reason: a watch or list may return many such objects.
+    for (const std::string &reason :
+         std::set<std::string>(page.unidentified.begin(), page.unidentified.end()))
+        this->log.write(Event::ObjectRejected,
+                        {{"collection", collection},
+                         {"object", std::string()},
+                         {"revision", static_cast<std::int64_t>(page.revision)},
+                         {"error", reason}});
+}
+
 bool CollectionFeed::isMissing() const
 {
     // Only the list of domains out of service is usually empty.
--- a/src/entry_host/collection_feed.h
+++ b/src/entry_host/collection_feed.h
@@ -89,6 +89,7 @@
     void callStore(const CollectionRequest &step);
     void onPage(CollectionRequest::Kind kind, const CollectionStore::PageResult &page);
     void reportOutdatedObjects(const CollectionPage &page);
+    void reportUnidentifiedObjects(const CollectionPage &page);
     void publishChanges(const std::vector<CollectionObject> &changes, bool fromPeer);
     /// Returns true if this host has nothing of the collection, so that the store is asked further.
     bool isMissing() const;
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/member_topology.h"
 #include "core/hashing.h"
+#include "core/json_input.h"
 #include "entry_host/gateway_host.h"
 
 #include <algorithm>
@@ -27,6 +28,12 @@
 /// Up to this number of live hosts every host watches the store, as the calls are few.
 constexpr std::size_t MaxHostsThatAllWatch = 16;
 
+/// Returns why \a object is rejected, whose text was not accepted because of \a parseError.
+std::string rejectionReason(const CollectionObject &object, const std::string &parseError)
+{
+    return shortened(object.defect.empty() ? parseError : object.defect);
+}
+
 /// Returns the turn of \a self if \a perDomain hosts of each failure domain watch the store.
 WatchTurn turnAmongDomains(const HostIdentity &self, const std::vector<MemberRecord> &live,
                            const std::set<std::string> &domains, std::size_t perDomain)
@@ -237,10 +244,11 @@
             continue;
         const auto parsed = this->protocol.parseConfiguration(object.text);
         if (!parsed) {
+            this->metrics.count(Counter::ObjectsRejected, 1);
             this->log.write(Event::ConfigurationRejected,
-                            {{"object", object.name},
+                            {{"object", shortened(object.name)},
                              {"revision", static_cast<std::int64_t>(object.revision)},
-                             {"error", parsed.error()}});
+                             {"error", rejectionReason(object, parsed.error())}});
             continue;
         }
         const auto &current = this->routes->configuration();
@@ -273,11 +281,12 @@
         }
         auto parsed = this->protocol.parseServer(object.name, object.text);
         if (!parsed) {
+            this->metrics.count(Counter::ObjectsRejected, 1);
             this->log.write(Event::ObjectRejected,
                             {{"collection", std::string("servers")},
-                             {"object", object.name},
+                             {"object", shortened(object.name)},
                              {"revision", static_cast<std::int64_t>(object.revision)},
-                             {"error", parsed.error()}});
+                             {"error", rejectionReason(object, parsed.error())}});
             this->fleet.remove(object.name, false, now);
             continue;
         }
--- a/src/state/collection_store.h
+++ b/src/state/collection_store.h
@@ -42,6 +42,8 @@
     std::uint64_t era = 0;
     /// Version that the writer gave the object; it never goes back. 0 if the object has none.
     std::uint64_t version = 0;
+    /// Why the store's value is left out; empty if it is not. Peers are told an empty text.
+    std::string defect = {};
 };
 
 /// Returns true if \a candidate is a later state of its object than \a known. Versions decide, as
@@ -55,6 +57,8 @@
     std::uint64_t revision = 0;
     std::uint64_t era = 0;         ///< 0 if the store does not state it.
     bool hasUnreadableEra = false; ///< The store stated an era that is not a positive integer.
+    /// Why objects that cannot be told apart are left out, one reason each.
+    std::vector<std::string> unidentified = {};
 };
 
 /// A running call. Destroying it abandons the call: its callback is not invoked.
--- a/tests/platform/soak/soak_store.cpp
+++ b/tests/platform/soak/soak_store.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t MaxBodyBytes = 1UL << 20U;
 constexpr Duration CallDelay = std::chrono::milliseconds(400);
 const std::string ObjectsPath = "/-/objects/";
+const std::string TextReference = "text of putText() ";
 
 } // namespace
 
@@ -28,6 +29,24 @@
     this->recordChange(kind, object, false);
 }
 
+void SoakStore::putText(const std::string &kind, const std::string &name, const std::string &text)
+{
+    this->texts.push_back(text);
+    this->put(kind, name, TextReference + std::to_string(this->texts.size() - 1));
+}
+
+std::string SoakStore::serialize(const Json &body) const
+{
+    std::string serialized = body.dump();
+    for (std::size_t number = 0; number < this->texts.size(); ++number) {
+        const std::string reference = "\"" + TextReference + std::to_string(number) + "\"";
+        for (std::size_t position = serialized.find(reference); position != std::string::npos;
+             position = serialized.find(reference, position + this->texts[number].size()))
+            serialized.replace(position, reference.size(), this->texts[number]);
+    }
+    return serialized;
+}
+
 void SoakStore::remove(const std::string &kind, const std::string &name)
 {
     const auto found = this->objects[kind].find(name);
@@ -116,7 +135,7 @@
         return exchange->abort();
     HttpHeaders headers = this->eraHeaders();
     headers.emplace_back("Content-Type", "application/json");
-    exchange->reply(status, headers, body.dump());
+    exchange->reply(status, headers, this->serialize(body));
 }
 
 void SoakStore::executeCall(const HttpExchangePtr &exchange)
--- a/tests/platform/soak/soak_store.h
+++ b/tests/platform/soak/soak_store.h
@@ -33,6 +33,9 @@
     /// Creates or replaces an object.
     void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
 
+    /// Writes an object whose value is \a text as it stands, which need not be valid JSON.
+    void putText(const std::string &kind, const std::string &name, const std::string &text);
+
     /// Removes an object.
     void remove(const std::string &kind, const std::string &name);
 
@@ -94,6 +97,8 @@
     bool completeWatch(const Watch &watch, bool respondsIfEmpty);
     void recordChange(const std::string &kind, const nlohmann::json &object, bool removed);
     HttpHeaders eraHeaders() const;
+    /// Returns \a body with the texts of putText() in their places.
+    std::string serialize(const nlohmann::json &body) const;
     void reply(const HttpExchangePtr &exchange, int status, const nlohmann::json &body);
 
     EventLoop &loop;
@@ -110,6 +115,7 @@
     std::list<Watch> watches;
     std::list<EventLoop::TimerHandle> delayTimers;
     HttpServer server;
+    std::vector<std::string> texts; ///< Of putText(); values refer to them by number.
 };
 
 } // namespace dotterel::soak
--- a/tests/platform/test_reading_fuzz.cpp
+++ b/tests/platform/test_reading_fuzz.cpp
@@ -5,6 +5,7 @@
 #include "core/random_source.h"
 #include "gateway/event_stream_splitter.h"
 #include "gateway/prompt_updates.h"
+#include "platform_page_reader.h"
 #include "platform_protocol.h"
 #include "protocol/peer_message.h"
 #include "transport/http_message_parser.h"
@@ -241,3 +242,56 @@
         CHECK_FALSE(decodeOrderRecord(input));
     }
 }
+
+TEST_CASE("A mutated page of the store is read or refused as a whole", "[Fuzz][PageReader]")
+{
+    const std::string recorded =
+            R"({"items":[{"metadata":{"name":"i-1","rev":4},"spec":{"service":"a","address":)"
+            R"("10.0.0.1:80","zone":"z","slots":4,"state":"ready","born":1769006097000}},)"
+            R"({"metadata":{"name":"i-2","rev":5},"spec":{"version":7,"routes":[]}}],)"
+            R"("events":[{"removed":true,"object":{"metadata":{"name":"i-3","rev":6}}}],)"
+            R"("more":false,"at":530})";
+    const std::vector<std::string> fragments = {"{",
+                                                "}",
+                                                "[",
+                                                "]",
+                                                "\"",
+                                                "\\",
+                                                ",",
+                                                ":",
+                                                "1e400",
+                                                "-1",
+                                                "null",
+                                                "\xff",
+                                                "\\ud800",
+                                                "\n",
+                                                "\0",
+                                                "true",
+                                                "\"a\"",
+                                                "\"rev\":",
+                                                std::string(300, '['),
+                                                std::string(50, '}')};
+    const platform::PlatformProtocol protocol;
+    SeededRandom random(FuzzSeed);
+    std::size_t readObjects = 0;
+    for (int round = fuzzRounds(); round > 0; --round) {
+        std::string page = recorded;
+        for (std::uint64_t edits = random.nextBelow(4); edits > 0; --edits) {
+            const std::size_t position = random.nextBelow(page.size() + 1);
+            const std::size_t erased = random.nextBelow(8);
+            page.replace(position, std::min(erased, page.size() - position),
+                         drawInput(fragments, random));
+        }
+        const auto listed = platform::readListPage(Collection::Servers, page);
+        if (listed) {
+            for (const CollectionObject &object : listed->page.objects) {
+                ++readObjects;
+                REQUIRE_FALSE(object.name.empty());
+                protocol.parseServer(object.name, object.text);
+                protocol.parseConfiguration(object.text);
+            }
+        }
+        platform::readWatchPage(Collection::Configuration, page);
+    }
+    CHECK(readObjects > 0);
+}
