A configuration that cannot be used does not hold back later ones by its version

Hosts kept an old configuration (CONFIG): the version of a stored object decides which state is later, also where the object cannot be used. One with a version of 9e18 made every later configuration look outdated for good.

A host that rejects a configuration now disregards its version; the revision orders it.

--- a/src/entry_host/collection_feed.h
+++ b/src/entry_host/collection_feed.h
@@ -72,6 +72,9 @@
     /// Returns this host's copy of the collection.
     const CollectionReplica &objects() const { return this->localObjects; }
 
+    /// See CollectionReplica::disregardVersion().
+    void disregardVersion(const std::string &name) { this->localObjects.disregardVersion(name); }
+
     /// Returns true once the collection was read as a whole, from the store or from a peer.
     bool isKnown() const { return this->known; }
 
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -244,6 +244,7 @@
             continue;
         const auto parsed = this->protocol.parseConfiguration(object.text);
         if (!parsed) {
+            this->configurationFeed.disregardVersion(object.name);
             this->metrics.count(Counter::ObjectsRejected, 1);
             this->log.write(Event::ConfigurationRejected,
                             {{"object", shortened(object.name)},
--- a/src/gateway/collection_replica.cpp
+++ b/src/gateway/collection_replica.cpp
@@ -60,6 +60,13 @@
     return applied;
 }
 
+void CollectionReplica::disregardVersion(const std::string &name)
+{
+    const auto found = this->objects.find(name);
+    if (found != this->objects.end())
+        found->second.version = 0;
+}
+
 std::optional<CollectionObject> CollectionReplica::reportOutdated(const CollectionObject &object)
 {
     const auto found = this->objects.find(object.name);
--- a/src/gateway/collection_replica.h
+++ b/src/gateway/collection_replica.h
@@ -46,6 +46,9 @@
     /// Returns the latest era of the store that this replica knows; 0 if none.
     std::uint64_t era() const { return this->knownEra; }
 
+    /// Called when the object \a name cannot be used. A usable one may have a lower version.
+    void disregardVersion(const std::string &name);
+
     /// Records that the store is in \a era. Objects of earlier eras stay until a list or a peer
     /// replaces them.
     void learnEra(std::uint64_t era) { this->knownEra = std::max(this->knownEra, era); }
--- a/tests/platform/test_odd_objects.cpp
+++ b/tests/platform/test_odd_objects.cpp
@@ -336,6 +336,15 @@
 {
     OddObjectFixture fixture;
 
+    SECTION("a configuration with the highest version that cannot be used")
+    {
+        fixture.store.putText("config", "main",
+                              R"({"version":9000000000000000000,"routes":)" + deepList() + "}");
+        CHECK(fixture.becomesTrue([&] { return fixture.log.count("main") >= 2; }, ApplyLimit));
+        CHECK(fixture.allAtVersion(1));
+        fixture.publishConfiguration(3);
+        CHECK(fixture.becomesTrue([&] { return fixture.allAtVersion(3); }, ApplyLimit));
+    }
     SECTION("a configuration with numbers out of range")
     {
         fixture.store.putText(
