A response without a body does not complete a stream that had broken off

Cause: judgeStreamEnd() took any whole framing without an event for the end of a resumed stream, also that of a response which cannot have a body. It is broken now where the caller has a response already; a first answer of 204 is passed on as it is.

--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -270,6 +270,7 @@
     progress.insideEvent = attempt.splitter.isInsideEvent();
     progress.hasEvents = attempt.firstEventReceived;
     progress.isResumed = call.lastEventId || call.metadata.resumeAfter;
+    progress.continuesResponse = call.responseStarted;
     const StreamEnd end = judgeStreamEnd(progress);
     if (end != StreamEnd::Complete) {
         this->metrics.count(Counter::StreamsTorn, 1);
--- a/src/gateway/stream_end.cpp
+++ b/src/gateway/stream_end.cpp
@@ -18,8 +18,13 @@
 {
     if (progress.insideEvent)
         return StreamEnd::InsideEvent;
+    if (progress.hasEvents)
+        return StreamEnd::Complete;
+    // No run of a stream that has begun answers without a body; it would have ended the stream.
+    if (progress.continuesResponse && progress.framing == BodyFraming::Bodiless)
+        return StreamEnd::BeforeEvent;
     // A stream that was resumed after its last event has nothing left to send.
-    if (!progress.hasEvents && !progress.isResumed && progress.framing == BodyFraming::Connection)
+    if (!progress.isResumed && progress.framing == BodyFraming::Connection)
         return StreamEnd::BeforeEvent;
     return StreamEnd::Complete;
 }
--- a/src/gateway/stream_end.h
+++ b/src/gateway/stream_end.h
@@ -10,7 +10,7 @@
 enum class StreamEnd {
     Complete,
     InsideEvent, ///< An event has begun and did not end.
-    BeforeEvent, ///< Nothing but the end of the connection says that the stream has no event.
+    BeforeEvent, ///< No event came, and nothing says that there is none.
 };
 
 /// How far a stream came when its body ended as its framing says.
@@ -18,8 +18,9 @@
 {
     BodyFraming framing = BodyFraming::Connection;
     bool insideEvent = false;
-    bool hasEvents = false; ///< The server sent at least one event.
-    bool isResumed = false; ///< The server was asked to go on after an event.
+    bool hasEvents = false;         ///< The server sent at least one event.
+    bool isResumed = false;         ///< The server was asked to go on after an event.
+    bool continuesResponse = false; ///< The caller has the head of an earlier run's response.
 };
 
 /// Decides whether a stream is complete. Framing does not prove it: a server that breaks off in the
--- a/tests/gateway/test_joined_responses.cpp
+++ b/tests/gateway/test_joined_responses.cpp
@@ -90,6 +90,28 @@
     }
 }
 
+TEST_CASE("A response without a body completed a stream that had broken off",
+          "[Gateway][JoinedResponses]")
+{
+    StreamBench bench;
+    bench.controller.onAttemptData(bench.first, eventText(1), bench.now);
+    bench.failAttempt(0, HttpFailureKind::ResponseTruncated, Verdict::MayHaveRun);
+    REQUIRE(bench.sentAttempts.size() == 2);
+
+    SECTION("204 is no event stream")
+    {
+        bench.respond(1, 204, Signed, "");
+        CHECK_FALSE(bench.outcome(bench.call).ended);
+        CHECK(bench.outcome(bench.call).aborted);
+    }
+    SECTION("a last chunk without an event ends a stream that broke off after its last event")
+    {
+        bench.respond(1, 200, {{"Signed", "s"}, {"Transfer-Encoding", "chunked"}}, "");
+        CHECK(bench.outcome(bench.call).ended);
+    }
+    CHECK(bench.outcome(bench.call).body == eventText(1));
+}
+
 TEST_CASE("A server whose response waits for a slow caller is not silent",
           "[Gateway][JoinedResponses]")
 {
