Probe servers by their health checks where they do not name their start

Cause: a host that refuses a request for crashes probes the servers, but takes their answer for a sign of life only if it names the start that their entry names. Where entries and reports name none, no answer ever did. A health check names the id of its server, and an id that comes without a start is new at each start. Servers without one are asked there now; the configuration's health path is read.

--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -164,6 +164,7 @@
     /// Tells the other hosts which pools are out of reach, and probes some of their servers.
     void checkReach();
     void probePool(const std::string &pool);
+    void sendProbe(const GatewayServer &server, HttpRequest request);
     void updateRelayPeers(const std::vector<MemberRecord> &live);
     ResponseLimits heldResponseLimits() const;
 
--- a/src/entry_host/gateway_host_servers.cpp
+++ b/src/entry_host/gateway_host_servers.cpp
@@ -107,14 +107,24 @@
         if (server->pool == pool && !server->draining && !this->fleet.isOutOfService(*server))
             servers.push_back(server);
     }
-    for (std::size_t count = 0; count < std::min(ProbedServers, servers.size()); ++count)
-        this->probeServer(*servers[this->nextProbe % servers.size()]);
+    for (std::size_t count = 0; count < std::min(ProbedServers, servers.size()); ++count) {
+        const GatewayServer &server = *servers[this->nextProbe % servers.size()];
+        this->sendProbe(server, this->protocol.probeRequest(server.endpoint));
+    }
 }
 
 void GatewayHost::probeServer(const GatewayServer &server)
+{
+    const auto &configuration = this->routes->configuration();
+    const auto pool = configuration->pools.find(server.pool);
+    const bool isKnown = pool != configuration->pools.end();
+    this->sendProbe(server, this->protocol.identityProbe(server, isKnown ? pool->second.healthPath
+                                                                         : std::string()));
+}
+
+void GatewayHost::sendProbe(const GatewayServer &server, HttpRequest request)
 {
     const std::uint64_t id = this->nextProbe++;
-    HttpRequest request = this->protocol.probeRequest(server.endpoint);
     request.connectTimeout = ProbeConnectTimeout;
     request.timeout = ProbeTimeout;
     this->probes[id] = std::make_unique<HttpFetch>(
@@ -132,7 +142,7 @@
                 else
                     this->reach.onFailure(server.pool, server.id,
                                           this->fleet.size(server.pool, now), sentAt, now);
-                if (response && this->protocol.isProbeOfIncarnation(server, response->body))
+                if (response && this->protocol.isFromIncarnation(server, *response))
                     this->controller.onServerAlive(server.id, server.incarnation, now);
             });
 }
--- a/src/gateway/gateway_configuration.h
+++ b/src/gateway/gateway_configuration.h
@@ -80,6 +80,7 @@
     /// Requests per second that a server which warms up takes from all hosts together; 0 if
     /// warm-ups need no care.
     double warmUpRate = 0;
+    std::string healthPath = {}; ///< Target of health checks; empty if there is none.
 };
 
 /// Workspace that an API key belongs to.
--- a/src/gateway/gateway_protocol.h
+++ b/src/gateway/gateway_protocol.h
@@ -97,10 +97,15 @@
     /// Returns a request that any server at \a endpoint answers and none runs.
     virtual HttpRequest probeRequest(const Endpoint &endpoint) const = 0;
 
-    /// Returns true if \a body, the response to a probe of \a server, comes from the incarnation
-    /// that its entry names.
-    virtual bool isProbeOfIncarnation(const GatewayServer &server,
-                                      const std::string &body) const = 0;
+    /// Returns a request that no server runs and whose response shows which incarnation of \a
+    /// server sent it. \a healthPath is that of its pool.
+    virtual HttpRequest identityProbe(const GatewayServer &server,
+                                      const std::string &healthPath) const = 0;
+
+    /// Returns true if \a response, to a probe of \a server, comes from the incarnation that its
+    /// entry names.
+    virtual bool isFromIncarnation(const GatewayServer &server,
+                                   const HttpResponse &response) const = 0;
 
     /// Returns the header and value that a server must echo in its response to the request.
     virtual std::pair<std::string, std::string>
--- a/tests/platform/soak/raw_http_server.cpp
+++ b/tests/platform/soak/raw_http_server.cpp
@@ -36,6 +36,8 @@
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 
+    std::string target() const override { return this->head.target; }
+
     std::string header(std::string_view name) const override
     {
         const std::string *value = findHeader(this->head.headers, name);
--- a/tests/platform/soak/raw_http_server.h
+++ b/tests/platform/soak/raw_http_server.h
@@ -29,6 +29,9 @@
 public:
     virtual ~RawExchange() = default;
 
+    /// Returns the request target, with its query.
+    virtual std::string target() const = 0;
+
     /// Returns the value of request header \a name; empty if there is none.
     virtual std::string header(std::string_view name) const = 0;
 
--- a/tests/support/plain_gateway_protocol.cpp
+++ b/tests/support/plain_gateway_protocol.cpp
@@ -82,8 +82,14 @@
     return headers;
 }
 
-bool PlainGatewayProtocol::isProbeOfIncarnation(const GatewayServer & /*server*/,
-                                                const std::string & /*body*/) const
+HttpRequest PlainGatewayProtocol::identityProbe(const GatewayServer &server,
+                                                const std::string & /*healthPath*/) const
+{
+    return this->probeRequest(server.endpoint);
+}
+
+bool PlainGatewayProtocol::isFromIncarnation(const GatewayServer & /*server*/,
+                                             const HttpResponse & /*response*/) const
 {
     return true;
 }
--- a/tests/support/plain_gateway_protocol.h
+++ b/tests/support/plain_gateway_protocol.h
@@ -17,7 +17,10 @@
                                 const DispatchMetadata &facts) const override;
     HttpHeaders relayHeaders(const HttpHeaders &callers) const override;
     HttpRequest probeRequest(const Endpoint &endpoint) const override;
-    bool isProbeOfIncarnation(const GatewayServer &server, const std::string &body) const override;
+    HttpRequest identityProbe(const GatewayServer &server,
+                              const std::string &healthPath) const override;
+    bool isFromIncarnation(const GatewayServer &server,
+                           const HttpResponse &response) const override;
     std::pair<std::string, std::string> expectedEcho(const RequestMetadata &facts) const override;
     HttpRequest reservationRequest(const MemoryReservationRequest &order) const override;
     ResponseMetadata parseResponseHead(int status, const HttpHeaders &headers) const override;
