--- a/tests/platform/soak/soak_checker.cpp
+++ b/tests/platform/soak/soak_checker.cpp
@@ -179,6 +179,11 @@
     this->requestsById.at(id).finished = true;
 }
 
+void SoakChecker::onCallerLeft(const std::string &id)
+{
+    this->requestsById.at(id).finished = true;
+}
+
 void SoakChecker::onHostInterrupted(std::size_t host)
 {
     for (auto &[id, request] : this->requestsById) {
--- a/tests/platform/soak/soak_checker.h
+++ b/tests/platform/soak/soak_checker.h
@@ -70,6 +70,9 @@
     /// Records that the request \a id was at work when the grace period of its host ended.
     void onEndedWithGracePeriod(const std::string &id);
 
+    /// Records that the caller of the request \a id left before its response.
+    void onCallerLeft(const std::string &id);
+
     /// Records that the process of \a host was suspended, resumed or killed.
     void onHostInterrupted(std::size_t host);
 
--- a/tests/platform/soak/soak_deadly_load.cpp
+++ b/tests/platform/soak/soak_deadly_load.cpp
@@ -14,6 +14,9 @@
 /// A new server comes, and the entry of the crashed one expires, this long after a crash.
 constexpr std::uint64_t MinReplacementMs = 50;
 constexpr std::uint64_t ReplacementSpreadMs = 1'700;
+/// Share of callers that leave, and the longest time until they do.
+constexpr double LeavingShare = 0.4;
+constexpr std::uint64_t MaxPatienceMs = 120;
 constexpr Duration CrashedEntryExpiry = milliseconds(2'000);
 
 } // namespace
@@ -45,8 +48,12 @@
 {
     if (this->faultsEnded)
         return;
-    this->sendRequest(this->random.nextBelow(this->hosts.size()),
-                      load.isStream ? RequestKind::DeadlyStream : RequestKind::DeadlyLookup, &load);
+    const std::uint64_t number = this->sendRequest(
+            this->random.nextBelow(this->hosts.size()),
+            load.isStream ? RequestKind::DeadlyStream : RequestKind::DeadlyLookup, &load);
+    if (this->oddRandom.nextDouble() < LeavingShare)
+        this->runAfter(milliseconds(1 + this->oddRandom.nextBelow(MaxPatienceMs)),
+                       [this, number] { this->leave(number); });
     this->runAfter(milliseconds(1 + this->random.nextBelow(2 * MeanDeadlyIntervalMs)),
                    [this, load] { this->sendDeadlyRequests(load); });
 }
--- a/tests/platform/soak/soak_run.cpp
+++ b/tests/platform/soak/soak_run.cpp
@@ -36,6 +36,7 @@
 
 /// Apart from the seeds that are used by hand.
 constexpr std::uint64_t DomainSeedOffset = 1ULL << 40;
+constexpr std::uint64_t OddSeedOffset = 1ULL << 41;
 /// Time for which servers that come during the run warm up.
 constexpr double WarmUpSeconds = 1.5;
 
@@ -94,6 +95,7 @@
     , random(options.seed)
     , limitRandom(~options.seed)
     , domainRandom(options.seed + DomainSeedOffset)
+    , oddRandom(options.seed + OddSeedOffset)
     , store(this->loop)
     , client(this->loop, KeepAliveHttpClientLimits{})
     , kind(options.deadlyLoad ? SoakRunKind::DeadlyLoad : drawRunKind(this->random))
@@ -147,6 +149,7 @@
     this->scheduleNextFault();
     this->scheduleLimits();
     this->scheduleDomains();
+    this->scheduleOddEntries();
     if (this->kind == SoakRunKind::DeadlyLoad)
         this->startDeadlyLoad();
     const TimePoint end = this->loop.now() + this->options.faultDuration;
@@ -331,11 +334,11 @@
     });
 }
 
-void SoakRun::sendRequest(std::size_t host, RequestKind kind, const DeadlyLoad *load)
+std::uint64_t SoakRun::sendRequest(std::size_t host, RequestKind kind, const DeadlyLoad *load)
 {
     Host &targetHost = this->hosts[host];
     if (!targetHost.callerEndpoint)
-        return;
+        return 0;
     const std::uint64_t number = this->nextRequestNumber++;
     const std::string id = "q" + std::to_string(number);
     const bool isStream = kind == RequestKind::ResumableStream
@@ -394,6 +397,13 @@
                 if (response->status == 404 && answered.kind == RequestKind::ConfigurationProbe)
                     this->bounds.onRefusedRoute(id, answered);
             });
+    return number;
+}
+
+void SoakRun::leave(std::uint64_t number)
+{
+    if (this->fetches.erase(number) > 0)
+        this->checker.onCallerLeft("q" + std::to_string(number));
 }
 
 bool SoakRun::endedWithGracePeriod(const SoakRequest &request) const
--- a/tests/platform/soak/soak_run.h
+++ b/tests/platform/soak/soak_run.h
@@ -116,6 +116,9 @@
     void removeDomainEntry();
     /// Writes the operators' entry again after the store came back from a copy.
     void rewriteDomainEntry();
+    /// Leaves odd objects in the store at times, next to the faults of the run.
+    void scheduleOddEntries();
+    void leaveOddEntry();
     void restartInSeries();
     void losePower();
     void disturbHost(std::size_t host);
@@ -133,7 +136,10 @@
     void endAllFaults();
 
     void scheduleNextRequest();
-    void sendRequest(std::size_t host, RequestKind kind, const DeadlyLoad *load = nullptr);
+    /// Returns the number of the request; 0 if it was not sent.
+    std::uint64_t sendRequest(std::size_t host, RequestKind kind, const DeadlyLoad *load = nullptr);
+    /// The caller of request \a number leaves.
+    void leave(std::uint64_t number);
 
     // Deadly load
     /// Returns the parts of the prompt of request \a number, the last one its own.
@@ -153,6 +159,7 @@
     SeededRandom random;
     SeededRandom limitRandom;  ///< For the limits of servers, apart from the schedule of faults.
     SeededRandom domainRandom; ///< For failure domains and warm-ups, likewise.
+    SeededRandom oddRandom;    ///< For odd objects and callers that leave, likewise.
     SoakChecker checker;
     SoakBounds bounds{this->checker};
     SoakCrashes crashes{this->checker, this->bounds};
@@ -177,6 +184,7 @@
     std::uint64_t nextRequestNumber = 1;
     std::uint64_t nextServerNumber = 1;
     std::uint64_t nextDeadlyNumber = 1;
+    std::uint64_t nextOddNumber = 1;
     std::size_t startedFaults = 0;
     std::size_t highestMemoryMb = 0;
     std::set<std::string> hostsOverMemory; ///< Log files of processes over the limit.
