--- a/tests/platform/test_odd_objects.cpp
+++ b/tests/platform/test_odd_objects.cpp
@@ -283,6 +283,13 @@
         const auto listed = readListPage(Collection::Configuration, listPage(R"({"version":7})"));
         REQUIRE(listed);
         CHECK(listed->page.objects.at(1).version == 7);
+        SECTION("without reading beyond its value")
+        {
+            const std::string spec = R"({"name":")" + std::string(100, 'x') + R"(","version":7})";
+            const auto named = readListPage(Collection::Configuration, listPage(spec));
+            REQUIRE(named);
+            CHECK(named->page.objects.at(1).version == 7);
+        }
     }
 }
 
