--- a/review/1/odd_entry.cpp
+++ b/review/1/odd_entry.cpp
@@ -2,8 +2,6 @@
 
 #include "../stand/stand.h"
 
-#include <algorithm>
-
 using namespace stand;
 
 namespace {
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -2,6 +2,7 @@
 // gateways as child processes. Plain sockets and threads; loopback addresses and free ports only.
 #pragma once
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <chrono>
@@ -12,6 +13,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -102,8 +104,9 @@
     std::printf("%s\n", why.c_str());
     std::fflush(stdout);
     endChildren();
+    std::error_code error;
     if (!temporaryFolder.empty() && std::getenv("KEEP") == nullptr)
-        (void)!system(("rm -rf '" + temporaryFolder + "'").c_str());
+        std::filesystem::remove_all(temporaryFolder, error);
     _exit(code);
 }
 
@@ -113,8 +116,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     startTime = Clock::now();
     recordFile = std::fopen((folder + "/record.txt").c_str(), "w");
-    const char *base = std::getenv("TMPDIR");
-    std::string name = std::string(base != nullptr ? base : "/tmp") + "/review-XXXXXX";
+    std::string name = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
     if (mkdtemp(name.data()) == nullptr)
         finish(ExitCannotRun, "no temporary folder");
     temporaryFolder = name;
