--- a/review/1/odd_entry.cpp
+++ b/review/1/odd_entry.cpp
@@ -96,8 +96,15 @@
         finish(ExitCannotRun, "the requests before the entry were not answered");
     if (withTrouble()) {
         // A server's entry of another writer: the address is that of the IPv6 loopback interface.
-        store.put("servers", "i-other", serverEntry(PlainPool, "::1:9", zones[0], 6));
-        record("another writer wrote servers/i-other with the address ::1:9");
+        // Fields are missing, too.
+        store.put("servers", "i-other",
+                  {{"service", PlainPool},
+                   {"address", "::1:9"},
+                   {"zone", zones[0]},
+                   {"slots", 6},
+                   {"state", "ready"}});
+        record("another writer wrote servers/i-other with the address ::1:9, without version, seq, "
+               "cold_left_ms and born");
     }
     std::vector<int> ends(Hosts, 0);
     std::vector<double> restartAt(Hosts, 0);
