Check addresses by the rule by which they are used

Callers saw their requests end with the connection, and refused connections: each host ended by itself (exit code 4) as soon as it chose a server whose entry had an IPv6 address, again after each start. The same address in the entry of a host ended every host that linked it.

Cause: entries were checked to hold an IP address, the socket layer threw std::runtime_error for anything but IPv4, and nothing catches it. Entries of hosts were not checked at all.

Change: one rule, applied by each decoder: servers, host entries (names of hosts and failure domains too, which peers would refuse in messages), the platform's host list, configurations, records of members and announcements of peers. Odd host entries are logged once a revision and counted. The transport reports an address that it cannot use as a failed connect.

Failing test: test_odd_addresses; on three of its cases end with the exception. The fixture of test_odd_objects moved to a header for it.

--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -86,7 +86,7 @@
     , peerMesh(loop, settings.peers, settings.host,
                settings.heartbeatInterval * PeerTimeoutHeartbeats, *this, this->random,
                this->metrics, log, MaxIncomingFrameBytes)
-    , hostList(store, loop)
+    , hostList(store, loop, this->metrics, log)
     , entryKeeper(this->identity)
     , membershipDriver(loop, settings.heartbeatInterval, this->membership, this->peerMesh,
                        this->hostList, *this)
--- a/src/gateway/prompt_updates.cpp
+++ b/src/gateway/prompt_updates.cpp
@@ -200,9 +200,13 @@
 /// Decodes the fields that hosts of earlier versions do not send.
 void decodeExtension(const nlohmann::json &json, PromptUpdateBatch &batch)
 {
-    if (const auto joined = json.find(JoinedKey); joined != json.end())
-        batch.joinedAt = Endpoint{joined->at(0).get<std::string>(),
-                                  toUnsigned<std::uint16_t>(joined->at(1))};
+    if (const auto joined = json.find(JoinedKey); joined != json.end()) {
+        Endpoint endpoint{joined->at(0).get<std::string>(),
+                          toUnsigned<std::uint16_t>(joined->at(1))};
+        if (!isIpv4Address(endpoint.address))
+            throw nlohmann::json::other_error::create(512, "not an IPv4 address", &json);
+        batch.joinedAt = std::move(endpoint);
+    }
     if (const auto leaving = json.find(LeavingKey); leaving != json.end()) {
         if (leaving->size() > MaxUpdates)
             throw nlohmann::json::other_error::create(504, "more than 1000 leaving servers", &json);
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -47,9 +47,7 @@
 std::string decodeName(const nlohmann::json &json)
 {
     std::string name = json.get<std::string>();
-    const auto printable = [](char byte) { return byte > ' ' && byte <= '~'; };
-    if (name.empty() || name.size() > MaxNameBytes
-        || !std::all_of(name.begin(), name.end(), printable))
+    if (!isMemberName(name))
         throw nlohmann::json::other_error::create(
                 501, "name is empty, too long or not printable ASCII without spaces", &json);
     return name;
@@ -304,12 +302,27 @@
     return update;
 }
 
+/// Decodes the records at the key "m". Members without an IPv4 address cannot be linked; hosts of
+/// earlier versions pass such records on.
+std::vector<MemberRecord> decodeMembers(const nlohmann::json &json)
+{
+    std::vector<MemberRecord> members = decodeList<MemberRecord>(json, "m", decodeMemberRecord);
+    members.erase(std::remove_if(members.begin(), members.end(),
+                                 [](const MemberRecord &member) {
+                                     return !isIpv4Address(member.peerEndpoint.address);
+                                 }),
+                  members.end());
+    return members;
+}
+
 Heartbeat decodeHeartbeat(const nlohmann::json &json)
 {
     Heartbeat heartbeat;
     heartbeat.sender = decodeMemberRecord(json.at("s"));
+    if (!isIpv4Address(heartbeat.sender.peerEndpoint.address))
+        throw nlohmann::json::other_error::create(501, "the sender has no IPv4 address", &json);
     heartbeat.digest = toUnsigned<std::uint64_t>(json.at("g"));
-    heartbeat.changedRecords = decodeList<MemberRecord>(json, "m", decodeMemberRecord);
+    heartbeat.changedRecords = decodeMembers(json);
     heartbeat.notices = decodeList<ServerDrainNotice>(json, "n", decodeServerNotice);
     heartbeat.closesLink = json.contains("x");
     return heartbeat;
@@ -326,8 +339,8 @@
 
 MemberUpdate decodeMemberUpdate(const nlohmann::json &json)
 {
-    return {decodeList<MemberRecord>(json, "m", decodeMemberRecord),
-            decodeList<ServerDrainNotice>(json, "n", decodeServerNotice), decodeBuckets(json)};
+    return {decodeMembers(json), decodeList<ServerDrainNotice>(json, "n", decodeServerNotice),
+            decodeBuckets(json)};
 }
 
 } // namespace
@@ -337,6 +350,13 @@
     return enumName(MemberStateNames, state);
 }
 
+bool isMemberName(std::string_view name)
+{
+    const auto printable = [](char byte) { return byte > ' ' && byte <= '~'; };
+    return !name.empty() && name.size() <= MaxNameBytes
+           && std::all_of(name.begin(), name.end(), printable);
+}
+
 std::string encodePeerMessage(const PeerMessage &message)
 {
     const nlohmann::json json =
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -25,6 +25,10 @@
 /// Returns the external name of \a state.
 std::string_view memberStateName(MemberState state);
 
+/// Returns true if peers accept \a name as that of a host or failure domain: 1 to 255 printable
+/// ASCII characters without spaces.
+bool isMemberName(std::string_view name);
+
 /// Membership record of an entry host. Records are ordered by incarnation, then refutation counter,
 /// then state; the greatest one wins.
 struct MemberRecord
--- a/src/state/configuration_codec.cpp
+++ b/src/state/configuration_codec.cpp
@@ -208,6 +208,8 @@
             server.id = entry.at("id").get<std::string>();
             server.pool = entry.at("pool").get<std::string>();
             server.endpoint.address = entry.at("address").get<std::string>();
+            if (!isIpAddress(server.endpoint.address))
+                return tl::unexpected("server " + server.id + " has no IP address");
             server.endpoint.port = toUnsigned<std::uint16_t>(entry.at("port"));
             server.failureDomain = entry.at("failureDomain").get<std::string>();
             server.memoryTokens = toUnsigned<std::uint64_t>(entry.at("memoryTokens"));
--- a/src/state/http_object_store.cpp
+++ b/src/state/http_object_store.cpp
@@ -105,7 +105,9 @@
     for (const nlohmann::json &entry : entries) {
         // An entry that cannot be read costs itself only.
         try {
-            hosts.push_back(parseHost(entry));
+            HostListEntry host = parseHost(entry);
+            if (isIpv4Address(host.address))
+                hosts.push_back(std::move(host));
         } catch (const nlohmann::json::exception &) {
             continue;
         }
--- a/src/transport/datagram_socket.cpp
+++ b/src/transport/datagram_socket.cpp
@@ -22,9 +22,9 @@
     : handler(std::move(handler))
     , descriptor(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
 {
-    const sockaddr_in address = toSocketAddress(endpoint);
-    if (this->descriptor < 0
-        || bind(this->descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address))
+    const std::optional<sockaddr_in> address = toSocketAddress(endpoint);
+    if (this->descriptor < 0 || !address
+        || bind(this->descriptor, reinterpret_cast<const sockaddr *>(&*address), sizeof(*address))
                    != 0) {
         if (this->descriptor >= 0)
             close(this->descriptor);
@@ -44,10 +44,11 @@
 
 bool DatagramSocket::send(const Endpoint &endpoint, std::string_view bytes)
 {
-    const sockaddr_in address = toSocketAddress(endpoint);
-    return sendto(this->descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT,
-                  reinterpret_cast<const sockaddr *>(&address), sizeof(address))
-           == static_cast<ssize_t>(bytes.size());
+    const std::optional<sockaddr_in> address = toSocketAddress(endpoint);
+    return address
+           && sendto(this->descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT,
+                     reinterpret_cast<const sockaddr *>(&*address), sizeof(*address))
+                      == static_cast<ssize_t>(bytes.size());
 }
 
 void DatagramSocket::onReadable(int /*descriptor*/, short /*what*/, void *self)
--- a/src/transport/endpoint.h
+++ b/src/transport/endpoint.h
@@ -25,7 +25,15 @@
     std::string text() const { return this->address + ":" + std::to_string(this->port); }
 };
 
-/// Returns true if \a text is an IPv4 or IPv6 address, such as "10.0.0.1" or "::1".
+/// Returns true if \a text is an IPv4 or IPv6 address, such as "10.0.0.1" or "::1". Settings and
+/// configurations of operators may hold either; hosts and servers have IPv4 addresses.
 bool isIpAddress(const std::string &text);
 
+/// Returns true if \a text is an IPv4 address in dotted decimal, such as "10.0.0.1".
+bool isIpv4Address(const std::string &text);
+
+/// Returns true if \a text is the IPv4 address of a single host: neither a wildcard nor multicast
+/// or broadcast.
+bool isUnicastAddress(const std::string &text);
+
 } // namespace dotterel
--- a/src/transport/keep_alive_http_client_connection.cpp
+++ b/src/transport/keep_alive_http_client_connection.cpp
@@ -76,10 +76,11 @@
 
 bool KeepAliveHttpClient::Connection::connect()
 {
-    const sockaddr_in address = toSocketAddress(this->peerEndpoint);
-    if (bufferevent_socket_connect(this->stream, reinterpret_cast<const sockaddr *>(&address),
-                                   sizeof(address))
-        != 0)
+    const std::optional<sockaddr_in> address = toSocketAddress(this->peerEndpoint);
+    if (!address
+        || bufferevent_socket_connect(this->stream, reinterpret_cast<const sockaddr *>(&*address),
+                                      sizeof(*address))
+                   != 0)
         return false;
     setTcpOptions(bufferevent_getfd(this->stream));
     bufferevent_enable(this->stream, EV_READ | EV_WRITE);
--- a/src/transport/keep_alive_http_server.cpp
+++ b/src/transport/keep_alive_http_server.cpp
@@ -32,11 +32,12 @@
     , limits(limits)
     , handler(handler)
 {
-    sockaddr_in address = toSocketAddress(endpoint);
-    this->listener = evconnlistener_new_bind(
-            loop.base(), &KeepAliveHttpServer::onAccepted, this,
-            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, ListenBacklog,
-            reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    std::optional<sockaddr_in> address = toSocketAddress(endpoint);
+    if (address)
+        this->listener = evconnlistener_new_bind(
+                loop.base(), &KeepAliveHttpServer::onAccepted, this,
+                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, ListenBacklog,
+                reinterpret_cast<sockaddr *>(&*address), sizeof(*address));
     if (this->listener == nullptr)
         throw std::runtime_error("cannot listen on " + endpoint.text());
     this->boundEndpoint = localEndpoint(evconnlistener_get_fd(this->listener));
--- a/src/transport/keep_alive_http_server.h
+++ b/src/transport/keep_alive_http_server.h
@@ -120,7 +120,7 @@
     EventLoop &loop;
     KeepAliveHttpServerLimits limits;
     HttpCallHandler &handler;
-    evconnlistener *listener;
+    evconnlistener *listener = nullptr;
     Endpoint boundEndpoint;
     bool sendConnectionClose = false;
     std::uint64_t nextConnectionId = 1;
--- a/src/transport/socket_options.cpp
+++ b/src/transport/socket_options.cpp
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
-#include <stdexcept>
 #include <sys/socket.h>
 
 namespace dotterel {
@@ -37,13 +36,13 @@
     setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, MaxUnacknowledgedMs);
 }
 
-sockaddr_in toSocketAddress(const Endpoint &endpoint)
+std::optional<sockaddr_in> toSocketAddress(const Endpoint &endpoint)
 {
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(endpoint.port);
     if (inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr) != 1)
-        throw std::runtime_error("not an IPv4 address: " + endpoint.address);
+        return std::nullopt;
     return address;
 }
 
--- a/src/transport/socket_options.h
+++ b/src/transport/socket_options.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <netinet/in.h>
+#include <optional>
 
 namespace dotterel {
 
@@ -11,8 +12,8 @@
 /// while the connection is idle, otherwise by the time that sent bytes stay unacknowledged.
 void setTcpOptions(int descriptor);
 
-/// Returns \a endpoint as a socket address. Throws std::runtime_error if its address is not IPv4.
-sockaddr_in toSocketAddress(const Endpoint &endpoint);
+/// Returns \a endpoint as a socket address; nullopt if its address is not IPv4.
+std::optional<sockaddr_in> toSocketAddress(const Endpoint &endpoint);
 
 /// Returns the local address of the socket \a descriptor.
 Endpoint localEndpoint(int descriptor);
--- a/src/transport/websocket_link.cpp
+++ b/src/transport/websocket_link.cpp
@@ -1,6 +1,7 @@
 #include "transport/websocket_link.h"
 
-#include <arpa/inet.h>
+#include "transport/socket_options.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -41,16 +42,6 @@
         {LinkCloseReason::PeerSilent, "peer_silent"},
 }};
 
-sockaddr_in toSocketAddress(const Endpoint &endpoint)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(endpoint.port);
-    if (inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr) != 1)
-        throw std::runtime_error("not an IPv4 address: " + endpoint.address);
-    return address;
-}
-
 void setNoDelay(evutil_socket_t descriptor)
 {
     const int enabled = 1;
@@ -126,6 +117,13 @@
         bufferevent_enable(this->stream, EV_READ | EV_WRITE);
     }
 
+    /// Closes the link from the event loop, since its owner has no handle yet.
+    void scheduleConnectFailure(EventLoop &loop)
+    {
+        this->handshakeTimer = loop.after(
+                Duration::zero(), [this] { this->closeLink(LinkCloseReason::ConnectFailed); });
+    }
+
     void sendFrame(std::string_view bytes)
     {
         if (this->closed || !this->opened)
@@ -271,7 +269,7 @@
 std::unique_ptr<WebsocketLink> connectWebsocket(EventLoop &loop, const Endpoint &endpoint,
                                                 const LinkLimits &limits, LinkObserver &observer)
 {
-    const sockaddr_in address = toSocketAddress(endpoint);
+    const std::optional<sockaddr_in> address = toSocketAddress(endpoint);
     bufferevent *stream = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     auto state = std::make_shared<LinkState<Client>>(loop, limits, stream);
     state->observer = &observer;
@@ -288,8 +286,11 @@
         statePointer->endpoint.connect(connection);
     };
     state->enableStream();
-    bufferevent_socket_connect(stream, reinterpret_cast<const sockaddr *>(&address),
-                               sizeof(address));
+    if (!address
+        || bufferevent_socket_connect(stream, reinterpret_cast<const sockaddr *>(&*address),
+                                      sizeof(*address))
+                   != 0)
+        state->scheduleConnectFailure(loop);
     return std::make_unique<LinkHandle<Client>>(loop, std::move(state));
 }
 
@@ -301,17 +302,15 @@
     , listener(nullptr)
     , boundEndpoint(endpoint)
 {
-    sockaddr_in address = toSocketAddress(endpoint);
-    this->listener =
-            evconnlistener_new_bind(loop.base(), &WebsocketListener::onAccepted, this,
-                                    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
-                                    reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    std::optional<sockaddr_in> address = toSocketAddress(endpoint);
+    if (address)
+        this->listener =
+                evconnlistener_new_bind(loop.base(), &WebsocketListener::onAccepted, this,
+                                        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+                                        reinterpret_cast<sockaddr *>(&*address), sizeof(*address));
     if (this->listener == nullptr)
         throw std::runtime_error("cannot listen on " + endpoint.text());
-    socklen_t length = sizeof(address);
-    getsockname(evconnlistener_get_fd(this->listener), reinterpret_cast<sockaddr *>(&address),
-                &length);
-    this->boundEndpoint.port = ntohs(address.sin_port);
+    this->boundEndpoint.port = localEndpoint(evconnlistener_get_fd(this->listener)).port;
 }
 
 WebsocketListener::~WebsocketListener()
--- a/tests/platform/soak/raw_http_server.cpp
+++ b/tests/platform/soak/raw_http_server.cpp
@@ -158,7 +158,7 @@
     : loop(loop)
     , handler(std::move(handler))
 {
-    sockaddr_in address = toSocketAddress(Endpoint());
+    sockaddr_in address = toSocketAddress(Endpoint()).value();
     this->listener =
             evconnlistener_new_bind(loop.base(), &RawHttpServer::onAccepted, this,
                                     LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, ListenBacklog,
--- a/tests/platform/test_odd_objects.cpp
+++ b/tests/platform/test_odd_objects.cpp
@@ -1,31 +1,22 @@
 // Objects that another writer left in the store and that no host can read.
 
 #include "core/json_input.h"
-#include "entry_host/gateway_host.h"
-#include "platform/soak/soak_store.h"
+#include "platform/odd_object_fleet.h"
 #include "platform_page_reader.h"
-#include "platform_protocol.h"
-#include "platform_store.h"
-#include "transport/keep_alive_http_client.h"
 
-#include <algorithm>
 #include <catch2/catch.hpp>
-#include <functional>
 
 using namespace dotterel;
+using namespace dotterel::support;
 using dotterel::platform::PlatformProtocol;
-using dotterel::platform::PlatformStore;
 using dotterel::platform::readListPage;
 using dotterel::platform::readWatchPage;
 using Json = nlohmann::json;
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
 
 constexpr std::size_t DeepLevels = 100'000;
-/// Time within which a change must be in force while the store works.
-constexpr Duration ApplyLimit = milliseconds(2'000);
 
 std::string deepList(std::size_t levels = DeepLevels)
 {
@@ -40,14 +31,6 @@
     return text + "1" + std::string(DeepLevels, '}');
 }
 
-Json serverEntry(bool draining = false)
-{
-    return {{"service", "app"},  {"address", "127.0.0.1:9"},
-            {"zone", "z0"},      {"slots", 4},
-            {"seq", 1},          {"state", draining ? "draining" : "ready"},
-            {"cold_left_ms", 0}, {"born", 1'700'000'000'000}};
-}
-
 /// Returns a server's entry with the text \a value in the field \a name.
 std::string entryWith(const std::string &name, const std::string &value)
 {
@@ -99,118 +82,6 @@
            + spec + R"(},{"metadata":{"name":"z","rev":6},"spec":{"x":2}}],"more":false,"at":9})";
 }
 
-/// Records which objects were rejected.
-class RejectionLog : public EventLog
-{
-public:
-    void write(Event event, const std::vector<LogField> &fields) override
-    {
-        if (event != Event::ObjectRejected && event != Event::ConfigurationRejected)
-            return;
-        std::string line;
-        for (const LogField &field : fields) {
-            if (const std::string *text = std::get_if<std::string>(&field.value))
-                line += *text + " ";
-        }
-        this->lines.push_back(line);
-    }
-
-    std::size_t count(const std::string &part) const
-    {
-        return static_cast<std::size_t>(
-                std::count_if(this->lines.begin(), this->lines.end(), [&part](const auto &line) {
-                    return line.find(part) != std::string::npos;
-                }));
-    }
-
-    std::vector<std::string> lines;
-};
-
-/// Two gateway hosts in this process and one store.
-struct OddObjectFixture
-{
-    OddObjectFixture()
-    {
-        this->publishConfiguration(1);
-        this->store.put("servers", "sound", serverEntry());
-        this->hosts.resize(2);
-        this->startHost(0);
-        this->startHost(1);
-        REQUIRE(this->becomesTrue([this] { return this->allShow("sound", "up"); }, seconds(10)));
-    }
-
-    void startHost(std::size_t index)
-    {
-        this->hosts[index].gateway.reset();
-        this->hosts[index].store = std::make_unique<PlatformStore>(
-                this->loop, this->client, this->store.endpoint(), milliseconds(1'500));
-        Settings settings;
-        settings.host = "h" + std::to_string(index);
-        settings.failureDomain = "z" + std::to_string(index);
-        settings.heartbeatInterval = milliseconds(250);
-        settings.domainServiceLimit = seconds(5);
-        this->hosts[index].gateway = std::make_unique<GatewayHost>(
-                this->loop, settings, ++this->incarnation, this->protocol,
-                *this->hosts[index].store, "/ready", this->log);
-    }
-
-    void publishConfiguration(std::uint64_t version)
-    {
-        this->store.put("config", "main",
-                        {{"version", version},
-                         {"routes",
-                          {{{"name", "r"},
-                            {"host", "shop"},
-                            {"path_prefix", "/"},
-                            {"kind", "idempotent"},
-                            {"service", "app"}}}},
-                         {"services", {{{"name", "app"}}}}});
-    }
-
-    /// Returns true if every host lists the server \a id with \a state; with none if it is empty.
-    bool allShow(const std::string &id, const std::string &state) const
-    {
-        return std::all_of(this->hosts.begin(), this->hosts.end(), [&](const Host &host) {
-            const auto servers = host.gateway->status().servers;
-            const auto found = std::find_if(servers.begin(), servers.end(),
-                                            [&id](const auto &server) { return server.id == id; });
-            return state.empty() ? found == servers.end()
-                                 : found != servers.end() && found->state == state;
-        });
-    }
-
-    bool allAtVersion(std::uint64_t version) const
-    {
-        return std::all_of(this->hosts.begin(), this->hosts.end(), [version](const Host &host) {
-            return host.gateway->status().configurationVersion == version;
-        });
-    }
-
-    bool becomesTrue(const std::function<bool()> &condition, Duration limit)
-    {
-        const TimePoint start = this->loop.now();
-        while (!condition() && this->loop.now() - start < limit) {
-            const EventLoop::TimerHandle wake = this->loop.after(milliseconds(20), [] {});
-            this->loop.runOnce(true);
-        }
-        return condition();
-    }
-
-    struct Host
-    {
-        std::unique_ptr<PlatformStore> store;
-        std::unique_ptr<GatewayHost> gateway;
-    };
-
-    EventLoop loop;
-    RejectionLog log;
-    PlatformProtocol protocol;
-    soak::SoakStore store{this->loop};
-    KeepAliveHttpClient client{this->loop, KeepAliveHttpClientLimits{}};
-    std::vector<Host> hosts;
-    Incarnation incarnation = 0;
-};
-
 } // namespace
 
 TEST_CASE("One odd object in a page of the store cost all others", "[Platform][OddObjects]")
@@ -296,7 +167,7 @@
 TEST_CASE("One odd entry among the servers' ended every host of the fleet",
           "[Platform][OddObjects]")
 {
-    OddObjectFixture fixture;
+    OddObjectFleet fixture;
     // The hosts read all of this several times; the page reader's test has all of it at full depth.
     constexpr std::size_t FieldLevels = 10'000;
     for (const auto &[title, spec] : oddValues(FieldLevels)) {
@@ -346,7 +217,7 @@
 
 TEST_CASE("Odd objects of the store's other kinds cost themselves only", "[Platform][OddObjects]")
 {
-    OddObjectFixture fixture;
+    OddObjectFleet fixture;
 
     SECTION("a configuration with the highest version that cannot be used")
     {
