Send a long watch only to a store that has answered

Callers: keys that were taken away still bought work and added routes got 404, 2.3 to 3.9 s after the acknowledgement (bound 2 s).

Cause: a watch that is sent to a silent store is lost, and only the end of its wait shows it. After a failed watch, or in place of one that may be silent, the next went out with its full wait. The turns by which one host notices early went by host name over all failure domains, so that the first four were those of the domain that was cut off.

Change: the first watch after a failed call or in place of a silent one waits 100 ms; a full wait follows an answer. Successive turns belong to different failure domains. The same for the watch of dotterelfieldd.

--- a/src/coordination/watch_schedule.cpp
+++ b/src/coordination/watch_schedule.cpp
@@ -1,6 +1,9 @@
 #include "coordination/watch_schedule.h"
 
 #include <algorithm>
+#include <map>
+#include <string>
+#include <tuple>
 
 namespace dotterel {
 
@@ -13,11 +16,22 @@
 
 WatchTurn turnAmong(const HostIdentity &self, const std::vector<MemberRecord> &members)
 {
-    const auto before =
-            std::count_if(members.begin(), members.end(), [&self](const MemberRecord &member) {
-                return member.identity.host < self.host;
-            });
-    return {static_cast<std::size_t>(before), std::max<std::size_t>(1, members.size())};
+    // Orders hosts by their rank within their failure domain, then by domain and name.
+    std::map<std::string, std::vector<HostId>> hostsByDomain;
+    for (const MemberRecord &member : members)
+        hostsByDomain[member.identity.failureDomain].push_back(member.identity.host);
+    std::vector<std::tuple<std::size_t, std::string, HostId>> turns;
+    for (auto &[domain, hosts] : hostsByDomain) {
+        std::sort(hosts.begin(), hosts.end());
+        for (std::size_t rank = 0; rank < hosts.size(); ++rank)
+            turns.emplace_back(rank, domain, hosts[rank]);
+    }
+    std::sort(turns.begin(), turns.end());
+    const auto own = std::find_if(turns.begin(), turns.end(), [&self](const auto &turn) {
+        return std::get<2>(turn) == self.host;
+    });
+    return {static_cast<std::size_t>(std::distance(turns.begin(), own)),
+            std::max<std::size_t>(1, turns.size())};
 }
 
 void WatchSchedule::setTurn(const WatchTurn &newTurn)
--- a/src/coordination/watch_schedule.h
+++ b/src/coordination/watch_schedule.h
@@ -15,7 +15,8 @@
     std::size_t count = 1; ///< Number of watching hosts.
 };
 
-/// Returns the turn of \a self if all of \a members, which include it, watch.
+/// Returns the turn of \a self if all of \a members, which include it, watch. Successive turns
+/// belong to different failure domains, so that a domain that is cut off leaves short gaps.
 WatchTurn turnAmong(const HostIdentity &self, const std::vector<MemberRecord> &members);
 
 /// Chooses how long the watches of a collection wait at the store. A connection can fall silent
@@ -25,6 +26,10 @@
 class WatchSchedule
 {
 public:
+    /// Wait of a watch that shows whether the store answers this host: the first one after a failed
+    /// call, or on a connection that replaces a silent one. A store that stays silent loses it.
+    static constexpr Duration ConfirmationWait = std::chrono::milliseconds(100);
+
     /// \a turnInterval is the time between the ends of the watches of two hosts. Until setTurn() is
     /// called, \a firstTurn spreads the waits of hosts that do not know each other yet.
     WatchSchedule(Duration turnInterval, const WatchTurn &firstTurn)
--- a/src/entry_host/collection_feed.cpp
+++ b/src/entry_host/collection_feed.cpp
@@ -94,8 +94,14 @@
     }
     const TimePoint now = this->loop.now();
     this->watchStartedAt = now;
+    // A store that does not answer loses a watch, and only the end of its wait shows this. A long
+    // watch is therefore sent to a store that has answered.
+    this->confirmsWatch = this->watchRenewed || this->follower.isStoreUnreachable();
+    this->watchRenewed = false;
     const Duration wait =
-            this->watchSchedule.nextWait(this->watchContinues, now - this->turnsBeganAt);
+            this->confirmsWatch
+                    ? WatchSchedule::ConfirmationWait
+                    : this->watchSchedule.nextWait(this->watchContinues, now - this->turnsBeganAt);
     this->watchCall =
             this->store.watch(this->localObjects.collection(), step.revision, wait, callback);
 }
@@ -122,6 +128,7 @@
     this->watchStartedAt.reset();
     this->watchCall.reset();
     this->watchContinues = false;
+    this->watchRenewed = true;
     this->turnsBeganAt = now;
     this->follower.onWatchRepeated();
     this->scheduleNextCall();
@@ -131,7 +138,8 @@
 {
     const TimePoint now = this->loop.now();
     this->watchStartedAt.reset();
-    this->watchContinues = page && kind == CollectionRequest::Kind::Watch && page->objects.empty();
+    this->watchContinues = page && kind == CollectionRequest::Kind::Watch && !this->confirmsWatch
+                           && page->objects.empty();
     // An outage or a change ends the watches of all hosts at about the same time.
     if (page ? !page->objects.empty() : !this->follower.isStoreUnreachable())
         this->turnsBeganAt = now;
--- a/src/entry_host/collection_feed.h
+++ b/src/entry_host/collection_feed.h
@@ -113,7 +113,9 @@
     std::optional<TimePoint> watchStartedAt; ///< Set while a watch waits at the store.
     std::optional<TimePoint> lastRenewal;
     TimePoint turnsBeganAt;       ///< When the watches of all hosts ended together.
-    bool watchContinues = false;  ///< The previous watch ended without a change.
+    bool watchContinues = false;  ///< The previous watch kept its turn and ended without a change.
+    bool confirmsWatch = false;   ///< The watch only shows whether the store answers.
+    bool watchRenewed = false;    ///< The next watch replaces one that may be silent.
     std::uint64_t callNumber = 0; ///< Responses to earlier calls are ignored.
     HostEvents hostEvents;
     bool known = false;
--- a/src/entry_host/configuration_feed.cpp
+++ b/src/entry_host/configuration_feed.cpp
@@ -89,10 +89,13 @@
 
 void ConfigurationFeed::watch()
 {
+    // A platform that does not answer loses a watch, and only the end of its wait shows this.
+    const bool confirms = !this->platformReachable;
+    const Duration wait = confirms ? WatchSchedule::ConfirmationWait
+                                   : this->watchSchedule.nextWait(this->watchContinues);
     this->platform.watch(
-            ConfigurationRootKey, this->watchedVersion,
-            this->watchSchedule.nextWait(this->watchContinues),
-            [this](const ObjectStore::ReadResult &result, TimePoint) {
+            ConfigurationRootKey, this->watchedVersion, wait,
+            [this, confirms](const ObjectStore::ReadResult &result, TimePoint) {
                 const bool reachable = result || result.error() == StoreError::NotFound;
                 if (reachable != this->platformReachable)
                     this->log.write(
@@ -100,7 +103,7 @@
                 this->platformReachable = reachable;
                 // A stale response must not turn the watch into a busy loop.
                 const bool isNewer = result && result->version > this->watchedVersion;
-                this->watchContinues = reachable && !isNewer;
+                this->watchContinues = reachable && !isNewer && !confirms;
                 if (isNewer) {
                     this->watchedVersion = result->version;
                     this->follower.offerRoot(result->value);
--- a/tests/coordination/test_watch_schedule.cpp
+++ b/tests/coordination/test_watch_schedule.cpp
@@ -52,3 +52,32 @@
         CHECK(hosts[0].nextWait(true) == seconds(30));
     }
 }
+
+// Guards against a silent store that nobody notices while the hosts whose turns come first are cut
+// off.
+TEST_CASE("The first turns belonged to one failure domain", "[WatchSchedule]")
+{
+    std::vector<MemberRecord> members;
+    for (const char *domain : {"a", "b", "c"}) {
+        for (int number = 1; number <= 4; ++number) {
+            MemberRecord member;
+            member.identity = {std::string(domain) + std::to_string(number), 1, domain};
+            members.push_back(member);
+        }
+    }
+    const std::string cutOff = GENERATE(as<std::string>(), "a", "b", "c");
+    std::vector<std::size_t> turns;
+    for (const MemberRecord &member : members) {
+        const WatchTurn turn = turnAmong(member.identity, members);
+        CHECK(turn.count == members.size());
+        if (member.identity.failureDomain != cutOff)
+            turns.push_back(turn.index);
+    }
+    std::sort(turns.begin(), turns.end());
+    REQUIRE(turns.size() == 8);
+    CHECK(turns.front() <= 1);
+    for (std::size_t index = 1; index < turns.size(); ++index) {
+        CHECK(turns[index] > turns[index - 1]);
+        CHECK(turns[index] - turns[index - 1] <= 2);
+    }
+}
