Refuse requests that are read late in a planned stop

Report of other operators: requests that come late in the grace are passed on and cut off at its end, among them some that may not be repeated.

Cause: connections that are idle when a host stops listening are closed, but one that is reading a request is not; its request was passed on whenever it was whole. Requests that arrive during a stop had deadlines beyond its end.

Change: once the host has stopped listening, requests are refused at once as not run (shutting_down, Retry-After 0), also those that other hosts hand over. What arrives during the stop, or has no server yet, has no longer than the process, so that what cannot be served is refused at once and servers are told the time that is left.

--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -228,12 +228,15 @@
                              - ShutdownExitMargin;
     this->log.write(Event::ShutdownBegan,
                     {{"in_flight", static_cast<std::int64_t>(this->controller.inFlight())}});
+    this->controller.beginDrain(this->shutdownDeadline);
     this->membership.beginLeaving();
     this->callerServer.closeAfterReplies();
     this->relayListener.server().closeAfterReplies();
     this->drainTimer = this->loop.after(LoadBalancerReactionTime, [this] {
         this->callerServer.stopListening();
-        // A request that arrives later on a kept connection might not finish before the limit.
+        // A request that arrives later, on a kept connection or with a slow body, might not finish
+        // before the limit. Load balancers now lead callers to other hosts.
+        this->controller.stopAdmitting();
         this->callerServer.closeIdleConnections();
         this->relayListener.server().stopListening();
         this->relayListener.server().closeIdleConnections();
--- a/src/gateway/forward_controller.cpp
+++ b/src/gateway/forward_controller.cpp
@@ -11,6 +11,8 @@
 
 /// Retry delay sent to callers if there is no usable server or no configuration yet.
 constexpr Duration NoServerRetryAfter = std::chrono::milliseconds(500);
+/// Callers of a host that exits may try another one at once.
+constexpr Duration ShutdownRetryAfter = Duration::zero();
 
 constexpr int StatusUnavailable = 503;
 constexpr int StatusBadGateway = 502;
@@ -99,12 +101,21 @@
         return;
     this->metrics.count(Counter::RequestsAdmitted, 1);
     const Duration callerTimeout = call.metadata.callerTimeout.value_or(call.route->timeout);
-    call.deadline = now + std::min(callerTimeout, call.route->timeout);
+    call.deadline = this->deadlineAfter(std::min(callerTimeout, call.route->timeout), now);
     this->dispatch(call, now);
 }
 
+TimePoint ForwardController::deadlineAfter(Duration timeLeft, TimePoint now) const
+{
+    return this->exitAt ? std::min(now + timeLeft, *this->exitAt) : now + timeLeft;
+}
+
 bool ForwardController::admit(ForwardCall &call, TimePoint now)
 {
+    if (!this->admitting) {
+        this->refuse(call, Reason::ShuttingDown, ShutdownRetryAfter, now);
+        return false;
+    }
     if (!this->routeTable || !this->routeTable->configuration()) {
         this->refuse(call, Reason::NoConfiguration, NoServerRetryAfter, now);
         return false;
@@ -198,6 +209,15 @@
     this->sendDueReleases(now);
 }
 
+void ForwardController::beginDrain(TimePoint newExitAt)
+{
+    this->exitAt = newExitAt;
+    for (auto &[id, call] : this->calls) {
+        if (!call.attempt && !call.mayHaveRun)
+            call.deadline = std::min(call.deadline, newExitAt);
+    }
+}
+
 void ForwardController::endAll(TimePoint now)
 {
     while (!this->calls.empty()) {
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -73,6 +73,13 @@
     void onAttemptComplete(ForwardAttemptId id, TimePoint now);
     void onAttemptFailed(ForwardAttemptId id, const HttpFailure &failure, TimePoint now);
 
+    /// The process exits at \a exitAt: requests that no server has yet, and those that arrive from
+    /// now on, have no longer than that.
+    void beginDrain(TimePoint exitAt);
+
+    /// Refuses requests that arrive from now on, as other hosts can serve them.
+    void stopAdmitting() { this->admitting = false; }
+
     /// Ends all requests in flight because the process exits.
     void endAll(TimePoint now);
 
@@ -127,6 +134,8 @@
 
 private:
     bool admit(ForwardCall &call, TimePoint now);
+    /// Returns the end of a request that arrives at \a now and may take \a timeLeft.
+    TimePoint deadlineAfter(Duration timeLeft, TimePoint now) const;
     void dispatch(ForwardCall &call, TimePoint now);
     void dispatchPrompt(ForwardCall &call, const ServerPool &pool, TimePoint now);
     /// Hands the request to another host if this one seems to reach no server of its pool; returns
@@ -335,6 +344,8 @@
     std::size_t totalHeldBytes = 0; ///< Sum over all attempts.
     std::uint64_t nextReservationNumber = 1;
     std::map<std::string, HttpCallId> callsByReservation;
+    bool admitting = true;
+    std::optional<TimePoint> exitAt; ///< When the process exits; set once it drains.
     MemoryReleases memoryReleases;
     std::set<std::pair<TimePoint, HttpCallId>> timers;
     std::optional<TimePoint> resumedAt; ///< When this host last went on after a pause.
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -36,13 +36,15 @@
     call.workspace = envelope.workspace;
     call.attemptsSent = envelope.attemptsSent;
     call.pool = envelope.pool;
-    call.deadline = now + envelope.timeLeft;
+    call.deadline = this->deadlineAfter(envelope.timeLeft, now);
     if (this->routeTable && this->routeTable->configuration()) {
         call.configuration = this->routeTable->configuration();
         call.route = this->routeTable->findRoute(call.metadata.hostName, call.head.target);
         // The workspace's own priority is known by its key, which stays at the origin.
         call.priority = call.route != nullptr ? call.route->priority : 0;
     }
+    if (!this->admitting)
+        return this->refuse(call, Reason::ShuttingDown, std::nullopt, now);
     // This host may have another configuration than the origin, which decided about the route.
     if (call.route == nullptr || call.configuration->pools.count(call.pool) == 0)
         return this->refuse(call, Reason::NoConfiguration, std::nullopt, now, call.head.target);
