Write nothing behind a response that ends with its head

Cause: whatever had no length was framed in chunks, also 204 and 304, which have no body (RFC 9112, 6.3). Bodies given with such a status were sent.

Change: such a response has no framing, and its sender's bytes are dropped.

--- a/src/transport/keep_alive_http_server_connection.cpp
+++ b/src/transport/keep_alive_http_server_connection.cpp
@@ -75,7 +75,9 @@
                                                std::optional<std::uint64_t> length)
 {
     this->closeAfterResponse = this->closeAfterResponse || this->owner.sendConnectionClose;
-    this->chunked = !length;
+    // Such a response ends with its head.
+    this->bodiless = this->headOnly || isBodilessStatus(status);
+    this->chunked = !length && !isBodilessStatus(status);
     std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
     head += reasonPhrase(status);
     head += "\r\n";
@@ -85,7 +87,7 @@
         head += "Connection: close\r\n";
     if (this->chunked)
         head += "Transfer-Encoding: chunked\r\n";
-    else if (!isBodilessStatus(status))
+    else if (length && !isBodilessStatus(status))
         head += "Content-Length: " + std::to_string(*length) + "\r\n";
     head += "\r\n";
     this->write(head);
@@ -94,7 +96,7 @@
 
 void KeepAliveHttpServer::Connection::sendBodyPart(std::string_view bytes)
 {
-    if (bytes.empty() || this->headOnly)
+    if (bytes.empty() || this->bodiless)
         return;
     if (!this->chunked) {
         this->write(bytes);
@@ -109,7 +111,7 @@
 
 void KeepAliveHttpServer::Connection::endResponse()
 {
-    if (this->chunked && !this->headOnly)
+    if (this->chunked && !this->bodiless)
         this->write("0\r\n\r\n");
     this->endCall();
     // The head may have been sent before the shutdown began, without "Connection: close".
--- a/src/transport/keep_alive_http_server_connection.h
+++ b/src/transport/keep_alive_http_server_connection.h
@@ -87,7 +87,8 @@
     HttpCallId call = 0;
     bool responseStarted = false;
     bool chunked = false;
-    bool headOnly = false;
+    bool headOnly = false; ///< The request asks for the head only.
+    bool bodiless = false; ///< The response ends with its head.
     bool closeAfterResponse = false;
     bool closingAfterWrite = false; ///< Closes once the queued response is written.
     bool closedUnannounced = false; ///< Closed without sending "Connection: close".
--- a/tests/transport/test_keep_alive_http_server.cpp
+++ b/tests/transport/test_keep_alive_http_server.cpp
@@ -240,3 +240,33 @@
         fixture.runUntil([&] { return fixture.handler.bodies.size() == 2; });
     }
 }
+
+// Guards against bytes behind an answer that ends with its head: a caller takes them for the next.
+TEST_CASE("A response with status 204 was followed by a last chunk",
+          "[Transport][KeepAliveHttpServer]")
+{
+    ServerFixture fixture;
+    fixture.handler.holdResponses = true;
+    RawClient client(fixture.loop, fixture.server.endpoint());
+    const int status = GENERATE(204, 304);
+    const bool hasBody = GENERATE(false, true);
+    CAPTURE(status, hasBody);
+    client.send("GET /a HTTP/1.1\r\nHost: shop\r\n\r\n");
+    fixture.runUntil([&] { return fixture.handler.heads.size() == 1; });
+    SECTION("in parts")
+    {
+        fixture.server.startReply(fixture.handler.lastCall, status, {}, std::nullopt);
+        if (hasBody)
+            fixture.server.sendBodyPart(fixture.handler.lastCall, "no body");
+        fixture.server.endReply(fixture.handler.lastCall);
+    }
+    SECTION("as a whole")
+    {
+        fixture.server.reply(fixture.handler.lastCall, status, {}, hasBody ? "no body" : "");
+    }
+    fixture.handler.holdResponses = false;
+    client.send("GET /b HTTP/1.1\r\nHost: shop\r\n\r\n");
+    fixture.runUntil([&] { return ServerFixture::hasReceived(client, "answer"); });
+    const std::string head = "HTTP/1.1 " + std::to_string(status) + " Status\r\n\r\n";
+    CHECK(client.received().substr(0, head.size() + 12) == head + "HTTP/1.1 200");
+}
