Keep connections of callers that read slowly

Cause: TCP_USER_TIMEOUT of 2 s on connections of callers; Linux counts the time of a full window toward it, though the peer acknowledges each probe. A connection that closes after its answer was also removed after the idle time while its caller went on reading, since sending was no progress.

Change: connections of callers have no such limit. A request in flight is bounded by its deadline, the reading of an answer by the idle time without progress. Connections to servers, peers and the store keep theirs.

--- a/src/transport/keep_alive_http_server_connection.cpp
+++ b/src/transport/keep_alive_http_server_connection.cpp
@@ -64,7 +64,7 @@
     , stream(bufferevent_socket_new(owner.loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE))
     , lastProgress(owner.loop.now())
 {
-    setTcpOptions(descriptor);
+    setCallerTcpOptions(descriptor);
     bufferevent_setcb(this->stream, &Connection::onReadable, &Connection::onWritten,
                       &Connection::onStreamEvent, this);
     bufferevent_setwatermark(this->stream, EV_READ, 0, MaxPipelinedBytes);
@@ -167,6 +167,10 @@
 void KeepAliveHttpServer::Connection::checkTimeouts(TimePoint now)
 {
     const KeepAliveHttpServerLimits &limits = this->owner.limits;
+    const std::size_t unsent = this->unsentBytes();
+    if (unsent < this->unsentAtLastCheck)
+        this->lastProgress = now;
+    this->unsentAtLastCheck = unsent;
     const Duration inactiveTime = now - this->lastProgress;
     if (this->lingering || this->closingAfterWrite) {
         if (inactiveTime > LingerTime && (this->lingering || inactiveTime > limits.idleTimeout))
--- a/src/transport/keep_alive_http_server_connection.h
+++ b/src/transport/keep_alive_http_server_connection.h
@@ -79,7 +79,9 @@
     std::uint64_t id;
     HttpMessageParser parser;
     bufferevent *stream;
-    TimePoint lastProgress; ///< Start of the phase, or arrival of the latest body bytes.
+    /// Start of the phase, or when the latest bytes of a body arrived or of a response were sent.
+    TimePoint lastProgress;
+    std::size_t unsentAtLastCheck = 0;
     Phase phase = Phase::Idle;
     HttpMessageHead head;
     std::string body;
--- a/src/transport/socket_options.cpp
+++ b/src/transport/socket_options.cpp
@@ -26,13 +26,18 @@
 
 } // namespace
 
-void setTcpOptions(int descriptor)
+void setCallerTcpOptions(int descriptor)
 {
     setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
     setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveProbeSeconds);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveProbeSeconds);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, MaxUnansweredProbes);
+}
+
+void setTcpOptions(int descriptor)
+{
+    setCallerTcpOptions(descriptor);
     setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, MaxUnacknowledgedMs);
 }
 
--- a/src/transport/socket_options.h
+++ b/src/transport/socket_options.h
@@ -8,10 +8,16 @@
 
 namespace dotterel {
 
-/// Disables Nagle's algorithm and enables detection of unresponsive peers: by keep-alive probes
-/// while the connection is idle, otherwise by the time that sent bytes stay unacknowledged.
+/// Sets the options of connections to servers, other hosts and the platform. Disables Nagle's
+/// algorithm and enables detection of unresponsive peers: by keep-alive probes while the connection
+/// is idle, otherwise by the time that sent bytes stay unacknowledged.
 void setTcpOptions(int descriptor);
 
+/// Sets the options of connections of callers: as setTcpOptions(), but without a limit on the time
+/// that sent bytes stay unacknowledged. A caller that reads slowly announces a full window for
+/// seconds, which TCP counts toward that limit.
+void setCallerTcpOptions(int descriptor);
+
 /// Returns \a endpoint as a socket address; nullopt if its address is not IPv4.
 std::optional<sockaddr_in> toSocketAddress(const Endpoint &endpoint);
 
