Discard a copy of an answer that names no call

Cause: a late copy of an answer without an id, on a connection that orders and callers' requests share, was taken for the answer that was due; only another id was discarded.

Change: on a connection that has also carried a call without an id, an answer without one does not belong to a call with an id, and an answer with an id does not belong to a call without.

--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -25,7 +25,8 @@
     Duration connectTimeout = Duration::zero();
     bool requireNewConnection = true; ///< Do not reuse an idle connection.
     /// Header and value that the peer echoes in its response; a response with another value is
-    /// discarded. Used only on persistent connections; empty if the peer echoes no header.
+    /// discarded, and on a connection that also serves calls without a value, one that lacks the
+    /// header. Used only on persistent connections; empty if the peer echoes no header.
     std::pair<std::string, std::string> echoedHeader;
 };
 
--- a/src/transport/keep_alive_http_client_connection.cpp
+++ b/src/transport/keep_alive_http_client_connection.cpp
@@ -94,6 +94,10 @@
     ++this->callId;
     this->parser->setAnswersHead(request.method == "HEAD");
     this->echoedHeader = request.echoedHeader;
+    if (this->echoedHeader.first.empty())
+        this->servedAnonymousCall = true;
+    else
+        this->echoName = this->echoedHeader.first;
     this->reused = isReused;
     this->requestBytesSent = false;
     this->responseBegun = false;
@@ -271,13 +275,22 @@
         notifiedListener->onFailed(failure);
 }
 
+bool KeepAliveHttpClient::Connection::isForeign(const HttpHeaders &headers) const
+{
+    const std::string *echoedValue =
+            this->echoName.empty() ? nullptr : findHeader(headers, this->echoName);
+    if (this->echoedHeader.first.empty())
+        return echoedValue != nullptr;
+    if (echoedValue != nullptr)
+        return *echoedValue != this->echoedHeader.second;
+    // A late copy of the response to a call that had no name has none either.
+    return this->servedAnonymousCall;
+}
+
 void KeepAliveHttpClient::Connection::onMessageHead(HttpMessageHead &&head)
 {
-    const std::string *echoedValue = this->echoedHeader.first.empty()
-                                             ? nullptr
-                                             : findHeader(head.headers, this->echoedHeader.first);
-    const bool mismatched = echoedValue != nullptr && *echoedValue != this->echoedHeader.second;
     const bool interim = head.status < FirstFinalStatus;
+    const bool mismatched = !interim && this->isForeign(head.headers);
     this->skippingMessage = mismatched || interim;
     if (mismatched)
         ++this->owner.totals.mismatchedResponses;
--- a/src/transport/keep_alive_http_client_connection.h
+++ b/src/transport/keep_alive_http_client_connection.h
@@ -63,6 +63,9 @@
 
     void failCall(HttpFailureKind kind);
 
+    /// Returns true if a response with \a headers belongs to another call.
+    bool isForeign(const HttpHeaders &headers) const;
+
     void onMessageHead(HttpMessageHead &&head) override;
 
     void onMessageData(std::string_view bytes) override;
@@ -75,6 +78,8 @@
     std::unique_ptr<HttpMessageParser> parser;
     HttpResponseListener *listener = nullptr;
     std::pair<std::string, std::string> echoedHeader;
+    std::string echoName; ///< Header by which responses on this connection name their calls.
+    bool servedAnonymousCall = false; ///< The response to one of its calls named no call.
     EventLoop::TimerHandle requestTimer;
     EventLoop::TimerHandle connectTimer;
     std::optional<Duration> keepAliveTimeout;
--- a/tests/transport/test_copied_refusals.cpp
+++ b/tests/transport/test_copied_refusals.cpp
@@ -72,12 +72,68 @@
         return recorder;
     }
 
+    /// Sends an order of the host itself, whose response names no call.
+    std::unique_ptr<Recorder> order(const Endpoint &endpoint)
+    {
+        auto recorder = std::make_unique<Recorder>();
+        HttpRequest request;
+        request.endpoint = endpoint;
+        request.method = "POST";
+        request.headers = {{"Host", "engine"}};
+        request.timeout = milliseconds(500);
+        request.requireNewConnection = false;
+        recorder->call = this->client.send(request, *recorder);
+        this->runUntil([&recorder] { return recorder->complete || recorder->failure; });
+        return recorder;
+    }
+
     EventLoop loop;
     KeepAliveHttpClient client{this->loop, KeepAliveHttpClientLimits{}};
 };
 
 } // namespace
 
+// Guards against a caller that gets an engine's 409 to an order of the host.
+TEST_CASE("A copy of the response to an order was passed on to a caller",
+          "[Transport][CopiedRefusals]")
+{
+    CopyFixture fixture;
+    const std::string conflict = "HTTP/1.1 409 X\r\nContent-Length: 14\r\n\r\n{\"free\":60000}";
+    soak::RawExchangePtr firstOrder;
+    soak::RawHttpServer server(fixture.loop, [&](const soak::RawExchangePtr &request) {
+        if (request->header("Id").empty()) {
+            if (!firstOrder)
+                firstOrder = request;
+            request->write(conflict);
+        } else {
+            firstOrder->write(conflict);
+            request->write(success(request->header("Id")));
+        }
+        request->end(soak::ConnectionEnd::KeepOpen);
+    });
+    CHECK(fixture.order(server.endpoint())->status == 409);
+    const auto response = fixture.ask(server.endpoint());
+    CHECK(response->status == 200);
+    CHECK(response->body == "ok");
+    CHECK(fixture.client.counts().mismatchedResponses == 1);
+    CHECK(fixture.client.counts().connectionsOpened == 1);
+}
+
+TEST_CASE("A copy of a caller's response is not the response to an order",
+          "[Transport][CopiedRefusals]")
+{
+    CopyFixture fixture;
+    soak::RawHttpServer server(fixture.loop, [&](const soak::RawExchangePtr &request) {
+        const std::string id = request->header("Id");
+        request->write(id.empty() ? success("mine") + refusal(409, "") : success(id));
+        request->end(soak::ConnectionEnd::KeepOpen);
+    });
+    CHECK(fixture.ask(server.endpoint())->status == 200);
+    CHECK(fixture.order(server.endpoint())->status == 409);
+    CHECK(fixture.client.counts().mismatchedResponses == 1);
+    CHECK(fixture.client.counts().connectionsOpened == 1);
+}
+
 TEST_CASE("A copy of an earlier refusal is not the response to the next request",
           "[Transport][CopiedRefusals]")
 {
