End a host that an operator has drained

Cause: GatewayHost::drain() began the shutdown without a callback, and beginShutdown() returned before it took a later one.

Change: the gateway is constructed with what ends a drain, as EntryHost is; a later signal replaces the callback and keeps the deadline.

Failing test: "A host that an operator drained went on running"; the sections with a later signal failed on.

--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -52,7 +52,8 @@
 
 GatewayHost::GatewayHost(EventLoop &loop, const Settings &settings, Incarnation incarnation,
                          const GatewayProtocol &protocol, CollectionStore &store,
-                         std::string readinessPath, EventLog &log)
+                         std::string readinessPath, EventLog &log,
+                         std::function<void()> onDrainFinished)
     : loop(loop)
     , settings(settings)
     , identity{settings.host, incarnation, settings.failureDomain}
@@ -128,6 +129,7 @@
                       })
     , operatorApi(loop, settings.operators, *this, this->metrics)
     , startedAt(loop.now())
+    , onDrainFinished(std::move(onDrainFinished))
 {
     this->membership.setForwardsUpdates();
     this->membership.setRelayPort(this->relayListener.server().endpoint().port);
@@ -220,10 +222,13 @@
 
 void GatewayHost::beginShutdown(std::function<void()> finished)
 {
+    if (finished)
+        this->shutdownFinished = std::move(finished);
+    if (this->shutdownDone)
+        return this->reportShutdown();
     if (this->shuttingDown)
         return;
     this->shuttingDown = true;
-    this->shutdownFinished = std::move(finished);
     this->shutdownDeadline = this->loop.now() + fromSeconds(this->settings.shutdownLimitSeconds)
                              - ShutdownExitMargin;
     this->log.write(Event::ShutdownBegan,
@@ -259,6 +264,12 @@
     this->controller.endAll(this->loop.now());
     this->membershipDriver.announceShutdown();
     this->store.remove(Collection::Hosts, this->identity.host, [](const auto & /*removed*/) {});
+    this->shutdownDone = true;
+    this->reportShutdown();
+}
+
+void GatewayHost::reportShutdown()
+{
     this->drainTimer = this->loop.after(DrainCheckInterval, [this] {
         if (this->shutdownFinished)
             this->shutdownFinished();
@@ -313,7 +324,7 @@
 
 void GatewayHost::drain()
 {
-    this->beginShutdown(this->shutdownFinished);
+    this->beginShutdown(this->onDrainFinished);
 }
 
 } // namespace dotterel
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -35,13 +35,15 @@
 {
 public:
     /// Binds the host's addresses. \a readinessPath is the path of the load balancer's health
-    /// check. Throws std::runtime_error if an address cannot be bound.
+    /// check. \a onDrainFinished is called when a drain that an operator asked for has ended.
+    /// Throws std::runtime_error if an address cannot be bound.
     GatewayHost(EventLoop &loop, const Settings &settings, Incarnation incarnation,
                 const GatewayProtocol &protocol, CollectionStore &store, std::string readinessPath,
-                EventLog &log);
+                EventLog &log, std::function<void()> onDrainFinished = {});
     ~GatewayHost() override;
 
-    /// Starts a graceful shutdown; \a finished is called when every request has ended.
+    /// Starts a graceful shutdown; \a finished is called when every request has ended. A shutdown
+    /// in progress keeps its time limit; \a finished replaces the earlier callback.
     void beginShutdown(std::function<void()> finished);
 
     /// Applies the settings that can be reloaded at run time; ignores the others.
@@ -157,6 +159,8 @@
     void renewWatches(const char *reason);
     void scheduleControllerTimer();
     void finishShutdownWhenIdle();
+    /// Calls shutdownFinished once the last bytes are flushed.
+    void reportShutdown();
     KeepAliveHttpServerLimits callerServerLimits() const;
     KeepAliveHttpServerLimits relayServerLimits() const;
     /// Returns the server of \a call and sets \a call to its id there.
@@ -208,6 +212,7 @@
     OperatorApi operatorApi;
     std::unordered_map<std::uint32_t, ServerId> serversByHash;
     TimePoint startedAt;
+    std::function<void()> onDrainFinished;
     std::size_t listedHosts = 0;             ///< Hosts on the platform's list, with this one.
     std::vector<UpdatePeer> liveUpdatePeers; ///< Live hosts at the last heartbeat.
     std::set<HostId> sameDomainHosts;        ///< Live hosts in this host's failure domain.
@@ -222,6 +227,7 @@
     std::size_t crashNoticeTurn = 0; ///< Index of the open link that is next.
     int silentLinkChecks = 0;        ///< Checks in a row in which most peer links were silent.
     bool shuttingDown = false;
+    bool shutdownDone = false; ///< All requests have ended.
     bool registered = false;
     std::function<void()> shutdownFinished;
     TimePoint shutdownDeadline;
--- a/tests/entry_host/test_late_requests.cpp
+++ b/tests/entry_host/test_late_requests.cpp
@@ -54,7 +54,8 @@
         settings.heartbeatInterval = milliseconds(50);
         settings.shutdownLimitSeconds = ShutdownLimitSeconds;
         this->host = std::make_unique<GatewayHost>(this->loop, settings, 1, this->protocol,
-                                                   this->store, "/ready", this->log);
+                                                   this->store, "/ready", this->log,
+                                                   [this] { this->drained = true; });
         REQUIRE(this->becomesTrue([this] { return this->host->ready(); }, seconds(5)));
     }
 
@@ -85,6 +86,7 @@
     ScriptedServer server{this->loop, NoAnswer};
     std::unique_ptr<GatewayHost> host;
     bool stopped = false;
+    bool drained = false;
 };
 
 } // namespace
@@ -124,3 +126,46 @@
     CHECK(fixture.becomesTrue([&] { return fixture.stopped; }, seconds(5)));
     CHECK_THAT(client.received(), Catch::Contains("HTTP/1.1 504"));
 }
+
+// Guards against a host that is drained through the operators' port and never ends.
+TEST_CASE("A host that an operator drained went on running", "[EntryHost][LateRequests]")
+{
+    StoppingHost fixture;
+    const auto drain = [&fixture] {
+        RawClient operatorClient(fixture.loop, fixture.host->operators());
+        operatorClient.send("POST /drain HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+        REQUIRE(fixture.becomesTrue(
+                [&] { return operatorClient.received().find("202") != std::string::npos; },
+                seconds(2)));
+    };
+    SECTION("the drain ends it")
+    {
+        drain();
+        CHECK(fixture.becomesTrue([&] { return fixture.drained; }, seconds(5)));
+    }
+    SECTION("a signal after the drain does, at the time of the drain")
+    {
+        const TimePoint began = fixture.loop.now();
+        drain();
+        fixture.runFor(seconds(1));
+        fixture.beginStop();
+        CHECK(fixture.becomesTrue([&] { return fixture.stopped; }, seconds(5)));
+        CHECK(fixture.loop.now() - began < milliseconds(3'200));
+    }
+    SECTION("a drain after the signal keeps the time of the signal")
+    {
+        const TimePoint began = fixture.loop.now();
+        fixture.beginStop();
+        fixture.runFor(seconds(1));
+        drain();
+        CHECK(fixture.becomesTrue([&] { return fixture.drained || fixture.stopped; }, seconds(5)));
+        CHECK(fixture.loop.now() - began < milliseconds(3'200));
+    }
+    SECTION("a signal after its end is answered")
+    {
+        drain();
+        fixture.runFor(seconds(4));
+        fixture.beginStop();
+        CHECK(fixture.becomesTrue([&] { return fixture.stopped; }, seconds(1)));
+    }
+}
