Bound heads and unparsed bytes of responses in HttpClient

Report of other operators: a server that sends bytes without end, in a head or a body, fills the memory of the host that called it.

Cause: evhttp sets no limit to a head, and keeps a line or a chunk in its input buffer until it is whole. It also reports the heads of interim responses, of which the first was taken for the head of the response behind it.

Change: heads end at 64 KiB, interim responses at 100, unparsed bytes at 4 MiB.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -7,6 +7,7 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <strings.h>
+#include <utility>
 
 namespace dotterel {
 
@@ -16,6 +17,13 @@
 /// interrupt the send.
 constexpr std::size_t MaxSocketBufferedBody = 16UL * 1024;
 
+constexpr int FirstFinalStatus = 200;
+/// Limits on what a server may send that is neither a head nor a body.
+constexpr ev_ssize_t MaxHeadBytes = 64L * 1024;
+constexpr std::size_t MaxInterimResponses = 100;
+/// evhttp keeps a chunk, and a line, in the input buffer until it is complete.
+constexpr std::size_t MaxUnparsedBytes = 4UL * 1024 * 1024;
+
 /// Returns \a duration rounded up to whole seconds, plus one second.
 std::int64_t roundUpToSeconds(Duration duration)
 {
@@ -65,7 +73,8 @@
 {
 public:
     EvhttpCall(EventLoop &loop, const HttpRequest &request, HttpResponseListener &listener)
-        : listener(&listener)
+        : loop(loop)
+        , listener(&listener)
         , body(request.body)
     {
         bufferevent *stream = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
@@ -73,6 +82,8 @@
                                                                   request.endpoint.address.c_str(),
                                                                   request.endpoint.port);
         evbuffer_add_cb(bufferevent_get_output(stream), &EvhttpCall::onOutputChanged, this);
+        evbuffer_add_cb(bufferevent_get_input(stream), &EvhttpCall::onInputChanged, this);
+        evhttp_connection_set_max_headers_size(this->connection, MaxHeadBytes);
         // evhttp's default timeouts are shorter than a long prefill, so they are extended beyond
         // the timeout of the request.
         const std::int64_t timeoutSeconds = roundUpToSeconds(request.timeout);
@@ -145,9 +156,37 @@
             self(argument)->requestBytesWritten = true;
     }
 
+    static void onInputChanged(evbuffer *buffer, const evbuffer_cb_info *info, void *argument)
+    {
+        if (info->n_added > 0 && evbuffer_get_length(buffer) > MaxUnparsedBytes)
+            self(argument)->scheduleMalformed();
+    }
+
+    /// Ends the call from the event loop, since evhttp is reading.
+    void scheduleMalformed()
+    {
+        if (this->malformed)
+            return;
+        this->malformed = true;
+        this->timer = this->loop.after(Duration::zero(), [this] {
+            HttpResponseListener *notifiedListener = std::exchange(this->listener, nullptr);
+            if (notifiedListener == nullptr)
+                return;
+            bufferevent_disable(evhttp_connection_get_bufferevent(this->connection), EV_READ);
+            this->failureKind = this->headReceived ? HttpFailureKind::ResponseTruncated
+                                                   : HttpFailureKind::MalformedResponse;
+            this->reportFailure(*notifiedListener);
+        });
+    }
+
     static int onHeadReceived(evhttp_request *request, void *argument)
     {
         EvhttpCall *call = self(argument);
+        if (evhttp_request_get_response_code(request) < FirstFinalStatus) {
+            if (++call->interimResponses > MaxInterimResponses)
+                call->scheduleMalformed();
+            return 0;
+        }
         if (call->listener != nullptr && !call->headReceived) {
             call->headReceived = true;
             call->listener->onHead(evhttp_request_get_response_code(request),
@@ -217,12 +256,15 @@
         notifiedListener.onFailed(failure);
     }
 
+    EventLoop &loop;
     HttpResponseListener *listener;
     std::shared_ptr<const std::string> body;
     evhttp_connection *connection = nullptr;
     EventLoop::TimerHandle timer;
     bool requestBytesWritten = false;
     bool headReceived = false;
+    bool malformed = false;
+    std::size_t interimResponses = 0;
     HttpFailureKind failureKind = HttpFailureKind::ConnectionLost;
 };
 
