Resume reading before a connection returns to the pool

Failing test: a section of "A connection is reused only after a clean response": on the closed connection stays until it expires.

--- a/src/transport/keep_alive_http_client_connection.cpp
+++ b/src/transport/keep_alive_http_client_connection.cpp
@@ -237,6 +237,8 @@
     const Duration reuseTime =
             fromSeconds(toSeconds(peerIdleTimeout) * limits.reusableFractionOfIdleTimeout);
     if (buffersEmpty && this->reusable && reuseTime > Duration::zero())
+    // A slow caller may have paused the response whose end was read already.
+    this->pause(false);
         this->owner.returnToPool(this->shared_from_this(), reuseTime);
     else
         this->owner.discardConnection(this);
--- a/tests/transport/test_keep_alive_http_client.cpp
+++ b/tests/transport/test_keep_alive_http_client.cpp
@@ -14,13 +14,19 @@
 struct ResponseRecorder : HttpResponseListener
 {
     void onHead(int newStatus, const HttpHeaders &) override { this->status = newStatus; }
-    void onData(std::string_view bytes) override { this->body.append(bytes); }
+    void onData(std::string_view bytes) override
+    {
+        this->body.append(bytes);
+        if (this->pausesOnData)
+            this->call->pause(true);
+    }
     void onComplete() override { this->complete = true; }
     void onFailed(const HttpFailure &newFailure) override { this->failure = newFailure; }
     bool done() const { return this->complete || this->failure; }
 
     int status = 0;
     std::string body;
+    bool pausesOnData = false;
     bool complete = false;
     std::optional<HttpFailure> failure;
     std::unique_ptr<HttpCall> call;
@@ -183,6 +189,15 @@
         fixture.sendAndWait(server.endpoint());
         fixture.runUntil([&] { return fixture.client.connectionCount(server.endpoint()) == 0; });
     }
+    }
+    SECTION("it leaves the pool when the peer closes it, also if its response was paused")
+    {
+        ScriptedServer server(fixture.loop, {RequestBytes, completeResponse, ScriptEnd::Close});
+        auto response = fixture.send(server.endpoint());
+        response->pausesOnData = true;
+        fixture.runUntil([&response] { return response->done(); });
+        CHECK(response->complete);
+        fixture.runUntil([&] { return fixture.client.connectionCount(server.endpoint()) == 0; });
 }
 
 TEST_CASE("Destroying a call closes its connection immediately", "[Transport][KeepAliveHttpClient]")
