Reject heads that readers frame differently

Cause: http_parser takes a space as part of a name and joins folded lines; nothing looked at names and transfer codings.

Change: a name that is no token, a coding other than chunked and a folded line make a message malformed (RFC 9112, 5.1, 5.2, 6.1), in both directions.

Not done: a fuzz target of its own.

--- a/src/transport/http_message_parser.cpp
+++ b/src/transport/http_message_parser.cpp
@@ -1,5 +1,7 @@
 #include "transport/http_message_parser.h"
 
+#include <algorithm>
+#include <cctype>
 #include <http_parser.h>
 #include <strings.h>
 
@@ -10,6 +12,31 @@
 constexpr std::uint64_t NoContentLength = UINT64_MAX;
 constexpr int ContinueParsing = 0;
 constexpr int SkipBody = 1;
+constexpr int ParseError = -1;
+
+/// Returns true if \a byte may be part of a header name (RFC 9110, 5.6.2).
+bool isTokenCharacter(unsigned char byte)
+{
+    constexpr std::string_view Symbols = "!#$%&'*+-.^_`|~";
+    return std::isalnum(byte) != 0 || Symbols.find(static_cast<char>(byte)) != Symbols.npos;
+}
+
+/// Returns true if all readers of \a headers agree on the names and on the framing of the body
+/// (RFC 9112, 5.1 and 6.1).
+bool hasUnambiguousFields(const HttpHeaders &headers)
+{
+    std::size_t codings = 0;
+    for (const auto &[name, value] : headers) {
+        if (name.empty() || !std::all_of(name.begin(), name.end(), isTokenCharacter))
+            return false;
+        if (!equalHeaderNames(name, "Transfer-Encoding"))
+            continue;
+        const std::size_t end = value.find_last_not_of(" \t");
+        if (++codings > 1 || !equalHeaderNames(value.substr(0, end + 1), "chunked"))
+            return false;
+    }
+    return true;
+}
 
 } // namespace
 
@@ -62,6 +89,33 @@
         return !this->headTooLarge;
     }
 
+    /// Returns true if \a bytes continue a header on a line that begins with a space. Such lines
+    /// are obsolete (RFC 9112, 5.2), and peers read them differently.
+    bool foldsLine(std::string_view bytes)
+    {
+        for (const char byte : bytes) {
+            if (this->headScanned)
+                return false;
+            if (byte == '\n') {
+                this->headScanned = this->startLineSeen && this->lineBytes == 0;
+                this->startLineSeen = this->startLineSeen || this->lineBytes > 0;
+                this->lineBytes = 0;
+            } else if (byte != '\r') {
+                if (this->lineBytes == 0 && this->startLineSeen && (byte == ' ' || byte == '\t'))
+                    return true;
+                ++this->lineBytes;
+            }
+        }
+        return false;
+    }
+
+    void startScan()
+    {
+        this->headScanned = false;
+        this->startLineSeen = false;
+        this->lineBytes = 0;
+    }
+
     static int onUrl(http_parser *parser, const char *bytes, std::size_t length)
     {
         State &self = fromParser(parser);
@@ -100,6 +154,8 @@
             head.method = http_method_str(static_cast<http_method>(parser->method));
         else
             head.status = parser->status_code;
+        if (!hasUnambiguousFields(head.headers))
+            return ParseError;
         const bool chunked = (parser->flags & F_CHUNKED) != 0;
         if (parser->content_length != NoContentLength && !chunked)
             head.contentLength = parser->content_length;
@@ -140,6 +196,9 @@
     bool inMessage = false;
     bool messageComplete = false;
     bool headTooLarge = false;
+    bool headScanned = false;   ///< The head of the current message has ended.
+    bool startLineSeen = false; ///< Of the current message.
+    std::size_t lineBytes = 0;  ///< Bytes of the current line of the head.
 };
 
 const std::string *findHeader(const HttpHeaders &headers, std::string_view name)
@@ -172,6 +231,8 @@
 {
     State &self = *this->state;
     self.messageComplete = false;
+    if (self.foldsLine(bytes))
+        return HttpParseResult::Malformed;
     const std::size_t consumed =
             http_parser_execute(&self.parser, &self.callbacks, bytes.data(), bytes.size());
     if (self.messageComplete) {
@@ -182,6 +243,7 @@
         if (self.parser.upgrade != 0)
             return HttpParseResult::Malformed;
         self.messageComplete = false;
+        self.startScan();
         // The parser must not carry state over into the next message.
         http_parser_init(&self.parser, self.messageType == HttpMessageType::Request
                                                ? HTTP_REQUEST
--- a/src/transport/http_message_parser.h
+++ b/src/transport/http_message_parser.h
@@ -53,8 +53,10 @@
     Malformed,
 };
 
-/// Parses HTTP/1.x messages with http_parser, one message at a time. A message with both
-/// Content-Length and Transfer-Encoding is malformed, as a guard against request smuggling.
+/// Parses HTTP/1.x messages with http_parser, one message at a time. A message that readers may
+/// frame differently is malformed, as a guard against request smuggling: one with both
+/// Content-Length and Transfer-Encoding, with another coding than "chunked", with a name that is no
+/// token, or with a folded line.
 class HttpMessageParser
 {
 public:
--- a/tests/transport/test_keep_alive_http_client.cpp
+++ b/tests/transport/test_keep_alive_http_client.cpp
@@ -107,6 +107,13 @@
             {"both Content-Length and chunked encoding",
              "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nab",
              ScriptEnd::Close, false, ""},
+            {"a space before a colon", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nab",
+             ScriptEnd::Close, false, ""},
+            {"another transfer coding",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+             ScriptEnd::Close, false, ""},
+            {"a folded line", "HTTP/1.1 200 OK\r\nX: y\r\n z\r\nContent-Length: 2\r\n\r\nab",
+             ScriptEnd::Close, false, ""},
             {"no response", "", ScriptEnd::Hold, false, ""},
             {"preceded by the response to another request",
              "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\nnotHTTP/1.1 200 OK\r\nId: "
@@ -183,13 +190,6 @@
         CHECK(response->complete);
         CHECK(fixture.client.connectionCount(server.endpoint()) == 0);
     }
-    SECTION("it leaves the pool when the peer closes it")
-    {
-        ScriptedServer server(fixture.loop, {RequestBytes, completeResponse, ScriptEnd::Close});
-        fixture.sendAndWait(server.endpoint());
-        fixture.runUntil([&] { return fixture.client.connectionCount(server.endpoint()) == 0; });
-    }
-    }
     SECTION("it leaves the pool when the peer closes it, also if its response was paused")
     {
         ScriptedServer server(fixture.loop, {RequestBytes, completeResponse, ScriptEnd::Close});
@@ -198,6 +198,13 @@
         fixture.runUntil([&response] { return response->done(); });
         CHECK(response->complete);
         fixture.runUntil([&] { return fixture.client.connectionCount(server.endpoint()) == 0; });
+    }
+    SECTION("it leaves the pool when the peer closes it")
+    {
+        ScriptedServer server(fixture.loop, {RequestBytes, completeResponse, ScriptEnd::Close});
+        fixture.sendAndWait(server.endpoint());
+        fixture.runUntil([&] { return fixture.client.connectionCount(server.endpoint()) == 0; });
+    }
 }
 
 TEST_CASE("Destroying a call closes its connection immediately", "[Transport][KeepAliveHttpClient]")
--- a/tests/transport/test_keep_alive_http_server.cpp
+++ b/tests/transport/test_keep_alive_http_server.cpp
@@ -109,6 +109,37 @@
         CHECK(fixture.handler.heads.empty());
         CHECK(fixture.handler.rejectedStatuses == std::vector<int>{400});
     }
+    SECTION("a request that another reader may frame differently is rejected")
+    {
+        const std::string fields = GENERATE(
+                as<std::string>(), "X-Workspace : other\r\n", "X-Workspace\t: other\r\n",
+                "Content-Length : 5\r\n", "Transfer-Encoding : chunked\r\n",
+                "Transfer-Encoding: identity, chunked\r\n", "Transfer-Encoding: identity\r\n",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "X-A: b\r\n c\r\n",
+                "X-A: b\r\n\tc\r\n", ": b\r\n", "X\x01: b\r\n", "X-(A): b\r\n");
+        CAPTURE(fields);
+        const bool byteByByte = GENERATE(false, true);
+        const std::string request = PostRequestHead + fields + "\r\n0\r\n\r\n";
+        if (byteByByte) {
+            for (const char byte : request)
+                client.send(std::string(1, byte));
+        } else {
+            client.send(request);
+        }
+        fixture.runUntil([&] { return client.closedByPeer(); });
+        CHECK(fixture.handler.heads.empty());
+        CHECK(fixture.handler.rejectedStatuses == std::vector<int>{400});
+    }
+    SECTION("unusual heads that all readers agree on are taken")
+    {
+        client.send("\r\n" + PostRequestHead
+                    + "X!#$%&'*+-.^_`|~9: a b\t c \r\nTransfer-Encoding: Chunked \r\n\r\n3\r\na\n "
+                      "\r\n0\r\n\r\n"
+                    + PostRequestHead + "Content-Length: 3\r\n\r\n\n b");
+        fixture.runUntil([&] { return fixture.handler.bodies.size() == 2; });
+        CHECK(fixture.handler.bodies[0] == "a\n ");
+        CHECK(fixture.handler.bodies[1] == "\n b");
+    }
     SECTION("a request over a limit is rejected")
     {
         SECTION("body size")
