Count what uploads of unknown length hold

Change: a body of unknown length counts for its buffer, and is freed at the refusal.

Failing test: "A chunked body counted for less than it held".

--- a/src/transport/keep_alive_http_server_connection.cpp
+++ b/src/transport/keep_alive_http_server_connection.cpp
@@ -191,6 +191,7 @@
     if (status == StatusServiceUnavailable)
         headers.emplace_back("Retry-After", OverloadRetryAfterSeconds);
     this->sendHead(status, headers, 0);
+    this->body = std::string();
     this->releaseBufferedBytes();
     this->closingAfterWrite = true;
     this->phase = Phase::Idle;
@@ -288,11 +289,13 @@
     this->lastProgress = this->owner.loop.now();
     if (this->body.size() + bytes.size() > this->owner.limits.maxBodyBytes)
         return this->reject(StatusContentTooLarge);
-    if (this->owner.bufferedBytes + bytes.size() > this->owner.limits.maxBufferedBytes)
-        return this->reject(StatusServiceUnavailable);
     this->body.append(bytes);
-    this->countedBodyBytes += bytes.size();
-    this->owner.bufferedBytes += bytes.size();
+    // A body of unknown length grows in steps, and holds each step as a whole.
+    const std::size_t held = this->head.contentLength ? this->body.size() : this->body.capacity();
+    this->owner.bufferedBytes += held - this->countedBodyBytes;
+    this->countedBodyBytes = held;
+    if (this->owner.bufferedBytes > this->owner.limits.maxBufferedBytes)
+        this->reject(StatusServiceUnavailable);
 }
 
 void KeepAliveHttpServer::Connection::dispatch()
--- a/tests/transport/test_keep_alive_http_server.cpp
+++ b/tests/transport/test_keep_alive_http_server.cpp
@@ -301,3 +301,29 @@
     const std::string head = "HTTP/1.1 " + std::to_string(status) + " Status\r\n\r\n";
     CHECK(client.received().substr(0, head.size() + 12) == head + "HTTP/1.1 200");
 }
+
+// Guards against uploads that hold up to twice the memory that is counted.
+TEST_CASE("A chunked body counted for less than it held", "[Transport][KeepAliveHttpServer]")
+{
+    KeepAliveHttpServerLimits limits;
+    limits.maxBodyBytes = 1'000'000;
+    limits.maxBufferedBytes = 100'000;
+    ServerFixture fixture(limits);
+    RawClient client(fixture.loop, fixture.server.endpoint());
+    // Grows beyond 64 KiB, so that the buffer has room for 128 KiB.
+    const std::string body(70'000, 'b');
+
+    SECTION("it is refused beyond the limit, and its memory is free again")
+    {
+        client.send(PostRequestHead + "Transfer-Encoding: chunked\r\n\r\n11170\r\n" + body);
+        fixture.runUntil([&] { return ServerFixture::hasReceived(client, "503"); });
+        RawClient next(fixture.loop, fixture.server.endpoint());
+        next.send(PostRequestHead + "Content-Length: 70000\r\n\r\n" + body);
+        fixture.runUntil([&] { return ServerFixture::hasReceived(next, "answer"); });
+    }
+    SECTION("one with a length holds that length")
+    {
+        client.send(PostRequestHead + "Content-Length: 70000\r\n\r\n" + body);
+        fixture.runUntil([&] { return ServerFixture::hasReceived(client, "answer"); });
+    }
+}
