Contain exceptions in the handling of one event

Change: an exception out of the handling of a timer, connection, datagram or frame is logged (handling_failed), counted and costs that one thing. Without a receiver, as in tests, it still leaves the loop. Callbacks of evhttp (readiness, operators' port, dotterelfieldd) are not covered.

--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -31,6 +31,8 @@
              "The settings file is invalid and the process exits."},
             {Event::SettingsReloaded, "settings_reloaded", Severity::Info,
              "The settings were reloaded; those that can change at run time are applied."},
+            {Event::HandlingFailed, "handling_failed", Severity::Error,
+             "An exception ended the handling of one event of a connection, datagram or timer."},
             {Event::RequestRefused, "request_refused", Severity::Info,
              "A request was refused; the caller received the reason and verdict."},
             {Event::RequestFinished, "request_finished", Severity::Info,
--- a/src/core/event_log.h
+++ b/src/core/event_log.h
@@ -25,6 +25,7 @@
     ShutdownDone = 103,
     SettingsRejected = 104,
     SettingsReloaded = 105,
+    HandlingFailed = 106,
     RequestRefused = 200,
     RequestFinished = 201,
     AttemptFailed = 202,
--- a/src/core/metric_catalogue.cpp
+++ b/src/core/metric_catalogue.cpp
@@ -39,6 +39,8 @@
          "Objects returned by the platform that are older than the known ones."},
         {Counter::ObjectsRejected,
          "Objects of the platform that could not be read and were left out."},
+        {Counter::HandlingFailures,
+         "Events of a connection, datagram or timer whose handling an exception ended."},
         {Counter::PlatformEraChanges,
          "Changes of the era of the platform, one per collection and change."},
         {Counter::WatchesRenewed,
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -52,6 +52,7 @@
     PlatformWatchTimeouts,
     OutdatedObjects,
     ObjectsRejected,
+    HandlingFailures,
     PlatformEraChanges,
     WatchesRenewed,
     ServerPauses,
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/member_topology.h"
 #include "core/hashing.h"
+#include "core/json_input.h"
 
 #include <algorithm>
 
@@ -220,6 +221,13 @@
     this->log.write(Event::SettingsReloaded, {});
 }
 
+void GatewayHost::reportFault(std::string_view source, const std::exception &error)
+{
+    this->metrics.count(Counter::HandlingFailures, 1);
+    this->log.write(Event::HandlingFailed, {{"source", std::string(source)},
+                                            {"error", std::string(shortened(error.what()))}});
+}
+
 void GatewayHost::beginShutdown(std::function<void()> finished)
 {
     if (finished)
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -46,6 +46,10 @@
     /// in progress keeps its time limit; \a finished replaces the earlier callback.
     void beginShutdown(std::function<void()> finished);
 
+    /// Logs and counts an exception that left the handling of one event by \a source; for
+    /// EventLoop::setFaultHandler().
+    void reportFault(std::string_view source, const std::exception &error);
+
     /// Applies the settings that can be reloaded at run time; ignores the others.
     void applySettings(const Settings &newSettings);
 
--- a/src/transport/datagram_socket.cpp
+++ b/src/transport/datagram_socket.cpp
@@ -19,7 +19,8 @@
 } // namespace
 
 DatagramSocket::DatagramSocket(EventLoop &loop, const Endpoint &endpoint, Handler handler)
-    : handler(std::move(handler))
+    : loop(loop)
+    , handler(std::move(handler))
     , descriptor(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
 {
     const std::optional<sockaddr_in> address = toSocketAddress(endpoint);
@@ -59,7 +60,9 @@
         const ssize_t length = recv(socket.descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
         if (length < 0)
             return;
-        socket.handler({buffer.data(), static_cast<std::size_t>(length)});
+        socket.loop.contain("datagram", [&socket, length] {
+            socket.handler({buffer.data(), static_cast<std::size_t>(length)});
+        });
     }
 }
 
--- a/src/transport/datagram_socket.h
+++ b/src/transport/datagram_socket.h
@@ -31,6 +31,7 @@
 private:
     static void onReadable(int descriptor, short what, void *self);
 
+    EventLoop &loop;
     Handler handler;
     int descriptor;
     event *readEvent;
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -23,9 +23,10 @@
 class LibeventTimer : public EventLoop::Timer
 {
 public:
-    LibeventTimer(event_base *base, int descriptor, short flags, EventLoop::Callback callback)
-        : callback(std::move(callback))
-        , handle(event_new(base, descriptor, flags, &LibeventTimer::onEvent, this))
+    LibeventTimer(EventLoop &loop, int descriptor, short flags, EventLoop::Callback callback)
+        : loop(loop)
+        , callback(std::move(callback))
+        , handle(event_new(loop.base(), descriptor, flags, &LibeventTimer::onEvent, this))
     {}
     ~LibeventTimer() override { event_free(this->handle); }
     LibeventTimer(const LibeventTimer &) = delete;
@@ -37,10 +38,12 @@
     static void onEvent(evutil_socket_t /*descriptor*/, short /*what*/, void *self)
     {
         // The callback may destroy this timer, so it is called through a copy.
+        EventLoop &loop = static_cast<LibeventTimer *>(self)->loop;
         const EventLoop::Callback callback = static_cast<LibeventTimer *>(self)->callback;
-        callback();
+        loop.contain("timer", callback);
     }
 
+    EventLoop &loop;
     EventLoop::Callback callback;
     event *handle;
 };
@@ -82,7 +85,7 @@
 
 EventLoop::TimerHandle EventLoop::after(Duration delay, Callback callback)
 {
-    auto timer = std::make_unique<LibeventTimer>(this->eventBase, -1, 0, std::move(callback));
+    auto timer = std::make_unique<LibeventTimer>(*this, -1, 0, std::move(callback));
     const timeval timeout = toTimeval(delay);
     timer->add(&timeout);
     return timer;
@@ -90,8 +93,7 @@
 
 EventLoop::TimerHandle EventLoop::every(Duration period, Callback callback)
 {
-    auto timer =
-            std::make_unique<LibeventTimer>(this->eventBase, -1, EV_PERSIST, std::move(callback));
+    auto timer = std::make_unique<LibeventTimer>(*this, -1, EV_PERSIST, std::move(callback));
     const timeval timeout = toTimeval(period);
     timer->add(&timeout);
     return timer;
@@ -99,8 +101,8 @@
 
 EventLoop::TimerHandle EventLoop::onSignal(int signalNumber, Callback callback)
 {
-    auto timer = std::make_unique<LibeventTimer>(this->eventBase, signalNumber,
-                                                 EV_SIGNAL | EV_PERSIST, std::move(callback));
+    auto timer = std::make_unique<LibeventTimer>(*this, signalNumber, EV_SIGNAL | EV_PERSIST,
+                                                 std::move(callback));
     timer->add(nullptr);
     return timer;
 }
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -2,8 +2,10 @@
 
 #include "core/time.h"
 
+#include <exception>
 #include <functional>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 struct event_base;
@@ -55,6 +57,28 @@
     /// of its objects to be freed from inside their own callbacks.
     void disposeLater(std::shared_ptr<void> object);
 
+    /// Receives exceptions that left the handling of one event, with the name of what handled it.
+    using FaultHandler = std::function<void(std::string_view source, const std::exception &error)>;
+
+    /// Sets the receiver of exceptions; without one they end run().
+    void setFaultHandler(FaultHandler handler) { this->faultHandler = std::move(handler); }
+
+    /// Runs \a handling, the handling of one event by \a source. An exception costs this event
+    /// only: it is reported, and false is returned.
+    template <typename Handling>
+    bool contain(std::string_view source, Handling &&handling)
+    {
+        try {
+            handling();
+            return true;
+        } catch (const std::exception &error) {
+            if (!this->faultHandler)
+                throw;
+            this->faultHandler(source, error);
+            return false;
+        }
+    }
+
     /// Returns the libevent base, for adapters in this layer.
     event_base *base() const { return this->eventBase; }
 
@@ -62,6 +86,7 @@
     event_base *eventBase;
     std::vector<std::shared_ptr<void>> pendingDisposal;
     TimerHandle disposalTimer;
+    FaultHandler faultHandler;
 };
 
 } // namespace dotterel
--- a/src/transport/keep_alive_http_client_connection.cpp
+++ b/src/transport/keep_alive_http_client_connection.cpp
@@ -163,7 +163,9 @@
 {
     const std::shared_ptr<Connection> liveConnection =
             static_cast<Connection *>(self)->shared_from_this();
-    liveConnection->readInput();
+    if (!liveConnection->owner.loop.contain("server_connection",
+                                            [&] { liveConnection->readInput(); }))
+        liveConnection->owner.discardConnection(liveConnection.get());
 }
 
 void KeepAliveHttpClient::Connection::onStreamEvent(bufferevent * /*stream*/, short what,
@@ -176,7 +178,10 @@
         liveConnection->connectTimer.reset();
         return;
     }
-    liveConnection->onStreamClosed((what & BEV_EVENT_EOF) != 0);
+    if (!liveConnection->owner.loop.contain("server_connection", [&] {
+            liveConnection->onStreamClosed((what & BEV_EVENT_EOF) != 0);
+        }))
+        liveConnection->owner.discardConnection(liveConnection.get());
 }
 
 void KeepAliveHttpClient::Connection::onOutputChanged(evbuffer * /*buffer*/,
@@ -232,13 +237,13 @@
     evbuffer *input = bufferevent_get_input(this->stream);
     const bool buffersEmpty = evbuffer_get_length(input) == 0
                               && evbuffer_get_length(bufferevent_get_output(this->stream)) == 0;
+    // A slow caller may have paused the response whose end was read already.
+    this->pause(false);
     const KeepAliveHttpClientLimits &limits = this->owner.limits;
     const Duration peerIdleTimeout = this->keepAliveTimeout.value_or(limits.defaultIdleTimeout);
     const Duration reuseTime =
             fromSeconds(toSeconds(peerIdleTimeout) * limits.reusableFractionOfIdleTimeout);
     if (buffersEmpty && this->reusable && reuseTime > Duration::zero())
-    // A slow caller may have paused the response whose end was read already.
-    this->pause(false);
         this->owner.returnToPool(this->shared_from_this(), reuseTime);
     else
         this->owner.discardConnection(this);
--- a/src/transport/keep_alive_http_server_connection.cpp
+++ b/src/transport/keep_alive_http_server_connection.cpp
@@ -202,7 +202,9 @@
 {
     const std::shared_ptr<Connection> liveConnection =
             static_cast<Connection *>(self)->shared_from_this();
-    liveConnection->readInput();
+    if (!liveConnection->owner.loop.contain("caller_connection",
+                                            [&] { liveConnection->readInput(); }))
+        liveConnection->dropCall();
 }
 
 void KeepAliveHttpServer::Connection::onWritten(bufferevent * /*stream*/, void *self)
@@ -210,9 +212,13 @@
     const std::shared_ptr<Connection> liveConnection =
             static_cast<Connection *>(self)->shared_from_this();
     if (liveConnection->closingAfterWrite)
-        liveConnection->shutDownOnceWritten();
-    else if (liveConnection->phase == Phase::Responding && liveConnection->responseStarted)
-        liveConnection->owner.handler.onHttpDrained(liveConnection->call);
+        return liveConnection->shutDownOnceWritten();
+    if (liveConnection->phase != Phase::Responding || !liveConnection->responseStarted)
+        return;
+    if (!liveConnection->owner.loop.contain("caller_connection", [&] {
+            liveConnection->owner.handler.onHttpDrained(liveConnection->call);
+        }))
+        liveConnection->dropCall();
 }
 
 void KeepAliveHttpServer::Connection::onStreamEvent(bufferevent * /*stream*/, short /*what*/,
@@ -220,13 +226,18 @@
 {
     const std::shared_ptr<Connection> liveConnection =
             static_cast<Connection *>(self)->shared_from_this();
-    const HttpCallId call = liveConnection->call;
-    const bool responding = liveConnection->phase == Phase::Responding;
-    KeepAliveHttpServer &owner = liveConnection->owner;
-    liveConnection->endCall();
-    owner.removeConnection(liveConnection->id);
+    liveConnection->dropCall();
+}
+
+void KeepAliveHttpServer::Connection::dropCall()
+{
+    const HttpCallId droppedCall = this->call;
+    const bool responding = this->phase == Phase::Responding;
+    this->endCall();
+    this->owner.removeConnection(this->id);
     if (responding)
-        owner.handler.onHttpPeerClosed(call);
+        this->owner.loop.contain("caller_connection",
+                                 [&] { this->owner.handler.onHttpPeerClosed(droppedCall); });
 }
 
 void KeepAliveHttpServer::Connection::readInput()
--- a/src/transport/keep_alive_http_server_connection.h
+++ b/src/transport/keep_alive_http_server_connection.h
@@ -69,6 +69,9 @@
 
     void endCall();
 
+    /// Closes the connection; the handler is told that the caller of a running call has left.
+    void dropCall();
+
     void releaseBufferedBytes();
 
     void write(std::string_view bytes);
--- a/src/transport/websocket_link.cpp
+++ b/src/transport/websocket_link.cpp
@@ -55,7 +55,8 @@
 {
 public:
     LinkState(EventLoop &loop, const LinkLimits &limits, bufferevent *stream)
-        : limits(limits)
+        : loop(loop)
+        , limits(limits)
         , stream(stream)
     {
         this->endpoint.clear_access_channels(websocketpp::log::alevel::all);
@@ -118,9 +119,9 @@
     }
 
     /// Closes the link from the event loop, since its owner has no handle yet.
-    void scheduleConnectFailure(EventLoop &loop)
+    void scheduleConnectFailure()
     {
-        this->handshakeTimer = loop.after(
+        this->handshakeTimer = this->loop.after(
                 Duration::zero(), [this] { this->closeLink(LinkCloseReason::ConnectFailed); });
     }
 
@@ -207,7 +208,9 @@
         evbuffer *input = bufferevent_get_input(source);
         std::string bytes(evbuffer_get_length(input), '\0');
         evbuffer_remove(input, bytes.data(), bytes.size());
-        self->connection->read_all(bytes.data(), bytes.size());
+        if (!self->loop.contain("peer_link",
+                                [&] { self->connection->read_all(bytes.data(), bytes.size()); }))
+            self->closeLink(LinkCloseReason::ProtocolError);
     }
 
     static void onStreamEvent(bufferevent * /*source*/, short what, void *argument)
@@ -223,6 +226,7 @@
         self->closeLink(connecting ? LinkCloseReason::ConnectFailed : LinkCloseReason::PeerClosed);
     }
 
+    EventLoop &loop;
     LinkLimits limits;
     bufferevent *stream;
     typename EndpointType::connection_ptr connection;
@@ -290,7 +294,7 @@
         || bufferevent_socket_connect(stream, reinterpret_cast<const sockaddr *>(&*address),
                                       sizeof(*address))
                    != 0)
-        state->scheduleConnectFailure(loop);
+        state->scheduleConnectFailure();
     return std::make_unique<LinkHandle<Client>>(loop, std::move(state));
 }
 
