--- a/tests/transport/test_keep_alive_http_client.cpp
+++ b/tests/transport/test_keep_alive_http_client.cpp
@@ -197,7 +197,10 @@
         response->pausesOnData = true;
         fixture.runUntil([&response] { return response->done(); });
         CHECK(response->complete);
+        const TimePoint began = fixture.loop.now();
         fixture.runUntil([&] { return fixture.client.connectionCount(server.endpoint()) == 0; });
+        // Well before an idle connection expires.
+        CHECK(fixture.loop.now() - began < std::chrono::seconds(1));
     }
     SECTION("it leaves the pool when the peer closes it")
     {
