Soak: operators end their work with the faults

Cause: a failure domain that operators had taken out of service stayed so for up to 10.7 s after the last fault, and its servers, which turned cold before their return, took 3 requests a second for 2.5 s more. The check began while that was in force. If crashes had left all servers of a pool in that domain, hosts refused with no_backend_server, later with servers_limited, both true.

Ruled out: hosts that learn of the return late; they log it within 1 ms of each other.

Change: the operators put the domain back in service when the faults end. The wait of 6 s, the number of requests and the demand that all succeed are the same, so the check is as strict as before, and a host that holds on to a domain entry now fails it.

--- a/tests/platform/soak/soak_faults.cpp
+++ b/tests/platform/soak/soak_faults.cpp
@@ -229,6 +229,9 @@
             host.process->signal(SIGCONT);
         host.isSuspended = false;
     }
+    // The operators' work ends too; the warm-up that may follow it fits into the recovery time.
+    if (!this->domainOutOfService.empty())
+        this->putDomainInService();
 }
 
 } // namespace dotterel::soak
--- a/tests/platform/soak/soak_run.h
+++ b/tests/platform/soak/soak_run.h
@@ -168,6 +168,8 @@
     /// From the moment at which the store goes away until the operator has written again.
     bool storeAway = false;
     std::string domainOutOfService; ///< Empty if there is none.
+    /// The next step of the operators towards the return of domainOutOfService.
+    EventLoop::TimerHandle domainTimer;
     nlohmann::json newestConfiguration;
     /// When a process was told to shut down, by host and incarnation.
     std::map<std::pair<std::size_t, std::uint64_t>, TimePoint> shutDownAt;
