Servers that refuse connections take no pool out of reach

Cause: ServiceReach counted three servers that failed with no word from the pool between. Refused connections come back within a millisecond, so three dead servers in a row were enough, whatever the sound ones had answered a moment before. Probes went to dead servers in turn too: each one confirmed the loss, and undid the answered probe before it.

Change: a server whose failure was followed by an answer of another one is dead until it answers itself. A pool is out of reach if three servers that had answered fail with no word between, or, where fewer have answered, as after a start, if every server has. Dead servers count neither for a request's own doubt about the path nor for probes, and a retry after a failed connect prefers the others.

--- a/src/entry_host/gateway_host_servers.cpp
+++ b/src/entry_host/gateway_host_servers.cpp
@@ -103,10 +103,15 @@
 void GatewayHost::probePool(const std::string &pool)
 {
     std::vector<const GatewayServer *> servers;
+    std::vector<const GatewayServer *> dead;
+    const std::set<ServerId> &knownDead = this->reach.deadServers(pool);
     for (const GatewayServer *server : this->fleet.all(this->loop.now())) {
         if (server->pool == pool && !server->draining && !this->fleet.isOutOfService(*server))
-            servers.push_back(server);
+            (knownDead.count(server->id) > 0 ? dead : servers).push_back(server);
     }
+    // Dead servers tell nothing about the path.
+    if (servers.empty())
+        servers = dead;
     for (std::size_t count = 0; count < std::min(ProbedServers, servers.size()); ++count) {
         const GatewayServer &server = *servers[this->nextProbe % servers.size()];
         this->sendProbe(server, this->protocol.probeRequest(server.endpoint));
@@ -136,9 +141,9 @@
                 this->probes.erase(id);
                 this->loop.disposeLater(finishedFetch);
                 const TimePoint now = this->loop.now();
-                this->reach.onProbe(server.pool, response.has_value(), now);
+                this->reach.onProbe(server.pool, server.id, response.has_value(), now);
                 if (response)
-                    this->reach.onContact(server.pool, now);
+                    this->reach.onContact(server.pool, server.id, now);
                 else
                     this->reach.onFailure(server.pool, server.id,
                                           this->fleet.size(server.pool, now), sentAt, now);
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -278,6 +278,7 @@
     for (const CollectionObject &object : objects) {
         if (object.removed) {
             this->fleet.remove(object.name, context.mayHaveLapsed, now);
+            this->reach.onServerRemoved(object.name);
             continue;
         }
         auto parsed = this->protocol.parseServer(object.name, object.text);
@@ -289,6 +290,7 @@
                              {"revision", static_cast<std::int64_t>(object.revision)},
                              {"error", rejectionReason(object, parsed.error())}});
             this->fleet.remove(object.name, false, now);
+            this->reach.onServerRemoved(object.name);
             continue;
         }
         if (context.mayBeRestored)
@@ -298,7 +300,7 @@
             parsed->warmUpLeft.reset();
         const GatewayServer *known = this->fleet.find(parsed->id);
         if (known == nullptr || known->incarnation != parsed->incarnation)
-            this->reach.onServerStarted(parsed->pool, now);
+            this->reach.onServerStarted(parsed->pool, parsed->id, now);
         if (this->fleet.put(*parsed, now))
             this->promptPlacement.onServerReset(parsed->id);
         this->serversByHash[hash32(parsed->id)] = parsed->id;
--- a/src/gateway/forward_controller.h
+++ b/src/gateway/forward_controller.h
@@ -144,6 +144,8 @@
     void onRelayComplete(ForwardCall &call, TimePoint now);
     void onRelayFailed(ForwardCall &call, std::string_view outcome, Verdict verdict, TimePoint now);
     void refuseOutOfReach(ForwardCall &call, TimePoint now);
+    /// Returns the servers that the next attempt of \a call avoids where possible.
+    std::set<ServerId> avoidedServers(const ForwardCall &call) const;
     /// Records that \a server refused a connection or, from \a since on, gave no answer.
     /// \a usedAttempt tells whether the failure cost more than a refused connection.
     void recordPathFailure(ForwardCall &call, const ServerId &server, bool usedAttempt,
--- a/src/gateway/forward_dispatch.cpp
+++ b/src/gateway/forward_dispatch.cpp
@@ -139,11 +139,22 @@
     return demand;
 }
 
+std::set<ServerId> ForwardController::avoidedServers(const ForwardCall &call) const
+{
+    std::set<ServerId> servers = call.triedServers;
+    // A first attempt may find that a dead server is back; a retry goes where others got an answer.
+    if (call.connectionFailures > 0) {
+        const std::set<ServerId> &dead = this->reach.deadServers(call.pool);
+        servers.insert(dead.begin(), dead.end());
+    }
+    return servers;
+}
+
 void ForwardController::dispatchPrompt(ForwardCall &call, const ServerPool &pool, TimePoint now)
 {
     call.demand = this->makeDemand(call, now);
     const PromptPlacementResult decision =
-            this->promptPlacement.place(pool, call.demand, call.triedServers, now);
+            this->promptPlacement.place(pool, call.demand, this->avoidedServers(call), now);
     if (this->hold(call, decision, now))
         return;
     if (!decision.plan && !decision.hasUsableServer && this->holdForLimit(call, now))
@@ -201,7 +212,7 @@
                         && this->fleet.isUsable(call.unverifiedServer, now);
     const std::optional<ServerId> chosen =
             verify ? call.unverifiedServer
-                   : this->servicePlacement.place(pool.name, call.triedServers, now);
+                   : this->servicePlacement.place(pool.name, this->avoidedServers(call), now);
     if (!chosen && this->holdForLimit(call, now))
         return;
     if (!chosen)
--- a/src/gateway/forward_relay.cpp
+++ b/src/gateway/forward_relay.cpp
@@ -59,8 +59,7 @@
                                           bool usedAttempt, TimePoint since, TimePoint now)
 {
     const std::size_t poolSize = this->fleet.size(call.pool, now);
-    this->reach.onFailure(call.pool, server, poolSize, since, now);
-    if (!this->reach.hasHeardSince(call.pool, since))
+    if (this->reach.onFailure(call.pool, server, poolSize, since, now))
         call.pathFailures += usedAttempt ? PathFailuresBeforeRelay : 1;
 }
 
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -48,7 +48,7 @@
                            || attempt.relayRefusal->verdict != Verdict::NotRun;
         return;
     }
-    this->reach.onContact(call->pool, now);
+    this->reach.onContact(call->pool, attempt.server, now);
     this->recordAnnouncements(attempt.server, attempt.metadata, attempt.sentAt, now);
     if (attempt.metadata.load && !attempt.metadata.isWrongServer)
         this->servicePlacement.onLoadReported(attempt.server, *attempt.metadata.load, now);
@@ -101,7 +101,7 @@
     if (!attempt.isRelayed()) {
         if (!attempt.metadata.isWrongServer)
             this->fleet.onSignOfLife(attempt.server, now);
-        this->reach.onContact(call->pool, now);
+        this->reach.onContact(call->pool, attempt.server, now);
     }
     if (this->passesOnEvents(*call))
         this->forwardEvents(*call, bytes, now);
--- a/src/gateway/service_reach.cpp
+++ b/src/gateway/service_reach.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-/// Servers that have to fail with no contact between; all of a smaller pool.
+/// Servers that have to fail with no contact between, of all and of the sound ones; all of a
+/// smaller pool.
 constexpr std::size_t RequiredFailedServers = 3;
 /// Probes that have to be answered in a row. Hysteresis keeps requests off a path that works only
 /// now and then.
@@ -18,26 +19,31 @@
     : log(log)
 {}
 
-void ServiceReach::onContact(const std::string &pool, TimePoint now)
+void ServiceReach::onContact(const std::string &pool, const ServerId &server, TimePoint now)
 {
     Record &record = this->records[pool];
     record.lastContact = now;
+    for (const ServerId &failed : record.failedServers) {
+        record.soundServers.erase(failed);
+        record.deadServers.insert(failed);
+    }
+    record.deadServers.erase(server);
+    record.soundServers.insert(server);
     // Streams may live on at a host that cannot open new connections, so that contact alone does
     // not bring a pool back.
     record.failedServers.clear();
 }
 
-void ServiceReach::onFailure(const std::string &pool, const ServerId &server, std::size_t poolSize,
+bool ServiceReach::onFailure(const std::string &pool, const ServerId &server, std::size_t poolSize,
                              TimePoint since, TimePoint now)
 {
     Record &record = this->records[pool];
     if (this->hasHeardSince(pool, since))
-        return;
+        return false;
     record.failedServers.insert(server);
-    const std::size_t required =
-            std::min(RequiredFailedServers, std::max<std::size_t>(poolSize, 1));
-    if (record.lostAt || record.failedServers.size() < required)
-        return;
+    const bool isDead = record.deadServers.count(server) > 0;
+    if (record.lostAt || !showsLoss(record, poolSize))
+        return !isDead;
     record.lostAt = now;
     record.confirmed = false;
     record.answeredProbes = 0;
@@ -48,27 +54,57 @@
              {"silent_ms", record.lastContact ? static_cast<std::int64_t>(
                                    (now - *record.lastContact) / std::chrono::milliseconds(1))
                                               : -1}});
+    return !isDead;
+}
+
+bool ServiceReach::showsLoss(const Record &record, std::size_t poolSize)
+{
+    const std::set<ServerId> &failed = record.failedServers;
+    if (failed.size() < std::min(RequiredFailedServers, std::max<std::size_t>(poolSize, 1)))
+        return false;
+    const auto hasFailed = [&failed](const ServerId &server) { return failed.count(server) > 0; };
+    const auto failedSound = static_cast<std::size_t>(
+            std::count_if(record.soundServers.begin(), record.soundServers.end(), hasFailed));
+    if (failedSound >= RequiredFailedServers)
+        return true;
+    // Too few servers have answered so far to speak for the others.
+    const auto deadBefore = static_cast<std::size_t>(
+            std::count_if(record.deadServers.begin(), record.deadServers.end(),
+                          [&hasFailed](const ServerId &server) { return !hasFailed(server); }));
+    return failed.size() + deadBefore >= poolSize;
 }
 
-void ServiceReach::onProbe(const std::string &pool, bool answered, TimePoint now)
+void ServiceReach::onProbe(const std::string &pool, const ServerId &server, bool answered,
+                           TimePoint now)
 {
     const auto found = this->records.find(pool);
     if (found == this->records.end() || !found->second.lostAt)
         return;
     Record &record = found->second;
+    if (!answered && !record.soundServers.empty() && record.deadServers.count(server) > 0)
+        return;
     record.answeredProbes = answered ? record.answeredProbes + 1 : 0;
     record.confirmed = record.confirmed || !answered;
     if (record.answeredProbes >= RequiredAnsweredProbes)
         this->regain(pool, record, "probe", now);
 }
 
-void ServiceReach::onServerStarted(const std::string &pool, TimePoint now)
+void ServiceReach::onServerStarted(const std::string &pool, const ServerId &server, TimePoint now)
 {
+    this->onServerRemoved(server);
     const auto found = this->records.find(pool);
     if (found != this->records.end() && found->second.lostAt)
         this->regain(pool, found->second, "new_server", now);
 }
 
+void ServiceReach::onServerRemoved(const ServerId &server)
+{
+    for (auto &[pool, record] : this->records) {
+        for (auto *servers : {&record.failedServers, &record.soundServers, &record.deadServers})
+            servers->erase(server);
+    }
+}
+
 void ServiceReach::regain(const std::string &pool, Record &record, const char *source,
                           TimePoint now)
 {
@@ -81,6 +117,13 @@
     record.failedServers.clear();
 }
 
+const std::set<ServerId> &ServiceReach::deadServers(const std::string &pool) const
+{
+    static const std::set<ServerId> None;
+    const auto found = this->records.find(pool);
+    return found == this->records.end() ? None : found->second.deadServers;
+}
+
 bool ServiceReach::isOutOfReach(const std::string &pool) const
 {
     const auto found = this->records.find(pool);
--- a/tests/gateway/test_forward_prompts.cpp
+++ b/tests/gateway/test_forward_prompts.cpp
@@ -152,10 +152,11 @@
     const auto hearFrom = [&bench](const auto &includes) {
         for (int index = 0; index < EngineCount; ++index) {
             const ServerId id = "e-" + std::to_string(index);
-            if (includes(id))
-                bench.fleet.onSignOfLife(id, bench.now);
+            if (!includes(id))
+                continue;
+            bench.fleet.onSignOfLife(id, bench.now);
+            bench.reach.onContact("engines", id, bench.now);
         }
-        bench.reach.onContact("engines", bench.now);
     };
 
     SECTION("are left alone with their whole domain if nothing there sends anything")
--- a/tests/gateway/test_forward_relay.cpp
+++ b/tests/gateway/test_forward_relay.cpp
@@ -25,7 +25,7 @@
         for (const char *pool : {"app", "engines"}) {
             for (const char *server : {"x", "y", "z"})
                 this->reach.onFailure(pool, server, 3, this->now, this->now);
-            this->reach.onProbe(pool, false, this->now);
+            this->reach.onProbe(pool, "x", false, this->now);
         }
     }
 
@@ -159,11 +159,11 @@
     }
     SECTION("two answered probes in a row bring the servers back")
     {
-        bench.reach.onProbe("app", true, bench.now);
-        bench.reach.onProbe("app", false, bench.now);
-        bench.reach.onProbe("app", true, bench.now);
+        bench.reach.onProbe("app", "x", true, bench.now);
+        bench.reach.onProbe("app", "x", false, bench.now);
+        bench.reach.onProbe("app", "x", true, bench.now);
         CHECK(bench.reach.isOutOfReach("app"));
-        bench.reach.onProbe("app", true, bench.now);
+        bench.reach.onProbe("app", "x", true, bench.now);
         CHECK_FALSE(bench.reach.isOutOfReach("app"));
         bench.request("/lookups/1");
         CHECK_FALSE(bench.isLastRelayed());
