--- a/programs/dotterelload.cpp
+++ b/programs/dotterelload.cpp
@@ -1,4 +1,5 @@
 #include "bench/stream_load.h"
+#include "bench/upload_load.h"
 
 #include <fstream>
 #include <iostream>
@@ -14,10 +15,12 @@
 constexpr int ExitFailed = 1;
 constexpr int ExitBadUsage = 2;
 constexpr long LargestPort = 65'535;
+constexpr double BytesPerMegabyte = 1'024.0 * 1'024;
 
 struct Options
 {
     dotterel::StreamLoadPlan plan;
+    std::uint64_t uploadBytes = 0; ///< Uploads take the place of streams unless 0.
     std::optional<pid_t> watched;
 };
 
@@ -68,30 +71,45 @@
     int concurrency = 1;
     int requests = 1;
     int promptTokens = 1'000;
+    int uploadBytes = 0;
     int pid = 0;
     const poptOption table[] = {
             {"port", 'p', POPT_ARG_INT, &port, 0, "port on 127.0.0.1 to ask", "PORT"},
             {"concurrency", 'c', POPT_ARG_INT, &concurrency, 0, "streams open at once", "N"},
             {"requests", 'n', POPT_ARG_INT, &requests, 0, "streams in all", "N"},
             {"prompt-tokens", 't', POPT_ARG_INT, &promptTokens, 0, "length of each prompt", "N"},
+            {"upload-bytes", 'u', POPT_ARG_INT, &uploadBytes, 0,
+             "chunked uploads of this size in place of streams, one on each connection", "BYTES"},
             {"watch-pid", 'w', POPT_ARG_INT, &pid, 0, "process whose use is reported", "PID"},
             POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext("dotterelload", argc, argv, table, 0);
     const int result = poptGetNextOpt(context);
     const bool surplus = poptGetArg(context) != nullptr;
     poptFreeContext(context);
-    const bool positive = concurrency > 0 && requests > 0 && promptTokens > 0;
+    const bool positive = concurrency > 0 && requests > 0 && promptTokens > 0 && uploadBytes >= 0;
     if (result < -1 || surplus || port < 1 || port > LargestPort || !positive)
         return std::nullopt;
     options.plan.target.port = static_cast<std::uint16_t>(port);
     options.plan.concurrency = static_cast<std::uint64_t>(concurrency);
     options.plan.requests = static_cast<std::uint64_t>(requests);
     options.plan.promptTokens = static_cast<std::uint64_t>(promptTokens);
+    options.uploadBytes = static_cast<std::uint64_t>(uploadBytes);
     if (pid > 0)
         options.watched = pid;
     return options;
 }
 
+void addUse(nlohmann::ordered_json &json, const std::optional<ProcessUse> &before,
+            const std::optional<ProcessUse> &after)
+{
+    if (!before || !after)
+        return;
+    json["watched_cpu_s"] = after->processorSeconds - before->processorSeconds;
+    json["watched_before_mb"] = before->residentMegabytes;
+    json["watched_peak_mb"] = after->peakMegabytes;
+    json["watched_after_mb"] = after->residentMegabytes;
+}
+
 void print(const dotterel::StreamLoadReport &report, const std::optional<ProcessUse> &before,
            const std::optional<ProcessUse> &after)
 {
@@ -104,41 +122,74 @@
     json["first_token_p95_s"] = dotterel::quantileOf(report.firstToken, 0.95);
     json["token_gap_p50_s"] = dotterel::quantileOf(report.tokenGap, 0.5);
     json["token_gap_p95_s"] = dotterel::quantileOf(report.tokenGap, 0.95);
-    if (before && after) {
-        json["watched_cpu_s"] = after->processorSeconds - before->processorSeconds;
-        json["watched_before_mb"] = before->residentMegabytes;
-        json["watched_peak_mb"] = after->peakMegabytes;
-        json["watched_after_mb"] = after->residentMegabytes;
-    }
+    addUse(json, before, after);
     std::cout << json.dump() << '\n';
 }
 
-} // namespace
+void print(const dotterel::UploadLoadReport &report, const std::optional<ProcessUse> &before,
+           const std::optional<ProcessUse> &after)
+{
+    nlohmann::ordered_json json;
+    json["responses"] = nlohmann::ordered_json::object();
+    for (const auto &[status, count] : report.responses)
+        json["responses"][std::to_string(status)] = count;
+    json["unanswered"] = report.unanswered;
+    json["sent_mb"] = static_cast<double>(report.sentBytes) / BytesPerMegabyte;
+    json["elapsed_s"] = report.elapsed;
+    addUse(json, before, after);
+    std::cout << json.dump() << '\n';
+}
 
-/// Keeps completion streams open against one address and prints what they took as one line of JSON.
-int main(int argc, const char **argv)
+std::optional<ProcessUse> watchedUse(const Options &options)
 {
-    const std::optional<Options> options = parseOptions(argc, argv);
-    if (!options) {
-        std::cerr << "dotterelload: --port must be from 1 to 65535 and the counts above 0; see "
-                     "--help\n";
-        return ExitBadUsage;
-    }
-    std::optional<ProcessUse> before;
-    if (options->watched)
-        before = useOf(*options->watched);
+    return options.watched ? std::optional(useOf(*options.watched)) : std::nullopt;
+}
+
+int runUploads(const Options &options)
+{
+    const std::optional<ProcessUse> before = watchedUse(options);
+    dotterel::UploadLoadPlan plan;
+    plan.target = options.plan.target;
+    plan.clients = options.plan.concurrency;
+    plan.bodyBytes = options.uploadBytes;
+    dotterel::EventLoop loop;
+    int exitCode = ExitFailed;
+    const dotterel::UploadLoad load(loop, plan, [&](const dotterel::UploadLoadReport &report) {
+        print(report, before, watchedUse(options));
+        exitCode = report.unanswered == 0 ? ExitOk : ExitFailed;
+        loop.stop();
+    });
+    loop.run();
+    return exitCode;
+}
+
+int runStreams(const Options &options)
+{
+    const std::optional<ProcessUse> before = watchedUse(options);
     dotterel::EventLoop loop;
     dotterel::HttpClient client(loop);
     int exitCode = ExitFailed;
-    const dotterel::StreamLoad load(loop, client, options->plan,
+    const dotterel::StreamLoad load(loop, client, options.plan,
                                     [&](const dotterel::StreamLoadReport &report) {
-                                        std::optional<ProcessUse> after;
-                                        if (options->watched)
-                                            after = useOf(*options->watched);
-                                        print(report, before, after);
+                                        print(report, before, watchedUse(options));
                                         exitCode = report.failed == 0 ? ExitOk : ExitFailed;
                                         loop.stop();
                                     });
     loop.run();
     return exitCode;
 }
+
+} // namespace
+
+/// Keeps completion streams open against one address, or uploads to it, and prints what they took
+/// as one line of JSON.
+int main(int argc, const char **argv)
+{
+    const std::optional<Options> options = parseOptions(argc, argv);
+    if (!options) {
+        std::cerr << "dotterelload: --port must be from 1 to 65535 and the counts above 0; see "
+                     "--help\n";
+        return ExitBadUsage;
+    }
+    return options->uploadBytes > 0 ? runUploads(*options) : runStreams(*options);
+}
