Tell hosts that start which servers have left

Cause: that a server has left was known only to hosts that saw it.

Ruled out: hosts that ran on, which keep such a server out until it has another incarnation.

Change: beside limits and warm-ups, peers tell a host that joins which servers leave or have left. The operators' list shows servers that announced that they leave as draining, as they are treated.

Test: test_store_incidents, "a host that starts then uses no server that left before".

--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -325,7 +325,9 @@
         const char *state = isWarmingUp ? "warming_up" : isLimited ? "limited" : "up";
         if (this->fleet.isOutOfService(*known))
             state = "out_of_service";
-        status.servers.push_back({known->id, known->pool, known->draining ? "draining" : state});
+        if (this->fleet.isDraining(known->id))
+            state = "draining";
+        status.servers.push_back({known->id, known->pool, state});
     }
     return status;
 }
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -124,8 +124,8 @@
     void recordLeaving(const ServerLeavingNotice &notice);
     void recordLimit(std::uint32_t senderHash, const ServerLimitNotice &notice);
     void recordWarmUp(std::uint32_t senderHash, const ServerWarmUpNotice &notice);
-    /// Tells a host that just joined what servers take.
-    void sendServerLimits(const Endpoint &peer);
+    /// Tells a host that just joined what servers take, and which ones leave or have left.
+    void sendServerNotices(const Endpoint &peer);
     /// Splits the limits of servers over the hosts that this one is in touch with.
     void shareLimits(std::size_t liveHosts);
     void recordSilenceReport(std::uint32_t server, std::uint32_t senderHash);
--- a/src/entry_host/gateway_host_prompts.cpp
+++ b/src/entry_host/gateway_host_prompts.cpp
@@ -98,7 +98,7 @@
         this->promptUpdatePeers.onJoined(*update.joinedAt, now);
         this->updatePromptPeers();
         this->promptUpdates.sendRunning(*update.joinedAt, this->controller.runningPrompts(now));
-        this->sendServerLimits(*update.joinedAt);
+        this->sendServerNotices(*update.joinedAt);
     }
 }
 
@@ -145,12 +145,14 @@
 
 void GatewayHost::recordLeaving(const ServerLeavingNotice &notice)
 {
+    const TimePoint now = this->loop.now();
     const auto id = this->serversByHash.find(notice.serverHash);
-    if (id == this->serversByHash.end())
-        return;
-    const GatewayServer *server = this->fleet.find(id->second);
-    if (server != nullptr && server->incarnation == notice.incarnation)
-        this->fleet.onLeavingAnnounced(id->second, this->loop.now());
+    const GatewayServer *server =
+            id == this->serversByHash.end() ? nullptr : this->fleet.find(id->second);
+    if (server == nullptr)
+        this->fleet.onDepartureReported(notice, now);
+    else if (server->incarnation == notice.incarnation)
+        this->fleet.onLeavingAnnounced(id->second, now);
 }
 
 void GatewayHost::recordSilenceReport(std::uint32_t server, std::uint32_t senderHash)
--- a/src/entry_host/gateway_host_servers.cpp
+++ b/src/entry_host/gateway_host_servers.cpp
@@ -30,10 +30,11 @@
                       static_cast<double>(this->fleet.pace().settle(this->loop.now())));
 }
 
-void GatewayHost::sendServerLimits(const Endpoint &peer)
+void GatewayHost::sendServerNotices(const Endpoint &peer)
 {
     this->promptUpdates.sendLimits(peer, this->fleet.limits().notices());
     this->promptUpdates.sendWarmUps(peer, this->fleet.warmUpNotices(this->loop.now()));
+    this->promptUpdates.sendLeaving(peer, this->fleet.leavingNotices(this->loop.now()));
 }
 
 void GatewayHost::recordWarmUp(std::uint32_t senderHash, const ServerWarmUpNotice &notice)
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -152,7 +152,7 @@
             continue;
         this->promptUpdates.sendRunning(member.peerEndpoint,
                                         this->controller.runningPrompts(this->loop.now()));
-        this->sendServerLimits(member.peerEndpoint);
+        this->sendServerNotices(member.peerEndpoint);
     }
     this->updateStoreWatching(live);
     this->checkPeerLinks();
--- a/src/entry_host/prompt_update_channel.cpp
+++ b/src/entry_host/prompt_update_channel.cpp
@@ -109,6 +109,12 @@
     this->sendServerNotices(peer, warmUps, &PromptUpdateBatch::warmUps);
 }
 
+void PromptUpdateChannel::sendLeaving(const Endpoint &peer,
+                                      const std::vector<ServerLeavingNotice> &leaving)
+{
+    this->sendServerNotices(peer, leaving, &PromptUpdateBatch::leavingServers);
+}
+
 template <typename Notice>
 void PromptUpdateChannel::sendServerNotices(const Endpoint &peer,
                                             const std::vector<Notice> &notices,
--- a/src/entry_host/prompt_update_channel.h
+++ b/src/entry_host/prompt_update_channel.h
@@ -49,9 +49,10 @@
     void sendRetryAsk(const Endpoint &peer, const RetryAsk &ask);
     void sendRetryLoan(const Endpoint &peer, const RetryLoan &loan);
 
-    /// Sends \a limits or \a warmUps to \a peer.
+    /// Sends \a limits, \a warmUps or \a leaving servers to \a peer.
     void sendLimits(const Endpoint &peer, const std::vector<ServerLimitNotice> &limits);
     void sendWarmUps(const Endpoint &peer, const std::vector<ServerWarmUpNotice> &warmUps);
+    void sendLeaving(const Endpoint &peer, const std::vector<ServerLeavingNotice> &leaving);
 
     /// Sends \a prompts, which are in flight, to \a peer.
     void sendRunning(const Endpoint &peer, const std::vector<RunningPrompt> &prompts);
--- a/src/gateway/server_fleet.cpp
+++ b/src/gateway/server_fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "core/enum_names.h"
 #include "core/hashing.h"
+#include "gateway/prompt_updates.h"
 
 #include <algorithm>
 #include <array>
@@ -56,7 +57,10 @@
     const auto departure = this->departures.find(server.id);
     const bool departed = departure != this->departures.end()
                           && departure->second.incarnation == server.incarnation;
-    record.announcedLeaving = departed && departure->second.wasLeaving;
+    const auto reported = this->reportedDepartures.find(hash32(server.id));
+    const bool isReported = reported != this->reportedDepartures.end()
+                            && reported->second.incarnation == server.incarnation;
+    record.announcedLeaving = (departed && departure->second.wasLeaving) || isReported;
     if (departed && departure->second.doubtedUntil)
         record.suspectedUntil = *departure->second.doubtedUntil;
     this->records[server.id] = record;
@@ -83,6 +87,27 @@
         found->second.suspectedUntil = *departure->second.doubtedUntil;
 }
 
+void ServerFleet::onDepartureReported(const ServerLeavingNotice &notice, TimePoint now)
+{
+    this->forgetDepartures(now);
+    this->reportedDepartures[notice.serverHash] = {notice.incarnation, now};
+}
+
+std::vector<ServerLeavingNotice> ServerFleet::leavingNotices(TimePoint now)
+{
+    this->forgetDepartures(now);
+    std::vector<ServerLeavingNotice> notices;
+    for (const auto &[id, record] : this->records) {
+        if (record.server.draining || record.announcedLeaving)
+            notices.push_back({hash32(id), record.server.incarnation});
+    }
+    for (const auto &[id, departure] : this->departures) {
+        if (departure.wasLeaving && this->records.count(id) == 0)
+            notices.push_back({hash32(id), departure.incarnation});
+    }
+    return notices;
+}
+
 void ServerFleet::remove(const ServerId &server, bool mayHaveExpired, TimePoint now)
 {
     this->removeExpired(now);
@@ -130,6 +155,11 @@
         const bool isOld = now - departure->second.removedAt > this->timings.departureMemory;
         departure = isOld ? this->departures.erase(departure) : std::next(departure);
     }
+    for (auto report = this->reportedDepartures.begin();
+         report != this->reportedDepartures.end();) {
+        const bool isOld = now - report->second.reportedAt > this->timings.departureMemory;
+        report = isOld ? this->reportedDepartures.erase(report) : std::next(report);
+    }
     for (auto *times : {&this->disappearances, &this->refusedConnections}) {
         for (auto gone = times->begin(); gone != times->end();) {
             const bool isOld = now - gone->second > this->timings.departureMemory;
--- a/src/gateway/server_fleet.h
+++ b/src/gateway/server_fleet.h
@@ -14,6 +14,8 @@
 
 namespace dotterel {
 
+struct ServerLeavingNotice;
+
 /// Timing parameters of a ServerFleet.
 struct ServerFleetTimings
 {
@@ -93,6 +95,13 @@
     /// time if there is no other.
     void doubtIfDeparted(const GatewayServer &server, TimePoint now);
 
+    /// Records that another host knows a server to leave or to have left, whose entry this host
+    /// does not have. A store restored from a copy may still show it.
+    void onDepartureReported(const ServerLeavingNotice &notice, TimePoint now);
+
+    /// Returns the servers that leave or have left, to tell a host that joins.
+    std::vector<ServerLeavingNotice> leavingNotices(TimePoint now);
+
     /// Handles the removal of the entry of \a server. If \a mayHaveExpired is true, the entry may
     /// have expired because of a store outage; the server then stays usable for a grace period. The
     /// same holds if most of a pool is removed at once: a host whose watch was pending all through
@@ -187,6 +196,9 @@
     /// requests that run there go on.
     void setDomainsOutOfService(std::set<std::string> domains);
 
+    /// Returns true if \a server drains by its entry, or was heard to leave.
+    bool isDraining(const ServerId &server) const;
+
     /// Returns true if \a server is in a failure domain that is out of service.
     bool isOutOfService(const GatewayServer &server) const;
 
@@ -266,6 +278,13 @@
         std::optional<TimePoint> doubtedUntil; ///< Set while a restored entry is not trusted.
     };
 
+    /// A server of which another host knows that it left, while this host has no entry of it.
+    struct ReportedDeparture
+    {
+        std::uint64_t incarnation = 0;
+        TimePoint reportedAt;
+    };
+
     static bool isLeaving(const Record &record);
     void recordDisappearance(const Record &record, TimePoint now);
     void removeExpired(TimePoint now);
@@ -290,6 +309,7 @@
     std::map<ServerId, Record> records;
     /// Departed servers, whose entries a restored store may show again.
     std::map<ServerId, Departure> departures;
+    std::map<std::uint32_t, ReportedDeparture> reportedDepartures; ///< By hash of the server id.
     std::map<ServerId, TimePoint> disappearances;     ///< Shown by entries; see disappearedAt().
     std::map<ServerId, TimePoint> refusedConnections; ///< Likewise, shown by connections.
     std::set<std::string> domainsOutOfService;
--- a/src/gateway/server_fleet_pools.cpp
+++ b/src/gateway/server_fleet_pools.cpp
@@ -76,6 +76,13 @@
             }));
 }
 
+bool ServerFleet::isDraining(const ServerId &server) const
+{
+    const auto found = this->records.find(server);
+    return found != this->records.end()
+           && (found->second.server.draining || found->second.announcedLeaving);
+}
+
 void ServerFleet::setDomainsOutOfService(std::set<std::string> domains)
 {
     this->domainsOutOfService = std::move(domains);
--- a/src/gateway/service_reach.cpp
+++ b/src/gateway/service_reach.cpp
@@ -119,9 +119,9 @@
 
 const std::set<ServerId> &ServiceReach::deadServers(const std::string &pool) const
 {
-    static const std::set<ServerId> None;
+    static const std::set<ServerId> none;
     const auto found = this->records.find(pool);
-    return found == this->records.end() ? None : found->second.deadServers;
+    return found == this->records.end() ? none : found->second.deadServers;
 }
 
 bool ServiceReach::isOutOfReach(const std::string &pool) const
--- a/tests/platform/test_store_incidents.cpp
+++ b/tests/platform/test_store_incidents.cpp
@@ -262,6 +262,19 @@
                 fixture.runUntil([&] { return fixture.allAtVersion(9); }, seconds(10));
         CHECK(toSeconds(time) < toSeconds(ContactLimit));
     }
+    SECTION("a host that starts then uses no server that left before")
+    {
+        fixture.registerServer("s2", true);
+        fixture.runUntil([&] { return fixture.allShowServer("s2", "draining"); }, ContactLimit);
+        fixture.store.remove("servers", "s2");
+        fixture.runFor(ApplyLimit);
+        fixture.store.restore(copy);
+        fixture.startHost(0);
+        fixture.runUntil([&] { return fixture.allAtVersion(9); }, seconds(10));
+        const Duration time = fixture.runUntil(
+                [&] { return fixture.allShowServer("s2", "draining"); }, ContactLimit);
+        CHECK(toSeconds(time) < toSeconds(ContactLimit));
+    }
     SECTION("with answers that state no era, an unreadable or an earlier one in between")
     {
         fixture.store.restore(copy);
