Control characters in values make a head malformed

A NUL as the first byte of a header's value was passed on to servers and callers (RFC 9110, 5.5: values with CR, LF or NUL are invalid and dangerous).

Cause: http_parser checks bytes of a value only from the second one on.

Evidence: the fuzz target of heads, run with 1,000,000 rounds: "X-A:", NUL, "b" in a response. Not seen with the 10,000 rounds of the suite.

Change: a value with a control character other than tab is malformed, like a name that is no token. A coding that http_parser does not take for "chunked" makes a message malformed even if the value reads so; this was not seen to happen.

Test: "A head that readers may frame differently is malformed", with DOTTEREL_FUZZ_ROUNDS=1000000.

--- a/src/transport/http_message_parser.cpp
+++ b/src/transport/http_message_parser.cpp
@@ -21,14 +21,25 @@
     return std::isalnum(byte) != 0 || Symbols.find(static_cast<char>(byte)) != Symbols.npos;
 }
 
-/// Returns true if all readers of \a headers agree on the names and on the framing of the body
-/// (RFC 9112, 5.1 and 6.1).
+/// Returns true for a byte that may end a value early for some readers (RFC 9110, 5.5).
+bool isControlCharacter(char letter)
+{
+    constexpr unsigned char FirstPrintable = 0x20;
+    constexpr unsigned char Delete = 0x7f;
+    const auto byte = static_cast<unsigned char>(letter);
+    return (byte < FirstPrintable && letter != '\t') || byte == Delete;
+}
+
+/// Returns true if all readers of \a headers agree on the names, on the values and on the framing
+/// of the body (RFC 9112, 5.1 and 6.1).
 bool hasUnambiguousFields(const HttpHeaders &headers)
 {
     std::size_t codings = 0;
     for (const auto &[name, value] : headers) {
         if (name.empty() || !std::all_of(name.begin(), name.end(), isTokenCharacter))
             return false;
+        if (std::any_of(value.begin(), value.end(), isControlCharacter))
+            return false;
         if (!equalHeaderNames(name, "Transfer-Encoding"))
             continue;
         const std::size_t end = value.find_last_not_of(" \t");
@@ -162,6 +173,8 @@
         if (!hasUnambiguousFields(head.headers))
             return ParseError;
         const bool chunked = (parser->flags & F_CHUNKED) != 0;
+        if (!chunked && findHeader(head.headers, "Transfer-Encoding") != nullptr)
+            return ParseError;
         if (parser->content_length != NoContentLength && !chunked)
             head.contentLength = parser->content_length;
         head.keepAlive = http_should_keep_alive(parser) != 0;
