Log what ended a process as its last line

What operators saw: a host that ended by itself left no line in its log.

Change: host_stopped, with the reason (shutdown, exception, terminate, signal, exit), the exit code or the signal, peak memory and open files. It is written without allocating memory, also from the handlers of fatal signals and of std::terminate(), which add a backtrace on standard error and let the signal take its usual effect. A log without that line ended by SIGKILL, as by the memory limit, or by a loss of power. Handlers of others (sanitizers) stay.

No logic of hosts is changed.

--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -33,6 +33,8 @@
              "The settings were reloaded; those that can change at run time are applied."},
             {Event::HandlingFailed, "handling_failed", Severity::Error,
              "An exception ended the handling of one event of a connection, datagram or timer."},
+            {Event::HostStopped, "host_stopped", Severity::Warning,
+             "The process ends; `reason` says what ended it. Written whatever the threshold."},
             {Event::RequestRefused, "request_refused", Severity::Info,
              "A request was refused; the caller received the reason and verdict."},
             {Event::RequestFinished, "request_finished", Severity::Info,
--- a/src/core/event_log.h
+++ b/src/core/event_log.h
@@ -26,6 +26,7 @@
     SettingsRejected = 104,
     SettingsReloaded = 105,
     HandlingFailed = 106,
+    HostStopped = 107,
     RequestRefused = 200,
     RequestFinished = 201,
     AttemptFailed = 202,
--- a/src/entry_host/daemon_command_line.cpp
+++ b/src/entry_host/daemon_command_line.cpp
@@ -1,5 +1,6 @@
 #include "entry_host/daemon_command_line.h"
 
+#include "entry_host/process_end_report.h"
 #include "state/text_file.h"
 
 #include <cstdlib>
@@ -95,10 +96,14 @@
         return ExitOk;
     }
     makePipedStdoutNonBlocking();
+    installProcessEndReport(settings->host);
     try {
-        return run(options, *settings);
+        const int exitCode = run(options, *settings);
+        reportProcessEnd(ProcessEndReason::Shutdown, exitCode);
+        return exitCode;
     } catch (const std::exception &error) {
         std::cerr << name << ": " << error.what() << '\n';
+        reportProcessEnd(ProcessEndReason::Exception, ExitRuntimeError, error.what());
         return ExitRuntimeError;
     }
 }
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -27,6 +27,9 @@
     /// Returns true while the process runs.
     bool running();
 
+    /// Returns the id of the process.
+    pid_t processId() const { return this->pid; }
+
     /// Returns the most memory that the running process has had resident, in megabytes.
     std::size_t peakMemoryMb() const;
 
