Signals that come while a host starts, or say nothing to it, end no host

What callers saw: a SIGHUP (settings changed) between the start of a process and the installation of its handlers ended the host; a SIGTERM ended it with the signal in place of exit code 0. SIGUSR1, SIGUSR2 and SIGXFSZ (a log file at its limit) ended it at any time, and dotterelfieldd at each SIGHUP.

Cause: signals have their usual effect until a handler is there, and forever where there is none.

Change: runDaemon() blocks SIGHUP, SIGINT and SIGTERM first of all and EventLoop::onSignal() delivers them; the others are ignored. EventLoop::run() throws if libevent's loop fails, where it returned as for a stop, with exit code 0.

--- a/src/entry_host/daemon_command_line.cpp
+++ b/src/entry_host/daemon_command_line.cpp
@@ -3,6 +3,8 @@
 #include "entry_host/process_end_report.h"
 #include "state/text_file.h"
 
+#include <array>
+#include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
 #include <iostream>
@@ -50,6 +52,21 @@
     return std::nullopt;
 }
 
+/// Signals of operators wait until the daemon handles them, so that they cannot end a start.
+/// Signals that say nothing to a daemon, and whose usual effect is to end it, are ignored.
+void prepareSignals()
+{
+    constexpr std::array<int, 3> OperatorSignals = {SIGHUP, SIGINT, SIGTERM};
+    constexpr std::array<int, 4> IgnoredSignals = {SIGPIPE, SIGUSR1, SIGUSR2, SIGXFSZ};
+    sigset_t waiting{};
+    sigemptyset(&waiting);
+    for (const int number : OperatorSignals)
+        sigaddset(&waiting, number);
+    pthread_sigmask(SIG_BLOCK, &waiting, nullptr);
+    for (const int number : IgnoredSignals)
+        std::signal(number, SIG_IGN);
+}
+
 /// Makes standard output non-blocking if it is a pipe, so that a full log pipe cannot block the
 /// event loop.
 void makePipedStdoutNonBlocking()
@@ -85,6 +102,7 @@
     DaemonOptions options;
     if (const std::optional<int> exitCode = parseOptions(name, argc, argv, additionalHelp, options))
         return *exitCode;
+    prepareSignals();
     const auto settings = loadSettings(options.settingsPath);
     if (!settings) {
         for (const YamlError &fault : settings.error())
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -104,12 +104,17 @@
     auto timer = std::make_unique<LibeventTimer>(*this, signalNumber, EV_SIGNAL | EV_PERSIST,
                                                  std::move(callback));
     timer->add(nullptr);
+    sigset_t delivered{};
+    sigemptyset(&delivered);
+    sigaddset(&delivered, signalNumber);
+    pthread_sigmask(SIG_UNBLOCK, &delivered, nullptr);
     return timer;
 }
 
 void EventLoop::run()
 {
-    event_base_loop(this->eventBase, EVLOOP_NO_EXIT_ON_EMPTY);
+    if (event_base_loop(this->eventBase, EVLOOP_NO_EXIT_ON_EMPTY) != 0)
+        throw std::runtime_error("event_base_loop() failed");
 }
 
 void EventLoop::runOnce(bool wait)
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -41,10 +41,11 @@
     /// Calls \a callback every \a period until the handle is destroyed.
     TimerHandle every(Duration period, Callback callback);
 
-    /// Calls \a callback each time the process receives \a signalNumber.
+    /// Calls \a callback each time the process receives \a signalNumber; delivers the signal if it
+    /// was blocked until now.
     TimerHandle onSignal(int signalNumber, Callback callback);
 
-    /// Runs until stop() is called.
+    /// Runs until stop() is called. Throws std::runtime_error if the loop cannot go on.
     void run();
 
     /// Handles the pending events once; if \a wait is true, blocks until there is one.
--- a/tests/entry_host/test_process_end.cpp
+++ b/tests/entry_host/test_process_end.cpp
@@ -147,3 +147,40 @@
         CHECK(host.logs("event_base_loop"));
     }
 }
+
+// Guards against a reload or a stop that comes while a host starts.
+TEST_CASE("A signal ended a host that was starting", "[EntryHost][ProcessEnd]")
+{
+    LoneHost host;
+
+    SECTION("a reload")
+    {
+        host.startInterruptedBy([&] { host.process->signal(SIGHUP); });
+        CHECK(host.becomesTrue([&] { return host.handlesSignals() || !host.process->running(); }));
+        REQUIRE(host.process->running());
+        host.process->signal(SIGTERM);
+        CHECK(host.process->wait() == 0);
+    }
+    SECTION("a stop, in series")
+    {
+        host.startInterruptedBy([&] {
+            for (int i = 0; i < 3; ++i)
+                host.process->signal(SIGTERM);
+        });
+        CHECK(host.process->wait() == 0);
+        CHECK(host.logs("\"reason\":\"shutdown\""));
+    }
+}
+
+// Guards against signals whose usual effect ends a process that does not expect them.
+TEST_CASE("A signal that says nothing ended a host", "[EntryHost][ProcessEnd]")
+{
+    LoneHost host;
+    host.startWith("{address: 127.0.0.1, port: 0}");
+    REQUIRE(host.becomesTrue([&] { return host.handlesSignals(); }));
+    for (const int number : {SIGUSR1, SIGUSR2, SIGPIPE, SIGXFSZ, SIGHUP})
+        host.process->signal(number);
+    // The signals above come first.
+    host.process->signal(SIGTERM);
+    CHECK(host.process->wait() == 0);
+}
