A closing link sends its last frames, not as many zeros

Cause: libevent keeps the start of a bufferevent's output frozen, so that evbuffer_copyout() fails and copies nothing; the result was not looked at.

Change: the output is unfrozen and written with evbuffer_write() until the socket takes no more; what is left then is lost with the link and unsentBytes() says how much. A frame that is cut is the last of its connection. A failed bufferevent_write() is an error of the connection.

--- a/src/transport/websocket_link.cpp
+++ b/src/transport/websocket_link.cpp
@@ -152,6 +152,12 @@
             notifiedObserver->onLinkClosed(reason);
     }
 
+    std::size_t unsentBytes() const
+    {
+        return this->stream == nullptr ? this->lostBytes
+                                       : evbuffer_get_length(bufferevent_get_output(this->stream));
+    }
+
     /// Starts the client handshake once TCP is connected; empty on the server side.
     std::function<void()> onConnected;
     EndpointType endpoint;
@@ -163,7 +169,9 @@
         if (this->stream == nullptr)
             return websocketpp::transport::error::make_error_code(
                     websocketpp::transport::error::pass_through);
-        bufferevent_write(this->stream, bytes, length);
+        if (bufferevent_write(this->stream, bytes, length) != 0)
+            return websocketpp::transport::error::make_error_code(
+                    websocketpp::transport::error::general);
         return {};
     }
 
@@ -183,22 +191,22 @@
         if (this->stream == nullptr)
             return;
         this->flushOutput();
+        this->lostBytes = evbuffer_get_length(bufferevent_get_output(this->stream));
         bufferevent_free(this->stream);
         this->stream = nullptr;
     }
 
-    /// Writes the remaining output to the socket; freeing the bufferevent would discard it.
+    /// Writes the remaining output to the socket, as far as that takes it; freeing the bufferevent
+    /// discards the rest.
     void flushOutput()
     {
         evbuffer *output = bufferevent_get_output(this->stream);
-        const std::size_t length = evbuffer_get_length(output);
         const evutil_socket_t descriptor = bufferevent_getfd(this->stream);
-        if (!this->opened || length == 0 || descriptor < 0)
+        // A bufferevent keeps the start of its output frozen, so that nothing can be taken out.
+        if (descriptor < 0 || evbuffer_unfreeze(output, 1) != 0)
             return;
-        std::string bytes(length, '\0');
-        evbuffer_copyout(output, bytes.data(), length);
-        const ssize_t sent = ::send(descriptor, bytes.data(), length, MSG_DONTWAIT | MSG_NOSIGNAL);
-        static_cast<void>(sent);
+        while (evbuffer_get_length(output) > 0 && evbuffer_write(output, descriptor) > 0) {
+        }
     }
 
     static void onReadable(bufferevent *source, void *argument)
@@ -231,6 +239,7 @@
     bufferevent *stream;
     typename EndpointType::connection_ptr connection;
     EventLoop::TimerHandle handshakeTimer;
+    std::size_t lostBytes = 0;
     bool opened = false;
     bool closed = false;
 };
@@ -256,6 +265,7 @@
 
     void sendFrame(std::string_view bytes) override { this->state->sendFrame(bytes); }
     void close() override { this->state->closeLink(LinkCloseReason::LocalClosed); }
+    std::size_t unsentBytes() const override { return this->state->unsentBytes(); }
     void setObserver(LinkObserver *observer) override { this->state->observer = observer; }
 
 private:
--- a/src/transport/websocket_link.h
+++ b/src/transport/websocket_link.h
@@ -55,9 +55,14 @@
     /// Sends one binary message. Closes the link with PeerTooSlow if too many bytes are unsent.
     virtual void sendFrame(std::string_view bytes) = 0;
 
-    /// Closes the link and notifies the observer with LocalClosed.
+    /// Hands to the socket what it takes at once, closes the link and notifies the observer with
+    /// LocalClosed.
     virtual void close() = 0;
 
+    /// Returns the number of bytes that are not yet handed to the socket. After the end of the link
+    /// it is the number of bytes that were lost.
+    virtual std::size_t unsentBytes() const = 0;
+
     /// Sets the observer; an accepted link has none at first.
     virtual void setObserver(LinkObserver *observer) = 0;
 };
--- a/tests/transport/test_websocket_link.cpp
+++ b/tests/transport/test_websocket_link.cpp
@@ -235,3 +235,92 @@
     CHECK(fixture.runUntil([&] { return !healthyObserver.frames.empty(); }));
     CHECK_FALSE(healthyObserver.closeReason);
 }
+
+// Guards against last frames that the peer takes for a protocol error.
+TEST_CASE("A closing link wrote zeros in place of its last frames", "[Transport][WebsocketLink]")
+{
+    ListenerFixture fixture;
+    RecordingObserver clientObserver;
+    std::unique_ptr<WebsocketLink> link = connectWebsocket(
+            fixture.loop, fixture.listener.endpoint(), testLimits(), clientObserver);
+    REQUIRE(fixture.runUntil([&] {
+        return clientObserver.opened && !fixture.acceptedLinks.empty()
+               && fixture.lastObserver().opened;
+    }));
+    RecordingObserver &peer = fixture.lastObserver();
+
+    SECTION("when it is closed right after a frame")
+    {
+        link->sendFrame("last words");
+        CHECK(link->unsentBytes() > 0);
+        link->close();
+        CHECK(link->unsentBytes() == 0);
+        REQUIRE(fixture.runUntil([&] { return peer.closeReason.has_value(); }));
+        CHECK(peer.closeReason == LinkCloseReason::PeerClosed);
+        CHECK(peer.frames == std::vector<std::string>{"last words"});
+    }
+    SECTION("when its owner goes")
+    {
+        link->sendFrame("last words");
+        link.reset();
+        REQUIRE(fixture.runUntil([&] { return peer.closeReason.has_value(); }));
+        CHECK(peer.closeReason == LinkCloseReason::PeerClosed);
+        CHECK(peer.frames == std::vector<std::string>{"last words"});
+    }
+    SECTION("when the peer breaks the protocol")
+    {
+        RawConnection odd(fixture.listener.endpoint());
+        REQUIRE(fixture.performHandshake(odd));
+        REQUIRE(fixture.runUntil([&odd, text = std::string()]() mutable {
+            text += odd.read();
+            return text.find("\r\n\r\n") != std::string::npos;
+        }));
+        odd.write(RawConnection::frame(0xc2, "x"));
+        fixture.acceptedLinks.back()->link->sendFrame("answer");
+        std::string received;
+        REQUIRE(fixture.runUntil([&] {
+            received += odd.read();
+            return odd.closed();
+        }));
+        CHECK(received
+              == "\x82\x06"
+                 "answer");
+    }
+    SECTION("when bytes behind the handshake break the protocol")
+    {
+        RawConnection odd(fixture.listener.endpoint());
+        odd.write(RawConnection::upgradeRequest() + RawConnection::frame(0xc2, "x"));
+        std::string received;
+        REQUIRE(fixture.runUntil([&] {
+            received += odd.read();
+            return odd.closed();
+        }));
+        CHECK(received.find("HTTP/1.1 101") == 0);
+        CHECK(received.find('\0') == std::string::npos);
+    }
+    SECTION("when the peer is too slow, the bytes that are lost are counted")
+    {
+        RawConnection slow(fixture.listener.endpoint());
+        REQUIRE(fixture.performHandshake(slow));
+        WebsocketLink &accepted = *fixture.acceptedLinks.back()->link;
+        const RecordingObserver &observer = fixture.lastObserver();
+        const std::string frame = "\x82\x7e\x0f\xa0" + std::string(4'000, 'c');
+        std::size_t sentFrames = 0;
+        for (; sentFrames < 10'000 && !observer.closeReason; ++sentFrames) {
+            accepted.sendFrame(frame.substr(4));
+            fixture.loop.runOnce(false);
+        }
+        REQUIRE(observer.closeReason == LinkCloseReason::PeerTooSlow);
+        std::string received;
+        REQUIRE(fixture.runUntil([&] {
+            received += slow.read();
+            return slow.closed();
+        }));
+        received.erase(0, received.find("\r\n\r\n") + 4);
+        CHECK(received.size() + accepted.unsentBytes() == sentFrames * frame.size());
+        bool sound = true;
+        for (std::size_t i = 0; i < received.size(); ++i)
+            sound = sound && received[i] == frame[i % frame.size()];
+        CHECK(sound);
+    }
+}
