A stop waits for links to hosts; bytes that are lost are logged

What peers saw: the link of a host that was no target any more, or a duplicate, ended with protocol_error in place of its goodbye.

Change: peer_link_closed has lost_bytes, dotterel_peer_bytes_lost_total counts them, and links that a host closes itself are logged too. At the end of a stop hosts wait up to 200 ms for their links, within the margin that the exit has.

--- a/src/core/metric_catalogue.cpp
+++ b/src/core/metric_catalogue.cpp
@@ -41,6 +41,7 @@
          "Objects of the platform that could not be read and were left out."},
         {Counter::HandlingFailures,
          "Events of a connection, datagram or timer whose handling an exception ended."},
+        {Counter::PeerBytesLost, "Bytes for peers that a link had not sent when it was closed."},
         {Counter::PlatformEraChanges,
          "Changes of the era of the platform, one per collection and change."},
         {Counter::WatchesRenewed,
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -27,7 +27,7 @@
         {LengthBand::UpTo1M, "256k-1M"},
 }};
 
-constexpr std::array<EnumName<Counter>, 33> CounterNames = {{
+constexpr std::array<EnumName<Counter>, 34> CounterNames = {{
         {Counter::RequestsAdmitted, "requests_admitted"},
         {Counter::RequestsFinished, "requests_finished"},
         {Counter::ForeignBytesDropped, "foreign_bytes_dropped"},
@@ -41,6 +41,7 @@
         {Counter::OutdatedObjects, "outdated_objects"},
         {Counter::ObjectsRejected, "objects_rejected"},
         {Counter::HandlingFailures, "handling_failures"},
+        {Counter::PeerBytesLost, "peer_bytes_lost"},
         {Counter::PlatformEraChanges, "platform_era_changes"},
         {Counter::WatchesRenewed, "watches_renewed"},
         {Counter::ServerPauses, "server_pauses"},
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -53,6 +53,7 @@
     OutdatedObjects,
     ObjectsRejected,
     HandlingFailures,
+    PeerBytesLost,
     PlatformEraChanges,
     WatchesRenewed,
     ServerPauses,
--- a/src/entry_host/entry_host.cpp
+++ b/src/entry_host/entry_host.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr Duration GoodbyeFlushTime = std::chrono::milliseconds(50);
+constexpr Duration GoodbyeFlushTime = std::chrono::milliseconds(200);
 constexpr int PeerTimeoutHeartbeats = 8;
 constexpr int StartupPeerWaitHeartbeats = 3;
 constexpr Duration LedgerTimerInterval = std::chrono::milliseconds(5);
@@ -119,7 +119,12 @@
     this->shutdownDrainTimer.reset();
     this->log.write(Event::ShutdownDone, {});
     this->membershipDriver.announceShutdown();
-    this->shutdownDrainTimer = this->loop.after(GoodbyeFlushTime, [this] {
+    const TimePoint end = now + GoodbyeFlushTime;
+    this->shutdownDrainTimer = this->loop.every(DrainCheckInterval, [this, end] {
+        if (this->peerMesh.unsentBytes() > 0 && this->loop.now() < end)
+            return;
+        this->shutdownDrainTimer.reset();
+        this->peerMesh.closeAllLinks();
         if (this->shutdownFinished)
             this->shutdownFinished();
     });
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -28,6 +28,9 @@
 /// The load balancer checks readiness once a second and removes a host after two failed checks.
 constexpr Duration LoadBalancerReactionTime = std::chrono::milliseconds(2'600);
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(50);
+/// Time at the end of a shutdown for what links to other hosts still have to send; part of
+/// ShutdownExitMargin.
+constexpr Duration PeerFlushTime = std::chrono::milliseconds(200);
 /// Part of the shutdown limit that is kept for flushing the last bytes and exiting the process.
 constexpr Duration ShutdownExitMargin = std::chrono::milliseconds(400);
 constexpr Duration RegistrationRetryInterval = std::chrono::seconds(1);
@@ -278,7 +281,12 @@
 
 void GatewayHost::reportShutdown()
 {
-    this->drainTimer = this->loop.after(DrainCheckInterval, [this] {
+    const TimePoint end = this->loop.now() + PeerFlushTime;
+    this->drainTimer = this->loop.every(DrainCheckInterval, [this, end] {
+        if (this->peerMesh.unsentBytes() > 0 && this->loop.now() < end)
+            return;
+        this->drainTimer.reset();
+        this->peerMesh.closeAllLinks();
         if (this->shutdownFinished)
             this->shutdownFinished();
     });
--- a/src/entry_host/peer_mesh.cpp
+++ b/src/entry_host/peer_mesh.cpp
@@ -98,7 +98,7 @@
         const std::uint64_t link = entry->second;
         entry = this->outgoingLinks.erase(entry);
         this->send(link, goodbye);
-        this->links.erase(link);
+        this->closeLink(link);
     }
 }
 
@@ -194,10 +194,13 @@
     const auto found = this->links.find(link);
     if (found == this->links.end())
         return;
+    const std::size_t lostBytes = found->second->websocket->unsentBytes();
+    this->metrics.count(Counter::PeerBytesLost, lostBytes);
     this->log.write(Event::PeerLinkClosed, {{"link", static_cast<std::int64_t>(link)},
                                             {"peer", found->second->peer},
                                             {"incoming", found->second->incoming},
                                             {"was_open", found->second->open},
+                                            {"lost_bytes", static_cast<std::int64_t>(lostBytes)},
                                             {"end", std::string(linkCloseReasonName(end))}});
     const std::unique_ptr<Link> closedLink = std::move(found->second);
     this->links.erase(found);
@@ -221,11 +224,35 @@
     }
     this->metrics.count(Counter::PeerFramesRejected, 1);
     this->log.write(Event::PeerFrameRejected, {{"error", message.error()}});
+    this->closeLink(link);
+}
+
+void PeerMesh::closeLink(std::uint64_t link)
+{
     const auto found = this->links.find(link);
     if (found != this->links.end())
         found->second->websocket->close();
 }
 
+void PeerMesh::closeAllLinks()
+{
+    while (!this->links.empty()) {
+        const std::uint64_t link = this->links.begin()->first;
+        this->closeLink(link);
+        // A link that was closed before reports its end only once.
+        this->links.erase(link);
+    }
+    this->outgoingLinks.clear();
+}
+
+std::size_t PeerMesh::unsentBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[id, link] : this->links)
+        bytes += link->websocket->unsentBytes();
+    return bytes;
+}
+
 HostId PeerMesh::peerOf(std::uint64_t link) const
 {
     const auto found = this->links.find(link);
--- a/src/entry_host/peer_mesh.h
+++ b/src/entry_host/peer_mesh.h
@@ -66,12 +66,19 @@
     /// Closes the links that silentLinks() counts; updateLinks() opens them again.
     void closeSilentLinks(Duration time);
 
+    /// Returns the number of bytes for peers that are not yet handed to a socket.
+    std::size_t unsentBytes() const;
+
+    /// Closes all links. Bytes that their sockets do not take at once are lost, and logged as such.
+    void closeAllLinks();
+
 private:
     class Link;
 
     void closeUnneededLinks(const std::vector<MemberRecord> &targets, const PeerMessage &goodbye);
     std::vector<std::uint64_t> linksSilentFor(Duration time) const;
     void connect(const MemberRecord &target);
+    void closeLink(std::uint64_t link);
     bool hasIncomingLinkFrom(const HostId &host) const;
     void onLinkOpened(std::uint64_t link);
     void sendBytes(Link &link, const std::string &bytes);
--- a/tests/entry_host/test_peer_mesh.cpp
+++ b/tests/entry_host/test_peer_mesh.cpp
@@ -135,3 +135,38 @@
         CHECK(host.runUntil([&host] { return host.mesh.openLinks() == 1; }));
     }
 }
+
+// Guards against a goodbye that arrives as zeros, which the peer takes for a protocol error.
+TEST_CASE("A link that is no longer needed ended with a protocol error at its peer",
+          "[EntryHost][PeerMesh]")
+{
+    MeshUnderTest leaving("b");
+    MeshUnderTest staying("a");
+    Heartbeat goodbye;
+    goodbye.sender.identity = {"b", 1, "centro-a"};
+    goodbye.sender.peerEndpoint = {"127.0.0.1", 1};
+    MemberRecord target;
+    target.identity = {"a", 1, "centro-a"};
+    target.peerEndpoint = staying.mesh.endpoint();
+    const auto bothOpen = [&] {
+        leaving.loop.runOnce(false);
+        return leaving.mesh.openLinks() == 1 && staying.mesh.openLinks() == 1;
+    };
+    leaving.mesh.updateLinks({target}, goodbye);
+    REQUIRE(staying.runUntil(bothOpen));
+
+    SECTION("when the member is no target any more")
+    {
+        leaving.mesh.updateLinks({}, goodbye);
+    }
+    SECTION("when all links are closed")
+    {
+        leaving.mesh.broadcast(goodbye);
+        CHECK(leaving.mesh.unsentBytes() > 0);
+        leaving.mesh.closeAllLinks();
+    }
+    CHECK(leaving.mesh.openLinks() == 0);
+    CHECK(staying.runUntil([&] { return staying.mesh.openLinks() == 0; }));
+    CHECK(staying.received == 1);
+    CHECK(staying.metrics.rejected == 0);
+}
