Contain exceptions in callbacks of evhttp, accepts and the ends of links

Change: these callbacks run contained like the others (http_exchange, http_call). A request whose handling fails is answered with 500; a call whose listener fails on a part of the response ends as a failed call, so that whoever waits for it learns it.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -162,6 +162,15 @@
             self(argument)->scheduleMalformed();
     }
 
+    /// Runs \a handling, a call of the listener: an exception must not pass through evhttp. It ends
+    /// the call, and the listener learns it if it still waits.
+    template <typename Handling>
+    void contain(Handling &&handling)
+    {
+        if (!this->loop.contain("http_call", handling))
+            this->scheduleMalformed();
+    }
+
     /// Ends the call from the event loop, since evhttp is reading.
     void scheduleMalformed()
     {
@@ -189,8 +198,10 @@
         }
         if (call->listener != nullptr && !call->headReceived) {
             call->headReceived = true;
-            call->listener->onHead(evhttp_request_get_response_code(request),
-                                   inputHeaders(request));
+            call->contain([&] {
+                call->listener->onHead(evhttp_request_get_response_code(request),
+                                       inputHeaders(request));
+            });
         }
         return 0;
     }
@@ -203,7 +214,7 @@
         if (call->listener == nullptr || length == 0)
             return;
         const char *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, -1));
-        call->listener->onData(std::string_view(bytes, length));
+        call->contain([&] { call->listener->onData(std::string_view(bytes, length)); });
     }
 
     static void onError(evhttp_request_error error, void *argument)
@@ -222,18 +233,21 @@
     static void onRequestFinished(evhttp_request *request, void *argument)
     {
         EvhttpCall *call = self(argument);
+        // The timer of scheduleMalformed() reports the end.
+        if (call->malformed)
+            return;
         HttpResponseListener *listener = call->listener;
         call->listener = nullptr;
         if (listener == nullptr)
             return;
         if (request != nullptr && evhttp_request_get_response_code(request) != 0) {
             if (bodyIsDelimited(request)) {
-                listener->onComplete();
+                call->contain([listener] { listener->onComplete(); });
                 return;
             }
             call->failureKind = HttpFailureKind::ResponseTruncated;
         }
-        call->reportFailure(*listener);
+        call->contain([call, listener] { call->reportFailure(*listener); });
     }
 
     void onTimeout()
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t MaxHeaderBytes = 64UL * 1024;
 /// Bytes of pipelined requests that are read while a request is being answered.
 constexpr std::size_t MaxPipelinedBytes = 64UL * 1024;
+constexpr std::string_view FaultSource = "http_exchange";
 
 std::string methodName(evhttp_cmd_type type)
 {
@@ -61,6 +62,11 @@
 /// State shared by a server and its exchanges, which may outlive the server.
 struct HttpServer::State
 {
+    explicit State(EventLoop &loop)
+        : loop(loop)
+    {}
+
+    EventLoop &loop;
     timeval idleTimeout{};
     std::size_t openExchanges = 0;
     std::uint64_t receivedBytes = 0;
@@ -245,7 +251,7 @@
         // The callback may release the exchange, so it is called through a copy.
         const std::function<void()> callback = self(argument)->drainedCallback;
         if (callback)
-            callback();
+            self(argument)->state->loop.contain(FaultSource, callback);
     }
 
     /// Called when evhttp has finished the request. May delete the exchange, directly or through
@@ -261,7 +267,7 @@
             return;
         }
         if (callback && !suppressCallback)
-            callback();
+            this->state->loop.contain(FaultSource, callback);
     }
 
     bool canSend() const { return this->request != nullptr && !this->responseComplete; }
@@ -326,8 +332,8 @@
 
 HttpServer::HttpServer(EventLoop &loop, const Endpoint &endpoint, std::size_t maxBodyBytes,
                        Handler handler, Duration idleTimeout)
-    : eventBase(loop.base())
-    , state(std::make_shared<State>())
+    : loop(loop)
+    , state(std::make_shared<State>(loop))
     , server(evhttp_new(loop.base()))
     , socket(nullptr)
     , boundEndpoint(endpoint)
@@ -385,7 +391,7 @@
 bufferevent *HttpServer::createStream(event_base * /*base*/, void *self)
 {
     HttpServer *server = static_cast<HttpServer *>(self);
-    bufferevent *stream = bufferevent_socket_new(server->eventBase, -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent *stream = bufferevent_socket_new(server->loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     evbuffer_add_cb(bufferevent_get_input(stream), &HttpServer::onInputChanged,
                     server->state.get());
     return stream;
@@ -399,10 +405,14 @@
 void HttpServer::onRequest(evhttp_request *request, void *self)
 {
     HttpServer *server = static_cast<HttpServer *>(self);
-    const HttpExchangePtr exchange(
-            new Exchange(request, server->state),
-            [](HttpExchange *released) { static_cast<Exchange *>(released)->onHandlerReleased(); });
-    server->handler(exchange);
+    // An exception must not pass through evhttp.
+    server->loop.contain(FaultSource, [server, request] {
+        const HttpExchangePtr exchange(new Exchange(request, server->state),
+                                       [](HttpExchange *released) {
+                                           static_cast<Exchange *>(released)->onHandlerReleased();
+                                       });
+        server->handler(exchange);
+    });
 }
 
 } // namespace dotterel
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -75,6 +75,7 @@
 class HttpServer
 {
 public:
+    /// Answers an exchange. One that is released without an answer, as by an exception, gets 500.
     using Handler = std::function<void(const HttpExchangePtr &)>;
 
     /// Listens on \a endpoint; port 0 selects a free port. evhttp rejects bodies over
@@ -109,7 +110,7 @@
     static void onInputChanged(evbuffer *buffer, const evbuffer_cb_info *info, void *state);
     static void onRequest(evhttp_request *request, void *self);
 
-    event_base *eventBase;
+    EventLoop &loop;
     std::shared_ptr<State> state;
     evhttp *server;
     evhttp_bound_socket *socket;
--- a/src/transport/keep_alive_http_server.cpp
+++ b/src/transport/keep_alive_http_server.cpp
@@ -53,10 +53,15 @@
                                      sockaddr * /*address*/, int /*length*/, void *self)
 {
     KeepAliveHttpServer &server = *static_cast<KeepAliveHttpServer *>(self);
-    const std::uint64_t id = server.nextConnectionId++;
-    const auto connection = std::make_shared<Connection>(server, id, descriptor);
-    const bool atCapacity = server.connectionsById.size() >= server.limits.maxConnections;
-    server.connectionsById.emplace(id, connection);
+    server.loop.contain("caller_connection", [&server, descriptor] { server.accept(descriptor); });
+}
+
+void KeepAliveHttpServer::accept(int descriptor)
+{
+    const std::uint64_t id = this->nextConnectionId++;
+    const auto connection = std::make_shared<Connection>(*this, id, descriptor);
+    const bool atCapacity = this->connectionsById.size() >= this->limits.maxConnections;
+    this->connectionsById.emplace(id, connection);
     if (atCapacity)
         connection->reject(StatusServiceUnavailable);
 }
--- a/src/transport/keep_alive_http_server.h
+++ b/src/transport/keep_alive_http_server.h
@@ -113,6 +113,7 @@
 
     static void onAccepted(evconnlistener *source, int descriptor, sockaddr *address, int length,
                            void *self);
+    void accept(int descriptor);
     Connection *findConnection(HttpCallId call) const;
     void checkAllTimeouts();
     void removeConnection(std::uint64_t id);
--- a/src/transport/websocket_link.cpp
+++ b/src/transport/websocket_link.cpp
@@ -149,7 +149,7 @@
         LinkObserver *const notifiedObserver = this->observer;
         this->observer = nullptr;
         if (notifiedObserver != nullptr)
-            notifiedObserver->onLinkClosed(reason);
+            this->loop.contain("peer_link", [&] { notifiedObserver->onLinkClosed(reason); });
     }
 
     std::size_t unsentBytes() const
@@ -225,12 +225,13 @@
     {
         LinkState *self = static_cast<LinkState *>(argument);
         const std::shared_ptr<LinkState> selfReference = self->weak_from_this().lock();
+        const bool connecting = self->onConnected != nullptr && !self->opened;
         if ((what & BEV_EVENT_CONNECTED) != 0) {
             setNoDelay(bufferevent_getfd(self->stream));
-            self->onConnected();
+            if (!self->loop.contain("peer_link", [self] { self->onConnected(); }))
+                self->closeLink(LinkCloseReason::HandshakeFailed);
             return;
         }
-        const bool connecting = self->onConnected != nullptr && !self->opened;
         self->closeLink(connecting ? LinkCloseReason::ConnectFailed : LinkCloseReason::PeerClosed);
     }
 
@@ -336,15 +337,20 @@
                                    sockaddr * /*address*/, int /*length*/, void *self)
 {
     WebsocketListener *owner = static_cast<WebsocketListener *>(self);
+    owner->loop.contain("peer_link", [owner, descriptor] { owner->accept(descriptor); });
+}
+
+void WebsocketListener::accept(int descriptor)
+{
     setNoDelay(descriptor);
     bufferevent *stream =
-            bufferevent_socket_new(owner->loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE);
-    auto state = std::make_shared<LinkState<Server>>(owner->loop, owner->limits, stream);
+            bufferevent_socket_new(this->loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE);
+    auto state = std::make_shared<LinkState<Server>>(this->loop, this->limits, stream);
     const Server::connection_ptr connection = state->endpoint.get_connection();
     state->attachConnection(connection);
     state->enableStream();
     connection->start();
-    owner->handler(std::make_unique<LinkHandle<Server>>(owner->loop, std::move(state)));
+    this->handler(std::make_unique<LinkHandle<Server>>(this->loop, std::move(state)));
 }
 
 } // namespace dotterel
--- a/src/transport/websocket_link.h
+++ b/src/transport/websocket_link.h
@@ -98,6 +98,7 @@
 private:
     static void onAccepted(evconnlistener *listener, int descriptor, sockaddr *address, int length,
                            void *self);
+    void accept(int descriptor);
 
     EventLoop &loop;
     LinkLimits limits;
--- a/tests/transport/test_contained_faults.cpp
+++ b/tests/transport/test_contained_faults.cpp
@@ -2,6 +2,8 @@
 
 #include "support/raw_client.h"
 #include "transport/datagram_socket.h"
+#include "transport/http_client.h"
+#include "transport/http_server.h"
 #include "transport/keep_alive_http_server.h"
 #include "transport/websocket_link.h"
 
@@ -68,6 +70,47 @@
     std::unique_ptr<WebsocketLink> link;
 };
 
+/// Fails on the part of a response that `failsOn` names.
+struct FailingListener : HttpResponseListener
+{
+    void onHead(int newStatus, const HttpHeaders & /*headers*/) override
+    {
+        this->status = newStatus;
+        this->failIf("head");
+    }
+    void onData(std::string_view /*bytes*/) override { this->failIf("data"); }
+    void onComplete() override
+    {
+        this->ended = true;
+        this->failIf("end");
+    }
+    void onFailed(const HttpFailure & /*failure*/) override
+    {
+        this->failed = true;
+        this->failIf("failure");
+    }
+    void failIf(const std::string &part) const
+    {
+        if (this->failsOn == part)
+            throw std::runtime_error("odd " + part);
+    }
+
+    std::string failsOn;
+    int status = 0;
+    bool ended = false;
+    bool failed = false;
+};
+
+HttpRequest getRequest(const Endpoint &endpoint, const std::string &target)
+{
+    HttpRequest request;
+    request.endpoint = endpoint;
+    request.method = "GET";
+    request.target = target;
+    request.timeout = seconds(2);
+    return request;
+}
+
 } // namespace
 
 // Guards against one odd object or message that ends the process.
@@ -137,3 +180,68 @@
         CHECK_THROWS_WITH(fixture.becomesTrue([] { return false; }), "unexpected");
     }
 }
+
+// Guards against odd requests at the ports of operators and readiness, and odd answers there.
+TEST_CASE("An exception in a callback of evhttp ended the process", "[Transport][ContainedFaults]")
+{
+    FaultFixture fixture;
+    HttpExchangePtr heldExchange;
+    HttpServer server(fixture.loop, {"127.0.0.1", 0}, 4'096,
+                      [&heldExchange](const HttpExchangePtr &exchange) {
+                          if (exchange->path() == "/odd")
+                              throw std::runtime_error("odd request");
+                          if (exchange->path() == "/held") {
+                              heldExchange = exchange;
+                              exchange->onClosed([] { throw std::runtime_error("odd end"); });
+                              return;
+                          }
+                          exchange->reply(200, {}, "sound");
+                      });
+    HttpClient client(fixture.loop);
+    FailingListener listener;
+
+    SECTION("a request is answered with an error")
+    {
+        const auto call = client.send(getRequest(server.endpoint(), "/odd"), listener);
+        CHECK(fixture.becomesTrue([&listener] { return listener.ended; }));
+        CHECK(listener.status == 500);
+        CHECK(fixture.faults == std::vector<std::string>{"http_exchange: odd request"});
+    }
+    SECTION("a peer that leaves")
+    {
+        {
+            RawClient leaving(fixture.loop, server.endpoint());
+            leaving.send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n");
+            REQUIRE(fixture.becomesTrue([&heldExchange] { return heldExchange != nullptr; }));
+        }
+        CHECK(fixture.becomesTrue([&fixture] { return !fixture.faults.empty(); }));
+        CHECK(fixture.faults == std::vector<std::string>{"http_exchange: odd end"});
+    }
+    SECTION("a part of a response costs its call")
+    {
+        listener.failsOn = GENERATE(as<std::string>{}, "head", "data");
+        const auto call = client.send(getRequest(server.endpoint(), "/"), listener);
+        CHECK(fixture.becomesTrue([&listener] { return listener.failed; }));
+        CHECK_FALSE(listener.ended);
+        CHECK(fixture.faults.front() == "http_call: odd " + listener.failsOn);
+    }
+    SECTION("the end of a response")
+    {
+        listener.failsOn = "end";
+        const auto call = client.send(getRequest(server.endpoint(), "/"), listener);
+        CHECK(fixture.becomesTrue([&fixture] { return !fixture.faults.empty(); }));
+        CHECK(listener.ended);
+        CHECK_FALSE(listener.failed);
+    }
+    SECTION("a call that fails")
+    {
+        listener.failsOn = "failure";
+        const auto call = client.send(getRequest({"127.0.0.1", 1}, "/"), listener);
+        CHECK(fixture.becomesTrue([&fixture] { return !fixture.faults.empty(); }));
+        CHECK(listener.failed);
+    }
+    FailingListener sound;
+    const auto call = client.send(getRequest(server.endpoint(), "/"), sound);
+    CHECK(fixture.becomesTrue([&sound] { return sound.ended; }));
+    CHECK(sound.status == 200);
+}
