Count the lost bytes of a link when it is closed, also for a silent peer

lost_bytes of a link that a host gives up as silent was what it had not yet sent; the close that follows hands the socket what it takes. The link is closed first. test_peer_mesh and test_websocket_link pass.

--- a/src/entry_host/peer_mesh.cpp
+++ b/src/entry_host/peer_mesh.cpp
@@ -194,7 +194,11 @@
     const auto found = this->links.find(link);
     if (found == this->links.end())
         return;
-    const std::size_t lostBytes = found->second->websocket->unsentBytes();
+    // A link whose peer is silent is still open.
+    WebsocketLink &websocket = *found->second->websocket;
+    websocket.setObserver(nullptr);
+    websocket.close();
+    const std::size_t lostBytes = websocket.unsentBytes();
     this->metrics.count(Counter::PeerBytesLost, lostBytes);
     this->log.write(Event::PeerLinkClosed, {{"link", static_cast<std::int64_t>(link)},
                                             {"peer", found->second->peer},
