Soak: a mode that plays odd entries, and the ends of hosts in full

The table of odd values is shared with test_odd_addresses.

All kinds of runs now check how a process ends: by SIGKILL only if it was sent, and with exit code 0 after SIGTERM. Signals and supervision moved to soak_hosts.cpp as they were.

--- a/tests/platform/soak/dotterelsoak.cpp
+++ b/tests/platform/soak/dotterelsoak.cpp
@@ -76,6 +76,7 @@
     int hostCount = 4;
     int floods = -1;
     int deadlyPercent = -1;
+    int oddValues = 0;
     const poptOption optionTable[] = {
             {"program", 'p', POPT_ARG_STRING, &gatewayPath, 0, "Gateway executable", "PATH"},
             {"seed", 's', POPT_ARG_INT, &firstSeed, 0, "First seed", "N"},
@@ -86,6 +87,8 @@
             {"hosts", 0, POPT_ARG_INT, &hostCount, 0, "Number of gateway hosts", "N"},
             {"deadly", 0, POPT_ARG_INT, &deadlyPercent, 0,
              "Play requests that crash servers; N percent of them are parts of prompts", "N"},
+            {"odd", 0, POPT_ARG_NONE, &oddValues, 0,
+             "Play odd values from store, servers, callers and peers", nullptr},
             {"floods", 0, POPT_ARG_INT, &floods, 0,
              "Instead of a run, measure one host next to N responses without end", "N"},
             POPT_AUTOHELP POPT_TABLEEND};
@@ -102,6 +105,7 @@
     options.faultDuration = std::chrono::seconds(faultSeconds);
     options.hostCount = static_cast<std::size_t>(hostCount);
     options.deadlyLoad = deadlyPercent >= 0;
+    options.oddValues = oddValues != 0;
     options.deadlyPartShare = deadlyPercent / 100.0;
     bool allPassed = true;
     for (int run = 0; run < runCount; ++run) {
--- a/tests/platform/soak/soak_faults.cpp
+++ b/tests/platform/soak/soak_faults.cpp
@@ -21,46 +21,6 @@
 
 } // namespace
 
-void SoakRun::markInterrupted(std::size_t host)
-{
-    this->checker.onHostInterrupted(host);
-    this->bounds.onHostInterrupted(host);
-    this->disturbHost(host);
-}
-
-void SoakRun::suspendHost(std::size_t host)
-{
-    if (this->hosts[host].isSuspended || this->hosts[host].expectsExit)
-        return;
-    this->markInterrupted(host);
-    this->hosts[host].isSuspended = true;
-    this->hosts[host].process->signal(SIGSTOP);
-    const std::uint64_t incarnation = this->hosts[host].incarnation;
-    this->runAfter(this->randomFaultDuration(), [this, host, incarnation] {
-        if (this->hosts[host].incarnation != incarnation)
-            return;
-        this->markInterrupted(host);
-        this->hosts[host].process->signal(SIGCONT);
-        this->hosts[host].isSuspended = false;
-    });
-}
-
-void SoakRun::killHost(std::size_t host)
-{
-    this->markInterrupted(host);
-    this->hosts[host].expectsExit = true;
-    this->hosts[host].process->signal(SIGKILL);
-}
-
-void SoakRun::shutDownHost(std::size_t host)
-{
-    if (this->hosts[host].isSuspended)
-        return;
-    this->shutDownAt.emplace(std::make_pair(host, this->hosts[host].incarnation), this->loop.now());
-    this->hosts[host].expectsExit = true;
-    this->hosts[host].process->signal(SIGTERM);
-}
-
 Duration SoakRun::randomFaultDuration()
 {
     return milliseconds(MinFaultMs + this->random.nextBelow(MaxFaultMs - MinFaultMs));
@@ -82,6 +42,8 @@
             this->startResponseFault();
         else if (this->kind == SoakRunKind::DeadlyLoad)
             this->startFaultBesideDeadlyLoad();
+        else if (this->kind == SoakRunKind::OddValues)
+            this->startFaultBesideOddValues();
         else
             this->startFault();
         this->scheduleNextFault();
@@ -221,6 +183,7 @@
     for (const auto &server : this->servers) {
         server->setFault(ServerFault::None);
         server->nameLimit(std::nullopt);
+        server->setLongAnswers(false);
         server->linkProxy().setFault(LinkFault::None);
     }
     for (Host &host : this->hosts) {
--- /dev/null
+++ b/tests/platform/soak/soak_odd_values.cpp
@@ -0,0 +1,127 @@
+// The part of SoakRun that plays odd values from outside.
+
+#include "platform/odd_values.h"
+#include "platform/soak/soak_run.h"
+
+#include <array>
+
+namespace dotterel::soak {
+
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+/// Time for which an odd value stands, and the longest time of a sound one after it.
+constexpr std::uint64_t MinValueMs = 200;
+constexpr std::uint64_t ValueSpreadMs = 800;
+constexpr std::uint64_t MaxSoundMs = 400;
+constexpr double RecordedShare = 0.5;
+
+std::string draw(const std::vector<std::string> &values, RandomSource &random)
+{
+    return values[random.nextBelow(values.size())];
+}
+
+/// Returns \a entry with the JSON text \a value in place of \a field.
+std::string withField(Json entry, const std::string &field, const std::string &value)
+{
+    constexpr const char *Mark = "odd value";
+    entry[field] = Mark;
+    std::string text = entry.dump();
+    const std::string quoted = "\"" + std::string(Mark) + "\"";
+    return text.replace(text.find(quoted), quoted.size(), value);
+}
+
+} // namespace
+
+void SoakRun::startOddValues()
+{
+    this->addServer(this->oddRandom.nextDouble() < 0.5 ? "orders" : "prompts");
+    this->oddServer = this->activeServers.back();
+    this->activeServers.pop_back();
+    this->playOddEntry();
+}
+
+void SoakRun::playOddEntry()
+{
+    if (this->faultsEnded)
+        return;
+    this->writeOddEntry();
+    this->runAfter(milliseconds(MinValueMs + this->oddRandom.nextBelow(ValueSpreadMs)), [this] {
+        this->writeServerEntry(*this->oddServer);
+        this->runAfter(milliseconds(1 + this->oddRandom.nextBelow(MaxSoundMs)),
+                       [this] { this->playOddEntry(); });
+    });
+}
+
+void SoakRun::writeOddEntry()
+{
+    const std::string address =
+            draw(this->oddRandom.nextDouble() < RecordedShare ? support::recordedServerAddresses()
+                                                              : support::oddServerAddresses(),
+                 this->oddRandom);
+    const double choice = this->oddRandom.nextDouble();
+    if (choice < 0.15) {
+        const std::string name = "odd-" + std::to_string(this->nextOddNumber++);
+        const std::string host = draw(support::oddAddresses(), this->oddRandom);
+        this->store.put("dotterelfield-hosts", name,
+                        {{"failure_domain", "z-0"}, {"address", host}, {"peer_port", 9}});
+        return this->runAfter(milliseconds(MinValueMs + ValueSpreadMs),
+                              [this, name] { this->store.remove("dotterelfield-hosts", name); });
+    }
+    Json entry = this->oddServer->registrationEntry(this->oddRandom.nextDouble() < 0.2);
+    if (this->oddRandom.nextDouble() < 0.3)
+        entry = {{"service", this->oddServer->poolName()}};
+    std::string text;
+    if (choice < 0.75) {
+        entry["address"] = address;
+        text = entry.dump();
+    } else {
+        const std::vector<std::string> fields = {"service",      "address", "zone",
+                                                 "slots",        "state",   "born",
+                                                 "cold_left_ms", "seq",     "version"};
+        text = withField(entry, draw(fields, this->oddRandom),
+                         draw(support::oddJsonTexts(), this->oddRandom));
+    }
+    if (this->oddRandom.nextDouble() < 0.6)
+        return this->store.putText("servers", this->oddServer->serverId(), text);
+    const std::string id = "odd-" + std::to_string(this->nextOddNumber++);
+    this->store.putText("servers", id, text);
+    this->runAfter(milliseconds(MinValueMs + ValueSpreadMs),
+                   [this, id] { this->store.remove("servers", id); });
+}
+
+void SoakRun::startFaultBesideOddValues()
+{
+    switch (this->random.nextBelow(8)) {
+    case 0:
+        return this->publishConfiguration();
+    case 1:
+        return this->drainServer();
+    case 2:
+        return this->restartInSeries();
+    case 3:
+    case 4:
+        return this->startHostFault(this->random.nextBelow(this->hosts.size()));
+    default:
+        break;
+    }
+    // Those after which a host still has an answer: a response that breaks off is passed on so.
+    constexpr std::array<ServerFault, 3> FaultKinds = {
+            ServerFault::RejectRequests, ServerFault::DropResponses, ServerFault::NeverRespond};
+    SoakServer *server = this->activeServers[this->random.nextBelow(this->activeServers.size())];
+    server->setFault(FaultKinds[this->random.nextBelow(FaultKinds.size())]);
+    this->runAfter(this->randomFaultDuration(), [server] { server->setFault(ServerFault::None); });
+}
+
+void SoakRun::checkAnswered(const std::string &id, const SoakRequest &request)
+{
+    if (!request.hostInterrupted
+        && this->shutDownAt.count({request.host, request.incarnation}) == 0)
+        this->checker.addViolation("LOST: " + id + " has no answer from host "
+                                   + std::to_string(request.host)
+                                   + ", which was not killed or stopped");
+}
+
+} // namespace dotterel::soak
--- a/tests/platform/soak/soak_run.cpp
+++ b/tests/platform/soak/soak_run.cpp
@@ -98,7 +98,9 @@
     , oddRandom(options.seed + OddSeedOffset)
     , store(this->loop)
     , client(this->loop, KeepAliveHttpClientLimits{})
-    , kind(options.deadlyLoad ? SoakRunKind::DeadlyLoad : drawRunKind(this->random))
+    , kind(options.oddValues    ? SoakRunKind::OddValues
+           : options.deadlyLoad ? SoakRunKind::DeadlyLoad
+                                : drawRunKind(this->random))
 {
     for (const char *pool : PoolNames) {
         for (std::size_t index = 0; index < options.serversPerPool; ++index)
@@ -152,6 +154,8 @@
     this->scheduleOddEntries();
     if (this->kind == SoakRunKind::DeadlyLoad)
         this->startDeadlyLoad();
+    if (this->kind == SoakRunKind::OddValues)
+        this->startOddValues();
     const TimePoint end = this->loop.now() + this->options.faultDuration;
     while (this->loop.now() < end) {
         this->runLoopFor(milliseconds(50));
@@ -190,55 +194,6 @@
     });
 }
 
-// Hosts
-
-void SoakRun::startHost(Host &host)
-{
-    ++host.incarnation;
-    host.callerEndpoint.reset();
-    host.isSuspended = false;
-    host.expectsExit = false;
-    const auto index = static_cast<std::size_t>(&host - this->hosts.data());
-    this->disturbHost(index);
-    this->bounds.onHostInterrupted(index);
-    host.logPath = this->options.directory + "/" + host.name + "-"
-                   + std::to_string(host.incarnation) + ".log";
-    host.process = std::make_unique<support::ChildProcess>(
-            std::vector<std::string>{this->options.gatewayPath, "--settings", host.settingsPath},
-            host.logPath);
-}
-
-void SoakRun::superviseHosts()
-{
-    for (Host &host : this->hosts) {
-        if (!host.process->running()) {
-            if (!host.expectsExit)
-                this->checker.addViolation("unexpected exit: " + host.name
-                                           + " exited by itself, see " + host.logPath);
-            this->startHost(host);
-        }
-        if (host.callerEndpoint)
-            continue;
-        std::ifstream log(host.logPath);
-        std::string line;
-        if (!std::getline(log, line) || log.eof())
-            continue;
-        const Json event = Json::parse(line, nullptr, false);
-        if (event.is_discarded() || !event.contains("callers"))
-            continue;
-        const auto text = event["callers"].get<std::string>();
-        host.callerEndpoint =
-                Endpoint{"127.0.0.1",
-                         static_cast<std::uint16_t>(std::stoi(text.substr(text.rfind(':') + 1)))};
-        this->disturbHost(static_cast<std::size_t>(&host - this->hosts.data()));
-    }
-}
-
-void SoakRun::disturbHost(std::size_t host)
-{
-    this->bounds.setUndisturbedSince(host, this->loop.now());
-}
-
 // Servers and configuration
 
 void SoakRun::addServer(const std::string &pool)
@@ -251,6 +206,8 @@
             this->loop, id, pool, domain, this->checker, this->bounds, this->crashes, this->random,
             [this](SoakServer &server) { this->onServerCrashed(server); }));
     this->activeServers.push_back(this->servers.back().get());
+    this->servers.back()->setLongAnswers(this->kind == SoakRunKind::OddValues
+                                         && !this->faultsEnded);
     if (!this->hosts.empty())
         this->servers.back()->warmUp(fromSeconds(WarmUpSeconds));
     this->registeredServers.insert(id);
@@ -378,10 +335,11 @@
         request.headers.emplace_back("X-Soak-Deadly", load->name);
     request.timeout = timeout + FinalResponseMargin;
     request.requireNewConnection = this->random.nextDouble() < 0.3;
+    const bool hostEnds = targetHost.expectsExit;
     this->fetches[number] = std::make_unique<HttpFetch>(
             this->client, request,
-            [this, number, id](const std::optional<HttpResponse> &response,
-                               const HttpFailure &failure) {
+            [this, number, id, hostEnds](const std::optional<HttpResponse> &response,
+                                         const HttpFailure &failure) {
                 const std::shared_ptr<HttpFetch> finishedFetch = std::move(this->fetches[number]);
                 this->fetches.erase(number);
                 this->loop.disposeLater(finishedFetch);
@@ -390,6 +348,8 @@
                     if (failure.kind == HttpFailureKind::ConnectionLost
                         && this->endedWithGracePeriod(ended))
                         return this->checker.onEndedWithGracePeriod(id);
+                    if (this->kind == SoakRunKind::OddValues && !hostEnds)
+                        this->checkAnswered(id, ended);
                     return this->checker.onFailure(id, failure);
                 }
                 this->checker.onResponse(id, *response, this->loop.now());
--- a/tests/platform/soak/soak_run.h
+++ b/tests/platform/soak/soak_run.h
@@ -27,6 +27,7 @@
     std::size_t serversPerPool = 3; ///< Number of servers in each of the two pools.
     Duration faultDuration = std::chrono::seconds(20);
     bool deadlyLoad = false;    ///< Play SoakRunKind::DeadlyLoad; else the seed decides.
+    bool oddValues = false;     ///< Play SoakRunKind::OddValues.
     double deadlyPartShare = 0; ///< Share of parts of prompts among the deadly load.
 };
 
@@ -36,6 +37,7 @@
     Drills,          ///< The users' drills, with time between them.
     BrokenResponses, ///< Mostly servers whose responses break off or never end.
     DeadlyLoad,      ///< Requests that crash servers, next to faults of hosts and servers.
+    OddValues,       ///< Odd values from outside, next to long answers and faults of hosts.
 };
 
 /// One run of the soak test: starts gateway processes against stand-ins in this process, sends
@@ -76,6 +78,7 @@
         std::optional<Endpoint> callerEndpoint; ///< Absent until the host has logged its port.
         bool isSuspended = false;
         bool expectsExit = false;
+        bool isKilled = false;
     };
 
     /// Starts all hosts; returns false if one does not start.
@@ -86,6 +89,8 @@
     void startHost(Host &host);
     /// Restarts hosts that exited and reads the ports of those that have started.
     void superviseHosts();
+    /// Checks that the process of \a host, which has ended, was told to, and ended as told.
+    void checkExit(Host &host);
     void markInterrupted(std::size_t host);
     void suspendHost(std::size_t host);
     void killHost(std::size_t host);
@@ -119,6 +124,12 @@
     /// Leaves odd objects in the store at times, next to the faults of the run.
     void scheduleOddEntries();
     void leaveOddEntry();
+    /// Begins to play odd values; one server's entry goes through them, with sound ones between.
+    void startOddValues();
+    void playOddEntry();
+    void writeOddEntry();
+    /// Checks that the host of \a request, which got no answer, was killed or told to stop.
+    void checkAnswered(const std::string &id, const SoakRequest &request);
     void restartInSeries();
     void losePower();
     void disturbHost(std::size_t host);
@@ -132,6 +143,7 @@
     void startServerFault();
     void startResponseFault();
     void startFaultBesideDeadlyLoad();
+    void startFaultBesideOddValues();
     void startLinkFault();
     void endAllFaults();
 
@@ -180,6 +192,7 @@
     /// Includes drained servers, which respond until the end of the run.
     std::list<std::unique_ptr<SoakServer>> servers;
     std::vector<SoakServer *> activeServers;
+    SoakServer *oddServer = nullptr; ///< The one whose entry goes through odd values.
     std::uint64_t newestVersion = 0;
     std::map<std::uint64_t, std::unique_ptr<HttpFetch>> fetches;
     std::list<EventLoop::TimerHandle> timers;
--- a/tests/platform/soak/soak_server.cpp
+++ b/tests/platform/soak/soak_server.cpp
@@ -7,6 +7,7 @@
 constexpr int MinProcessingMs = 2;
 constexpr int ProcessingSpreadMs = 40;
 constexpr Duration EventInterval = std::chrono::milliseconds(25);
+constexpr Duration LongEventInterval = std::chrono::milliseconds(190);
 /// A host is only bound by what a server said if their link was not disturbed for this time.
 constexpr Duration ContactTime = std::chrono::seconds(3);
 /// Share of the requests to a faulty server that are affected by its fault.
@@ -253,7 +254,9 @@
     this->checker.onResponseBegun(requestId);
     const auto response = std::make_shared<SoakResponse>(
             makeSoakResponse(headers, parts, isStream, responseBreak, this->random));
-    this->sendPieces(exchange, response, 0, isStream ? EventInterval : Duration::zero());
+    const bool isLong = this->longAnswers && (requestId.back() == '3' || requestId.back() == '6');
+    const Duration interval = isLong ? LongEventInterval : EventInterval;
+    this->sendPieces(exchange, response, 0, isStream ? interval : Duration::zero());
 }
 
 void SoakServer::sendPieces(const RawExchangePtr &exchange,
--- a/tests/platform/soak/soak_server.h
+++ b/tests/platform/soak/soak_server.h
@@ -41,6 +41,9 @@
 
     void setFault(ServerFault newFault) { this->fault = newFault; }
 
+    /// Makes one stream in five last more than a second.
+    void setLongAnswers(bool newLong) { this->longAnswers = newLong; }
+
     /// Says in all responses from now on that this server leaves.
     void leaveByHeader() { this->leaving = true; }
 
@@ -95,6 +98,7 @@
     bool crashed = false;
     ServerFault fault = ServerFault::None;
     bool leaving = false;
+    bool longAnswers = false;
     std::optional<double> limit; ///< In requests per second.
     TimePoint pauseEnd;
     TimePoint warmUntil;
--- a/tests/platform/test_odd_addresses.cpp
+++ b/tests/platform/test_odd_addresses.cpp
@@ -4,6 +4,7 @@
 #include "gateway/host_entries.h"
 #include "gateway/prompt_updates.h"
 #include "platform/odd_object_fleet.h"
+#include "platform/odd_values.h"
 #include "protocol/peer_message.h"
 #include "support/raw_client.h"
 #include "transport/datagram_socket.h"
@@ -20,28 +21,6 @@
 
 namespace {
 
-/// Texts that are no IPv4 address.
-std::vector<std::string> oddAddresses()
-{
-    return {"::1",
-            "[::1]",
-            "::ffff:127.0.0.1",
-            "fe80::1%lo",
-            "nowhere",
-            "localhost",
-            "",
-            " ",
-            "127.1",
-            "127.0.0.1:9",
-            "0.0.0.0:0",
-            "127.0.0.256",
-            " 127.0.0.1",
-            std::string("127.0.0.1\0", 10),
-            std::string("\xc3\xa9\0", 3),
-            "127.0.0.1\r\nX: y",
-            std::string(100'000, 'a')};
-}
-
 std::string hostEntry(const std::string &address)
 {
     return Json{{"failure_domain", "z0"}, {"address", address}, {"peer_port", 9}}.dump();
