A stop that is repeated while a host takes itself apart ends it with exit code 0

What an operator saw: a host that had finished its work after SIGTERM (shutdown_done logged) ended by signal 15, without host_stopped, when SIGTERM came again.

Change: what EventLoop::onSignal() unblocked is blocked again before its handler goes; a signal that was not blocked before stays as it was.

--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -48,6 +48,34 @@
     event *handle;
 };
 
+/// Delivers a signal; blocks it again in the end if it was blocked before.
+class LibeventSignal : public LibeventTimer
+{
+public:
+    LibeventSignal(EventLoop &loop, int number, EventLoop::Callback callback)
+        : LibeventTimer(loop, number, EV_SIGNAL | EV_PERSIST, std::move(callback))
+    {
+        this->add(nullptr);
+        sigemptyset(&this->signals);
+        sigaddset(&this->signals, number);
+        sigset_t earlier{};
+        pthread_sigmask(SIG_UNBLOCK, &this->signals, &earlier);
+        this->wasBlocked = sigismember(&earlier, number) == 1;
+    }
+    ~LibeventSignal() override
+    {
+        // Without its handler the signal would end the process.
+        if (this->wasBlocked)
+            pthread_sigmask(SIG_BLOCK, &this->signals, nullptr);
+    }
+    LibeventSignal(const LibeventSignal &) = delete;
+    LibeventSignal &operator=(const LibeventSignal &) = delete;
+
+private:
+    sigset_t signals{};
+    bool wasBlocked = false;
+};
+
 } // namespace
 
 EventLoop::EventLoop()
@@ -101,14 +129,7 @@
 
 EventLoop::TimerHandle EventLoop::onSignal(int signalNumber, Callback callback)
 {
-    auto timer = std::make_unique<LibeventTimer>(*this, signalNumber, EV_SIGNAL | EV_PERSIST,
-                                                 std::move(callback));
-    timer->add(nullptr);
-    sigset_t delivered{};
-    sigemptyset(&delivered);
-    sigaddset(&delivered, signalNumber);
-    pthread_sigmask(SIG_UNBLOCK, &delivered, nullptr);
-    return timer;
+    return std::make_unique<LibeventSignal>(*this, signalNumber, std::move(callback));
 }
 
 void EventLoop::run()
--- a/tests/entry_host/test_process_end.cpp
+++ b/tests/entry_host/test_process_end.cpp
@@ -184,3 +184,17 @@
     host.process->signal(SIGTERM);
     CHECK(host.process->wait() == 0);
 }
+
+// Guards against a stop that is repeated while a host has stopped and takes itself apart.
+TEST_CASE("A stop that came again ended a host by its signal", "[EntryHost][ProcessEnd]")
+{
+    const int number = GENERATE(SIGTERM, SIGINT, SIGHUP);
+    LoneHost host;
+    host.startWith("{address: 127.0.0.1, port: 0}");
+    REQUIRE(host.becomesTrue([&] { return host.handlesSignals(); }));
+    host.process->signal(SIGTERM);
+    while (host.process->running())
+        host.process->signal(number);
+    CHECK(host.process->wait() == 0);
+    CHECK(host.logs("\"reason\":\"shutdown\""));
+}
