--- a/tests/platform/odd_values.h
+++ b/tests/platform/odd_values.h
@@ -62,4 +62,50 @@
             "\"odd\"", R"("\ud800")", "\"\xff\xfe\"", "0.5",   "[{}]"};
 }
 
+/// Heads of requests that are wrong, odd or cut.
+inline std::vector<std::string> oddRequests()
+{
+    const std::string start = "POST /order/1 HTTP/1.1\r\nHost: soak.example\r\n";
+    return {"",
+            "\x16\x03\x01\x02",
+            std::string(300, 0),
+            "\r\n\r\n\r\n",
+            "GET",
+            "GET / HTTP/9.9\r\n\r\n",
+            "GET http://:99999/%zz%00 HTTP/1.1\r\nHost: \x01\r\n\r\n",
+            start + "X: a\x01\x7f\xff\r\n\r\n",
+            start + "X: a\rb\r\n\r\n",
+            start + ": empty\r\n folded\r\n\r\n",
+            start + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+            start + "Content-Length: 18446744073709551616\r\n\r\n",
+            start + "Content-Length: -1\r\n\r\n",
+            start + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            start + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\nx",
+            start + "Api-Key: k-cakes\r\nX-Request-Id: half\r\nContent-Length: 100\r\n\r\nhalf",
+            start + "Api-Key: k-cakes\r\nX-Request-Id: " + std::string(200, 'r') + "\r\n",
+            start + "Expect: 100-continue\r\nContent-Length: 9\r\n\r\n",
+            start + "Upgrade: websocket\r\nConnection: Upgrade\r\n\r\n",
+            start + "Long: " + std::string(100'000, 'l'),
+            std::string(100'000, 'G')};
+}
+
+/// Payloads of frames that no peer sends: CBOR that is wrong, deep, cut or of other types.
+inline std::vector<std::string> oddFramePayloads()
+{
+    return {"",
+            std::string(1, 0),
+            "\xff",
+            "\x9f",
+            std::string(60'000, '\x81'),
+            std::string(60'000, '\x9f'),
+            "\x5b\xff\xff\xff\xff\xff\xff\xff\xff",
+            "\x9b\x7f\xff\xff\xff\xff\xff\xff\xff",
+            "\xbb\xff\xff\xff\xff\xff\xff\xff\xff",
+            "\xa1\x64type\x63odd",
+            "\xa1\x64type\xf9\x7e",
+            "\xa1\x64type\x1b\xff\xff\xff\xff\xff\xff\xff\xff",
+            "\xa2\x64type\x01\x64type\x02",
+            "{\"type\":1}"};
+}
+
 } // namespace dotterel::support
--- a/tests/platform/soak/soak_hosts.cpp
+++ b/tests/platform/soak/soak_hosts.cpp
@@ -74,10 +74,14 @@
         const Json event = Json::parse(line, nullptr, false);
         if (event.is_discarded() || !event.contains("callers"))
             continue;
-        const auto text = event["callers"].get<std::string>();
-        host.callerEndpoint =
-                Endpoint{"127.0.0.1",
-                         static_cast<std::uint16_t>(std::stoi(text.substr(text.rfind(':') + 1)))};
+        const auto port = [&event](const char *field) {
+            const auto text = event.value(field, ":0");
+            const int number = std::stoi(text.substr(text.rfind(':') + 1));
+            return Endpoint{"127.0.0.1", static_cast<std::uint16_t>(number)};
+        };
+        host.callerEndpoint = port("callers");
+        host.peerEndpoint = port("peers");
+        host.operatorEndpoint = port("operators");
         this->disturbHost(static_cast<std::size_t>(&host - this->hosts.data()));
     }
 }
--- a/tests/platform/soak/soak_odd_values.cpp
+++ b/tests/platform/soak/soak_odd_values.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/odd_values.h"
 #include "platform/soak/soak_run.h"
+#include "support/raw_connection.h"
 
 #include <array>
 
@@ -17,12 +18,24 @@
 constexpr std::uint64_t ValueSpreadMs = 800;
 constexpr std::uint64_t MaxSoundMs = 400;
 constexpr double RecordedShare = 0.5;
+constexpr std::uint64_t MeanConnectionIntervalMs = 60;
+constexpr std::uint64_t MaxConnectionMs = 1'500;
+constexpr std::uint64_t MaxOddFrames = 4;
+constexpr std::uint64_t MaxRandomBytes = 200;
 
 std::string draw(const std::vector<std::string> &values, RandomSource &random)
 {
     return values[random.nextBelow(values.size())];
 }
 
+std::string drawBytes(RandomSource &random)
+{
+    std::string bytes(random.nextBelow(MaxRandomBytes), 0);
+    for (char &byte : bytes)
+        byte = static_cast<char>(random.nextBelow(256));
+    return bytes;
+}
+
 /// Returns \a entry with the JSON text \a value in place of \a field.
 std::string withField(Json entry, const std::string &field, const std::string &value)
 {
@@ -41,6 +54,7 @@
     this->oddServer = this->activeServers.back();
     this->activeServers.pop_back();
     this->playOddEntry();
+    this->playOddConnections();
 }
 
 void SoakRun::playOddEntry()
@@ -92,6 +106,48 @@
                    [this, id] { this->store.remove("servers", id); });
 }
 
+std::string SoakRun::drawOddFrames()
+{
+    std::string bytes = support::RawConnection::upgradeRequest();
+    const std::uint64_t count = this->oddRandom.nextBelow(MaxOddFrames);
+    for (std::uint64_t frame = 0; frame < count; ++frame) {
+        std::string payload = draw(support::oddFramePayloads(), this->oddRandom);
+        if (this->oddRandom.nextDouble() < 0.3)
+            payload = drawBytes(this->oddRandom);
+        // Mostly whole binary messages; else any opcode, whole or not.
+        const bool isBinary = this->oddRandom.nextDouble() < 0.7;
+        const std::uint64_t first = isBinary ? 0x82 : this->oddRandom.nextBelow(256);
+        bytes += support::RawConnection::frame(static_cast<unsigned char>(first), payload);
+    }
+    if (this->oddRandom.nextDouble() < 0.3)
+        bytes.resize(this->oddRandom.nextBelow(bytes.size()));
+    if (this->oddRandom.nextDouble() < 0.2)
+        bytes += drawBytes(this->oddRandom);
+    return bytes;
+}
+
+void SoakRun::playOddConnections()
+{
+    if (this->faultsEnded)
+        return;
+    const Host &host = this->hosts[this->oddRandom.nextBelow(this->hosts.size())];
+    if (host.callerEndpoint) {
+        const std::uint64_t port = this->oddRandom.nextBelow(4);
+        const bool asPeer = port >= 2 && this->oddRandom.nextDouble() < 0.8;
+        const std::string bytes =
+                asPeer ? this->drawOddFrames() : draw(support::oddRequests(), this->oddRandom);
+        const auto client = this->rawClients.emplace(this->rawClients.end(), this->loop,
+                                                     port == 0   ? *host.callerEndpoint
+                                                     : port == 1 ? host.operatorEndpoint
+                                                                 : host.peerEndpoint);
+        client->send(bytes);
+        this->runAfter(milliseconds(1 + this->oddRandom.nextBelow(MaxConnectionMs)),
+                       [this, client] { this->rawClients.erase(client); });
+    }
+    this->runAfter(milliseconds(1 + this->oddRandom.nextBelow(2 * MeanConnectionIntervalMs)),
+                   [this] { this->playOddConnections(); });
+}
+
 void SoakRun::startFaultBesideOddValues()
 {
     switch (this->random.nextBelow(8)) {
--- a/tests/platform/soak/soak_run.h
+++ b/tests/platform/soak/soak_run.h
@@ -6,6 +6,7 @@
 #include "platform/soak/soak_server.h"
 #include "platform/soak/soak_store.h"
 #include "support/child_process.h"
+#include "support/raw_client.h"
 #include "transport/keep_alive_http_client.h"
 
 #include <deque>
@@ -76,6 +77,8 @@
         std::unique_ptr<support::ChildProcess> process;
         std::uint64_t incarnation = 0;
         std::optional<Endpoint> callerEndpoint; ///< Absent until the host has logged its port.
+        Endpoint peerEndpoint;                  ///< As callerEndpoint.
+        Endpoint operatorEndpoint;
         bool isSuspended = false;
         bool expectsExit = false;
         bool isKilled = false;
@@ -128,6 +131,10 @@
     void startOddValues();
     void playOddEntry();
     void writeOddEntry();
+    /// Sends odd bytes to the ports of hosts, again and again, and leaves soon after.
+    void playOddConnections();
+    /// Returns an upgrade with odd frames behind it, cut at any byte.
+    std::string drawOddFrames();
     /// Checks that the host of \a request, which got no answer, was killed or told to stop.
     void checkAnswered(const std::string &id, const SoakRequest &request);
     void restartInSeries();
@@ -195,6 +202,7 @@
     SoakServer *oddServer = nullptr; ///< The one whose entry goes through odd values.
     std::uint64_t newestVersion = 0;
     std::map<std::uint64_t, std::unique_ptr<HttpFetch>> fetches;
+    std::list<support::RawClient> rawClients;
     std::list<EventLoop::TimerHandle> timers;
     std::uint64_t nextRequestNumber = 1;
     std::uint64_t nextServerNumber = 1;
