A frame that finds no memory closes its link, not the host

Callers lost every request at the host: it ended by SIGSEGV when libevent had no memory for a frame to a peer.

Cause: a write handler that fails makes websocketpp close the connection below send(), which returns success; sendFrame() then read the output of the stream that was gone.

Change: sendFrame() returns if the link has closed meanwhile.

--- a/src/transport/websocket_link.cpp
+++ b/src/transport/websocket_link.cpp
@@ -131,10 +131,12 @@
             return;
         const websocketpp::lib::error_code error = this->connection->send(
                 bytes.data(), bytes.size(), websocketpp::frame::opcode::binary);
+        // A write that fails has closed the link.
+        if (this->closed)
+            return;
         if (error)
             this->closeLink(LinkCloseReason::ProtocolError);
-        else if (evbuffer_get_length(bufferevent_get_output(this->stream))
-                 > this->limits.maxUnsentBytes)
+        else if (this->unsentBytes() > this->limits.maxUnsentBytes)
             this->closeLink(LinkCloseReason::PeerTooSlow);
     }
 
--- a/tests/transport/test_websocket_link.cpp
+++ b/tests/transport/test_websocket_link.cpp
@@ -4,6 +4,8 @@
 #include "support/raw_connection.h"
 
 #include <catch2/catch.hpp>
+#include <cstdlib>
+#include <event2/event.h>
 #include <optional>
 
 using namespace dotterel;
@@ -83,6 +85,24 @@
     WebsocketListener listener;
 };
 
+/// libevent gets no memory for a block of MinBytes or more, as long as this exists.
+class NoMemoryForFrames
+{
+public:
+    NoMemoryForFrames() { event_set_mem_functions(&allocate, &std::realloc, &std::free); }
+    ~NoMemoryForFrames() { event_set_mem_functions(nullptr, nullptr, nullptr); }
+    NoMemoryForFrames(const NoMemoryForFrames &) = delete;
+    NoMemoryForFrames &operator=(const NoMemoryForFrames &) = delete;
+
+private:
+    static constexpr std::size_t MinBytes = 2'048;
+
+    static void *allocate(std::size_t size)
+    {
+        return size < MinBytes ? std::malloc(size) : nullptr;
+    }
+};
+
 struct InvalidFrame
 {
     const char *name;
@@ -324,3 +344,16 @@
         CHECK(sound);
     }
 }
+
+// Guards against a failed write that closes the link below the send.
+TEST_CASE("A frame that found no memory ended the process", "[Transport][WebsocketLink]")
+{
+    ListenerFixture fixture;
+    RawConnection peer(fixture.listener.endpoint());
+    REQUIRE(fixture.performHandshake(peer));
+    {
+        const NoMemoryForFrames noMemory;
+        fixture.acceptedLinks.back()->link->sendFrame(std::string(4'000, 'a'));
+    }
+    CHECK(fixture.lastObserver().closeReason);
+}
