Calls that fail at once are reported from the event loop

A call of HttpClient to an address without a route was reported as failed before send() had returned. Owners release the fetch then: HttpObjectStore, DrainingServerProber and others assign the new fetch to a place that they have just erased. Users of HttpClient are dotterelfieldd and dotterelctl; the gateway's client reports such failures from the loop already.

Cause: evhttp_make_request() runs the callback of the request below itself if connect() fails at once (no route, no descriptor), and its own result was ignored: on -1 there is no callback, and the call would wait for its timeout.

Change: a failure before the end of the constructor, and a result of -1, are reported by a timer, as KeepAliveHttpClient does.

The result of -1 is handled without a test.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -107,8 +107,12 @@
         evhttp_add_header(headers, "Connection", "close");
         if (this->body != nullptr)
             this->addBody(evhttp_request_get_output_buffer(evhttpRequest));
-        evhttp_make_request(this->connection, evhttpRequest, evhttpMethod(request.method),
-                            request.target.c_str());
+        const bool made = evhttp_make_request(this->connection, evhttpRequest,
+                                              evhttpMethod(request.method), request.target.c_str())
+                          == 0;
+        this->starting = false;
+        if (!made)
+            this->scheduleConnectFailure();
     }
     ~EvhttpCall()
     {
@@ -171,6 +175,15 @@
             this->scheduleMalformed();
     }
 
+    /// Reports a failure to connect from the event loop, since the caller has no handle yet.
+    void scheduleConnectFailure()
+    {
+        this->timer = this->loop.after(Duration::zero(), [this] {
+            if (HttpResponseListener *notifiedListener = std::exchange(this->listener, nullptr))
+                this->reportFailure(*notifiedListener);
+        });
+    }
+
     /// Ends the call from the event loop, since evhttp is reading.
     void scheduleMalformed()
     {
@@ -233,6 +246,8 @@
     static void onRequestFinished(evhttp_request *request, void *argument)
     {
         EvhttpCall *call = self(argument);
+        if (call->starting)
+            return call->scheduleConnectFailure();
         // The timer of scheduleMalformed() reports the end.
         if (call->malformed)
             return;
@@ -275,6 +290,7 @@
     std::shared_ptr<const std::string> body;
     evhttp_connection *connection = nullptr;
     EventLoop::TimerHandle timer;
+    bool starting = true;
     bool requestBytesWritten = false;
     bool headReceived = false;
     bool malformed = false;
--- a/tests/transport/test_faulty_responses.cpp
+++ b/tests/transport/test_faulty_responses.cpp
@@ -160,3 +160,22 @@
         CHECK(recorder.status == 0);
     }
 }
+
+// Guards against a failure that an owner hears of before it has its call: the owner of a fetch
+// releases it then.
+TEST_CASE("A call that failed at once was reported before its owner had it",
+          "[Transport][FaultyResponses]")
+{
+    const bool keepsAlive = GENERATE(true, false);
+    CAPTURE(keepsAlive);
+    ClientFixture fixture;
+    const std::unique_ptr<HttpSender> client = fixture.makeClient(keepsAlive);
+    Recorder recorder;
+    // No route leads there, so that connect() fails without a packet.
+    const auto call = client->send(ClientFixture::requestTo({"255.255.255.255", 9}), recorder);
+    CHECK_FALSE(recorder.hasEnded());
+    REQUIRE(fixture.becomesTrue([&] { return recorder.hasEnded(); }, BoundTime));
+    REQUIRE(recorder.failure);
+    CHECK(recorder.failure->kind == HttpFailureKind::ConnectFailed);
+    CHECK(recorder.failure->verdict == Verdict::NotRun);
+}
