All signals that end a host leave a last line

A host that SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGSYS, SIGSTKFLT or a real-time signal ended left no `host_stopped`: in a record it looks like SIGKILL.

Cause: the list of signals had nine of those whose usual effect ends a process.

Change: the list has the others, and the real-time signals are handled as well.

--- a/src/entry_host/process_end_report.cpp
+++ b/src/entry_host/process_end_report.cpp
@@ -35,7 +35,7 @@
 
 /// Signals that end a process which does not handle them, and may come from its own code or from
 /// its surroundings.
-constexpr std::array<SignalName, 9> FatalSignals = {{
+constexpr std::array<SignalName, 15> FatalSignals = {{
         {SIGSEGV, "SIGSEGV"},
         {SIGBUS, "SIGBUS"},
         {SIGFPE, "SIGFPE"},
@@ -45,7 +45,14 @@
         {SIGQUIT, "SIGQUIT"},
         {SIGXCPU, "SIGXCPU"},
         {SIGALRM, "SIGALRM"},
+        {SIGVTALRM, "SIGVTALRM"},
+        {SIGPROF, "SIGPROF"},
+        {SIGIO, "SIGIO"},
+        {SIGPWR, "SIGPWR"},
+        {SIGSYS, "SIGSYS"},
+        {SIGSTKFLT, "SIGSTKFLT"},
 }};
+constexpr std::string_view RealTimeSignalName = "real_time";
 
 constexpr std::size_t MaxLineBytes = 1'024;
 constexpr std::size_t MaxErrorBytes = 300;
@@ -174,7 +181,7 @@
         if (known.number == number)
             return known.name;
     }
-    return "unknown";
+    return RealTimeSignalName;
 }
 
 /// The handler is reset when it is called, so that the signal ends the process on return.
@@ -205,25 +212,33 @@
     writeLastLine(ProcessEndReason::Exit, "", "", -1);
 }
 
+/// Installs the handler of \a number, unless the signal is handled or ignored.
+void installSignalHandler(int number, int flags)
+{
+    struct sigaction present
+    {};
+    if (sigaction(number, nullptr, &present) != 0 || present.sa_handler != SIG_DFL)
+        return;
+    struct sigaction action
+    {};
+    action.sa_handler = &onFatalSignal;
+    action.sa_flags = flags;
+    sigemptyset(&action.sa_mask);
+    sigaction(number, &action, nullptr);
+}
+
 void installSignalHandlers()
 {
     stack_t stack{};
     stack.ss_sp = handlerStack.data();
     stack.ss_size = handlerStack.size();
-    const bool hasStack = sigaltstack(&stack, nullptr) == 0;
-    for (const SignalName &fatal : FatalSignals) {
-        struct sigaction present
-        {};
-        if (sigaction(fatal.number, nullptr, &present) != 0 || present.sa_handler != SIG_DFL)
-            continue;
-        struct sigaction action
-        {};
-        action.sa_handler = &onFatalSignal;
-        // A stack overflow leaves no room for the handler on the stack of the thread.
-        action.sa_flags = static_cast<int>(SA_RESETHAND) | (hasStack ? SA_ONSTACK : 0);
-        sigemptyset(&action.sa_mask);
-        sigaction(fatal.number, &action, nullptr);
-    }
+    // A stack overflow leaves no room for the handler on the stack of the thread.
+    const int stackFlag = sigaltstack(&stack, nullptr) == 0 ? SA_ONSTACK : 0;
+    const int flags = static_cast<int>(SA_RESETHAND) | stackFlag;
+    for (const SignalName &fatal : FatalSignals)
+        installSignalHandler(fatal.number, flags);
+    for (int number = SIGRTMIN; number <= SIGRTMAX; ++number)
+        installSignalHandler(number, flags);
 }
 
 } // namespace
--- a/tests/entry_host/test_process_end.cpp
+++ b/tests/entry_host/test_process_end.cpp
@@ -146,6 +146,17 @@
         CHECK(host.logs(R"("reason":"signal","signal":"SIGABRT",)"));
         CHECK(host.logs("event_base_loop"));
     }
+    SECTION("a signal that no code of the host raises")
+    {
+        const int number =
+                GENERATE(SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGSYS, SIGSTKFLT, SIGRTMIN, SIGRTMAX);
+        CAPTURE(number);
+        host.startWith("{address: 127.0.0.1, port: 0}");
+        REQUIRE(host.becomesTrue([&] { return host.handlesSignals(); }));
+        host.process->signal(number);
+        CHECK(host.process->wait() == -number);
+        CHECK(host.logs(R"("reason":"signal","signal":)"));
+    }
 }
 
 // Guards against a reload or a stop that comes while a host starts.
