Names that no header can carry are rejected

Names of servers, services and workspaces (tenants) go into headers of requests to servers and other hosts as they are. One with CR and LF adds a header of its writer's choice, and one with another control character makes a head that receivers refuse: each request of that workspace, or to that server, would fail. Read in the code; not played with servers.

Change: isHeaderValue(), the rule of the message parser, is the rule for these names too. An odd server costs itself only (`object_rejected`); an odd name in a configuration rejects that version, as other odd fields do.

--- a/src/transport/http_message_parser.cpp
+++ b/src/transport/http_message_parser.cpp
@@ -1,5 +1,7 @@
 #include "transport/http_message_parser.h"
 
+#include "transport/header_value.h"
+
 #include <algorithm>
 #include <cctype>
 #include <http_parser.h>
@@ -21,15 +23,6 @@
     return std::isalnum(byte) != 0 || Symbols.find(static_cast<char>(byte)) != Symbols.npos;
 }
 
-/// Returns true for a byte that may end a value early for some readers (RFC 9110, 5.5).
-bool isControlCharacter(char letter)
-{
-    constexpr unsigned char FirstPrintable = 0x20;
-    constexpr unsigned char Delete = 0x7f;
-    const auto byte = static_cast<unsigned char>(letter);
-    return (byte < FirstPrintable && letter != '\t') || byte == Delete;
-}
-
 /// Returns true if all readers of \a headers agree on the names, on the values and on the framing
 /// of the body (RFC 9112, 5.1 and 6.1).
 bool hasUnambiguousFields(const HttpHeaders &headers)
@@ -38,7 +31,7 @@
     for (const auto &[name, value] : headers) {
         if (name.empty() || !std::all_of(name.begin(), name.end(), isTokenCharacter))
             return false;
-        if (std::any_of(value.begin(), value.end(), isControlCharacter))
+        if (!isHeaderValue(value))
             return false;
         if (!equalHeaderNames(name, "Transfer-Encoding"))
             continue;
--- a/tests/platform/test_platform_protocol.cpp
+++ b/tests/platform/test_platform_protocol.cpp
@@ -1,6 +1,7 @@
 #include "platform_protocol.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace dotterel;
 using dotterel::platform::PlatformProtocol;
@@ -258,6 +259,22 @@
             CHECK_FALSE(parsed.error().empty());
         }
     }
+    SECTION("a name that no header can carry is rejected")
+    {
+        const std::string name = GENERATE(as<std::string>(), "a\r\nX-Tenant: b", "a\nb",
+                                          std::string("a\0b", 3), "a\x7f", "\x01");
+        const std::string quoted = nlohmann::json(name).dump();
+        const std::string entry =
+                R"("address":"10.0.0.1:80","zone":"z","slots":1,"state":"ready"})";
+        const std::string start = R"({"version":7,"routes":[],"services":[{"name":)";
+        INFO(quoted);
+        CHECK(protocol.parseServer("i-1", R"({"service":"llm",)" + entry));
+        CHECK_FALSE(protocol.parseServer(name, R"({"service":"llm",)" + entry));
+        CHECK(protocol.parseConfiguration(start + R"("llm"}]})"));
+        CHECK_FALSE(protocol.parseConfiguration(start + quoted + "}]}"));
+        CHECK_FALSE(protocol.parseConfiguration(start + R"("llm"}],"tenants":[{"name":)" + quoted
+                                                + R"(,"api_keys":["k"]}]})"));
+    }
     SECTION("an invalid configuration is rejected")
     {
         for (const char *invalidText :
