--- a/tests/platform/odd_values.h
+++ b/tests/platform/odd_values.h
@@ -108,4 +108,57 @@
             "{\"type\":1}"};
 }
 
+/// Responses of servers that are no answer; \a id is that of the request.
+inline std::vector<std::string> oddResponses(const std::string &id)
+{
+    const std::string ids = "X-Request-Id: " + id + "\r\nX-Server-Seal: seal-" + id + "\r\n";
+    const std::string start = "HTTP/1.1 200 OK\r\n" + ids;
+    std::string continues;
+    for (int number = 0; number < 1'000; ++number)
+        continues += "HTTP/1.1 100 Continue\r\n\r\n";
+    return {"\r\n",
+            std::string(300, 0),
+            "\xff\xfe no answer\r\n\r\n",
+            "HTTP/1.1\r\n\r\n",
+            "HTTP/1.1 99999999999999999999 X\r\n\r\n",
+            "HTTP/1.1 -1 X\r\n" + ids + "\r\n",
+            "HTTP/1.1 99 X\r\n" + ids + "\r\n",
+            "HTTP/1.1 101 Switching\r\nUpgrade: websocket\r\n" + ids + "\r\n",
+            "HTTP/9.9 200 OK\r\n" + ids + "\r\n",
+            continues,
+            start + "X: a\x01\x7f\r\nContent-Length: x\r\n\r\n",
+            start + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+            start + "Content-Length: 18446744073709551616\r\n\r\n",
+            start + "Content-Length: -1\r\n\r\n",
+            start + ": empty\r\n\r\n",
+            start + "no colon\r\n\r\n",
+            start + "Server-Limit: 1e999\r\nX-Cold-Ms: -1\r\nRetry-After: nan\r\n: \r\n\r\n",
+            start + "Long: " + std::string(100'000, 'l'),
+            std::string(100'000, 'H')};
+}
+
+/// Answers of a store whose bodies it would not give.
+inline std::vector<std::string> oddStoreBodies()
+{
+    return {"",
+            "nul",
+            "{",
+            "null",
+            "[]",
+            "0",
+            "\"\xff\"",
+            "{}",
+            std::string(100'000, '['),
+            R"({"items":{},"more":false,"at":"x"})",
+            R"({"items":[null],"more":"yes","at":200})",
+            R"({"items":[{}],"more":false,"at":1e400})",
+            R"({"items":[{"metadata":{"name":5,"rev":-1},"spec":null}],"more":false,"at":200})",
+            R"({"items":[{"metadata":[],"spec":{}}],"more":false,"at":-1})",
+            R"({"events":null,"at":200})",
+            R"({"events":[[]],"at":200})",
+            R"({"events":[{"object":null,"removed":"no"}],"at":null})",
+            R"({"events":[{"object":{"metadata":{"name":"main"}},"removed":1}],"at":1.5})",
+            R"({"metadata":{"name":"x","rev":"y"}})"};
+}
+
 } // namespace dotterel::support
--- a/tests/platform/soak/soak_odd_values.cpp
+++ b/tests/platform/soak/soak_odd_values.cpp
@@ -150,7 +150,7 @@
 
 void SoakRun::startFaultBesideOddValues()
 {
-    switch (this->random.nextBelow(8)) {
+    switch (this->random.nextBelow(10)) {
     case 0:
         return this->publishConfiguration();
     case 1:
@@ -160,12 +160,20 @@
     case 3:
     case 4:
         return this->startHostFault(this->random.nextBelow(this->hosts.size()));
+    case 5:
+        this->disturbAllHosts();
+        this->store.setFault(StoreFault::OddResponses);
+        return this->runAfter(this->randomFaultDuration(), [this] {
+            this->store.setFault(StoreFault::None);
+            this->disturbAllHosts();
+        });
     default:
         break;
     }
     // Those after which a host still has an answer: a response that breaks off is passed on so.
-    constexpr std::array<ServerFault, 3> FaultKinds = {
-            ServerFault::RejectRequests, ServerFault::DropResponses, ServerFault::NeverRespond};
+    constexpr std::array<ServerFault, 4> FaultKinds = {
+            ServerFault::RejectRequests, ServerFault::DropResponses, ServerFault::NeverRespond,
+            ServerFault::OddResponses};
     SoakServer *server = this->activeServers[this->random.nextBelow(this->activeServers.size())];
     server->setFault(FaultKinds[this->random.nextBelow(FaultKinds.size())]);
     this->runAfter(this->randomFaultDuration(), [server] { server->setFault(ServerFault::None); });
--- a/tests/platform/soak/soak_server.cpp
+++ b/tests/platform/soak/soak_server.cpp
@@ -1,5 +1,7 @@
 #include "platform/soak/soak_server.h"
 
+#include "platform/odd_values.h"
+
 namespace dotterel::soak {
 
 namespace {
@@ -169,6 +171,10 @@
     if (injectsFault && this->fault == ServerFault::DropResponses)
         return this->runAfter(processingTime,
                               [exchange] { exchange->end(ConnectionEnd::InOrder); });
+    if (injectsFault && this->fault == ServerFault::OddResponses)
+        return this->runAfter(processingTime, [this, exchange, requestId] {
+            this->sendOddResponse(exchange, requestId);
+        });
     if (floods)
         return this->startFlood(exchange, requestId, floodKind);
     ResponseBreak responseBreak = ResponseBreak::None;
@@ -278,6 +284,14 @@
     });
 }
 
+void SoakServer::sendOddResponse(const RawExchangePtr &exchange, const std::string &requestId)
+{
+    const std::vector<std::string> responses = support::oddResponses(requestId);
+    exchange->write(responses[this->random.nextBelow(responses.size())]);
+    exchange->end(this->random.nextDouble() < 0.5 ? ConnectionEnd::InOrder
+                                                  : ConnectionEnd::KeepOpen);
+}
+
 void SoakServer::startFlood(const RawExchangePtr &exchange, const std::string &requestId,
                             std::uint64_t kind)
 {
--- a/tests/platform/soak/soak_server.h
+++ b/tests/platform/soak/soak_server.h
@@ -24,6 +24,7 @@
     NeverRespond,   ///< Runs the request and never responds.
     TearResponses,  ///< Ends the response and its connection in order, at any byte.
     ResetResponses, ///< Resets the connection at any byte of the response.
+    OddResponses,   ///< Sends bytes that are no answer, whole or without end.
     FloodResponses, ///< Sends a refusal, an error, an unsigned response or an event without end.
 };
 
@@ -80,6 +81,7 @@
     /// Writes the pieces of \a response from number \a next on, with pauses between events.
     void sendPieces(const RawExchangePtr &exchange, const std::shared_ptr<SoakResponse> &response,
                     std::size_t next, Duration pause);
+    void sendOddResponse(const RawExchangePtr &exchange, const std::string &requestId);
     /// Begins a response without end of \a kind, and goes on until the peer closes.
     void startFlood(const RawExchangePtr &exchange, const std::string &requestId,
                     std::uint64_t kind);
--- a/tests/platform/soak/soak_store.cpp
+++ b/tests/platform/soak/soak_store.cpp
@@ -1,5 +1,7 @@
 #include "platform/soak/soak_store.h"
 
+#include "platform/odd_values.h"
+
 #include <algorithm>
 
 namespace dotterel::soak {
@@ -9,6 +11,8 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t MaxBodyBytes = 1UL << 20U;
+/// Number of cut responses among odd ones, each of another length.
+constexpr std::size_t CutResponses = 8;
 constexpr Duration CallDelay = std::chrono::milliseconds(400);
 const std::string ObjectsPath = "/-/objects/";
 const std::string TextReference = "text of putText() ";
@@ -135,7 +139,15 @@
         return exchange->abort();
     HttpHeaders headers = this->eraHeaders();
     headers.emplace_back("Content-Type", "application/json");
-    exchange->reply(status, headers, this->serialize(body));
+    std::string text = this->serialize(body);
+    if (this->fault == StoreFault::OddResponses) {
+        const std::vector<std::string> odd = support::oddStoreBodies();
+        const std::size_t number = this->oddResponses++ % (odd.size() + CutResponses);
+        text = number < odd.size()
+                       ? odd[number]
+                       : text.substr(0, text.size() * (number - odd.size()) / CutResponses);
+    }
+    exchange->reply(status, headers, text);
 }
 
 void SoakStore::executeCall(const HttpExchangePtr &exchange)
--- a/tests/platform/soak/soak_store.h
+++ b/tests/platform/soak/soak_store.h
@@ -18,6 +18,7 @@
     DelayCalls,       ///< Executes calls late.
     CloseConnections, ///< Closes the connection and does not execute the call.
     DropResponses,    ///< Executes the call and closes the connection without a response.
+    OddResponses,     ///< Executes the call and responds with odd bytes, or a part of the response.
 };
 
 /// Stand-in for the platform's metadata store: objects by kind and name, a store-wide revision,
@@ -115,6 +116,7 @@
     std::list<Watch> watches;
     std::list<EventLoop::TimerHandle> delayTimers;
     HttpServer server;
+    std::size_t oddResponses = 0;
     std::vector<std::string> texts; ///< Of putText(); values refer to them by number.
 };
 
