--- a/src/entry_host/process_end_report.cpp
+++ b/src/entry_host/process_end_report.cpp
@@ -34,8 +34,8 @@
 };
 
 /// Signals that end a process which does not handle them, and may come from its own code or from
-/// its surroundings.
-constexpr std::array<SignalName, 15> FatalSignals = {{
+/// its surroundings. SIGSYS and real-time signals are left to the tools that use them.
+constexpr std::array<SignalName, 14> FatalSignals = {{
         {SIGSEGV, "SIGSEGV"},
         {SIGBUS, "SIGBUS"},
         {SIGFPE, "SIGFPE"},
@@ -49,10 +49,8 @@
         {SIGPROF, "SIGPROF"},
         {SIGIO, "SIGIO"},
         {SIGPWR, "SIGPWR"},
-        {SIGSYS, "SIGSYS"},
         {SIGSTKFLT, "SIGSTKFLT"},
 }};
-constexpr std::string_view RealTimeSignalName = "real_time";
 
 constexpr std::size_t MaxLineBytes = 1'024;
 constexpr std::size_t MaxErrorBytes = 300;
@@ -181,7 +179,7 @@
         if (known.number == number)
             return known.name;
     }
-    return RealTimeSignalName;
+    return "unknown";
 }
 
 /// The handler is reset when it is called, so that the signal ends the process on return.
@@ -237,8 +235,6 @@
     const int flags = static_cast<int>(SA_RESETHAND) | stackFlag;
     for (const SignalName &fatal : FatalSignals)
         installSignalHandler(fatal.number, flags);
-    for (int number = SIGRTMIN; number <= SIGRTMAX; ++number)
-        installSignalHandler(number, flags);
 }
 
 } // namespace
