--- a/tests/protocol/test_peer_message.cpp
+++ b/tests/protocol/test_peer_message.cpp
@@ -1,6 +1,7 @@
 #include "protocol/peer_message.h"
 
 #include "core/random_source.h"
+#include "gateway/prompt_updates.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -77,6 +78,19 @@
     }
 }
 
+// Guards against one datagram or frame that takes the whole stack.
+TEST_CASE("Strings of indefinite length within each other ended the process",
+          "[Protocol][PeerMessage]")
+{
+    const std::string opening = GENERATE(as<std::string>{}, "\x5f", "\x7f");
+    const std::string before = GENERATE(as<std::string>{}, "", "\xa1\x61t", "\x82\x19\x01\x02");
+    std::string bytes = before;
+    for (int level = 0; level < 500'000; ++level)
+        bytes += opening;
+    CHECK_FALSE(decodePeerMessage(bytes));
+    CHECK_FALSE(decodePromptUpdates(bytes));
+}
+
 TEST_CASE("Announced and offered objects carry their era and version", "[Protocol][PeerMessage]")
 {
     SECTION("through both directions")
