A report of an exception that fails itself ends no host

What could be seen: a host short of memory ended with SIGABRT, or with exit code 4 and std::bad_alloc as the reason. The contained exception was reported, the report needs memory for a line of the log, and its exception left through libevent.

Change: EventLoop writes what its fault handler throws to standard error. A timer's callback is copied within what is contained, a timer that libevent has no memory for throws in place of a null event, and objects that wait for their end are not kept for good if the timer of disposeLater() could not be set.

Test: "The report of an exception failed and ended the process", which failed on with std::bad_alloc out of the loop.

--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -1,8 +1,10 @@
 #include "transport/event_loop.h"
 
 #include <csignal>
+#include <cstdio>
 #include <ctime>
 #include <event2/event.h>
+#include <new>
 #include <stdexcept>
 
 namespace dotterel {
@@ -27,7 +29,10 @@
         : loop(loop)
         , callback(std::move(callback))
         , handle(event_new(loop.base(), descriptor, flags, &LibeventTimer::onEvent, this))
-    {}
+    {
+        if (this->handle == nullptr)
+            throw std::bad_alloc();
+    }
     ~LibeventTimer() override { event_free(this->handle); }
     LibeventTimer(const LibeventTimer &) = delete;
     LibeventTimer &operator=(const LibeventTimer &) = delete;
@@ -37,10 +42,12 @@
 private:
     static void onEvent(evutil_socket_t /*descriptor*/, short /*what*/, void *self)
     {
-        // The callback may destroy this timer, so it is called through a copy.
-        EventLoop &loop = static_cast<LibeventTimer *>(self)->loop;
-        const EventLoop::Callback callback = static_cast<LibeventTimer *>(self)->callback;
-        loop.contain("timer", callback);
+        auto *timer = static_cast<LibeventTimer *>(self);
+        timer->loop.contain("timer", [timer] {
+            // The callback may destroy this timer, so it is called through a copy.
+            const EventLoop::Callback callback = timer->callback;
+            callback();
+        });
     }
 
     EventLoop &loop;
@@ -130,12 +137,26 @@
 void EventLoop::disposeLater(std::shared_ptr<void> object)
 {
     this->pendingDisposal.push_back(std::move(object));
-    if (this->pendingDisposal.size() > 1)
+    if (this->disposalTimer)
         return;
-    this->disposalTimer = this->after(Duration::zero(), [this] {
-        const std::vector<std::shared_ptr<void>> objects = std::move(this->pendingDisposal);
-        this->pendingDisposal.clear();
+    // Without memory for the timer, the next call sets it.
+    this->contain("disposal", [this] {
+        this->disposalTimer = this->after(Duration::zero(), [this] {
+            const std::vector<std::shared_ptr<void>> objects = std::move(this->pendingDisposal);
+            this->pendingDisposal.clear();
+            this->disposalTimer.reset();
+        });
     });
 }
 
+void EventLoop::reportFault(std::string_view source, const std::exception &error) noexcept
+{
+    try {
+        this->faultHandler(source, error);
+    } catch (const std::exception &secondError) {
+        std::fprintf(stderr, "%.*s: %s; the report failed: %s\n", static_cast<int>(source.size()),
+                     source.data(), error.what(), secondError.what());
+    }
+}
+
 } // namespace dotterel
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -61,7 +61,8 @@
     /// Receives exceptions that left the handling of one event, with the name of what handled it.
     using FaultHandler = std::function<void(std::string_view source, const std::exception &error)>;
 
-    /// Sets the receiver of exceptions; without one they end run().
+    /// Sets the receiver of exceptions; without one they end run(). What it throws itself, as when
+    /// memory is short, is written to standard error.
     void setFaultHandler(FaultHandler handler) { this->faultHandler = std::move(handler); }
 
     /// Runs \a handling, the handling of one event by \a source. An exception costs this event
@@ -75,7 +76,7 @@
         } catch (const std::exception &error) {
             if (!this->faultHandler)
                 throw;
-            this->faultHandler(source, error);
+            this->reportFault(source, error);
             return false;
         }
     }
@@ -84,6 +85,8 @@
     event_base *base() const { return this->eventBase; }
 
 private:
+    void reportFault(std::string_view source, const std::exception &error) noexcept;
+
     event_base *eventBase;
     std::vector<std::shared_ptr<void>> pendingDisposal;
     TimerHandle disposalTimer;
--- a/tests/transport/test_contained_faults.cpp
+++ b/tests/transport/test_contained_faults.cpp
@@ -9,6 +9,7 @@
 
 #include <catch2/catch.hpp>
 #include <functional>
+#include <new>
 #include <stdexcept>
 
 using namespace dotterel;
@@ -245,3 +246,16 @@
     CHECK(fixture.becomesTrue([&sound] { return sound.ended; }));
     CHECK(sound.status == 200);
 }
+
+// Guards against missing memory, when a line of the log needs some too.
+TEST_CASE("The report of an exception failed and ended the process", "[Transport][ContainedFaults]")
+{
+    FaultFixture fixture;
+    int reports = 0;
+    fixture.loop.setFaultHandler([&reports](std::string_view, const std::exception &) {
+        ++reports;
+        throw std::bad_alloc();
+    });
+    const auto timer = fixture.loop.every(milliseconds(10), [] { throw std::bad_alloc(); });
+    CHECK(fixture.becomesTrue([&reports] { return reports >= 2; }));
+}
