Missing memory for a connection ends no host

What could be seen: a host short of memory ended with SIGSEGV when a connection was accepted or made.

Cause: bufferevent_socket_new() returns null then, and nobody looked.

Change: newStream() throws std::bad_alloc and closes the descriptor; the accepting server or the caller of send() and connectWebsocket() contains that. evhttp refuses a connection without a stream. A call whose start fails leaves no listener behind, a body is not sent without its head, and bytes of a link are copied within what is contained.

Test: "Missing memory for a connection ended the process", which ended with SIGSEGV in each of its four sections on.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,5 +1,7 @@
 #include "transport/http_client.h"
 
+#include "transport/socket_options.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -77,7 +79,7 @@
         , listener(&listener)
         , body(request.body)
     {
-        bufferevent *stream = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+        bufferevent *stream = newStream(loop.base(), -1);
         this->connection = evhttp_connection_base_bufferevent_new(loop.base(), nullptr, stream,
                                                                   request.endpoint.address.c_str(),
                                                                   request.endpoint.port);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -392,8 +392,10 @@
 {
     HttpServer *server = static_cast<HttpServer *>(self);
     bufferevent *stream = bufferevent_socket_new(server->loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-    evbuffer_add_cb(bufferevent_get_input(stream), &HttpServer::onInputChanged,
-                    server->state.get());
+    // evhttp refuses the connection if it cannot make a stream either.
+    if (stream != nullptr)
+        evbuffer_add_cb(bufferevent_get_input(stream), &HttpServer::onInputChanged,
+                        server->state.get());
     return stream;
 }
 
--- a/src/transport/keep_alive_http_client.cpp
+++ b/src/transport/keep_alive_http_client.cpp
@@ -79,7 +79,13 @@
         connection = std::make_shared<Connection>(*this, request.endpoint);
     }
     this->busyConnections.emplace(connection.get(), connection);
-    connection->start(request, listener, isReused);
+    try {
+        connection->start(request, listener, isReused);
+    } catch (...) {
+        // The listener may be gone when bytes arrive.
+        this->discardConnection(connection.get());
+        throw;
+    }
     // An immediate failure is reported from the event loop, since the caller has no handle yet.
     if (!isReused && !connection->connect())
         connection->scheduleConnectFailure();
--- a/src/transport/keep_alive_http_client_connection.cpp
+++ b/src/transport/keep_alive_http_client_connection.cpp
@@ -7,6 +7,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <new>
 #include <optional>
 #include <sys/socket.h>
 
@@ -66,7 +67,7 @@
 KeepAliveHttpClient::Connection::Connection(KeepAliveHttpClient &owner, const Endpoint &endpoint)
     : owner(owner)
     , peerEndpoint(endpoint)
-    , stream(bufferevent_socket_new(owner.loop.base(), -1, BEV_OPT_CLOSE_ON_FREE))
+    , stream(newStream(owner.loop.base(), -1))
     , parser(std::make_unique<HttpMessageParser>(HttpMessageType::Response, MaxHeadBytes, *this))
 {
     bufferevent_setcb(this->stream, &Connection::onReadable, nullptr, &Connection::onStreamEvent,
@@ -108,7 +109,9 @@
     this->skippedMessages = 0;
     this->keepAliveTimeout.reset();
     const std::string head = formatRequestHead(request);
-    bufferevent_write(this->stream, head.data(), head.size());
+    // A body must not be sent without its head.
+    if (bufferevent_write(this->stream, head.data(), head.size()) != 0)
+        throw std::bad_alloc();
     if (request.body && !request.body->empty()) {
         auto *bodyReference = new std::shared_ptr<const std::string>(request.body);
         evbuffer_add_reference(bufferevent_get_output(this->stream), request.body->data(),
--- a/src/transport/keep_alive_http_server_connection.cpp
+++ b/src/transport/keep_alive_http_server_connection.cpp
@@ -61,7 +61,7 @@
     : owner(owner)
     , id(id)
     , parser(HttpMessageType::Request, owner.limits.maxHeadBytes, *this)
-    , stream(bufferevent_socket_new(owner.loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE))
+    , stream(newStream(owner.loop.base(), descriptor))
     , lastProgress(owner.loop.now())
 {
     setCallerTcpOptions(descriptor);
--- a/src/transport/socket_options.cpp
+++ b/src/transport/socket_options.cpp
@@ -1,8 +1,11 @@
 #include "transport/socket_options.h"
 
 #include <arpa/inet.h>
+#include <event2/bufferevent.h>
 #include <netinet/tcp.h>
+#include <new>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace dotterel {
 
@@ -51,6 +54,16 @@
     return address;
 }
 
+bufferevent *newStream(event_base *base, int descriptor)
+{
+    bufferevent *stream = bufferevent_socket_new(base, descriptor, BEV_OPT_CLOSE_ON_FREE);
+    if (stream != nullptr)
+        return stream;
+    if (descriptor >= 0)
+        close(descriptor);
+    throw std::bad_alloc();
+}
+
 Endpoint localEndpoint(int descriptor)
 {
     sockaddr_in address{};
--- a/src/transport/socket_options.h
+++ b/src/transport/socket_options.h
@@ -6,6 +6,9 @@
 #include <netinet/in.h>
 #include <optional>
 
+struct bufferevent;
+struct event_base;
+
 namespace dotterel {
 
 /// Sets the options of connections to servers, other hosts and the platform. Disables Nagle's
@@ -21,6 +24,10 @@
 /// Returns \a endpoint as a socket address; nullopt if its address is not IPv4.
 std::optional<sockaddr_in> toSocketAddress(const Endpoint &endpoint);
 
+/// Returns a new stream on \a descriptor, which it closes at its end; -1 for none yet. Throws
+/// std::bad_alloc, with the descriptor closed, if libevent has no memory for it.
+bufferevent *newStream(event_base *base, int descriptor);
+
 /// Returns the local address of the socket \a descriptor.
 Endpoint localEndpoint(int descriptor);
 
--- a/src/transport/websocket_link.cpp
+++ b/src/transport/websocket_link.cpp
@@ -213,11 +213,12 @@
     {
         LinkState *self = static_cast<LinkState *>(argument);
         const std::shared_ptr<LinkState> selfReference = self->weak_from_this().lock();
-        evbuffer *input = bufferevent_get_input(source);
-        std::string bytes(evbuffer_get_length(input), '\0');
-        evbuffer_remove(input, bytes.data(), bytes.size());
-        if (!self->loop.contain("peer_link",
-                                [&] { self->connection->read_all(bytes.data(), bytes.size()); }))
+        if (!self->loop.contain("peer_link", [&] {
+                evbuffer *input = bufferevent_get_input(source);
+                std::string bytes(evbuffer_get_length(input), '\0');
+                evbuffer_remove(input, bytes.data(), bytes.size());
+                self->connection->read_all(bytes.data(), bytes.size());
+            }))
             self->closeLink(LinkCloseReason::ProtocolError);
     }
 
@@ -285,7 +286,7 @@
                                                 const LinkLimits &limits, LinkObserver &observer)
 {
     const std::optional<sockaddr_in> address = toSocketAddress(endpoint);
-    bufferevent *stream = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent *stream = newStream(loop.base(), -1);
     auto state = std::make_shared<LinkState<Client>>(loop, limits, stream);
     state->observer = &observer;
     LinkState<Client> *const statePointer = state.get();
@@ -343,8 +344,7 @@
 void WebsocketListener::accept(int descriptor)
 {
     setNoDelay(descriptor);
-    bufferevent *stream =
-            bufferevent_socket_new(this->loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent *stream = newStream(this->loop.base(), descriptor);
     auto state = std::make_shared<LinkState<Server>>(this->loop, this->limits, stream);
     const Server::connection_ptr connection = state->endpoint.get_connection();
     state->attachConnection(connection);
--- a/tests/transport/test_contained_faults.cpp
+++ b/tests/transport/test_contained_faults.cpp
@@ -4,13 +4,19 @@
 #include "transport/datagram_socket.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
+#include "transport/keep_alive_http_client.h"
 #include "transport/keep_alive_http_server.h"
+#include "transport/socket_options.h"
 #include "transport/websocket_link.h"
 
 #include <catch2/catch.hpp>
+#include <cstdlib>
+#include <event2/event.h>
 #include <functional>
 #include <new>
 #include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace dotterel;
 using namespace dotterel::support;
@@ -102,6 +108,30 @@
     bool failed = false;
 };
 
+/// While one exists, libevent gets no memory.
+class NoLibeventMemory
+{
+public:
+    NoLibeventMemory() { event_set_mem_functions(&fail, &failToResize, &std::free); }
+    ~NoLibeventMemory() { event_set_mem_functions(&std::malloc, &std::realloc, &std::free); }
+    NoLibeventMemory(const NoLibeventMemory &) = delete;
+    NoLibeventMemory &operator=(const NoLibeventMemory &) = delete;
+
+private:
+    static void *fail(std::size_t /*size*/) { return nullptr; }
+    static void *failToResize(void * /*memory*/, std::size_t /*size*/) { return nullptr; }
+};
+
+/// Returns the descriptor of a new connection to \a endpoint, made without libevent.
+int connectPlainly(const Endpoint &endpoint)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const std::optional<sockaddr_in> address = toSocketAddress(endpoint);
+    REQUIRE(connect(descriptor, reinterpret_cast<const sockaddr *>(&*address), sizeof(*address))
+            == 0);
+    return descriptor;
+}
+
 HttpRequest getRequest(const Endpoint &endpoint, const std::string &target)
 {
     HttpRequest request;
@@ -259,3 +289,62 @@
     const auto timer = fixture.loop.every(milliseconds(10), [] { throw std::bad_alloc(); });
     CHECK(fixture.becomesTrue([&reports] { return reports >= 2; }));
 }
+
+// Guards against a null stream, which libevent does not check either.
+TEST_CASE("Missing memory for a connection ended the process", "[Transport][ContainedFaults]")
+{
+    FaultFixture fixture;
+    FailingHandler handler;
+    KeepAliveHttpServer callerServer(fixture.loop, {"127.0.0.1", 0}, {}, handler);
+    handler.server = &callerServer;
+    const HttpServer operatorServer(
+            fixture.loop, {"127.0.0.1", 0}, 4'096,
+            [](const HttpExchangePtr &exchange) { exchange->reply(200, {}, "sound"); });
+    std::unique_ptr<WebsocketLink> incoming;
+    const WebsocketListener peerListener(
+            fixture.loop, {"127.0.0.1", 0}, LinkLimits{},
+            [&incoming](std::unique_ptr<WebsocketLink> link) { incoming = std::move(link); });
+    KeepAliveHttpClient client(fixture.loop, KeepAliveHttpClientLimits{});
+    FailingListener listener;
+    FailingLink outgoing;
+
+    SECTION("a connection that is accepted")
+    {
+        // The servers of each section have ports of their own.
+        const int port = GENERATE(0, 1, 2);
+        const Endpoint endpoint = port == 0   ? callerServer.endpoint()
+                                  : port == 1 ? operatorServer.endpoint()
+                                              : peerListener.endpoint();
+        const int descriptor = connectPlainly(endpoint);
+        {
+            const NoLibeventMemory none;
+            for (int round = 0; round < 5; ++round)
+                fixture.loop.runOnce(false);
+        }
+        close(descriptor);
+    }
+    SECTION("a call")
+    {
+        const NoLibeventMemory none;
+        CHECK_THROWS_AS(client.send(getRequest(callerServer.endpoint(), "/"), listener),
+                        std::bad_alloc);
+    }
+    SECTION("a link")
+    {
+        const NoLibeventMemory none;
+        CHECK_THROWS_AS(connectWebsocket(fixture.loop, peerListener.endpoint(), {}, outgoing),
+                        std::bad_alloc);
+    }
+    SECTION("a timer")
+    {
+        const NoLibeventMemory none;
+        CHECK_THROWS_AS(fixture.loop.after(seconds(1), [] {}), std::bad_alloc);
+    }
+    for (const Endpoint &endpoint : {callerServer.endpoint(), operatorServer.endpoint()}) {
+        FailingListener sound;
+        const auto call = client.send(getRequest(endpoint, "/a"), sound);
+        CHECK(fixture.becomesTrue([&sound] { return sound.ended; }));
+    }
+    outgoing.link = connectWebsocket(fixture.loop, peerListener.endpoint(), {}, outgoing);
+    CHECK(fixture.becomesTrue([&outgoing] { return outgoing.open; }));
+}
