An exception on a part of a response ends its call

What could be seen: nothing known. A call of KeepAliveHttpClient whose listener failed on a head or on data never ended for whoever waited: a read of the store would have stood still, and a request of a caller would have waited for its deadline.

Change: the call ends as failed, as calls of HttpClient do.

--- a/src/transport/keep_alive_http_client_connection.cpp
+++ b/src/transport/keep_alive_http_client_connection.cpp
@@ -168,7 +168,7 @@
             static_cast<Connection *>(self)->shared_from_this();
     if (!liveConnection->owner.loop.contain("server_connection",
                                             [&] { liveConnection->readInput(); }))
-        liveConnection->owner.discardConnection(liveConnection.get());
+        liveConnection->failAfterFault();
 }
 
 void KeepAliveHttpClient::Connection::onStreamEvent(bufferevent * /*stream*/, short what,
@@ -184,7 +184,15 @@
     if (!liveConnection->owner.loop.contain("server_connection", [&] {
             liveConnection->onStreamClosed((what & BEV_EVENT_EOF) != 0);
         }))
-        liveConnection->owner.discardConnection(liveConnection.get());
+        liveConnection->failAfterFault();
+}
+
+void KeepAliveHttpClient::Connection::failAfterFault()
+{
+    this->owner.loop.contain("server_connection", [this] {
+        this->failCall(this->headReceived ? HttpFailureKind::ResponseTruncated
+                                          : HttpFailureKind::MalformedResponse);
+    });
 }
 
 void KeepAliveHttpClient::Connection::onOutputChanged(evbuffer * /*buffer*/,
--- a/src/transport/keep_alive_http_client_connection.h
+++ b/src/transport/keep_alive_http_client_connection.h
@@ -62,6 +62,8 @@
     void onStreamClosed(bool closedCleanly);
 
     void failCall(HttpFailureKind kind);
+    /// Ends the call after an exception in the handling of its response: whoever waits learns it.
+    void failAfterFault();
 
     /// Returns true if a response with \a headers belongs to another call.
     bool isForeign(const HttpHeaders &headers) const;
--- a/tests/transport/test_contained_faults.cpp
+++ b/tests/transport/test_contained_faults.cpp
@@ -348,3 +348,20 @@
     outgoing.link = connectWebsocket(fixture.loop, peerListener.endpoint(), {}, outgoing);
     CHECK(fixture.becomesTrue([&outgoing] { return outgoing.open; }));
 }
+
+// Guards against calls without an end: the feed of the store's changes would stand still.
+TEST_CASE("An exception on a part of a response left its call without an end",
+          "[Transport][ContainedFaults]")
+{
+    FaultFixture fixture;
+    FailingHandler handler;
+    KeepAliveHttpServer server(fixture.loop, {"127.0.0.1", 0}, {}, handler);
+    handler.server = &server;
+    KeepAliveHttpClient client(fixture.loop, KeepAliveHttpClientLimits{});
+    FailingListener listener;
+    listener.failsOn = GENERATE(as<std::string>{}, "head", "data");
+    const auto call = client.send(getRequest(server.endpoint(), "/a"), listener);
+    CHECK(fixture.becomesTrue([&listener] { return listener.failed; }));
+    CHECK_FALSE(listener.ended);
+    CHECK(fixture.faults.front() == "server_connection: odd " + listener.failsOn);
+}
