After a contained exception a host goes on asking the store

What could be seen: nothing known from outside. An exception in the handling of a page, or in a call to the store, was contained, and the host ran on with what it knew: the next call is made at the end of the handling of the last one, and was not made any more.

Change: a feed notes whether a call is in progress or planned, and checks once a second that there is one. If not, it goes on as after a failed call. This covers all ways in which a call can be lost, the callback that is never called too.

Not covered: objects that were noted as known before their listener failed come again only with their next change.

--- a/src/entry_host/collection_feed.cpp
+++ b/src/entry_host/collection_feed.cpp
@@ -23,6 +23,9 @@
 /// Removals within this time after the end of a store outage may be entries that expired during it.
 constexpr Duration ExpiryWindowAfterOutage = std::chrono::seconds(2);
 
+/// How often a feed checks whether its chain of calls goes on.
+constexpr Duration ResumeInterval = std::chrono::seconds(1);
+
 } // namespace
 
 CollectionFeed::CollectionFeed(EventLoop &loop, CollectionStore &store, Collection collection,
@@ -52,6 +55,7 @@
 
 void CollectionFeed::start()
 {
+    this->resumeTimer = this->loop.every(ResumeInterval, [this] { this->resumeCalls(); });
     this->scheduleNextCall();
 }
 
@@ -77,16 +81,33 @@
     const CollectionRequest next = this->follower.nextRequest();
     if (next.delay <= Duration::zero())
         return this->callStore(next);
-    this->callTimer = this->loop.after(next.delay, [this, next] { this->callStore(next); });
+    this->callTimer = this->loop.after(next.delay, [this, next] {
+        this->callTimer.reset();
+        this->callStore(next);
+    });
+}
+
+void CollectionFeed::resumeCalls()
+{
+    if (!this->callPending || this->callTimer || !this->callInProgress.expired())
+        return;
+    this->watchStartedAt.reset();
+    this->watchContinues = false;
+    this->follower.onFailed(StoreError::Unavailable, this->loop.now());
+    this->scheduleNextCall();
 }
 
 void CollectionFeed::callStore(const CollectionRequest &step)
 {
     this->metrics.count(Counter::PlatformReads, 1);
-    const auto callback = [this, kind = step.kind, number = ++this->callNumber,
+    const auto progress = std::make_shared<char>();
+    this->callInProgress = progress;
+    const auto callback = [this, kind = step.kind, number = ++this->callNumber, progress,
                            alive = this->alive](const CollectionStore::PageResult &page) {
-        if (*alive && number == this->callNumber)
-            this->onPage(kind, page);
+        if (!*alive || number != this->callNumber)
+            return;
+        this->callInProgress.reset();
+        this->onPage(kind, page);
     };
     if (step.kind == CollectionRequest::Kind::List) {
         this->store.list(this->localObjects.collection(), ListFreshness::Current, callback);
--- a/src/entry_host/collection_feed.h
+++ b/src/entry_host/collection_feed.h
@@ -90,6 +90,8 @@
     void enterEra(std::uint64_t era, std::uint64_t revision, const char *source);
     bool isWatchWaiting() const;
     void callStore(const CollectionRequest &step);
+    /// Makes the next call if an exception has ended the chain of calls.
+    void resumeCalls();
     void onPage(CollectionRequest::Kind kind, const CollectionStore::PageResult &page);
     void reportOutdatedObjects(const CollectionPage &page);
     void reportUnidentifiedObjects(const CollectionPage &page);
@@ -106,6 +108,8 @@
     Metrics &metrics;
     EventLog &log;
     EventLoop::TimerHandle callTimer;
+    EventLoop::TimerHandle resumeTimer;
+    std::weak_ptr<void> callInProgress; ///< Until the callback of the last call runs or is lost.
     bool watching = true;
     bool callPending = false; ///< A call to the store is running or scheduled.
     WatchSchedule watchSchedule;
