A host without free descriptors waits before it accepts again

What could be seen: a host that had no descriptor left, while a connection waited, took a whole processor and wrote a line to standard error for each attempt: 348 MB within seconds, in a trial with a limit of 13 descriptors and 600 connections.

Cause: libevent tries accept() again at once unless an error callback is set.

Change: the listeners of callers, relays, operators, readiness and peers stop when accept() fails, and are enabled again every 250 ms.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,11 +1,14 @@
 #include "transport/http_server.h"
 
+#include "transport/socket_options.h"
+
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <netinet/tcp.h>
 #include <stdexcept>
 #include <sys/socket.h>
@@ -356,6 +359,11 @@
         evhttp_free(this->server);
         throw std::runtime_error("cannot listen on " + endpoint.text());
     }
+    stopOnAcceptError(evhttp_bound_socket_get_listener(this->socket));
+    this->acceptTimer = loop.every(AcceptRetryInterval, [this] {
+        if (this->socket != nullptr)
+            evconnlistener_enable(evhttp_bound_socket_get_listener(this->socket));
+    });
     this->boundEndpoint.port = boundPort(evhttp_bound_socket_get_fd(this->socket));
 }
 
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -114,6 +114,7 @@
     std::shared_ptr<State> state;
     evhttp *server;
     evhttp_bound_socket *socket;
+    EventLoop::TimerHandle acceptTimer;
     Endpoint boundEndpoint;
     Handler handler;
 };
--- a/src/transport/keep_alive_http_server.cpp
+++ b/src/transport/keep_alive_http_server.cpp
@@ -40,6 +40,11 @@
                 reinterpret_cast<sockaddr *>(&*address), sizeof(*address));
     if (this->listener == nullptr)
         throw std::runtime_error("cannot listen on " + endpoint.text());
+    stopOnAcceptError(this->listener);
+    this->acceptTimer = loop.every(AcceptRetryInterval, [this] {
+        if (this->listener != nullptr)
+            evconnlistener_enable(this->listener);
+    });
     this->boundEndpoint = localEndpoint(evconnlistener_get_fd(this->listener));
     this->timeoutTimer = loop.every(TimeoutCheckInterval, [this] { this->checkAllTimeouts(); });
 }
--- a/src/transport/keep_alive_http_server.h
+++ b/src/transport/keep_alive_http_server.h
@@ -130,6 +130,7 @@
     std::map<std::uint64_t, std::shared_ptr<Connection>> connectionsById;
     std::map<HttpCallId, Connection *> connectionsByCall;
     EventLoop::TimerHandle timeoutTimer;
+    EventLoop::TimerHandle acceptTimer;
 };
 
 } // namespace dotterel
--- a/src/transport/socket_options.cpp
+++ b/src/transport/socket_options.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <event2/bufferevent.h>
+#include <event2/listener.h>
 #include <netinet/tcp.h>
 #include <new>
 #include <sys/socket.h>
@@ -64,6 +65,13 @@
     throw std::bad_alloc();
 }
 
+void stopOnAcceptError(evconnlistener *listener)
+{
+    evconnlistener_set_error_cb(listener, [](evconnlistener *failed, void * /*argument*/) {
+        evconnlistener_disable(failed);
+    });
+}
+
 Endpoint localEndpoint(int descriptor)
 {
     sockaddr_in address{};
--- a/src/transport/socket_options.h
+++ b/src/transport/socket_options.h
@@ -2,11 +2,13 @@
 
 #include "transport/endpoint.h"
 
+#include <chrono>
 #include <cstdint>
 #include <netinet/in.h>
 #include <optional>
 
 struct bufferevent;
+struct evconnlistener;
 struct event_base;
 
 namespace dotterel {
@@ -28,6 +30,14 @@
 /// std::bad_alloc, with the descriptor closed, if libevent has no memory for it.
 bufferevent *newStream(event_base *base, int descriptor);
 
+/// How often listeners that stopped because accept() failed are enabled again.
+inline constexpr std::chrono::microseconds AcceptRetryInterval = std::chrono::milliseconds(250);
+
+/// Makes \a listener stop when accept() fails, as without free descriptors. libevent would try
+/// again at once, for as long as a connection waits, and write a line each time. The owner enables
+/// the listener again after AcceptRetryInterval.
+void stopOnAcceptError(evconnlistener *listener);
+
 /// Returns the local address of the socket \a descriptor.
 Endpoint localEndpoint(int descriptor);
 
--- a/src/transport/websocket_link.cpp
+++ b/src/transport/websocket_link.cpp
@@ -326,6 +326,9 @@
                                         reinterpret_cast<sockaddr *>(&*address), sizeof(*address));
     if (this->listener == nullptr)
         throw std::runtime_error("cannot listen on " + endpoint.text());
+    stopOnAcceptError(this->listener);
+    this->acceptTimer =
+            loop.every(AcceptRetryInterval, [this] { evconnlistener_enable(this->listener); });
     this->boundEndpoint.port = localEndpoint(evconnlistener_get_fd(this->listener)).port;
 }
 
--- a/src/transport/websocket_link.h
+++ b/src/transport/websocket_link.h
@@ -104,6 +104,7 @@
     LinkLimits limits;
     Handler handler;
     evconnlistener *listener;
+    EventLoop::TimerHandle acceptTimer;
     Endpoint boundEndpoint;
 };
 
