--- a/src/protocol/cbor.cpp
+++ b/src/protocol/cbor.cpp
@@ -43,10 +43,10 @@
     int depth = 0;
 };
 
-/// Returns true if \a bytes hold a string of indefinite length, or end within an item. The parser
+/// Returns false if \a bytes hold a string of indefinite length, or end within an item. The parser
 /// recurses into each chunk of such a string, which NestingDepthCheck does not learn. Hosts send
 /// none. Items follow each other, containers and their elements too, so no stack is needed.
-bool hasIndefiniteString(std::string_view bytes)
+bool hasDefiniteStrings(std::string_view bytes)
 {
     constexpr unsigned ByteString = 2;
     constexpr unsigned TextString = 3;
@@ -60,12 +60,12 @@
         const unsigned info = initial & 0x1fU;
         const bool isString = type == ByteString || type == TextString;
         if (info == Indefinite && isString)
-            return true;
+            return false;
         std::uint64_t argument = info;
         if (info > MaxImmediate && info <= EightBytes) {
             const std::size_t argumentBytes = std::size_t{1} << (info - MaxImmediate - 1);
             if (bytes.size() < argumentBytes)
-                return true;
+                return false;
             argument = 0;
             for (const char byte : bytes.substr(0, argumentBytes))
                 argument = argument << 8U | static_cast<unsigned char>(byte);
@@ -74,10 +74,10 @@
         if (!isString)
             continue;
         if (argument > bytes.size())
-            return true;
+            return false;
         bytes.remove_prefix(argument);
     }
-    return false;
+    return true;
 }
 
 } // namespace
@@ -85,7 +85,7 @@
 nlohmann::json parseCbor(std::string_view bytes)
 {
     NestingDepthCheck check;
-    if (hasIndefiniteString(bytes)
+    if (!hasDefiniteStrings(bytes)
         || !nlohmann::json::sax_parse(bytes, &check, nlohmann::json::input_format_t::cbor))
         return nlohmann::json(nlohmann::json::value_t::discarded);
     return nlohmann::json::from_cbor(bytes, true, false);
