Signals in series do not put off the end of a stop

Cause: once a shutdown is done, each further word of an operator started the wait for the links to hosts anew, so that its check, every 50 ms, did not come. The wait before was put off in the same way (read in the code).

Change: a further word starts the wait only if none is under way, as after a drain that has ended without a receiver.

Test: "A gateway host becomes ready once it has a configuration and a server", section "a stop that is asked for again and again ends no later"; on it failed (not ended within 8 s), now it passes.

--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -235,7 +235,8 @@
 {
     if (finished)
         this->shutdownFinished = std::move(finished);
-    if (this->shutdownDone)
+    // A drain may have ended without a receiver of its end.
+    if (this->shutdownDone && this->drainTimer == nullptr)
         return this->reportShutdown();
     if (this->shuttingDown)
         return;
--- a/tests/entry_host/test_gateway_host.cpp
+++ b/tests/entry_host/test_gateway_host.cpp
@@ -175,6 +175,13 @@
         fixture.runUntil([&finished] { return finished; });
         CHECK(fixture.store.objects[Collection::Hosts].count("h1") == 0);
     }
+    SECTION("a stop that is asked for again and again ends no later")
+    {
+        bool finished = false;
+        const auto askTimer = fixture.loop.every(
+                milliseconds(5), [&] { host->beginShutdown([&finished] { finished = true; }); });
+        fixture.runUntil([&finished] { return finished; });
+    }
 }
 
 TEST_CASE("A planned stop under load answers every request that was accepted",
