The last line of a host does not block, and names a refused start

A start that the settings refuse (exit code 3) was logged as reason shutdown.

Change: a descriptor is written to only if poll() says that it takes a line; the reason invalid_settings.

Test: test_process_end passes; the full pipes are a trial without a test.

--- a/src/entry_host/daemon_command_line.cpp
+++ b/src/entry_host/daemon_command_line.cpp
@@ -117,7 +117,9 @@
     installProcessEndReport(settings->host);
     try {
         const int exitCode = run(options, *settings);
-        reportProcessEnd(ProcessEndReason::Shutdown, exitCode);
+        reportProcessEnd(exitCode == ExitOk ? ProcessEndReason::Shutdown
+                                            : ProcessEndReason::InvalidSettings,
+                         exitCode);
         return exitCode;
     } catch (const std::exception &error) {
         std::cerr << name << ": " << error.what() << '\n';
--- a/src/entry_host/process_end_report.cpp
+++ b/src/entry_host/process_end_report.cpp
@@ -12,6 +12,7 @@
 #include <execinfo.h>
 #include <fcntl.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -19,8 +20,9 @@
 
 namespace {
 
-constexpr std::array<EnumName<ProcessEndReason>, 5> ReasonNames = {{
+constexpr std::array<EnumName<ProcessEndReason>, 6> ReasonNames = {{
         {ProcessEndReason::Shutdown, "shutdown"},
+        {ProcessEndReason::InvalidSettings, "invalid_settings"},
         {ProcessEndReason::Exception, "exception"},
         {ProcessEndReason::Terminate, "terminate"},
         {ProcessEndReason::Signal, "signal"},
@@ -128,6 +130,13 @@
     return openFiles;
 }
 
+/// Returns true if a line can be written to \a descriptor without blocking.
+bool isWritable(int descriptor)
+{
+    pollfd output{descriptor, POLLOUT, 0};
+    return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
 /// Writes the last line; \a detailName and \a detail are a further field, if there is one. Uses
 /// only what a signal handler may use.
 void writeLastLine(ProcessEndReason reason, std::string_view detailName, std::string_view detail,
@@ -162,12 +171,17 @@
     line.append("}\n");
     const std::string_view text = line.text();
     // Standard output may be a full pipe or a full disk.
-    if (write(STDOUT_FILENO, text.data(), text.size()) != static_cast<ssize_t>(text.size()))
+    const bool written =
+            isWritable(STDOUT_FILENO)
+            && write(STDOUT_FILENO, text.data(), text.size()) == static_cast<ssize_t>(text.size());
+    if (!written && isWritable(STDERR_FILENO))
         static_cast<void>(!write(STDERR_FILENO, text.data(), text.size()));
 }
 
 void writeBacktrace()
 {
+    if (!isWritable(STDERR_FILENO))
+        return;
     std::array<void *, MaxFrames> frames{};
     const int count = backtrace(frames.data(), MaxFrames);
     backtrace_symbols_fd(frames.data(), count, STDERR_FILENO);
--- a/src/entry_host/process_end_report.h
+++ b/src/entry_host/process_end_report.h
@@ -8,11 +8,12 @@
 
 /// What ended a process.
 enum class ProcessEndReason {
-    Shutdown,  ///< An operator's word: SIGTERM, SIGINT or a drain.
-    Exception, ///< An exception left the start or the event loop.
-    Terminate, ///< std::terminate(), as for an exception that nothing can catch.
-    Signal,    ///< A signal that the process does not handle.
-    Exit,      ///< A library called exit().
+    Shutdown,        ///< Requested by an operator: SIGTERM, SIGINT or a drain.
+    InvalidSettings, ///< The start was refused because of the settings.
+    Exception,       ///< An exception left the start or the event loop.
+    Terminate,       ///< std::terminate(), as for an exception that nothing can catch.
+    Signal,          ///< A signal that the process does not handle.
+    Exit,            ///< A library called exit().
 };
 
 /// Returns the name of \a reason in logs.
