--- a/src/transport/http_message_parser.cpp
+++ b/src/transport/http_message_parser.cpp
@@ -163,7 +163,8 @@
             head.method = http_method_str(static_cast<http_method>(parser->method));
         else
             head.status = parser->status_code;
-        if (!hasUnambiguousFields(head.headers))
+        // Another version has other framing (RFC 9110, 2.5).
+        if (parser->http_major != 1 || !hasUnambiguousFields(head.headers))
             return ParseError;
         const bool chunked = (parser->flags & F_CHUNKED) != 0;
         if (!chunked && findHeader(head.headers, "Transfer-Encoding") != nullptr)
--- a/tests/transport/test_faulty_responses.cpp
+++ b/tests/transport/test_faulty_responses.cpp
@@ -161,6 +161,23 @@
     }
 }
 
+// Guards against bytes of an odd server that are passed on as a whole response with an empty body.
+TEST_CASE("A head of another version of HTTP was taken for a response",
+          "[Transport][FaultyResponses]")
+{
+    const bool keepsAlive = GENERATE(true, false);
+    const std::string version = GENERATE(as<std::string>(), "9.9", "2.0", "0.9");
+    CAPTURE(keepsAlive, version);
+    ClientFixture fixture;
+    const std::unique_ptr<HttpSender> client = fixture.makeClient(keepsAlive);
+    ScriptedServer server(fixture.loop, {1, "HTTP/" + version + " 200 OK\r\nSigned: s\r\n\r\n",
+                                         ScriptEnd::Close});
+    Recorder recorder;
+    const auto call = client->send(ClientFixture::requestTo(server.endpoint()), recorder);
+    REQUIRE(fixture.becomesTrue([&] { return recorder.hasEnded(); }, BoundTime));
+    CHECK_FALSE(recorder.complete);
+}
+
 // Guards against a failure that an owner hears of before it has its call: the owner of a fetch
 // releases it then.
 TEST_CASE("A call that failed at once was reported before its owner had it",
