--- a/tests/entry_host/test_lost_store_calls.cpp
+++ b/tests/entry_host/test_lost_store_calls.cpp
@@ -29,12 +29,12 @@
     void list(Collection /*collection*/, ListFreshness /*freshness*/,
               PageCallback callback) override
     {
-        this->answer(0, std::move(callback));
+        this->answer(0, callback);
     }
     std::unique_ptr<StoreCall> watch(Collection /*collection*/, std::uint64_t known,
                                      Duration /*wait*/, PageCallback callback) override
     {
-        this->answer(known, std::move(callback));
+        this->answer(known, callback);
         return nullptr;
     }
     void put(Collection /*collection*/, const std::string & /*name*/, const std::string & /*text*/,
@@ -49,7 +49,7 @@
     std::uint64_t revision = 1;
 
 private:
-    void answer(std::uint64_t known, PageCallback callback)
+    void answer(std::uint64_t known, const PageCallback &callback)
     {
         ++this->calls;
         if (this->fault == Fault::Throws)
