--- a/review/support-2/standins.h
+++ b/review/support-2/standins.h
@@ -761,6 +761,7 @@
         return status;
     }
 
+    pid_t processId() const { return this->pid; }
     int callers() const { return this->firstPort; }
     int readiness() const { return this->firstPort + 1; }
     const std::string name;
