--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,17 +1,16 @@
-// Two of three servers of a service leave at nearly the same time without having reported that
-// they are draining: their entries are removed, and they go on serving for a while.
-// Rule DRAIN: no request reaches a server later than drain_ms after the store has acknowledged
-// that it is gone.
-#include "../support-2/standins.h"
+// A part of prompts crashes each server that begins to write an answer on it: the server sends the
+// head of its answer, and is gone. Long after the fifth crash, when the part is refused, all
+// gateways are killed at the same moment and start again.
+// Rule BUDGET: not more than three requests with the part reach servers, sent by machines in touch
+// later than contact_ms after the fifth crash.
+#include "../support-2/deadly_prompts.h"
 
 using namespace review;
 
 namespace {
 
-constexpr double DrainMs = 2000;
-constexpr int GatewayCount = 3;
-constexpr double RunMs = 30;
-constexpr double LeavingGapMs = 50;
+constexpr double RestartMs = 500;
+constexpr int RefusalsBeforeKill = 2;
 
 } // namespace
 
@@ -20,74 +19,40 @@
     const CaseOptions options = optionsFrom(argc, argv);
     Record record(options.record);
     Store store(record);
-    std::mutex mutex;
-    std::map<std::string, double> goneAt; // By server, when the store acknowledged it.
-    int late = 0;
-    const auto handler = [&](Server &server, const Message &request,
-                             const std::shared_ptr<Stream> &stream) {
-        const double arrivedAt = nowMs();
-        const std::string id = request.header("X-Request-Id");
-        {
-            const std::lock_guard<std::mutex> guard(mutex);
-            const auto gone = goneAt.find(server.name());
-            if (gone != goneAt.end()) {
-                const double after = arrivedAt - gone->second;
-                late += after > DrainMs ? 1 : 0;
-                record.line(server.name() + " runs " + id + ", " + std::to_string(int(after))
-                            + " ms after it was gone" + (after > DrainMs ? ": LATE" : ""));
-            }
-        }
-        sleepMs(RunMs);
-        return stream->write(responseText(200, server.sealed(request), "price of " + id));
-    };
-    std::vector<std::unique_ptr<Server>> servers;
-    const char *zones[] = {"zone-a", "zone-b", "zone-c"};
-    for (int number = 0; number < 3; ++number)
-        servers.push_back(std::make_unique<Server>(store, "app-" + std::to_string(number + 1),
-                                                   "app", zones[number], 6, handler));
-    store.put("config", "main", smallConfiguration(7));
-    for (auto &server : servers)
-        server->announce();
+    DeadlyOptions deadly;
+    deadly.deadlyEveryMs = 6000;
+    DeadlyPrompts prompts(store, record, deadly);
     Gateways gateways;
-    if (!startGateways(gateways, GatewayCount, store.port(), options.folder, options.program))
+    if (!startGateways(gateways, 3, store.port(), options.folder, options.program))
         finish(gateways, ExitCouldNotRun);
-    sleepMs(6000); // All machines are in touch, and the store is stable.
-
-    std::atomic<bool> stop{false};
-    std::atomic<int> answered{0};
-    std::atomic<int> failed{0};
-    std::vector<std::thread> clients;
-    for (int number = 0; number < 12; ++number)
-        clients.emplace_back([&, number] {
-            const int port = gateways[number % GatewayCount]->callers();
-            while (!stop) {
-                const std::string id = newId();
-                const Answer answer =
-                        ask(port, "GET", "/stock/" + std::to_string(number),
-                            {{"Host", "shop.example"}, {"X-Request-Id", id},
-                             {"X-Deadline-Ms", "2500"}}, "", 2500);
-                ++(answer.status == 200 && answer.whole ? answered : failed);
-                sleepMs(60);
-            }
-        });
-    sleepMs(3000);
+    sleepMs(4000);
+    prompts.start(gateways);
+    const double limit = nowMs() + 40e3;
+    while (prompts.crashCount() < CrashesBeforeBound && nowMs() < limit)
+        sleepMs(20);
+    const int answered = prompts.answeredDeadly();
+    while (prompts.answeredDeadly() <= answered + RefusalsBeforeKill && nowMs() < limit)
+        sleepMs(20);
     if (options.trouble) {
-        for (const int number : {0, 1}) {
-            servers[number]->withdraw();
-            {
-                const std::lock_guard<std::mutex> guard(mutex);
-                goneAt[servers[number]->name()] = nowMs();
-            }
-            sleepMs(LeavingGapMs);
-        }
+        record.line("all gateways are killed");
+        prompts.setInTouchFrom(1e12);
+        for (auto &gateway : gateways)
+            gateway->signal(SIGKILL);
+        for (auto &gateway : gateways)
+            gateway->killNow();
+        sleepMs(RestartMs);
+        for (auto &gateway : gateways)
+            gateway->start();
+        prompts.setInTouchFrom(nowMs() + ContactMs);
+        record.line("all gateways have started again");
     }
-    sleepMs(6000);
-    stop = true;
-    for (std::thread &client : clients)
-        client.join();
-    record.line("lookups: " + std::to_string(answered) + " answered, " + std::to_string(failed)
-                + " failed; " + std::to_string(late) + " reached a server that was gone, late");
-    if (answered < 100)
+    sleepMs(32e3);
+    prompts.stop();
+    record.line("sound prompts served: " + std::to_string(prompts.served()) + "; crashes: "
+                + std::to_string(prompts.crashCount()) + "; deadly requests that count: "
+                + std::to_string(prompts.counted()) + " (at most "
+                + std::to_string(MaxDeadlyRequests) + ")");
+    if (prompts.served() < 100 || prompts.crashCount() < CrashesBeforeBound)
         finish(gateways, ExitCouldNotRun);
-    finish(gateways, late > 0 ? ExitBroken : ExitHeld);
+    finish(gateways, prompts.counted() > MaxDeadlyRequests ? ExitBroken : ExitHeld);
 }
--- a/review/support-2/deadly_prompts.h
+++ b/review/support-2/deadly_prompts.h
@@ -1,5 +1,5 @@
 // Prompts with a part that crashes each server that begins to write an answer on it, beside sound
-// prompts of the same caller. Used by the cases 7 and 8.
+// prompts of the same caller. Used by the cases 8 and 9.
 #pragma once
 
 #include "standins.h"
