--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -57,6 +57,7 @@
     };
     const char *zones[] = {"zone-a", "zone-b", "zone-c"};
     std::vector<std::unique_ptr<Server>> servers;
+    servers.reserve(ServerCount);
     for (int number = 0; number < ServerCount; ++number)
         servers.push_back(std::make_unique<Server>(store, "llm-" + std::to_string(number + 1),
                                                    "llm", zones[number % 3], 16, handler));
@@ -73,12 +74,14 @@
     int torn = 0;
     for (int number = 0; number < Questions; ++number) {
         const std::string id = newId();
-        const std::string body =
-                (options.trouble ? "deadly question " : "question ") + id;
+        const std::string body = (options.trouble ? "deadly question " : "question ") + id;
         const Answer answer =
                 ask(gateways[number % GatewayCount]->callers(), "POST", "/ask/question",
-                    {{"Host", "shop.example"}, {"X-Request-Id", id}, {"X-Deadline-Ms", "10000"},
-                     {"X-Model", "m"}, {"X-Token-Counts", "4960,1292"},
+                    {{"Host", "shop.example"},
+                     {"X-Request-Id", id},
+                     {"X-Deadline-Ms", "10000"},
+                     {"X-Model", "m"},
+                     {"X-Token-Counts", "4960,1292"},
                      {"X-Prompt-Prefix", "50000001:40," + id + ":4920"}},
                     body, 10000);
         const bool endsAsComplete = answer.status == 200 && answer.whole;
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -48,10 +48,10 @@
     }
     sleepMs(32e3);
     prompts.stop();
-    record.line("sound prompts served: " + std::to_string(prompts.served()) + "; crashes: "
-                + std::to_string(prompts.crashCount()) + "; deadly requests that count: "
-                + std::to_string(prompts.counted()) + " (at most "
-                + std::to_string(MaxDeadlyRequests) + ")");
+    record.line("sound prompts served: " + std::to_string(prompts.served())
+                + "; crashes: " + std::to_string(prompts.crashCount())
+                + "; deadly requests that count: " + std::to_string(prompts.counted())
+                + " (at most " + std::to_string(MaxDeadlyRequests) + ")");
     if (prompts.served() < 100 || prompts.crashCount() < CrashesBeforeBound)
         finish(gateways, ExitCouldNotRun);
     finish(gateways, prompts.counted() > MaxDeadlyRequests ? ExitBroken : ExitHeld);
--- a/review/support-2/deadly_prompts.h
+++ b/review/support-2/deadly_prompts.h
@@ -59,8 +59,7 @@
                 const Answer answer =
                         this->send(number % int(this->gateways->size()),
                                    "50000001:40," + DeadlyPart + ":900," + newId() + ":4020");
-                this->record.line("client: deadly prompt answered "
-                                  + std::to_string(answer.status)
+                this->record.line("client: deadly prompt answered " + std::to_string(answer.status)
                                   + (answer.whole ? "" : ", broken off"));
                 ++this->deadlyAnswers;
                 while (!this->stopped && nowMs() < next)
@@ -117,8 +116,12 @@
             this->gatewayOf[id] = gateway;
         }
         return ask((*this->gateways)[gateway]->callers(), "POST", "/ask/question",
-                   {{"Host", "shop.example"}, {"X-Request-Id", id}, {"X-Deadline-Ms", "10000"},
-                    {"X-Model", "m"}, {"X-Token-Counts", "4960,400"}, {"X-Prompt-Prefix", parts}},
+                   {{"Host", "shop.example"},
+                    {"X-Request-Id", id},
+                    {"X-Deadline-Ms", "10000"},
+                    {"X-Model", "m"},
+                    {"X-Token-Counts", "4960,400"},
+                    {"X-Prompt-Prefix", parts}},
                    "question " + id, 10000);
     }
 
@@ -165,8 +168,8 @@
                             && now > this->crashedAt[CrashesBeforeBound - 1] + ContactMs;
         const bool inTouch = now > this->inTouchFrom[gateway];
         this->countedRequests += isLate && inTouch ? 1 : 0;
-        this->record.line("deadly request " + id + " from "
-                          + (*this->gateways)[gateway]->name + " reaches " + server.name()
+        this->record.line("deadly request " + id + " from " + (*this->gateways)[gateway]->name
+                          + " reaches " + server.name()
                           + (isLate && inTouch ? ": COUNTED"
                              : isLate          ? ", not in touch"
                                                : ""));
@@ -176,7 +179,7 @@
     DeadlyOptions options;
     std::mutex mutex;
     std::vector<double> crashedAt;
-    std::vector<double> inTouchFrom; ///< By gateway.
+    std::vector<double> inTouchFrom;      ///< By gateway.
     std::map<std::string, int> gatewayOf; ///< By request.
     int countedRequests = 0;
     std::atomic<bool> stopped{false};
--- a/review/support-2/standins.h
+++ b/review/support-2/standins.h
@@ -59,7 +59,9 @@
 class Record
 {
 public:
-    explicit Record(const std::string &path) : file(path, std::ios::trunc) {}
+    explicit Record(const std::string &path)
+        : file(path, std::ios::trunc)
+    {}
 
     void line(const std::string &text)
     {
@@ -89,7 +91,9 @@
 class Stream
 {
 public:
-    explicit Stream(int fd) : fd(fd) {}
+    explicit Stream(int fd)
+        : fd(fd)
+    {}
     ~Stream() { this->close(); }
     Stream(const Stream &) = delete;
     Stream &operator=(const Stream &) = delete;
@@ -301,7 +305,11 @@
 public:
     using Handler = std::function<void(const std::shared_ptr<Stream> &)>;
 
-    explicit Listener(Handler handler) : handler(std::move(handler)) { this->open(freePorts(1)); }
+    explicit Listener(Handler handler)
+        : handler(std::move(handler))
+    {
+        this->open(freePorts(1));
+    }
     ~Listener() { this->close(); }
 
     int port() const { return this->boundPort; }
@@ -431,8 +439,7 @@
     {
         this->history.push_back({kind, this->revision, {{"object", object}, {"removed", removed}}});
         if (kind == "servers" || kind == "config")
-            this->record.line("store: " + kind + "/"
-                              + object["metadata"]["name"].get<std::string>()
+            this->record.line("store: " + kind + "/" + object["metadata"]["name"].get<std::string>()
                               + (removed ? " is removed" : " is written") + ", acknowledged as "
                               + std::to_string(this->revision));
         this->changed.notify_all();
@@ -457,8 +464,8 @@
             if (readBody(*stream, *request, nowMs() + 10e3) != BodyEnd::Whole)
                 return;
             const auto [status, body] = this->call(*request, *stream);
-            if (!stream->write(responseText(status, {{"Content-Type", "application/json"}},
-                                            body.dump())))
+            if (!stream->write(
+                        responseText(status, {{"Content-Type", "application/json"}}, body.dump())))
                 return;
         }
     }
@@ -591,7 +598,8 @@
                 {"state", draining ? "draining" : "ready"},
                 {"cold_left_ms", 0},
                 {"stage", "both"},
-                {"models", Json::array({{{"name", "m"}, {"version", 1}, {"adapters", Json::array()}}})},
+                {"models",
+                 Json::array({{{"name", "m"}, {"version", 1}, {"adapters", Json::array()}}})},
                 {"seq", 4},
                 {"born", this->born}};
     }
@@ -653,10 +661,11 @@
                 return;
             const std::string expected = request->header("X-Expect-Instance");
             if (request->target == "/-/report") {
-                const Json report = {{"stage", "both"}, {"busy", false}, {"seq", 4},
-                                     {"queued", 0},     {"active", 0},   {"kv_used", 0},
-                                     {"kv_total", 405000}, {"handles", 0},
-                                     {"tickets", Json::array()}, {"born", this->born}};
+                const Json report = {
+                        {"stage", "both"},    {"busy", false}, {"seq", 4},
+                        {"queued", 0},        {"active", 0},   {"kv_used", 0},
+                        {"kv_total", 405000}, {"handles", 0},  {"tickets", Json::array()},
+                        {"born", this->born}};
                 if (!stream->write(responseText(200, {{"Content-Type", "application/json"}},
                                                 report.dump())))
                     return;
@@ -664,9 +673,10 @@
                 if (!stream->write(responseText(200, {{"X-Instance-Id", this->id}}, "ok")))
                     return;
             } else if (!expected.empty() && expected != this->id) {
-                if (!stream->write(responseText(
-                            421, {{"X-Instance-Id", this->id},
-                                  {"X-Request-Id", request->header("X-Request-Id")}}, "")))
+                if (!stream->write(responseText(421,
+                                                {{"X-Instance-Id", this->id},
+                                                 {"X-Request-Id", request->header("X-Request-Id")}},
+                                                "")))
                     return;
             } else if (request->target == "/-/order") {
                 if (!stream->write(responseText(200, {{"Content-Type", "application/json"}},
@@ -702,7 +712,9 @@
         , folder(folder)
         , firstPort(freePorts(5))
     {
-        const auto address = [](int port) { return "\"127.0.0.1:" + std::to_string(port) + "\"\n"; };
+        const auto address = [](int port) {
+            return "\"127.0.0.1:" + std::to_string(port) + "\"\n";
+        };
         std::ofstream settings(this->settingsPath());
         settings << "host: \"" << name << "\"\nfailure-domain: \"" << zone << "\"\n"
                  << "callers: " << address(this->callers())
@@ -868,10 +880,10 @@
 {
     const auto route = [](const char *name, const char *prefix, const char *kind, int timeout,
                           int goal, const char *service, int attempts) {
-        return Json{{"name", name},       {"host", "shop.example"}, {"path_prefix", prefix},
-                    {"kind", kind},       {"timeout_ms", timeout},  {"goal_ms", goal},
-                    {"priority", 1},      {"service", service},     {"max_attempts", attempts},
-                    {"no_auth", false},   {"sticky", false}};
+        return Json{{"name", name},     {"host", "shop.example"}, {"path_prefix", prefix},
+                    {"kind", kind},     {"timeout_ms", timeout},  {"goal_ms", goal},
+                    {"priority", 1},    {"service", service},     {"max_attempts", attempts},
+                    {"no_auth", false}, {"sticky", false}};
     };
     Json stream = route("questions", "/ask/", "stream", 10000, 300, "llm", 2);
     stream["sticky"] = true;
