A resumed stream is complete only if its server says so

Cause: judgeStreamEnd() took a run without events that ends with its connection for "nothing left to send" if the stream was resumed. A server that crashes after its head ends its connection in order as well, so that the run says nothing.

Evidence: records of both runs: the second server crashes 20 ms after it was asked to go on, the caller gets the last chunk 0.5 ms later.

Change: a run without a new event is complete only if its server marked the end of its body (length, last chunk, no body). On related paths: comments and events that the caller has are no new events, and a run that began anew and did not reach the caller's last event is broken in any framing.

Test: 'A resumed stream ended as complete when its next server crashed before its first event' failed before: 15 assertions of its first draft and of a section on comments, whose expectation was wrong since a comment was passed on already. The section 'a resumed stream may have nothing left to send' of an older test asked for the fault: it ended the second run with its connection. It now asks for length or chunks there, and for a broken answer where the connection is all there is.

--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -39,7 +39,10 @@
     EventStreamSplitter splitter;
     bool firstEventReceived = false;
     TimePoint firstEventAt;
-    TimePoint lastEventAt;       ///< When an event, other than a comment, was last complete.
+    TimePoint lastEventAt;     ///< When an event, other than a comment, was last complete.
+    bool sentNewEvent = false; ///< An event, other than a comment, was passed on.
+    /// Id of the last event that was dropped since the caller has it from an earlier attempt.
+    std::optional<std::uint64_t> lastRepeatedEventId;
     bool provedSound = false;    ///< The response went on for a while after its first event.
     PromptUpdate dispatchUpdate; ///< What the other hosts were told; prompts only.
 
--- a/src/gateway/forward_responses.cpp
+++ b/src/gateway/forward_responses.cpp
@@ -16,7 +16,7 @@
 constexpr Duration SoundResponseTime = std::chrono::milliseconds(500);
 
 /// Returns true if \a event consists of comments, which say nothing about the progress of a stream.
-bool isComment(std::string_view event)
+bool consistsOfComments(std::string_view event)
 {
     bool startsLine = true;
     for (const char byte : event) {
@@ -152,7 +152,8 @@
         && now - attempt.firstEventAt >= SoundResponseTime)
         this->recordSoundParts(call, now);
     for (const StreamEvent &event : attempt.splitter.feed(bytes)) {
-        if (!isComment(event.bytes))
+        const bool isComment = consistsOfComments(event.bytes);
+        if (!isComment)
             attempt.lastEventAt = now;
         if (!attempt.firstEventReceived) {
             attempt.firstEventReceived = true;
@@ -174,8 +175,11 @@
         }
         // A resumed stream starts after the last forwarded event. If the server starts again from
         // the beginning instead, the events that were forwarded already are dropped.
-        if (event.id && call.lastEventId && *event.id <= *call.lastEventId)
+        if (event.id && call.lastEventId && *event.id <= *call.lastEventId) {
+            attempt.lastRepeatedEventId = event.id;
             continue;
+        }
+        attempt.sentNewEvent = attempt.sentNewEvent || !isComment;
         if (event.id)
             call.lastEventId = event.id;
         if (call.timeToFirstEvent == Duration::zero()) {
@@ -268,8 +272,9 @@
     StreamProgress progress;
     progress.framing = bodyFraming(attempt.status, attempt.headers);
     progress.insideEvent = attempt.splitter.isInsideEvent();
-    progress.hasEvents = attempt.firstEventReceived;
-    progress.isResumed = call.lastEventId || call.metadata.resumeAfter;
+    progress.hasNewEvents = attempt.sentNewEvent;
+    progress.endsBeforeResume =
+            attempt.lastRepeatedEventId && attempt.lastRepeatedEventId < call.lastEventId;
     progress.continuesResponse = call.responseStarted;
     const StreamEnd end = judgeStreamEnd(progress);
     if (end != StreamEnd::Complete) {
--- a/src/gateway/stream_end.cpp
+++ b/src/gateway/stream_end.cpp
@@ -18,13 +18,15 @@
 {
     if (progress.insideEvent)
         return StreamEnd::InsideEvent;
-    if (progress.hasEvents)
+    if (progress.hasNewEvents)
         return StreamEnd::Complete;
+    if (progress.endsBeforeResume)
+        return StreamEnd::BeforeEvent;
     // No run of a stream that has begun answers without a body; it would have ended the stream.
     if (progress.continuesResponse && progress.framing == BodyFraming::Bodiless)
         return StreamEnd::BeforeEvent;
-    // A stream that was resumed after its last event has nothing left to send.
-    if (!progress.isResumed && progress.framing == BodyFraming::Connection)
+    // Only a server that marks the end of its body can say that a resumed stream has nothing left.
+    if (progress.framing == BodyFraming::Connection)
         return StreamEnd::BeforeEvent;
     return StreamEnd::Complete;
 }
--- a/tests/gateway/test_broken_streams.cpp
+++ b/tests/gateway/test_broken_streams.cpp
@@ -120,13 +120,81 @@
         CHECK(bench.result().ended);
         CHECK(bench.result().body == eventText(1, "\n"));
     }
-    SECTION("a resumed stream may have nothing left to send")
+    SECTION("the connection of the caller breaks if it has a comment already")
     {
         StreamBench bench(true);
-        bench.respond(0, 200, EndsWithConnection, eventText(1, "\n") + "id: 2\nda");
-        REQUIRE(bench.sentAttempts.size() == 2);
+        bench.respond(0, 200, EndsWithConnection, ": hello\n\n");
+        CHECK(bench.result().aborted);
+        CHECK_FALSE(bench.result().ended);
+    }
+}
+
+// Guards against a resumed stream that ends as complete where the next server crashed as well.
+TEST_CASE("A resumed stream ended as complete when its next server crashed before its first event",
+          "[Gateway][BrokenStreams]")
+{
+    SECTION("the answer breaks if no attempt is left")
+    {
+        for (const char *sent : {"", "\n", ": hello\n\n"}) {
+            CAPTURE(sent);
+            StreamBench bench(true);
+            bench.respond(0, 200, EndsWithConnection, eventText(1, "\n") + "id: 2\nda");
+            REQUIRE(bench.sentAttempts.size() == 2);
+            bench.respond(1, 200, EndsWithConnection, sent);
+            CHECK(bench.result().aborted);
+            CHECK_FALSE(bench.result().ended);
+        }
+    }
+    SECTION("it goes on at another server if one is left")
+    {
+        StreamBench bench(true);
+        for (Route &route : bench.configuration.routes)
+            route.maxAttempts = 3;
+        bench.applyConfiguration();
+        bench.addServer("engine-3", "engines");
+        const HttpCallId call = bench.request("/questions/", {{"Tokens", "5000,1300"}});
+        bench.respond(1, 200, EndsWithConnection, eventText(1, "\n") + "id: 2\nda");
+        bench.respond(2, 200, EndsWithConnection, "");
+        REQUIRE(bench.sentAttempts.size() == 4);
+        CHECK(bench.sentAttempts[3].header("After") == "1");
+        bench.respond(3, 200, EndsWithConnection, eventText(2, "\n"));
+        CHECK(bench.outcome(call).ended);
+        CHECK(bench.outcome(call).body == eventText(1, "\n") + eventText(2, "\n"));
+    }
+    SECTION("the same if the caller resumes")
+    {
+        StreamBench bench(true);
+        const HttpCallId call =
+                bench.request("/questions/", {{"Tokens", "5000,1300"}, {"After", "1"}});
         bench.respond(1, 200, EndsWithConnection, "");
-        CHECK(bench.result().ended);
+        REQUIRE(bench.sentAttempts.size() == 3);
+        CHECK(bench.sentAttempts[2].header("After") == "1");
+        bench.respond(2, 200, EndsWithConnection, "");
+        CHECK(bench.outcome(call).status == 502);
+    }
+    SECTION("the same if the server began anew and sent only what the caller has")
+    {
+        for (const HttpHeaders &framing : AllFramings) {
+            CAPTURE(framing.back().first);
+            StreamBench bench(true);
+            bench.respond(0, 200, framing, eventText(1, "\n") + eventText(2, "\n") + "id: 3\nda");
+            REQUIRE(bench.sentAttempts.size() == 2);
+            bench.respond(1, 200, framing, eventText(1, "\n"));
+            CHECK(bench.result().aborted);
+            CHECK_FALSE(bench.result().ended);
+        }
+    }
+    SECTION("a server that says itself that nothing is left ends the stream")
+    {
+        for (const HttpHeaders &framing : {Chunked, WithLength}) {
+            CAPTURE(framing.back().first);
+            StreamBench bench(true);
+            bench.respond(0, 200, framing, eventText(1, "\n") + "id: 2\nda");
+            REQUIRE(bench.sentAttempts.size() == 2);
+            bench.respond(1, 200, framing, "");
+            CHECK(bench.result().ended);
+            CHECK(bench.result().body == eventText(1, "\n"));
+        }
     }
 }
 
