What crashes servers outlives the loss of all hosts

Cause: CrashGuard and PromptPartGuard are known in the memory of hosts and told to hosts that run. Nothing outlived all of them.

After each kill three prompts in a row, 5 s apart, reach servers, as at the start; trials are 20 s apart or more.

Change (docs/design/crash-suspects.md): one host of each failure domain writes an entry for each suspect with two crashes or more to the platform's store, and removes it once the suspect is cleared; each host lists the entries at its start and is ready after that. A store that comes back from an older copy gets them again. On a related path: a host that starts knows no others and took each trial of a refused part for its own; it now waits 5 s.

Test: 'What crashes servers was forgotten when all hosts were killed' failed with the read at the start taken out (3 of 38 assertions: 6, 10 and 5 runs in place of 3); the code before has no entries to read. [CrashSuspectKeeper] and [CrashSuspectEntries] test the decisions in virtual time.

--- a/src/coordination/crash_guard.cpp
+++ b/src/coordination/crash_guard.cpp
@@ -55,6 +55,19 @@
                           [](const Crash &crash) { return !crash.takenBack; }));
 }
 
+bool CrashGuard::isKnown(const CrashNotice &notice, TimePoint now) const
+{
+    const auto found = this->records.find(notice.fingerprint);
+    if (found == this->records.end() || this->isExpired(found->second, now))
+        return false;
+    const Record &record = found->second;
+    const auto isExplained = [&record, now](const CrashRecord &crash) {
+        return record.clearedAt && now - crash.age <= *record.clearedAt;
+    };
+    return record.crashes.size() >= notice.crashes.size()
+           || std::all_of(notice.crashes.begin(), notice.crashes.end(), isExplained);
+}
+
 bool CrashGuard::shouldRefuse(const std::string &fingerprint, TimePoint now) const
 {
     return this->shouldRefuse(fingerprint, {this->limits.maxCrashes, 1}, now);
--- a/src/coordination/crash_guard.h
+++ b/src/coordination/crash_guard.h
@@ -74,6 +74,10 @@
     /// Returns the number of these crashes, without weights.
     std::size_t recordedCrashes(const std::string &fingerprint, TimePoint now) const;
 
+    /// Returns true if as many crashes of the suspect of \a notice are known as it reports, or the
+    /// suspect has run to completion since.
+    bool isKnown(const CrashNotice &notice, TimePoint now) const;
+
     /// When a suspect is refused, if that depends on more than CrashLimits.
     struct Threshold
     {
--- a/src/coordination/prompt_part_guard.h
+++ b/src/coordination/prompt_part_guard.h
@@ -97,6 +97,12 @@
         this->crashes.takeBackCrashes(livedOn);
     }
 
+    /// See CrashGuard.
+    bool isKnown(const CrashNotice &notice, TimePoint now) const
+    {
+        return this->crashes.isKnown(notice, now);
+    }
+
     /// See CrashGuard.
     std::vector<ServerId> crashedServers(const std::string &key) const
     {
--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -149,6 +149,10 @@
              "An attempt ended without showing whether its backend server crashed."},
             {Event::CrashDoubtSettled, "crash_doubt_settled", Severity::Info,
              "Whether the backend server of a doubted attempt crashed is decided."},
+            {Event::CrashSuspectStored, "crash_suspect_stored", Severity::Info,
+             "The entry of a suspect of crashes was written to the platform's store or removed."},
+            {Event::CrashSuspectsRead, "crash_suspects_read", Severity::Info,
+             "The suspects of crashes that the platform's store keeps were read."},
     };
     return table;
 }
--- a/src/core/event_log.h
+++ b/src/core/event_log.h
@@ -81,6 +81,8 @@
     CrashLearned = 803,
     CrashDoubted = 804,
     CrashDoubtSettled = 805,
+    CrashSuspectStored = 806,
+    CrashSuspectsRead = 807,
 };
 
 /// Static properties of an Event.
--- a/src/core/metric_catalogue.cpp
+++ b/src/core/metric_catalogue.cpp
@@ -58,6 +58,8 @@
          "Suspects of crashes that this host cleared since they ran to completion."},
         {Counter::CrashNoticesApplied,
          "Crash notices of other entry hosts that contained a new crash or clearance."},
+        {Counter::CrashSuspectWrites,
+         "Entries of crash suspects that this host wrote to the platform's store or removed."},
         {Counter::CrashDoubts,
          "Attempts that ended without showing whether their backend server crashed."},
         {Counter::CrashDoubtsConfirmed, "Doubted attempts whose backend server had crashed."},
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -27,7 +27,7 @@
         {LengthBand::UpTo1M, "256k-1M"},
 }};
 
-constexpr std::array<EnumName<Counter>, 34> CounterNames = {{
+constexpr std::array<EnumName<Counter>, 35> CounterNames = {{
         {Counter::RequestsAdmitted, "requests_admitted"},
         {Counter::RequestsFinished, "requests_finished"},
         {Counter::ForeignBytesDropped, "foreign_bytes_dropped"},
@@ -53,6 +53,7 @@
         {Counter::CrashSuspects, "crash_suspects"},
         {Counter::CrashSuspectsCleared, "crash_suspects_cleared"},
         {Counter::CrashNoticesApplied, "crash_notices_applied"},
+        {Counter::CrashSuspectWrites, "crash_suspect_writes"},
         {Counter::CrashDoubts, "crash_doubts"},
         {Counter::CrashDoubtsConfirmed, "crash_doubts_confirmed"},
         {Counter::RetriesAwaited, "retries_awaited"},
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -65,6 +65,7 @@
     CrashSuspects,
     CrashSuspectsCleared,
     CrashNoticesApplied,
+    CrashSuspectWrites,
     CrashDoubts,          ///< Attempts whose end does not show whether their server crashed.
     CrashDoubtsConfirmed, ///< Those whose server turned out to have crashed.
     RetriesAwaited,       ///< Retries that waited for parts of other hosts' retry budgets.
--- a/src/entry_host/collection_feed.cpp
+++ b/src/entry_host/collection_feed.cpp
@@ -45,7 +45,7 @@
     , hostEvents(std::move(hostEvents))
 {
     // A list is enough until the host knows whether it is one of those that watch.
-    this->watching = collection != Collection::DomainsOutOfService;
+    this->watching = !isUsuallyEmpty(collection);
 }
 
 CollectionFeed::~CollectionFeed()
@@ -304,8 +304,7 @@
 
 bool CollectionFeed::isMissing() const
 {
-    // Only the list of domains out of service is usually empty.
-    const bool mayBeEmpty = this->localObjects.collection() == Collection::DomainsOutOfService;
+    const bool mayBeEmpty = isUsuallyEmpty(this->localObjects.collection());
     return this->localObjects.empty() && !(mayBeEmpty && this->known);
 }
 
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -73,6 +73,7 @@
     , retryAllowance(retryBoundOf(settings))
     , crashGuard(CrashLimits{}, this->metrics, log)
     , partGuard(PromptPartLimits{}, this->metrics, log)
+    , suspectKeeper(CrashSuspectKeeping{})
     , reach(log)
     , domainService(DomainServiceTimings{}, log)
     , relayPeers(settings.failureDomain, this->random)
@@ -125,6 +126,15 @@
               },
               [this](const ObjectAnnouncement &message) { this->peerMesh.broadcast(message); },
               this->feedEvents(Collection::DomainsOutOfService), this->metrics, log)
+    , suspectFeed(
+              loop, store, Collection::CrashSuspects, this->random,
+              [this](const std::vector<CollectionObject> &objects,
+                     const CollectionFeed::ChangeContext & /*context*/) {
+                  this->applySuspectObjects(objects);
+              },
+              // Hosts tell each other of suspects by crash notices.
+              [](const ObjectAnnouncement & /*message*/) {},
+              this->feedEvents(Collection::CrashSuspects), this->metrics, log)
     , readinessServer(loop, settings.readiness, MaxReadinessRequestBytes,
                       [this](const HttpExchangePtr &exchange) {
                           const bool ready =
@@ -137,8 +147,9 @@
 {
     this->membership.setForwardsUpdates();
     this->membership.setRelayPort(this->relayListener.server().endpoint().port);
+    // A host that does not know the others yet would try each refused part by itself.
     this->partGuard.setTrialDuty([this](const std::string &key) {
-        return isTaskAssigned(this->identity, this->membership.liveMembers(), key, 1);
+        return this->hasFoundPeers() && this->isFirstForTask(key);
     });
     this->controller.setRouteTable(this->routes);
     this->controller.setResponseLimits(this->heldResponseLimits());
@@ -152,10 +163,14 @@
                      {"relay", this->relayListener.server().endpoint().text()}});
     for (CollectionFeed *feed : this->activeFeeds())
         feed->start();
+    this->suspectFeed.start();
     this->registerHostEntry();
 }
 
-GatewayHost::~GatewayHost() = default;
+GatewayHost::~GatewayHost()
+{
+    *this->alive = false;
+}
 
 KeepAliveHttpServerLimits GatewayHost::callerServerLimits() const
 {
@@ -313,7 +328,8 @@
 bool GatewayHost::isReady() const
 {
     return !this->shuttingDown && this->routes && this->routes->configuration()
-           && !this->fleet.all(this->loop.now()).empty() && this->knowsDomains();
+           && !this->fleet.all(this->loop.now()).empty() && this->knowsDomains()
+           && this->knowsSuspects();
 }
 
 HostStatus GatewayHost::status() const
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -10,6 +10,7 @@
 #include "entry_host/peer_mesh.h"
 #include "entry_host/prompt_update_channel.h"
 #include "entry_host/relay_listener.h"
+#include "gateway/crash_suspect_keeper.h"
 #include "gateway/domain_service.h"
 #include "gateway/host_entries.h"
 #include "gateway/host_entry_reconciler.h"
@@ -160,6 +161,20 @@
     /// Tells one peer after the other again of what crashes servers repeatedly, since a notice may
     /// get lost with its link.
     void repeatCrashNotices();
+    /// Applies suspects that the store keeps.
+    void applySuspectObjects(const std::vector<CollectionObject> &objects);
+    /// Returns true if this host knows what the store keeps of suspects, or has waited long enough
+    /// for it.
+    bool knowsSuspects() const;
+    /// Returns true if this host is the first of its failure domain to do the task \a task.
+    bool isFirstForTask(const std::string &task) const;
+    /// Returns true once this host has had the time to find the others.
+    bool hasFoundPeers() const;
+    /// Writes the entries of suspects in the store that are this host's task.
+    void storeSuspects();
+    void scheduleSuspectStoring();
+    void onSuspectStored(const CrashSuspectKeeper::Change &change,
+                         const tl::expected<void, StoreError> &result);
     void renewWatches(const char *reason);
     void scheduleControllerTimer();
     void finishShutdownWhenIdle();
@@ -193,6 +208,7 @@
     RetryBudget retryAllowance;
     CrashGuard crashGuard;
     PromptPartGuard partGuard;
+    CrashSuspectKeeper suspectKeeper;
     ServiceReach reach;
     DomainService domainService;
     RelayPeers relayPeers;
@@ -212,6 +228,7 @@
     CollectionFeed configurationFeed;
     CollectionFeed serverFeed;
     CollectionFeed domainFeed;
+    CollectionFeed suspectFeed;
     HttpServer readinessServer;
     OperatorApi operatorApi;
     std::unordered_map<std::uint32_t, ServerId> serversByHash;
@@ -242,6 +259,9 @@
     EventLoop::TimerHandle objectRequestTimer;
     EventLoop::TimerHandle domainTimer;
     EventLoop::TimerHandle drainTimer;
+    EventLoop::TimerHandle suspectTimer;
+    std::shared_ptr<bool> alive =
+            std::make_shared<bool>(true); ///< False for callbacks that run after destruction.
 };
 
 } // namespace dotterel
--- a/src/entry_host/gateway_host_domains.cpp
+++ b/src/entry_host/gateway_host_domains.cpp
@@ -57,6 +57,7 @@
     if (this->shuttingDown || era <= this->registeredEra)
         return;
     this->registeredEra = era;
+    this->suspectKeeper.onStoreRestored(this->loop.now());
     this->registerHostEntry();
 }
 
--- a/src/state/collection_store.cpp
+++ b/src/state/collection_store.cpp
@@ -8,15 +8,21 @@
 
 namespace {
 
-constexpr std::array<EnumName<Collection>, 4> CollectionNames = {{
+constexpr std::array<EnumName<Collection>, 5> CollectionNames = {{
         {Collection::Configuration, "configuration"},
         {Collection::Servers, "servers"},
         {Collection::Hosts, "hosts"},
         {Collection::DomainsOutOfService, "domains_out_of_service"},
+        {Collection::CrashSuspects, "crash_suspects"},
 }};
 
 } // namespace
 
+bool isUsuallyEmpty(Collection collection)
+{
+    return collection == Collection::DomainsOutOfService || collection == Collection::CrashSuspects;
+}
+
 std::string_view collectionName(Collection collection)
 {
     return enumName(CollectionNames, collection);
--- a/src/state/collection_store.h
+++ b/src/state/collection_store.h
@@ -19,6 +19,8 @@
     Hosts,   ///< Entry hosts.
     /// Failure domains that operators have put out of service, one object each while they are.
     DomainsOutOfService,
+    /// Requests and parts of prompts that crash backend servers, one object each.
+    CrashSuspects,
 };
 
 /// Required consistency of a list.
@@ -27,6 +29,9 @@
     MayBeStale, ///< Up to seconds old; costs the store a fraction of a current one.
 };
 
+/// Returns true if \a collection has no objects in normal operation.
+bool isUsuallyEmpty(Collection collection);
+
 /// Returns the external name of \a collection.
 std::string_view collectionName(Collection collection);
 
