A response whose status is none is malformed at once

Cause: http_parser takes any number for a status. Statuses below 200 were skipped as interim responses.

Change: a status line has three digits from 100 to 599, with a space or nothing behind. HttpClient checks the range.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,5 +1,6 @@
 #include "transport/http_client.h"
 
+#include "transport/http_message_parser.h"
 #include "transport/socket_options.h"
 
 #include <event2/buffer.h>
@@ -206,17 +207,19 @@
     static int onHeadReceived(evhttp_request *request, void *argument)
     {
         EvhttpCall *call = self(argument);
-        if (evhttp_request_get_response_code(request) < FirstFinalStatus) {
+        const int status = evhttp_request_get_response_code(request);
+        if (!isValidStatus(status)) {
+            call->scheduleMalformed();
+            return 0;
+        }
+        if (status < FirstFinalStatus) {
             if (++call->interimResponses > MaxInterimResponses)
                 call->scheduleMalformed();
             return 0;
         }
         if (call->listener != nullptr && !call->headReceived) {
             call->headReceived = true;
-            call->contain([&] {
-                call->listener->onHead(evhttp_request_get_response_code(request),
-                                       inputHeaders(request));
-            });
+            call->contain([&] { call->listener->onHead(status, inputHeaders(request)); });
         }
         return 0;
     }
--- a/src/transport/http_message_parser.cpp
+++ b/src/transport/http_message_parser.cpp
@@ -15,6 +15,9 @@
 constexpr int ContinueParsing = 0;
 constexpr int SkipBody = 1;
 constexpr int ParseError = -1;
+/// Length of "HTTP/1.1 200".
+constexpr std::size_t StatusLineBytes = 12;
+constexpr std::size_t StatusOffset = 9;
 
 /// Returns true if \a byte may be part of a header name (RFC 9110, 5.6.2).
 bool isTokenCharacter(unsigned char byte)
@@ -42,8 +45,32 @@
     return true;
 }
 
+/// Returns true if \a line, the start of the first line of a response, has a status of three digits
+/// in the range of RFC 9110, section 15, that a space or nothing follows. http_parser takes any
+/// number.
+bool hasValidStatus(std::string_view line)
+{
+    if (line.size() < StatusLineBytes || line[StatusOffset - 1] != ' '
+        || (line.size() > StatusLineBytes && line[StatusLineBytes] != ' '))
+        return false;
+    int status = 0;
+    for (const char digit : line.substr(StatusOffset, StatusLineBytes - StatusOffset)) {
+        if (digit < '0' || digit > '9')
+            return false;
+        status = status * 10 + (digit - '0');
+    }
+    return isValidStatus(status);
+}
+
 } // namespace
 
+bool isValidStatus(int status)
+{
+    constexpr int FirstStatus = 100;
+    constexpr int EndOfStatuses = 600;
+    return status >= FirstStatus && status < EndOfStatuses;
+}
+
 bool isBodilessStatus(int status)
 {
     constexpr int FirstFinalStatus = 200;
@@ -109,6 +136,8 @@
                 this->startLineSeen = this->startLineSeen || this->lineBytes > 0;
                 this->lineBytes = 0;
             } else if (byte != '\r') {
+                if (!this->startLineSeen && this->startLine.size() <= StatusLineBytes)
+                    this->startLine.push_back(byte);
                 if (this->lineBytes == 0 && this->startLineSeen && (byte == ' ' || byte == '\t'))
                     return true;
                 ++this->lineBytes;
@@ -121,6 +150,7 @@
     {
         this->headScanned = false;
         this->startLineSeen = false;
+        this->startLine.clear();
         this->afterReturn = false;
         this->lineBytes = 0;
     }
@@ -163,6 +193,8 @@
             head.method = http_method_str(static_cast<http_method>(parser->method));
         else
             head.status = parser->status_code;
+        if (self.messageType == HttpMessageType::Response && !hasValidStatus(self.startLine))
+            return ParseError;
         // Another version has other framing (RFC 9110, 2.5).
         if (parser->http_major != 1 || !hasUnambiguousFields(head.headers))
             return ParseError;
@@ -210,6 +242,7 @@
     bool headTooLarge = false;
     bool headScanned = false;   ///< The head of the current message has ended.
     bool startLineSeen = false; ///< Of the current message.
+    std::string startLine;      ///< Its first bytes, StatusLineBytes + 1 at most.
     bool afterReturn = false;   ///< The last scanned byte is a CR.
     std::size_t lineBytes = 0;  ///< Bytes of the current line of the head.
 };
--- a/src/transport/http_message_parser.h
+++ b/src/transport/http_message_parser.h
@@ -28,6 +28,9 @@
 /// Compares two header names, ignoring case.
 bool equalHeaderNames(std::string_view left, std::string_view right);
 
+/// Returns true if \a status may be that of a response (RFC 9110, section 15).
+bool isValidStatus(int status);
+
 /// Returns true if a response with \a status never has a body.
 bool isBodilessStatus(int status);
 
--- a/tests/transport/test_faulty_responses.cpp
+++ b/tests/transport/test_faulty_responses.cpp
@@ -229,3 +229,31 @@
         CHECK(recorder.complete == keepsAlive);
     }
 }
+
+// Guards against bytes that are no response: they were waited out, or passed on.
+TEST_CASE("A status outside 100 to 599 was waited out or taken for a response",
+          "[Transport][FaultyResponses]")
+{
+    const bool keepsAlive = GENERATE(true, false);
+    std::vector<std::string> statuses = {"000", "00",  "0",   "001", "099", "1000", "2000",
+                                         "20",  "-20", "600", "999", "",    "two",  "2 0"};
+    // evhttp, on which HttpClient is built, reads a number wherever it finds one.
+    if (keepsAlive)
+        statuses.insert(statuses.end(), {"0200", "+200", "200OK"});
+    const std::string framing =
+            GENERATE(as<std::string>(), "Content-Length: 4\r\n\r\nbody", "\r\nbody");
+    for (const std::string &status : statuses) {
+        CAPTURE(keepsAlive, status, framing);
+        ClientFixture fixture;
+        const std::unique_ptr<HttpSender> client = fixture.makeClient(keepsAlive);
+        ScriptedServer server(fixture.loop,
+                              {1, "HTTP/1.1 " + status + " OK\r\n" + framing, ScriptEnd::Hold});
+        Recorder recorder;
+        const auto call = client->send(ClientFixture::requestTo(server.endpoint()), recorder);
+        REQUIRE(fixture.becomesTrue([&] { return recorder.hasEnded(); }, seconds(1)));
+        CHECK_FALSE(recorder.complete);
+        CHECK(recorder.status == 0);
+        REQUIRE(recorder.failure);
+        CHECK(recorder.failure->verdict == Verdict::MayHaveRun);
+    }
+}
