Names of the entries of crash suspects; their writes wait 20 ms

Read as a newcomer would: writeSuspectEntries(), scheduleSuspectWrites() and isOwnTask() in place of names with a second meaning of "store".

A server that crashes leads to a notice for each request that it ran; each made every host go through its records at once. The writes of one burst now share one pass.

No new test: [AllHostsKilled] and [CrashSuspectKeeper] pass.

--- a/src/entry_host/collection_feed.cpp
+++ b/src/entry_host/collection_feed.cpp
@@ -44,7 +44,7 @@
     , turnsBeganAt(loop.now())
     , hostEvents(std::move(hostEvents))
 {
-    // A list is enough until the host knows whether it is one of those that watch.
+    // A list is enough unless the host turns out to be one of those that watch.
     this->watching = !isUsuallyEmpty(collection);
 }
 
--- a/src/entry_host/gateway_host.cpp
+++ b/src/entry_host/gateway_host.cpp
@@ -149,7 +149,7 @@
     this->membership.setRelayPort(this->relayListener.server().endpoint().port);
     // A host that does not know the others yet would try each refused part by itself.
     this->partGuard.setTrialDuty([this](const std::string &key) {
-        return this->hasFoundPeers() && this->isFirstForTask(key);
+        return this->hasFoundPeers() && this->isOwnTask(key);
     });
     this->controller.setRouteTable(this->routes);
     this->controller.setResponseLimits(this->heldResponseLimits());
--- a/src/entry_host/gateway_host.h
+++ b/src/entry_host/gateway_host.h
@@ -166,15 +166,15 @@
     /// Returns true if this host knows what the store keeps of suspects, or has waited long enough
     /// for it.
     bool knowsSuspects() const;
-    /// Returns true if this host is the first of its failure domain to do the task \a task.
-    bool isFirstForTask(const std::string &task) const;
+    /// Returns true if this host does the task \a task for its failure domain.
+    bool isOwnTask(const std::string &task) const;
     /// Returns true once this host has had the time to find the others.
     bool hasFoundPeers() const;
-    /// Writes the entries of suspects in the store that are this host's task.
-    void storeSuspects();
-    void scheduleSuspectStoring();
-    void onSuspectStored(const CrashSuspectKeeper::Change &change,
-                         const tl::expected<void, StoreError> &result);
+    /// Writes or removes the entries of suspects in the store that are this host's task.
+    void writeSuspectEntries();
+    void scheduleSuspectWrites();
+    void onSuspectWritten(const CrashSuspectKeeper::Change &change,
+                          const tl::expected<void, StoreError> &result);
     void renewWatches(const char *reason);
     void scheduleControllerTimer();
     void finishShutdownWhenIdle();
--- a/src/entry_host/gateway_host_crashes.cpp
+++ b/src/entry_host/gateway_host_crashes.cpp
@@ -12,6 +12,8 @@
 
 /// How often one peer is told again.
 constexpr Duration CrashNoticeInterval = std::chrono::seconds(5);
+/// A server that crashes leads to a notice for each request that it ran.
+constexpr Duration SuspectWriteDelay = std::chrono::milliseconds(20);
 /// Time for the list of suspects, without which a host that starts would run them again.
 constexpr Duration SuspectPatience = std::chrono::seconds(1);
 /// Hosts that start at the same time know each other within this time.
@@ -22,7 +24,7 @@
 void GatewayHost::publishCrashNotice(const CrashNotice &notice)
 {
     this->peerMesh.broadcast(notice);
-    this->scheduleSuspectStoring();
+    this->scheduleSuspectWrites();
 }
 
 void GatewayHost::sendCrashNotices(std::uint64_t link)
@@ -54,7 +56,7 @@
     this->metrics.set(Gauge::PromptPartsRefused, static_cast<double>(parts.refused));
 }
 
-bool GatewayHost::isFirstForTask(const std::string &task) const
+bool GatewayHost::isOwnTask(const std::string &task) const
 {
     return isTaskAssigned(this->identity, this->membership.liveMembers(), task, 1);
 }
@@ -99,16 +101,16 @@
                     {{"entries", static_cast<std::int64_t>(objects.size())}, {"applied", applied}});
 }
 
-void GatewayHost::scheduleSuspectStoring()
+void GatewayHost::scheduleSuspectWrites()
 {
     if (!this->suspectTimer)
-        this->suspectTimer = this->loop.after(Duration::zero(), [this] {
+        this->suspectTimer = this->loop.after(SuspectWriteDelay, [this] {
             this->suspectTimer.reset();
-            this->storeSuspects();
+            this->writeSuspectEntries();
         });
 }
 
-void GatewayHost::storeSuspects()
+void GatewayHost::writeSuspectEntries()
 {
     if (this->suspectKeeper.empty() && this->crashGuard.empty() && this->partGuard.empty())
         return;
@@ -116,23 +118,23 @@
     std::vector<CrashNotice> suspects = this->crashGuard.recurringNotices(now);
     for (CrashNotice &part : this->partGuard.recurringNotices(now))
         suspects.push_back(std::move(part));
-    const auto isOwnTask = [this](const std::string &name) { return this->isFirstForTask(name); };
+    const auto isOwnTask = [this](const std::string &name) { return this->isOwnTask(name); };
     for (const CrashSuspectKeeper::Change &change :
          this->suspectKeeper.takeDue(suspects, isOwnTask, now)) {
-        const auto onStored = [this, change, alive = this->alive](const auto &result) {
+        const auto onWritten = [this, change, alive = this->alive](const auto &result) {
             if (*alive)
-                this->onSuspectStored(change, result);
+                this->onSuspectWritten(change, result);
         };
         if (change.suspect)
             this->store.put(Collection::CrashSuspects, change.name,
-                            encodeCrashSuspect(*change.suspect, this->loop.wallTime()), onStored);
+                            encodeCrashSuspect(*change.suspect, this->loop.wallTime()), onWritten);
         else
-            this->store.remove(Collection::CrashSuspects, change.name, onStored);
+            this->store.remove(Collection::CrashSuspects, change.name, onWritten);
     }
 }
 
-void GatewayHost::onSuspectStored(const CrashSuspectKeeper::Change &change,
-                                  const tl::expected<void, StoreError> &result)
+void GatewayHost::onSuspectWritten(const CrashSuspectKeeper::Change &change,
+                                   const tl::expected<void, StoreError> &result)
 {
     // Another host may have removed the entry.
     const bool isAbsent = !change.suspect && !result && result.error() == StoreError::NotFound;
--- a/src/entry_host/gateway_host_updates.cpp
+++ b/src/entry_host/gateway_host_updates.cpp
@@ -64,7 +64,7 @@
     if (const auto *notice = std::get_if<CrashNotice>(&message)) {
         if (this->controller.onCrashNotice(*notice, this->loop.now())) {
             this->peerMesh.broadcast(*notice);
-            this->scheduleSuspectStoring();
+            this->scheduleSuspectWrites();
         }
     } else if (const auto *announcement = std::get_if<ObjectAnnouncement>(&message)) {
         if (CollectionFeed *feed = this->feedForCollection(announcement->collection))
@@ -159,7 +159,7 @@
     this->updateStoreWatching(live);
     this->checkPeerLinks();
     this->repeatCrashNotices();
-    this->storeSuspects();
+    this->writeSuspectEntries();
     this->requestObjectsFromPeers();
     for (const std::uint32_t sender : this->promptSenders) {
         if (liveSenders.count(sender) == 0)
