The soak counts a limit that has fallen from its fall on

Cause: SoakLimits applied the newest limit of a server to all requests of the last 4 s. The server had named 12.2 a second and lowered it to 0.47; 20 of the 21 requests came before.

Change of a check: the rule allows one and a half times what the server allows, + 5; the count now integrates what it named over the window. A constant limit is checked as before, a fall as soon as it is in the window.

--- a/tests/platform/soak/soak_limits.cpp
+++ b/tests/platform/soak/soak_limits.cpp
@@ -19,10 +19,26 @@
     const auto [entry, isFirst] = this->limits.emplace(server, Limit());
     if (isFirst)
         entry->second.namedAt = now;
-    entry->second.perSecond = limit;
+    std::deque<NamedLimit> &named = entry->second.named;
+    if (named.empty() || named.back().perSecond != limit)
+        named.push_back({now, limit});
     entry->second.toldAt.emplace(host, now);
 }
 
+double SoakLimits::Limit::allowedBetween(TimePoint begin, TimePoint end) const
+{
+    double allowed = 0;
+    for (auto entry = this->named.begin(); entry != this->named.end(); ++entry) {
+        const auto next = std::next(entry);
+        // The first limit also holds for the time before it was named.
+        const TimePoint from = entry == this->named.begin() ? begin : std::max(entry->since, begin);
+        const TimePoint until = next == this->named.end() ? end : std::min(next->since, end);
+        if (until > from)
+            allowed += entry->perSecond * toSeconds(until - from);
+    }
+    return allowed;
+}
+
 void SoakLimits::onHostInterrupted(std::size_t host)
 {
     for (auto &[server, limit] : this->limits) {
@@ -46,7 +62,9 @@
     limit.arrivals.push_back({now, host});
     while (now - limit.arrivals.front().time > Window)
         limit.arrivals.pop_front();
-    const double allowed = AllowedFactor * limit.perSecond * toSeconds(Window) + AllowedExtra;
+    while (limit.named.size() > 1 && limit.named[1].since <= now - Window)
+        limit.named.pop_front();
+    const double allowed = AllowedFactor * limit.allowedBetween(now - Window, now) + AllowedExtra;
     if (static_cast<double>(limit.arrivals.size()) <= allowed)
         return std::nullopt;
     return limit.arrivals.size();
--- a/tests/platform/soak/soak_limits.h
+++ b/tests/platform/soak/soak_limits.h
@@ -11,7 +11,8 @@
 
 /// Counts the requests that servers get after they have named a limit, as the users' rule does:
 /// from hosts that passed such an answer on half a second before or earlier, and only from the
-/// contact time after the limit was first named.
+/// contact time after the limit was first named. A server that changes its limit allows what it
+/// named at each moment of the window.
 class SoakLimits
 {
 public:
@@ -35,9 +36,17 @@
         TimePoint time;
         std::size_t host = 0;
     };
-    struct Limit
+    struct NamedLimit
     {
+        TimePoint since;
         double perSecond = 0;
+    };
+    struct Limit
+    {
+        /// Returns how many requests the server has allowed from \a begin to \a end.
+        double allowedBetween(TimePoint begin, TimePoint end) const;
+
+        std::deque<NamedLimit> named; ///< One entry for each change.
         TimePoint namedAt;
         std::map<std::size_t, TimePoint> toldAt; ///< By host.
         std::deque<Arrival> arrivals;
