--- a/tests/transport/test_faulty_responses.cpp
+++ b/tests/transport/test_faulty_responses.cpp
@@ -246,8 +246,9 @@
         CAPTURE(keepsAlive, status, framing);
         ClientFixture fixture;
         const std::unique_ptr<HttpSender> client = fixture.makeClient(keepsAlive);
-        ScriptedServer server(fixture.loop,
-                              {1, "HTTP/1.1 " + status + " OK\r\n" + framing, ScriptEnd::Hold});
+        std::string response = "HTTP/1.1 ";
+        response.append(status).append(" OK\r\n").append(framing);
+        ScriptedServer server(fixture.loop, {1, response, ScriptEnd::Hold});
         Recorder recorder;
         const auto call = client->send(ClientFixture::requestTo(server.endpoint()), recorder);
         REQUIRE(fixture.becomesTrue([&] { return recorder.hasEnded(); }, seconds(1)));
