--- /dev/null
+++ b/review/support-3/copied_refusal.cpp
@@ -0,0 +1,230 @@
+// The one engine of a service is full now and then, and gets what it has refused once more on the
+// same connection. It writes a late copy of 3 in 100 of its refusals. Streams of the route may not
+// be resumed.
+
+#include "stream_parts.h"
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdio>
+#include <map>
+#include <mutex>
+#include <random>
+#include <thread>
+
+namespace review {
+
+namespace {
+
+constexpr std::size_t MaxAttempts = 2;
+constexpr int EngineQueue = 2;
+constexpr double CopiedShare = 0.03;
+constexpr int EventIntervalMs = 10;
+constexpr int Gateways = 9;
+constexpr int Callers = 60; ///< Each stands for a row of users, who ask once.
+constexpr int PauseBetweenUsersMs = 20;
+constexpr std::int64_t LoadMs = 10'000;
+/// When the engine writes copies, from the start of the load on.
+constexpr std::int64_t CopiesFromMs = 2'000;
+constexpr std::int64_t CopiesUntilMs = 7'000;
+/// One way between two zones.
+constexpr std::chrono::microseconds LinkDelay{500};
+const std::string EngineId = "i-7f3a91c2";
+
+struct Trace
+{
+    int runs = 0;
+    int status = 0; ///< What the caller got; 0 until then, and if it got no answer.
+};
+
+/// What the engine and the callers saw, by request.
+class Observations
+{
+public:
+    explicit Observations(Record &record)
+        : record(record)
+    {}
+
+    void onRun(const std::string &id)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        Trace &trace = this->traces[id];
+        ++trace.runs;
+        this->record.write(EngineId + " runs " + id);
+        this->judge(id, trace);
+    }
+
+    void onAnswer(const std::string &id, const Message &answer)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        Trace &trace = this->traces[id];
+        trace.status = answer.status;
+        ++this->answers[answer.status];
+        this->record.write("caller of " + id + " gets " + std::to_string(answer.status)
+                           + (answer.complete ? "" : ", cut off"));
+        this->judge(id, trace);
+    }
+
+    int broken() const { return this->brokenRequests; }
+
+    std::string summary()
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        std::string text = std::to_string(this->traces.size()) + " requests;";
+        for (const auto &[status, count] : this->answers)
+            text += " " + std::to_string(status) + ": " + std::to_string(count) + ";";
+        return text + " refused and run all the same: " + std::to_string(this->brokenRequests);
+    }
+
+private:
+    void judge(const std::string &id, const Trace &trace)
+    {
+        const bool isPromised = trace.status == 503 || trace.status == 429 || trace.status == 408
+                                || trace.status == 421;
+        if (!isPromised || trace.runs == 0)
+            return;
+        ++this->brokenRequests;
+        this->record.write("REFUSED broken: " + id + " got " + std::to_string(trace.status)
+                           + " and has run");
+    }
+
+    Record &record;
+    std::mutex mutex;
+    std::map<std::string, Trace> traces;
+    std::map<int, int> answers;
+    int brokenRequests = 0;
+};
+
+/// A model server that is sound but for the copies.
+class Engine
+{
+public:
+    Engine(Observations &observations, Record &record, bool copies)
+        : observations(observations)
+        , record(record)
+        , copies(copies)
+        , stand([this](Connection &connection) { this->serve(connection); })
+    {}
+
+    void onLoadStarted() { this->loadStartedAt = nowMs(); }
+
+    std::string address() const { return this->stand.address(); }
+
+private:
+    void serve(Connection &connection)
+    {
+        std::string copy;
+        while (const std::optional<Message> request = connection.readRequest()) {
+            std::this_thread::sleep_for(LinkDelay);
+            const std::string requestId = request->header("X-Request-Id");
+            if (!copy.empty())
+                this->note("writes a late copy before its answer to", requestId);
+            if (!copy.empty() && !connection.write(copy))
+                return;
+            copy.clear();
+            if (requestId.empty()) {
+                if (!connection.write(formatResponse(200, {}, engineReport())))
+                    return;
+                continue;
+            }
+            const bool isExpected = request->header("X-Expect-Instance") == EngineId;
+            if (isExpected && this->enter()) {
+                this->observations.onRun(requestId);
+                const bool open = sendStream(connection, requestId, "", EventIntervalMs);
+                this->leave();
+                if (!open)
+                    return;
+                continue;
+            }
+            const std::string refusal = formatResponse(isExpected ? 503 : 421,
+                                                       {{"X-Request-Id", requestId},
+                                                        {"X-Not-Executed", "1"},
+                                                        {"X-Instance-Id", EngineId}},
+                                                       "");
+            this->note("refuses", requestId);
+            std::this_thread::sleep_for(LinkDelay);
+            if (!connection.write(refusal))
+                return;
+            if (this->isCopying() && this->draw() < CopiedShare)
+                copy = refusal;
+        }
+    }
+
+    void note(const std::string &what, const std::string &requestId)
+    {
+        this->record.write(EngineId + " " + what + " " + requestId);
+    }
+
+    /// Waits for a slot, or returns false if too many wait already.
+    bool enter()
+    {
+        std::unique_lock<std::mutex> lock(this->mutex);
+        if (this->running == EngineSlots && this->waiting == EngineQueue)
+            return false;
+        ++this->waiting;
+        this->slotFree.wait(lock, [this] { return this->running < EngineSlots; });
+        --this->waiting;
+        ++this->running;
+        return true;
+    }
+
+    void leave()
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        --this->running;
+        this->slotFree.notify_one();
+    }
+
+    bool isCopying() const
+    {
+        const std::int64_t sinceLoad = nowMs() - this->loadStartedAt;
+        return this->copies && sinceLoad >= CopiesFromMs && sinceLoad < CopiesUntilMs;
+    }
+
+    double draw()
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        return std::uniform_real_distribution<>(0, 1)(this->random);
+    }
+
+    Observations &observations;
+    Record &record;
+    bool copies;
+    std::atomic<std::int64_t> loadStartedAt = INT64_MAX / 2;
+    std::mutex mutex;
+    std::condition_variable slotFree;
+    int running = 0;
+    int waiting = 0;
+    std::mt19937 random{1};
+    HttpStand stand;
+};
+
+int play(Record &record, const std::string &directory)
+{
+    Observations observations(record);
+    Engine engine(observations, record, isTroubleWanted());
+    StoreStand store;
+    store.put("config", "main", streamConfiguration(false, MaxAttempts));
+    store.put("servers", EngineId, engineEntry(engine.address(), "centro-b"));
+    const auto gateways = startGateways(Gateways, store.address(), directory);
+    if (gateways.empty())
+        return 2;
+    engine.onLoadStarted();
+    runCallers(Callers, PauseBetweenUsersMs, LoadMs, [&](int caller, const std::string &id) {
+        const auto &gateway = gateways[static_cast<std::size_t>(caller) % gateways.size()];
+        observations.onAnswer(id, askForStream(gateway->callers(), id));
+    });
+    record.write(observations.summary());
+    std::printf("%s\n", observations.summary().c_str());
+    return observations.broken() > 0 ? 1 : 0;
+}
+
+} // namespace
+
+} // namespace review
+
+int main(int argc, const char **argv)
+{
+    review::playCase(argc, argv, review::play);
+}
