--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-cases=(copied_refusal lost_answers)
+cases=(copied_refusal lost_answers kept_limits)
 for name in "${cases[@]}"; do
     g++ -std=c++17 -O1 -Wall -Wextra -pthread -o "target/review-3/$name" "review/support-3/$name.cpp" \
         review/support-3/{http_stand,store_stand,deployment,stream_parts}.cpp
