--- a/review/support-3/copied_refusal.cpp
+++ b/review/support-3/copied_refusal.cpp
@@ -1,6 +1,6 @@
-// The one engine of a service is full now and then, and gets what it has refused once more on the
-// same connection. It writes a late copy of 3 in 100 of its refusals. Streams of the route may not
-// be resumed.
+// Two engines of a service are full now and then. One of them asks for a pause when it is, as it
+// may; the other one then gets what it has refused once more, on the same connection. It writes a
+// late copy of 3 in 100 of its refusals. Streams of the route may not be resumed.
 
 #include "stream_parts.h"
 
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <random>
 #include <thread>
+#include <utility>
 
 namespace review {
 
@@ -22,7 +23,7 @@
 constexpr double CopiedShare = 0.03;
 constexpr int EventIntervalMs = 10;
 constexpr int Gateways = 9;
-constexpr int Callers = 60; ///< Each stands for a row of users, who ask once.
+constexpr int Callers = 110; ///< Each stands for a row of users, who ask once.
 constexpr int PauseBetweenUsersMs = 20;
 constexpr std::int64_t LoadMs = 10'000;
 /// When the engine writes copies, from the start of the load on.
@@ -30,7 +31,9 @@
 constexpr std::int64_t CopiesUntilMs = 7'000;
 /// One way between two zones.
 constexpr std::chrono::microseconds LinkDelay{500};
-const std::string EngineId = "i-7f3a91c2";
+const std::string CopyingEngine = "i-7f3a91c2";
+const std::string PausingEngine = "i-02d9e6b4";
+const std::string PauseSeconds = "1";
 
 struct Trace
 {
@@ -46,12 +49,12 @@
         : record(record)
     {}
 
-    void onRun(const std::string &id)
+    void onRun(const std::string &id, const std::string &engine)
     {
         const std::lock_guard<std::mutex> lock(this->mutex);
         Trace &trace = this->traces[id];
         ++trace.runs;
-        this->record.write(EngineId + " runs " + id);
+        this->record.write(engine + " runs " + id);
         this->judge(id, trace);
     }
 
@@ -100,10 +103,12 @@
 class Engine
 {
 public:
-    Engine(Observations &observations, Record &record, bool copies)
-        : observations(observations)
+    Engine(std::string id, Observations &observations, Record &record, bool copies, bool pauses)
+        : id(std::move(id))
+        , observations(observations)
         , record(record)
         , copies(copies)
+        , pauses(pauses)
         , stand([this](Connection &connection) { this->serve(connection); })
     {}
 
@@ -128,20 +133,21 @@
                     return;
                 continue;
             }
-            const bool isExpected = request->header("X-Expect-Instance") == EngineId;
+            const bool isExpected = request->header("X-Expect-Instance") == this->id;
             if (isExpected && this->enter()) {
-                this->observations.onRun(requestId);
+                this->observations.onRun(requestId, this->id);
                 const bool open = sendStream(connection, requestId, "", EventIntervalMs);
                 this->leave();
                 if (!open)
                     return;
                 continue;
             }
-            const std::string refusal = formatResponse(isExpected ? 503 : 421,
-                                                       {{"X-Request-Id", requestId},
-                                                        {"X-Not-Executed", "1"},
-                                                        {"X-Instance-Id", EngineId}},
-                                                       "");
+            Headers headers = {{"X-Request-Id", requestId},
+                               {"X-Not-Executed", "1"},
+                               {"X-Instance-Id", this->id}};
+            if (isExpected && this->pauses)
+                headers.emplace_back("Retry-After", PauseSeconds);
+            const std::string refusal = formatResponse(isExpected ? 503 : 421, headers, "");
             this->note("refuses", requestId);
             std::this_thread::sleep_for(LinkDelay);
             if (!connection.write(refusal))
@@ -153,7 +159,7 @@
 
     void note(const std::string &what, const std::string &requestId)
     {
-        this->record.write(EngineId + " " + what + " " + requestId);
+        this->record.write(this->id + " " + what + " " + requestId);
     }
 
     /// Waits for a slot, or returns false if too many wait already.
@@ -188,9 +194,11 @@
         return std::uniform_real_distribution<>(0, 1)(this->random);
     }
 
+    std::string id;
     Observations &observations;
     Record &record;
     bool copies;
+    bool pauses;
     std::atomic<std::int64_t> loadStartedAt = INT64_MAX / 2;
     std::mutex mutex;
     std::condition_variable slotFree;
@@ -203,14 +211,16 @@
 int play(Record &record, const std::string &directory)
 {
     Observations observations(record);
-    Engine engine(observations, record, isTroubleWanted());
+    Engine copying(CopyingEngine, observations, record, isTroubleWanted(), false);
+    Engine pausing(PausingEngine, observations, record, false, true);
     StoreStand store;
     store.put("config", "main", streamConfiguration(false, MaxAttempts));
-    store.put("servers", EngineId, engineEntry(engine.address(), "centro-b"));
+    store.put("servers", CopyingEngine, engineEntry(copying.address(), "centro-b"));
+    store.put("servers", PausingEngine, engineEntry(pausing.address(), "centro-b"));
     const auto gateways = startGateways(Gateways, store.address(), directory);
     if (gateways.empty())
         return 2;
-    engine.onLoadStarted();
+    copying.onLoadStarted();
     runCallers(Callers, PauseBetweenUsersMs, LoadMs, [&](int caller, const std::string &id) {
         const auto &gateway = gateways[static_cast<std::size_t>(caller) % gateways.size()];
         observations.onAnswer(id, askForStream(gateway->callers(), id));
