--- a/review/support-3/copied_refusal.cpp
+++ b/review/support-3/copied_refusal.cpp
@@ -4,6 +4,7 @@
 
 #include "stream_parts.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -11,6 +12,7 @@
 #include <map>
 #include <mutex>
 #include <random>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -18,7 +20,6 @@
 
 namespace {
 
-constexpr std::size_t MaxAttempts = 2;
 constexpr int EngineQueue = 2;
 constexpr double CopiedShare = 0.03;
 constexpr int EventIntervalMs = 10;
@@ -49,6 +50,9 @@
         : record(record)
     {}
 
+    int refused() const { return static_cast<int>(this->refusedRequests.size()); }
+    int repeated() const { return static_cast<int>(this->repeatedRequests.size()); }
+
     void onRun(const std::string &id, const std::string &engine)
     {
         const std::lock_guard<std::mutex> lock(this->mutex);
@@ -69,15 +73,14 @@
         this->judge(id, trace);
     }
 
-    int broken() const { return this->brokenRequests; }
-
     std::string summary()
     {
         const std::lock_guard<std::mutex> lock(this->mutex);
         std::string text = std::to_string(this->traces.size()) + " requests;";
         for (const auto &[status, count] : this->answers)
             text += " " + std::to_string(status) + ": " + std::to_string(count) + ";";
-        return text + " refused and run all the same: " + std::to_string(this->brokenRequests);
+        return text + " refused and run all the same: " + std::to_string(this->refused())
+               + "; run twice: " + std::to_string(this->repeated());
     }
 
 private:
@@ -85,18 +88,19 @@
     {
         const bool isPromised = trace.status == 503 || trace.status == 429 || trace.status == 408
                                 || trace.status == 421;
-        if (!isPromised || trace.runs == 0)
-            return;
-        ++this->brokenRequests;
-        this->record.write("REFUSED broken: " + id + " got " + std::to_string(trace.status)
-                           + " and has run");
+        if (trace.runs > 1 && this->repeatedRequests.insert(id).second)
+            this->record.write("TWICE broken: " + id + " has run twice");
+        if (isPromised && trace.runs > 0 && this->refusedRequests.insert(id).second)
+            this->record.write("REFUSED broken: " + id + " got " + std::to_string(trace.status)
+                               + " and has run");
     }
 
     Record &record;
     std::mutex mutex;
     std::map<std::string, Trace> traces;
     std::map<int, int> answers;
-    int brokenRequests = 0;
+    std::set<std::string> refusedRequests;
+    std::set<std::string> repeatedRequests;
 };
 
 /// A model server that is sound but for the copies.
@@ -208,13 +212,21 @@
     HttpStand stand;
 };
 
-int play(Record &record, const std::string &directory)
+/// What a case judges.
+struct CaseRule
+{
+    std::size_t maxAttempts = 2;
+    int (Observations::*broken)() const = &Observations::refused;
+};
+
+int play(const CaseRule &rule, Record &record, const std::string &directory)
 {
-    Observations observations(record);
-    Engine copying(CopyingEngine, observations, record, isTroubleWanted(), false);
-    Engine pausing(PausingEngine, observations, record, false, true);
-    StoreStand store;
-    store.put("config", "main", streamConfiguration(false, MaxAttempts));
+    // The threads of the stand-ins use them until the process ends.
+    static Observations observations(record);
+    static Engine copying(CopyingEngine, observations, record, isTroubleWanted(), false);
+    static Engine pausing(PausingEngine, observations, record, false, true);
+    static StoreStand store;
+    store.put("config", "main", streamConfiguration(false, rule.maxAttempts));
     store.put("servers", CopyingEngine, engineEntry(copying.address(), "centro-b"));
     store.put("servers", PausingEngine, engineEntry(pausing.address(), "centro-b"));
     const auto gateways = startGateways(Gateways, store.address(), directory);
@@ -227,7 +239,7 @@
     });
     record.write(observations.summary());
     std::printf("%s\n", observations.summary().c_str());
-    return observations.broken() > 0 ? 1 : 0;
+    return (observations.*rule.broken)() > 0 ? 1 : 0;
 }
 
 } // namespace
@@ -236,5 +248,10 @@
 
 int main(int argc, const char **argv)
 {
-    review::playCase(argc, argv, review::play);
+    using namespace review;
+    const bool judgesRepeats = argc == 3 && std::string(argv[2]) == "twice";
+    const CaseRule rule = judgesRepeats ? CaseRule{3, &Observations::repeated} : CaseRule{};
+    playCase(std::min(argc, 2), argv, [&rule](Record &record, const std::string &directory) {
+        return play(rule, record, directory);
+    });
 }
--- a/review/support-3/deployment.cpp
+++ b/review/support-3/deployment.cpp
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -21,11 +22,15 @@
 constexpr std::uint16_t FirstPort = 21'000;
 constexpr std::uint16_t PortStep = 10;
 constexpr std::uint16_t LastPort = 31'000;
+/// Programs that are started one after the other begin apart.
+constexpr std::uint16_t PortsOfProgram = 100;
+constexpr int Programs = 97;
 constexpr int ReadinessTimeoutMs = 500;
 
 std::uint16_t findFreePorts()
 {
-    static std::uint16_t next = static_cast<std::uint16_t>(FirstPort + (getpid() % 500) * PortStep);
+    static std::uint16_t next =
+            static_cast<std::uint16_t>(FirstPort + (getpid() % Programs) * PortsOfProgram);
     while (next < LastPort) {
         const std::uint16_t base = next;
         next = static_cast<std::uint16_t>(next + PortStep);
@@ -119,6 +124,8 @@
     this->process = fork();
     if (this->process != 0)
         return;
+    // The process ends with the program of the case, whatever ends that.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int log = ::open(this->logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
--- a/review/support-3/kept_limits.cpp
+++ b/review/support-3/kept_limits.cpp
@@ -65,8 +65,9 @@
 int play(Record &record, const std::string &directory)
 {
     const bool changes = isTroubleWanted();
-    HttpStand engine(serveEngine);
-    StoreStand store;
+    // The threads of the stand-ins use them until the process ends.
+    static HttpStand engine(serveEngine);
+    static StoreStand store;
     store.put("config", "main", configurationWith(7, changes ? EarlierLimit : NewLimit));
     store.put("servers", EngineId, engineEntry(engine.address(), "centro-a"));
     const auto gateways = startGateways(Gateways, store.address(), directory);
--- a/review/support-3/lost_answers.cpp
+++ b/review/support-3/lost_answers.cpp
@@ -144,10 +144,11 @@
 
 int play(Record &record, const std::string &directory)
 {
-    Runs runs(record);
-    StoreStand store;
+    // The threads of the stand-ins use them until the process ends.
+    static Runs runs(record);
+    static StoreStand store;
     store.put("config", "main", streamConfiguration(true, MaxAttempts));
-    std::vector<std::unique_ptr<Engine>> engines;
+    static std::vector<std::unique_ptr<Engine>> engines;
     for (int number = 1; number <= Engines; ++number) {
         const std::string id = "i-7f3a91c" + std::to_string(number);
         const bool loses = isTroubleWanted() && number > Engines - LosingEngines;
--- a/review/support-3/stream_parts.cpp
+++ b/review/support-3/stream_parts.cpp
@@ -160,11 +160,8 @@
     const std::string directory = makeTemporaryDirectory();
     if (argc != 2 || directory.empty())
         std::_Exit(CannotRun);
-    int result = CannotRun;
-    {
-        Record record(argv[1]);
-        result = play(record, directory);
-    }
+    static Record record(argv[1]);
+    const int result = play(record, directory);
     if (std::getenv("REVIEW_KEEP") == nullptr)
         std::filesystem::remove_all(directory);
     std::fflush(stdout);
